Add the claims and lifecycle libraries

The claim protocol had a design but no code. Adds the owner map, owner lease, witness, claim table, holder rules, handover at a planned stop and the planned stop sequence as pure objects. First working version without tests.

--- /dev/null
+++ b/include/limpetlock/claims/holder.hpp
@@ -0,0 +1,97 @@
+/// \file
+/// Rules of the instance that received the request: whether it may dispatch now, and what it may tell the
+/// caller.
+#pragma once
+
+#include <limpetlock/claims/messages.hpp>
+#include <limpetlock/claims/owner_map.hpp>
+
+#include <optional>
+#include <string>
+
+namespace limpetlock::claims {
+
+/// What the endpoint call said. `not_sent`: no byte left. `refused`: the endpoint says that it has not run
+/// the call. `broken`: anything else after the first byte may have left.
+enum class call_result { not_sent, refused, answered, broken };
+
+/// What the caller is told.
+enum class tell { answer, not_run, unknown, in_progress, key_reused };
+
+struct decision {
+    tell what = tell::unknown;
+    std::string reason;
+    std::string answer;
+
+    friend bool operator==(const decision&, const decision&) = default;
+};
+
+/// Notices suspensions of this process from the gap between two timer ticks.
+class wake_watch {
+public:
+    /// Two 200 ms ticks that are further apart than this show a suspension.
+    static constexpr duration gap{1000};
+
+    explicit wake_watch(time_point start) : last_(start) {}
+
+    void tick(time_point now);
+
+    /// The end of the last suspension, including one that no tick has shown yet.
+    std::optional<time_point> woke(time_point now) const;
+
+private:
+    time_point last_;
+    std::optional<time_point> woke_;
+};
+
+/// Whether a caller's first-attempt assertion may be passed on. It may not when the request can have waited
+/// in a socket buffer or in this process: the caller may have sent another attempt in the meantime, and a
+/// replaced owner has no record of that one.
+bool first_attempt_counts(bool asserted, time_point read_at, time_point asked_at,
+                          std::optional<time_point> woke, duration lease);
+
+/// One attempt at one key by this instance, from the ask to the answer.
+class holder {
+public:
+    holder(claim_request ask, time_point asked_at);
+
+    /// Notes the owner's reply. Returns a settlement to send when a grant comes after finish().
+    std::optional<claim_settle> note_reply(const claim_reply& reply);
+
+    /// Whether a byte may be sent to an endpoint now; refusal() has the reason if not.
+    bool may_dispatch(time_point now);
+
+    /// Marks that the call goes out now. False, and nothing may be sent, when may_dispatch() is false.
+    bool begin_dispatch(time_point now);
+
+    /// Notes what the endpoint call said. After `not_sent` and `refused` another endpoint may be tried.
+    void note_result(call_result result, std::string answer);
+
+    /// Ends the attempt and says what the caller may be told. Nothing is dispatched afterwards.
+    decision finish();
+
+    /// The settlement for the owner after finish(); nullopt when there is no grant to settle. A result that
+    /// is noted after finish() changes it, so that a late answer still reaches the record.
+    std::optional<claim_settle> settlement() const;
+
+    const claim_request& ask() const { return ask_; }
+    const std::string& refusal() const { return refusal_; }
+
+private:
+    enum class call_state { none, outstanding, not_run, answered, broken };
+
+    bool refuse(std::string reason);
+    decision decide() const;
+    decision decide_granted() const;
+    claim_settle settle_as(claim_outcome outcome) const;
+
+    claim_request ask_;
+    time_point asked_at_;
+    std::optional<claim_reply> reply_;
+    call_state call_ = call_state::none;
+    std::string answer_;
+    std::string refusal_;
+    bool finished_ = false;
+};
+
+} // namespace limpetlock::claims
--- /dev/null
+++ b/lib/claims/holder.cpp
@@ -0,0 +1,150 @@
+#include <limpetlock/claims/holder.hpp>
+
+#include <utility>
+
+namespace limpetlock::claims {
+
+void wake_watch::tick(time_point now)
+{
+    woke_ = woke(now);
+    last_ = now;
+}
+
+std::optional<time_point> wake_watch::woke(time_point now) const
+{
+    return now - last_ > gap ? now : woke_;
+}
+
+bool first_attempt_counts(bool asserted, time_point read_at, time_point asked_at,
+                          std::optional<time_point> woke, duration lease)
+{
+    if (!asserted)
+        return false;
+    if (asked_at - read_at >= longest_deadline)
+        return false;
+    return !woke || read_at - *woke >= first_attempt_hold(lease);
+}
+
+holder::holder(claim_request ask, time_point asked_at) : ask_(std::move(ask)), asked_at_(asked_at) {}
+
+std::optional<claim_settle> holder::note_reply(const claim_reply& reply)
+{
+    if (reply_)
+        return std::nullopt;
+    if (!finished_) {
+        reply_ = reply;
+        return std::nullopt;
+    }
+    if (reply.verdict != claim_verdict::granted)
+        return std::nullopt;
+    return settle_as(claim_outcome::not_run);
+}
+
+bool holder::may_dispatch(time_point now)
+{
+    if (finished_)
+        return refuse("the attempt is finished");
+    if (!reply_ || reply_->verdict != claim_verdict::granted)
+        return refuse("no grant");
+    if (call_ != call_state::none && call_ != call_state::not_run)
+        return refuse("a call is out or has run");
+    if (now - asked_at_ >= duration{reply_->valid_ms})
+        return refuse("the grant has expired");
+    return true;
+}
+
+bool holder::begin_dispatch(time_point now)
+{
+    if (!may_dispatch(now))
+        return false;
+    call_ = call_state::outstanding;
+    return true;
+}
+
+void holder::note_result(call_result result, std::string answer)
+{
+    if (call_ != call_state::outstanding)
+        return;
+    answer_ = std::move(answer);
+    switch (result) {
+    case call_result::not_sent:
+    case call_result::refused:
+        call_ = call_state::not_run;
+        return;
+    case call_result::answered:
+        call_ = call_state::answered;
+        return;
+    case call_result::broken:
+        call_ = call_state::broken;
+        return;
+    }
+}
+
+decision holder::finish()
+{
+    finished_ = true;
+    return decide();
+}
+
+std::optional<claim_settle> holder::settlement() const
+{
+    if (!finished_ || !reply_ || reply_->verdict != claim_verdict::granted)
+        return std::nullopt;
+    if (call_ == call_state::answered)
+        return settle_as(claim_outcome::done);
+    const bool ran_nothing = call_ == call_state::none || call_ == call_state::not_run;
+    return settle_as(ran_nothing ? claim_outcome::not_run : claim_outcome::unknown);
+}
+
+bool holder::refuse(std::string reason)
+{
+    refusal_ = std::move(reason);
+    return false;
+}
+
+decision holder::decide() const
+{
+    if (!reply_ && ask_.first_attempt)
+        return {tell::not_run, "no reply from the claim owner", {}};
+    if (!reply_)
+        return {tell::unknown, "no reply from the claim owner", {}};
+    switch (reply_->verdict) {
+    case claim_verdict::granted:
+        return decide_granted();
+    case claim_verdict::answered:
+        return {tell::answer, reply_->reason, reply_->answer};
+    case claim_verdict::in_progress:
+        return {tell::in_progress, reply_->reason, {}};
+    case claim_verdict::refused:
+        return {tell::not_run, reply_->reason, {}};
+    case claim_verdict::key_reused:
+        return {tell::key_reused, reply_->reason, {}};
+    case claim_verdict::unknown:
+        break;
+    }
+    return {tell::unknown, reply_->reason, {}};
+}
+
+decision holder::decide_granted() const
+{
+    switch (call_) {
+    case call_state::none:
+        return {tell::not_run, "the grant was not used", {}};
+    case call_state::not_run:
+        return {tell::not_run, "the endpoint has not run the call", {}};
+    case call_state::answered:
+        return {tell::answer, {}, answer_};
+    case call_state::outstanding:
+    case call_state::broken:
+        break;
+    }
+    return {tell::unknown, "a byte of the call may have left", {}};
+}
+
+claim_settle holder::settle_as(claim_outcome outcome) const
+{
+    return {ask_.team, ask_.key, ask_.attempt_id, outcome,
+            outcome == claim_outcome::done ? answer_ : std::string()};
+}
+
+} // namespace limpetlock::claims
--- /dev/null
+++ b/lib/claims/lease.cpp
@@ -0,0 +1,124 @@
+#include <limpetlock/claims/lease.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+#include <vector>
+
+namespace limpetlock::claims {
+
+lease::lease(std::string name, std::int64_t incarnation, settings section)
+    : name_(std::move(name)), incarnation_(incarnation), map_(std::move(section))
+{
+}
+
+std::int64_t lease::note_sent(time_point now)
+{
+    const auto end = map_.section().lease;
+    while (!rounds_.empty() && rounds_.front().sent + end <= now)
+        rounds_.pop_front();
+    rounds_.push_back({++sequence_, now});
+    return sequence_;
+}
+
+bool lease::note_ack(std::string_view witness, std::int64_t witness_incarnation, const heartbeat_ack& ack,
+                     time_point now)
+{
+    note_incarnation(witness, witness_incarnation);
+    if (superseded_)
+        return refuse("superseded by a newer incarnation");
+    if (!ack.vouches)
+        return refuse("the witness does not vouch");
+    if (!map_.contains(witness))
+        return refuse("not a claim owner");
+    auto& from = votes_.find(witness)->second;
+    if (witness_incarnation < from.incarnation)
+        return refuse("the witness is replaced");
+    const auto it = std::find_if(rounds_.begin(), rounds_.end(),
+                                 [&](const auto& sent) { return sent.sequence == ack.sequence; });
+    if (it == rounds_.end() || to_ms(it->sent) != ack.sent_ms)
+        return refuse("no such heartbeat within the lease time");
+    if (held_since_ && now >= expires_)
+        held_since_.reset();
+    from.sent = from.sent ? std::max(*from.sent, it->sent) : it->sent;
+    const auto end = majority_end();
+    if (!end || now >= *end)
+        return true;
+    expires_ = *end;
+    if (!held_since_)
+        held_since_ = now;
+    return true;
+}
+
+void lease::note_incarnation(std::string_view name, std::int64_t incarnation)
+{
+    if (name == name_ && incarnation > incarnation_)
+        supersede();
+    auto it = votes_.find(name);
+    if (it == votes_.end())
+        it = votes_.emplace(std::string(name), vote{}).first;
+    if (incarnation <= it->second.incarnation)
+        return;
+    // The votes of a replaced witness do not count any more: its replacement may vouch for another
+    // incarnation.
+    it->second = {incarnation, std::nullopt};
+    if (!held_since_)
+        return;
+    const auto end = majority_end();
+    expires_ = end ? std::min(expires_, *end) : time_point{};
+}
+
+void lease::supersede()
+{
+    superseded_ = true;
+    held_since_.reset();
+    expires_ = {};
+}
+
+void lease::reconfigure(settings section)
+{
+    const auto& old = map_.section();
+    const bool same = old.owners == section.owners && old.lease == section.lease;
+    map_ = owner_map(std::move(section));
+    if (same)
+        return;
+    rounds_.clear();
+    for (auto& [name, it] : votes_)
+        it.sent.reset();
+    held_since_.reset();
+    expires_ = {};
+}
+
+duration lease::remaining(time_point now) const
+{
+    return held(now) ? expires_ - now : duration{0};
+}
+
+lease_state lease::state(time_point now) const
+{
+    if (superseded_ || !held_since_ || now >= expires_)
+        return {};
+    return {held_since_, expires_};
+}
+
+bool lease::refuse(std::string_view reason)
+{
+    refusal_ = reason;
+    return false;
+}
+
+std::optional<time_point> lease::majority_end() const
+{
+    std::vector<time_point> sent;
+    for (const auto& [name, it] : votes_)
+        if (it.sent && map_.contains(name))
+            sent.push_back(*it.sent);
+    const auto majority = map_.majority();
+    if (sent.size() < majority)
+        return std::nullopt;
+    const auto nth = sent.begin() + static_cast<std::ptrdiff_t>(majority - 1);
+    std::nth_element(sent.begin(), nth, sent.end(), std::greater<>());
+    return *nth + map_.section().lease;
+}
+
+} // namespace limpetlock::claims
--- /dev/null
+++ b/lib/claims/owner_map.cpp
@@ -0,0 +1,47 @@
+#include <limpetlock/claims/owner_map.hpp>
+#include <limpetlock/support/hash.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetlock::claims {
+
+namespace {
+
+std::size_t count_missing(const std::vector<std::string>& from, const std::vector<std::string>& to)
+{
+    return static_cast<std::size_t>(std::count_if(from.begin(), from.end(), [&](const std::string& it) {
+        return std::find(to.begin(), to.end(), it) == to.end();
+    }));
+}
+
+} // namespace
+
+owner_map::owner_map(settings section) : section_(std::move(section)) {}
+
+std::string_view owner_map::owner(std::string_view team, std::string_view key) const
+{
+    if (section_.owners.empty())
+        return {};
+    // The team's hash seeds the key's hash, so that no separator can be forged inside a key.
+    const auto hash = hash64(key, hash64(team));
+    return section_.owners[hash % section_.owners.size()];
+}
+
+bool owner_map::contains(std::string_view name) const
+{
+    return std::find(section_.owners.begin(), section_.owners.end(), name) != section_.owners.end();
+}
+
+std::optional<std::string> unsafe_change(const settings& from, const settings& to)
+{
+    if (from.owners.empty())
+        return std::nullopt;
+    const auto removed = count_missing(from.owners, to.owners);
+    const auto added = count_missing(to.owners, from.owners);
+    if (removed + added > 1)
+        return "more than one claim owner is added or removed in one change";
+    return std::nullopt;
+}
+
+} // namespace limpetlock::claims
--- /dev/null
+++ b/lib/claims/table.cpp
@@ -0,0 +1,446 @@
+#include <limpetlock/claims/table.hpp>
+
+#include <boost/multi_index/hashed_index.hpp>
+#include <boost/multi_index/member.hpp>
+#include <boost/multi_index/ordered_index.hpp>
+#include <boost/multi_index_container.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetlock::claims {
+
+namespace {
+
+namespace mi = boost::multi_index;
+
+struct record {
+    std::string id;
+    std::uint32_t team_size = 0;
+    record_state state = record_state::granted;
+    bool answer_kept = false;
+    std::string body_digest;
+    std::string attempt_id;
+    std::string answer;
+    time_point touched{};
+    time_point due{};
+};
+
+struct by_id;
+struct by_due;
+
+using record_set = mi::multi_index_container<
+    record,
+    mi::indexed_by<mi::hashed_unique<mi::tag<by_id>, mi::member<record, std::string, &record::id>>,
+                   mi::ordered_non_unique<mi::tag<by_due>, mi::member<record, time_point, &record::due>>>>;
+using record_iterator = record_set::index<by_id>::type::iterator;
+
+/// The length prefix keeps two pairs of team and key apart whose concatenations are equal.
+std::string make_id(const std::string& team, const std::string& key)
+{
+    return std::to_string(team.size()) + ':' + team + key;
+}
+
+std::string team_of(const record& it)
+{
+    return it.id.substr(it.id.find(':') + 1, it.team_size);
+}
+
+std::string key_of(const record& it)
+{
+    return it.id.substr(it.id.find(':') + 1 + it.team_size);
+}
+
+record_state state_of(claim_outcome outcome)
+{
+    switch (outcome) {
+    case claim_outcome::done:
+        return record_state::done;
+    case claim_outcome::not_run:
+        return record_state::not_run;
+    case claim_outcome::unknown:
+        break;
+    }
+    return record_state::unknown;
+}
+
+/// An empty answer is what an export holds for one that was not kept; a call always answers with some JSON.
+bool may_keep(const std::string& answer)
+{
+    return !answer.empty() && answer.size() <= longest_kept_answer;
+}
+
+} // namespace
+
+class table::implementation {
+public:
+    implementation(std::string name, std::int64_t incarnation, settings section)
+        : name_(std::move(name)), incarnation_(incarnation), map_(std::move(section))
+    {
+    }
+
+    claim_reply request(const claim_request& ask, const lease_state& own, time_point now);
+    bool settle(const claim_settle& outcome, time_point now);
+    std::size_t expire(time_point now);
+    void seal(const lease_state& own, time_point now);
+    handover export_records(time_point now) const;
+    std::optional<std::size_t> import_records(const handover& from, const lease_state& own, time_point now);
+    void reconfigure(settings section, time_point now);
+
+    bool sealed() const { return sealed_; }
+    std::size_t size() const { return records_.size(); }
+    const table_counters& counters() const { return counters_; }
+    const basic_error<table_errc>& last_error() const { return error_.last(); }
+
+private:
+    auto& ids() { return records_.get<by_id>(); }
+
+    duration coverage(const lease_state& own, time_point now) const;
+    const char* why_not_owner(const claim_request& ask, const lease_state& own, time_point now) const;
+    claim_reply decide(const claim_request& ask, const lease_state& own, time_point now);
+    claim_reply on_record(record_iterator it, const claim_request& ask, const lease_state& own,
+                          time_point now);
+    claim_reply on_tombstone(record_iterator it, const claim_request& ask, const lease_state& own,
+                             time_point now);
+    claim_reply on_no_record(const claim_request& ask, const lease_state& own, time_point now);
+    claim_reply grant(record it, time_point now);
+    void put(record it);
+    void count(const claim_reply& reply);
+    time_point due_of(const record& it, time_point now) const;
+
+    std::string name_;
+    std::int64_t incarnation_;
+    owner_map map_;
+    record_set records_;
+    bool sealed_ = false;
+    bool sealed_with_lease_ = false;
+    duration sealed_coverage_{0};
+    std::optional<time_point> import_hold_;
+    duration inherited_{0};
+    std::optional<time_point> complete_since_;
+    table_counters counters_;
+    error_slot<table_errc> error_;
+};
+
+claim_reply table::implementation::request(const claim_request& ask, const lease_state& own, time_point now)
+{
+    expire(now);
+    auto reply = decide(ask, own, now);
+    count(reply);
+    return reply;
+}
+
+claim_reply table::implementation::decide(const claim_request& ask, const lease_state& own, time_point now)
+{
+    const auto it = ids().find(make_id(ask.team, ask.key));
+    if (it != ids().end())
+        return on_record(it, ask, own, now);
+    return on_no_record(ask, own, now);
+}
+
+claim_reply table::implementation::on_record(record_iterator it, const claim_request& ask,
+                                             const lease_state& own, time_point now)
+{
+    if (it->body_digest != ask.body_digest)
+        return {claim_verdict::key_reused, "the key was used with another body", {}, 0};
+    switch (it->state) {
+    case record_state::granted:
+        // A repeated ask of the holder itself gets the same grant; the holder dispatches once per attempt.
+        if (it->attempt_id == ask.attempt_id)
+            return {claim_verdict::granted, "repeated ask", {}, longest_deadline.count()};
+        return {claim_verdict::in_progress, "another attempt holds the grant", {}, 0};
+    case record_state::done:
+        if (!it->answer_kept)
+            return {claim_verdict::unknown, "done, but the answer was too long to keep", {}, 0};
+        return {claim_verdict::answered, "done", it->answer, 0};
+    case record_state::not_run:
+        return on_tombstone(it, ask, own, now);
+    case record_state::unknown:
+        break;
+    }
+    return {claim_verdict::unknown, "the outcome of an attempt is unknown", {}, 0};
+}
+
+claim_reply table::implementation::on_tombstone(record_iterator it, const claim_request& ask,
+                                                const lease_state& own, time_point now)
+{
+    if (it->attempt_id == ask.attempt_id)
+        return {claim_verdict::unknown, "this attempt is already settled", {}, 0};
+    if (const char* reason = why_not_owner(ask, own, now))
+        return {claim_verdict::unknown, reason, {}, 0};
+    // Another incarnation may have granted the key during a break of the lease after the tombstone.
+    if (now - it->touched > coverage(own, now))
+        return {claim_verdict::unknown, "the record is older than the hold of the lease", {}, 0};
+    auto granted = *it;
+    granted.attempt_id = ask.attempt_id;
+    return grant(std::move(granted), now);
+}
+
+claim_reply table::implementation::on_no_record(const claim_request& ask, const lease_state& own,
+                                                time_point now)
+{
+    const auto denied = ask.first_attempt ? claim_verdict::refused : claim_verdict::unknown;
+    if (const char* reason = why_not_owner(ask, own, now)) {
+        ++counters_.refused_lease;
+        return {denied, reason, {}, 0};
+    }
+    const auto needed =
+        ask.first_attempt ? first_attempt_hold(map_.section().lease) : map_.section().key_lifetime;
+    if (coverage(own, now) < needed) {
+        ++counters_.refused_lease;
+        return {denied, "the lease is not held for long enough", {}, 0};
+    }
+    if (records_.size() >= map_.section().max_claims) {
+        ++counters_.refused_full;
+        return {claim_verdict::refused, "the claim table is full", {}, 0};
+    }
+    record it;
+    it.id = make_id(ask.team, ask.key);
+    it.team_size = static_cast<std::uint32_t>(ask.team.size());
+    it.body_digest = ask.body_digest;
+    it.attempt_id = ask.attempt_id;
+    return grant(std::move(it), now);
+}
+
+const char* table::implementation::why_not_owner(const claim_request& ask, const lease_state& own,
+                                                 time_point now) const
+{
+    if (ask.claims_number != map_.section().number)
+        return "another claims number is in force here";
+    if (map_.owner(ask.team, ask.key) != name_)
+        return "not the owner of this key";
+    if (sealed_)
+        return "the owner is stopping";
+    if (!own.held(now))
+        return "the owner has no lease";
+    return nullptr;
+}
+
+duration table::implementation::coverage(const lease_state& own, time_point now) const
+{
+    auto covered = own.held_for(now);
+    if (import_hold_ && own.held_since == import_hold_)
+        covered += inherited_;
+    if (complete_since_)
+        covered = std::min(covered, now - *complete_since_);
+    return covered;
+}
+
+claim_reply table::implementation::grant(record it, time_point now)
+{
+    it.state = record_state::granted;
+    it.touched = now;
+    it.due = due_of(it, now);
+    put(std::move(it));
+    return {claim_verdict::granted, {}, {}, longest_deadline.count()};
+}
+
+void table::implementation::put(record it)
+{
+    const auto old = ids().find(it.id);
+    if (old == ids().end())
+        ids().insert(std::move(it));
+    else
+        ids().replace(old, std::move(it));
+}
+
+time_point table::implementation::due_of(const record& it, time_point now) const
+{
+    if (it.state == record_state::granted)
+        return now + grant_settle_time;
+    return it.touched + map_.section().key_lifetime;
+}
+
+bool table::implementation::settle(const claim_settle& outcome, time_point now)
+{
+    const auto it = ids().find(make_id(outcome.team, outcome.key));
+    // A done record is final: a settlement of the same attempt that overtook it must not take it back.
+    if (it == ids().end() || it->attempt_id != outcome.attempt_id || it->state == record_state::done) {
+        ++counters_.settle_ignored;
+        return false;
+    }
+    auto settled = *it;
+    settled.state = state_of(outcome.outcome);
+    settled.touched = now;
+    settled.answer_kept = settled.state == record_state::done && may_keep(outcome.answer);
+    settled.answer = settled.answer_kept ? outcome.answer : std::string();
+    settled.due = due_of(settled, now);
+    put(std::move(settled));
+    ++counters_.settled;
+    return true;
+}
+
+std::size_t table::implementation::expire(time_point now)
+{
+    auto& due = records_.get<by_due>();
+    std::size_t dropped = 0;
+    while (!due.empty() && due.begin()->due <= now) {
+        const auto it = due.begin();
+        if (it->state != record_state::granted) {
+            due.erase(it);
+            ++dropped;
+            continue;
+        }
+        due.modify(it, [&](record& expired) {
+            expired.state = record_state::unknown;
+            expired.touched = now;
+            expired.due = due_of(expired, now);
+        });
+        ++counters_.expired_grants;
+    }
+    counters_.expired_records += dropped;
+    return dropped;
+}
+
+void table::implementation::seal(const lease_state& own, time_point now)
+{
+    if (sealed_)
+        return;
+    sealed_ = true;
+    sealed_with_lease_ = own.held(now);
+    sealed_coverage_ = coverage(own, now);
+}
+
+handover table::implementation::export_records(time_point now) const
+{
+    handover it{name_, incarnation_, sealed_ && sealed_with_lease_, sealed_coverage_.count(), {}};
+    it.records.reserve(records_.size());
+    for (const auto& from : records_.get<by_due>())
+        it.records.push_back({team_of(from), key_of(from), from.body_digest, from.attempt_id, from.state,
+                              from.answer, (now - from.touched).count()});
+    return it;
+}
+
+std::optional<std::size_t> table::implementation::import_records(const handover& from, const lease_state& own,
+                                                                 time_point now)
+{
+    if (!from.sealed)
+        return error_.fail(table_errc::not_sealed, "the handover is not sealed");
+    if (from.owner != name_)
+        return error_.fail(table_errc::other_owner, "the handover is of another owner");
+    if (from.incarnation >= incarnation_)
+        return error_.fail(table_errc::not_predecessor, "the handover is not of a former incarnation");
+    if (import_hold_)
+        return error_.fail(table_errc::already_imported, "a handover is already imported");
+    if (!own.held(now) || sealed_)
+        return error_.fail(table_errc::no_lease, "the lease is not held");
+    import_hold_ = own.held_since;
+    inherited_ = duration{from.lease_age_ms};
+    std::size_t n = 0;
+    for (const auto& it : from.records) {
+        record copy{make_id(it.team, it.key),
+                    static_cast<std::uint32_t>(it.team.size()),
+                    it.state,
+                    false,
+                    it.body_digest,
+                    it.attempt_id,
+                    it.answer,
+                    now - duration{it.age_ms},
+                    {}};
+        copy.answer_kept = it.state == record_state::done && may_keep(it.answer);
+        copy.due = due_of(copy, now);
+        n += ids().insert(std::move(copy)).second ? 1 : 0;
+    }
+    counters_.imported += n;
+    return n;
+}
+
+void table::implementation::reconfigure(settings section, time_point now)
+{
+    const auto& old = map_.section();
+    if (old.owners != section.owners)
+        import_hold_ = time_point{};
+    if (section.key_lifetime > old.key_lifetime)
+        complete_since_ = now - old.key_lifetime;
+    map_ = owner_map(std::move(section));
+}
+
+void table::implementation::count(const claim_reply& reply)
+{
+    switch (reply.verdict) {
+    case claim_verdict::granted:
+        ++counters_.granted;
+        return;
+    case claim_verdict::answered:
+        ++counters_.answered;
+        return;
+    case claim_verdict::in_progress:
+        ++counters_.in_progress;
+        return;
+    case claim_verdict::unknown:
+        ++counters_.unknown;
+        return;
+    case claim_verdict::refused:
+        ++counters_.refused;
+        return;
+    case claim_verdict::key_reused:
+        ++counters_.key_reused;
+        return;
+    }
+}
+
+table::table(std::string name, std::int64_t incarnation, settings section)
+    : impl_(std::make_unique<implementation>(std::move(name), incarnation, std::move(section)))
+{
+}
+
+table::table(table&&) noexcept = default;
+table& table::operator=(table&&) noexcept = default;
+table::~table() = default;
+
+claim_reply table::request(const claim_request& ask, const lease_state& own, time_point now)
+{
+    return impl_->request(ask, own, now);
+}
+
+bool table::settle(const claim_settle& outcome, time_point now)
+{
+    return impl_->settle(outcome, now);
+}
+
+std::size_t table::expire(time_point now)
+{
+    return impl_->expire(now);
+}
+
+void table::seal(const lease_state& own, time_point now)
+{
+    impl_->seal(own, now);
+}
+
+handover table::export_records(time_point now) const
+{
+    return impl_->export_records(now);
+}
+
+std::optional<std::size_t> table::import_records(const handover& from, const lease_state& own, time_point now)
+{
+    return impl_->import_records(from, own, now);
+}
+
+void table::reconfigure(settings section, time_point now)
+{
+    impl_->reconfigure(std::move(section), now);
+}
+
+bool table::sealed() const
+{
+    return impl_->sealed();
+}
+
+std::size_t table::size() const
+{
+    return impl_->size();
+}
+
+const table_counters& table::counters() const
+{
+    return impl_->counters();
+}
+
+const basic_error<table_errc>& table::last_error() const
+{
+    return impl_->last_error();
+}
+
+} // namespace limpetlock::claims
--- /dev/null
+++ b/lib/claims/witness.cpp
@@ -0,0 +1,104 @@
+#include <limpetlock/claims/witness.hpp>
+
+#include <utility>
+
+namespace limpetlock::claims {
+
+witness::witness(settings section, time_point start)
+    : map_(std::move(section)), waiting_since_(start), last_call_(start), quiet_until_(start)
+{
+}
+
+bool witness::vouch(std::string_view name, std::int64_t incarnation, std::int64_t claims_number,
+                    time_point now)
+{
+    update(now);
+    if (!map_.contains(name))
+        return refuse("not a claim owner");
+    auto& it = find(name);
+    if (incarnation < it.highest)
+        return refuse("a newer incarnation was seen");
+    it.highest = incarnation;
+    if (claims_number != map_.section().number)
+        return refuse("another claims number is in force here");
+    if (now < quiet_until_)
+        return refuse("the claims section has just changed");
+    if (retired_)
+        return refuse("this process is replaced");
+    if (!settled_)
+        return refuse("not settled");
+    const auto separation = witness_separation(map_.section().lease);
+    if (it.vouched != 0 && it.vouched != incarnation && now - it.vouched_at < separation)
+        return refuse("vouched for another incarnation within the lease time");
+    if (it.vouched != incarnation)
+        it.predecessor = std::exchange(it.vouched, incarnation);
+    it.vouched_at = now;
+    return true;
+}
+
+void witness::note_own_lease(const lease_state& own, time_point now)
+{
+    update(now);
+    if (own_.held_since && own.held_since != own_.held_since)
+        unsettle(now);
+    own_ = own;
+}
+
+std::int64_t witness::confirm_predecessor(std::string_view name, std::int64_t incarnation)
+{
+    auto& it = find(name);
+    if (incarnation < it.highest)
+        return 0;
+    it.highest = incarnation;
+    return it.vouched == incarnation ? it.predecessor : it.vouched;
+}
+
+void witness::reconfigure(settings section, time_point now)
+{
+    const auto& old = map_.section();
+    if (old.owners != section.owners || old.lease != section.lease)
+        quiet_until_ = now + witness_separation(old.lease);
+    map_ = owner_map(std::move(section));
+}
+
+bool witness::settled(time_point now)
+{
+    update(now);
+    return settled_;
+}
+
+bool witness::refuse(std::string_view reason)
+{
+    refusal_ = reason;
+    return false;
+}
+
+witness::entry& witness::find(std::string_view name)
+{
+    const auto it = entries_.find(name);
+    if (it != entries_.end())
+        return it->second;
+    return entries_.emplace(std::string(name), entry{}).first->second;
+}
+
+void witness::unsettle(time_point now)
+{
+    settled_ = false;
+    waiting_since_ = now;
+    own_ = {};
+}
+
+void witness::update(time_point now)
+{
+    const auto lease_time = map_.section().lease;
+    const bool suspended = now - last_call_ > lease_time;
+    const bool lost = own_.held_since && !own_.held(now);
+    last_call_ = now;
+    if (suspended || lost)
+        unsettle(now);
+    const bool introduced = own_.held_for(now) >= witness_separation(lease_time);
+    if (introduced || now - waiting_since_ >= cold_start_wait(lease_time))
+        settled_ = true;
+}
+
+} // namespace limpetlock::claims
