--- a/include/limpetlock/claims/lease.hpp
+++ b/include/limpetlock/claims/lease.hpp
@@ -13,12 +13,17 @@
 
 namespace limpetlock::claims {
 
-/// A lease as seen at one moment. It stays valid after a suspension, because it carries its own end.
+/// A lease as seen at one moment. It stays valid after a suspension, because it carries its own ends.
 struct lease_state {
     std::optional<time_point> held_since;
     time_point expires{};
+    /// Until when every owner vouches, not only a majority.
+    time_point unanimous_until{};
+    /// Until when every owner has acknowledged a heartbeat, vouching or not.
+    time_point heard_until{};
 
     bool held(time_point now) const { return held_since && now < expires; }
+    bool unanimous(time_point now) const { return held(now) && now < unanimous_until; }
     duration held_for(time_point now) const { return held(now) ? now - *held_since : duration{0}; }
 
     friend bool operator==(const lease_state&, const lease_state&) = default;
@@ -62,11 +67,14 @@
     };
     struct vote {
         std::int64_t incarnation = 0;
-        std::optional<time_point> sent;
+        std::optional<time_point> vouched;
+        std::optional<time_point> heard;
     };
 
     bool refuse(std::string_view reason);
+    std::optional<time_point> end_of(std::size_t votes, std::optional<time_point> vote::*sent) const;
     std::optional<time_point> majority_end() const;
+    time_point end_of_all(std::optional<time_point> vote::*sent) const;
 
     std::string name_;
     std::int64_t incarnation_;
--- a/include/limpetlock/claims/witness.hpp
+++ b/include/limpetlock/claims/witness.hpp
@@ -13,9 +13,10 @@
 /// Keeps one entry per owner name: the highest incarnation seen, the incarnation vouched for last, the time
 /// of that, and the one vouched for before it.
 ///
-/// A witness is settled when its own lease has held for one lease time, or after the cold start wait since
-/// its start or since it last lost its lease or was suspended. An unsettled witness vouches for nobody. Call
-/// vouch() for the own name at every heartbeat, so that a pause in the calls shows a suspension.
+/// A witness is settled when its own lease has held for one lease time. It is also settled after the cold start
+/// wait since its start, or since it last lost its lease or was suspended, if by then every owner acknowledges its
+/// heartbeats. An unsettled witness vouches for nobody. Call vouch() for the own name at every heartbeat, so that
+/// a pause in the calls shows a suspension.
 class witness {
 public:
     witness(settings section, time_point start);
@@ -24,7 +25,7 @@
     /// not.
     bool vouch(std::string_view name, std::int64_t incarnation, std::int64_t claims_number, time_point now);
 
-    /// Notes the lease of this process itself. Call it after each acknowledgement.
+    /// Notes the lease of this process itself. Call it after each acknowledgement, vouching or not.
     void note_own_lease(const lease_state& own, time_point now);
 
     /// The incarnation of `name` below `incarnation` that this witness vouched for last, 0 for none. From
--- a/lib/claims/lease.cpp
+++ b/lib/claims/lease.cpp
@@ -27,8 +27,6 @@
     note_incarnation(witness, witness_incarnation);
     if (superseded_)
         return refuse("superseded by a newer incarnation");
-    if (!ack.vouches)
-        return refuse("the witness does not vouch");
     if (!map_.contains(witness))
         return refuse("not a claim owner");
     auto& from = votes_.find(witness)->second;
@@ -38,9 +36,12 @@
                                  [&](const auto& sent) { return sent.sequence == ack.sequence; });
     if (it == rounds_.end() || to_ms(it->sent) != ack.sent_ms)
         return refuse("no such heartbeat within the lease time");
+    from.heard = from.heard ? std::max(*from.heard, it->sent) : it->sent;
+    if (!ack.vouches)
+        return refuse("the witness does not vouch");
     if (held_since_ && now >= expires_)
         held_since_.reset();
-    from.sent = from.sent ? std::max(*from.sent, it->sent) : it->sent;
+    from.vouched = from.vouched ? std::max(*from.vouched, it->sent) : it->sent;
     const auto end = majority_end();
     if (!end || now >= *end)
         return true;
@@ -61,7 +62,7 @@
         return;
     // The votes of a replaced witness do not count any more: its replacement may vouch for another
     // incarnation.
-    it->second = {incarnation, std::nullopt};
+    it->second = {incarnation, std::nullopt, std::nullopt};
     if (!held_since_)
         return;
     const auto end = majority_end();
@@ -84,7 +85,7 @@
         return;
     rounds_.clear();
     for (auto& [name, it] : votes_)
-        it.sent.reset();
+        it.vouched = it.heard = std::nullopt;
     held_since_.reset();
     expires_ = {};
 }
@@ -96,9 +97,16 @@
 
 lease_state lease::state(time_point now) const
 {
-    if (superseded_ || !held_since_ || now >= expires_)
+    if (superseded_)
         return {};
-    return {held_since_, expires_};
+    lease_state it;
+    it.heard_until = end_of_all(&vote::heard);
+    if (!held_since_ || now >= expires_)
+        return it;
+    it.held_since = held_since_;
+    it.expires = expires_;
+    it.unanimous_until = end_of_all(&vote::vouched);
+    return it;
 }
 
 bool lease::refuse(std::string_view reason)
@@ -107,18 +115,27 @@
     return false;
 }
 
-std::optional<time_point> lease::majority_end() const
+std::optional<time_point> lease::end_of(std::size_t votes, std::optional<time_point> vote::*sent) const
 {
-    std::vector<time_point> sent;
+    std::vector<time_point> times;
     for (const auto& [name, it] : votes_)
-        if (it.sent && map_.contains(name))
-            sent.push_back(*it.sent);
-    const auto majority = map_.majority();
-    if (sent.size() < majority)
+        if (it.*sent && map_.contains(name))
+            times.push_back(*(it.*sent));
+    if (votes == 0 || times.size() < votes)
         return std::nullopt;
-    const auto nth = sent.begin() + static_cast<std::ptrdiff_t>(majority - 1);
-    std::nth_element(sent.begin(), nth, sent.end(), std::greater<>());
+    const auto nth = times.begin() + static_cast<std::ptrdiff_t>(votes - 1);
+    std::nth_element(times.begin(), nth, times.end(), std::greater<>());
     return *nth + map_.section().lease;
 }
 
+std::optional<time_point> lease::majority_end() const
+{
+    return end_of(map_.majority(), &vote::vouched);
+}
+
+time_point lease::end_of_all(std::optional<time_point> vote::*sent) const
+{
+    return end_of(map_.section().owners.size(), sent).value_or(time_point{});
+}
+
 } // namespace limpetlock::claims
--- a/lib/claims/table.cpp
+++ b/lib/claims/table.cpp
@@ -190,6 +190,12 @@
         ++counters_.refused_lease;
         return {denied, "the lease is not held for long enough", {}, 0};
     }
+    // A majority of replaced owners that are cut off together still vouch for each other, while a newer
+    // incarnation grants first attempts elsewhere. A missing owner shows that this may be the case.
+    if (!ask.first_attempt && !own.unanimous(now)) {
+        ++counters_.refused_lease;
+        return {denied, "an owner does not vouch, so records may exist elsewhere", {}, 0};
+    }
     if (records_.size() >= map_.section().max_claims) {
         ++counters_.refused_full;
         return {claim_verdict::refused, "the claim table is full", {}, 0};
--- a/lib/claims/witness.cpp
+++ b/lib/claims/witness.cpp
@@ -13,12 +13,12 @@
                     time_point now)
 {
     update(now);
-    if (!map_.contains(name))
-        return refuse("not a claim owner");
     auto& it = find(name);
     if (incarnation < it.highest)
         return refuse("a newer incarnation was seen");
     it.highest = incarnation;
+    if (!map_.contains(name))
+        return refuse("not a claim owner");
     if (claims_number != map_.section().number)
         return refuse("another claims number is in force here");
     if (now < quiet_until_)
@@ -97,7 +97,8 @@
     if (suspended || lost)
         unsettle(now);
     const bool introduced = own_.held_for(now) >= witness_separation(lease_time);
-    if (introduced || now - waiting_since_ >= cold_start_wait(lease_time))
+    const bool waited = now - waiting_since_ >= cold_start_wait(lease_time);
+    if (introduced || (waited && now < own_.heard_until))
         settled_ = true;
 }
 
--- /dev/null
+++ b/utils/bench-claims/callers.cpp
@@ -0,0 +1,258 @@
+#include "world.hpp"
+
+#include "world_types.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetlock::bench {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration caller_patience = 3500ms;
+constexpr duration vote_wait = 500ms;
+/// No retry is sent later than this after the first attempt, so that what a suspended instance still holds is
+/// handled within the key lifetime.
+constexpr duration last_retry = 10s;
+
+bool any(const std::vector<claims::claim_reply>& votes, claims::claim_verdict verdict)
+{
+    return std::any_of(votes.begin(), votes.end(), [&](const auto& it) { return it.verdict == verdict; });
+}
+
+} // namespace
+
+void world::new_request()
+{
+    auto it = std::make_shared<request>();
+    it->key = "k" + std::to_string(requests_.size());
+    it->first_sent = now_;
+    it->two_retries = chance(0.2);
+    requests_.push_back(it);
+    send_attempt(it);
+}
+
+void world::send_attempt(const shared_request& to)
+{
+    if (to->answered)
+        return;
+    std::vector<int> reachable;
+    for (std::size_t p = 0; p < processes_.size(); ++p)
+        if (processes_[p]->alive)
+            reachable.push_back(static_cast<int>(p));
+    if (reachable.empty()) {
+        ++to->attempts;
+        retry_later(to, 1s);
+        return;
+    }
+    const auto n = std::uniform_int_distribution<std::size_t>(0, reachable.size() - 1)(random_);
+    const int p = reachable[n];
+    auto it = std::make_shared<attempt>();
+    it->of = to;
+    it->number = ++to->attempts;
+    ++totals_.attempts;
+    at(caller_patience, [this, it] { give_up(it); });
+    at(random_ms(1, 10), [this, p, it] { deliver(p, [this, p, it] { handle(p, it); }); });
+}
+
+void world::retry_later(const shared_request& it, duration after)
+{
+    if (it->answered || now_ + after - it->first_sent > last_retry)
+        return;
+    at(after, [this, it] { send_attempt(it); });
+    if (it->two_retries && it->attempts == 1)
+        at(after, [this, it] { send_attempt(it); });
+}
+
+void world::give_up(const shared_attempt& it)
+{
+    if (it->given_up)
+        return;
+    it->given_up = true;
+    it->of->last = claims::tell::unknown;
+    retry_later(it->of, random_ms(0, 500));
+}
+
+void world::handle(int p, const shared_attempt& it)
+{
+    const auto& here = *processes_[static_cast<std::size_t>(p)];
+    const auto read_at = now_;
+    const bool first = claims::first_attempt_counts(it->number == 1, read_at, now_, here.watch.woke(now_),
+                                                    here.section.lease);
+    it->holder.emplace(claims::claim_request{"team", it->of->key, "body",
+                                             it->of->key + "/" + std::to_string(it->number), first,
+                                             here.section.number},
+                       now_);
+    at(claims::longest_deadline, [this, p, it] { deliver(p, [this, p, it] { finish(p, it); }); });
+    ++totals_.round_trips;
+    if (rule_ == policy::majority_vote)
+        ask_voters(p, it);
+    else
+        ask_owner(p, it);
+}
+
+void world::ask_owner(int p, const shared_attempt& it)
+{
+    auto& here = *processes_[static_cast<std::size_t>(p)];
+    const auto& ask = it->holder->ask();
+    const claims::owner_map map(here.section);
+    const int owner = here.view[std::string(map.owner(ask.team, ask.key))];
+    ++totals_.claim_messages;
+    send(p, owner, [this, p, owner, it, ask] {
+        auto& table = processes_[static_cast<std::size_t>(owner)]->records;
+        const auto reply = table.request(ask, lease_of(owner), now_);
+        ++totals_.claim_messages;
+        send(owner, p, [this, p, it, reply] { on_reply(p, it, reply); });
+    });
+}
+
+void world::ask_voters(int p, const shared_attempt& it)
+{
+    auto& here = *processes_[static_cast<std::size_t>(p)];
+    const auto ask = it->holder->ask();
+    it->asked = static_cast<int>(here.section.owners.size());
+    for (const auto& name : here.section.owners) {
+        const int voter = here.view[name];
+        ++totals_.claim_messages;
+        send(p, voter, [this, p, voter, it, ask] {
+            auto& table = processes_[static_cast<std::size_t>(voter)]->records;
+            const auto vote = table.request(ask, lease_of(voter), now_);
+            ++totals_.claim_messages;
+            send(voter, p, [this, p, it, vote] {
+                it->votes.push_back(vote);
+                count_votes(p, it, static_cast<int>(it->votes.size()) == it->asked);
+            });
+        });
+    }
+    at(vote_wait, [this, p, it] { deliver(p, [this, p, it] { count_votes(p, it, true); }); });
+}
+
+void world::count_votes(int p, const shared_attempt& it, bool last)
+{
+    if (it->voted)
+        return;
+    const auto granted = std::count_if(it->votes.begin(), it->votes.end(), [](const auto& vote) {
+        return vote.verdict == claims::claim_verdict::granted;
+    });
+    const bool enough = granted * 2 > it->asked;
+    if (!enough && !last)
+        return;
+    it->voted = true;
+    claims::claim_reply sum{claims::claim_verdict::unknown, "no majority", {}, 0};
+    const auto done = std::find_if(it->votes.begin(), it->votes.end(), [](const auto& vote) {
+        return vote.verdict == claims::claim_verdict::answered;
+    });
+    if (done != it->votes.end())
+        sum = *done;
+    else if (enough)
+        sum = {claims::claim_verdict::granted, {}, {}, claims::longest_deadline.count()};
+    else if (any(it->votes, claims::claim_verdict::in_progress))
+        sum.verdict = claims::claim_verdict::in_progress;
+    else if (it->holder->ask().first_attempt && !any(it->votes, claims::claim_verdict::unknown))
+        sum.verdict = claims::claim_verdict::refused;
+    on_reply(p, it, sum);
+    // Votes that did not make a majority are given back.
+    if (!enough && granted > 0) {
+        const auto& ask = it->holder->ask();
+        settle(p, it, {ask.team, ask.key, ask.attempt_id, claims::claim_outcome::not_run, {}});
+    }
+}
+
+void world::on_reply(int p, const shared_attempt& it, const claims::claim_reply& reply)
+{
+    if (const auto late = it->holder->note_reply(reply)) {
+        settle(p, it, *late);
+        return;
+    }
+    if (it->holder->may_dispatch(now_)) {
+        call_endpoint(p, it);
+        return;
+    }
+    finish(p, it);
+}
+
+void world::call_endpoint(int p, const shared_attempt& it)
+{
+    if (!it->holder->begin_dispatch(now_))
+        return;
+    struct outcome {
+        double share;
+        claims::call_result result;
+        bool runs;
+    };
+    static constexpr outcome outcomes[] = {{0.06, claims::call_result::not_sent, false},
+                                           {0.06, claims::call_result::refused, false},
+                                           {0.05, claims::call_result::broken, false},
+                                           {0.05, claims::call_result::broken, true},
+                                           {1.0, claims::call_result::answered, true}};
+    double dice = std::uniform_real_distribution<double>(0, 1)(random_);
+    const outcome* chosen = outcomes;
+    while (dice >= chosen->share) {
+        dice -= chosen->share;
+        ++chosen;
+    }
+    if (chosen->runs)
+        at(random_ms(1, 50), [this, it] { execute(it); });
+    at(random_ms(51, 300), [this, p, it, result = chosen->result] {
+        deliver(p, [this, p, it, result] {
+            it->holder->note_result(result, "answer to " + it->of->key);
+            if (it->holder->may_dispatch(now_) && chance(0.5))
+                call_endpoint(p, it);
+            else
+                finish(p, it);
+        });
+    });
+}
+
+void world::execute(const shared_attempt& it)
+{
+    ++it->of->executions;
+    totals_.false_not_run += it->told_not_run ? 1 : 0;
+}
+
+void world::finish(int p, const shared_attempt& it)
+{
+    const auto told = it->holder->finish();
+    if (const auto outcome = it->holder->settlement())
+        settle(p, it, *outcome);
+    if (processes_[static_cast<std::size_t>(p)]->side == it->of->side || chance(0.5))
+        at(random_ms(1, 10), [this, it, told] { hear(it, told); });
+}
+
+void world::settle(int p, const shared_attempt& it, const claims::claim_settle& outcome)
+{
+    auto& here = *processes_[static_cast<std::size_t>(p)];
+    const claims::owner_map map(here.section);
+    const bool vote = rule_ == policy::majority_vote;
+    const auto& ask = it->holder->ask();
+    for (const auto& name : here.section.owners) {
+        if (!vote && name != map.owner(ask.team, ask.key))
+            continue;
+        const int owner = here.view[name];
+        ++totals_.claim_messages;
+        send(p, owner, [this, owner, outcome] {
+            processes_[static_cast<std::size_t>(owner)]->records.settle(outcome, now_);
+        });
+    }
+}
+
+void world::hear(const shared_attempt& it, const claims::decision& told)
+{
+    if (it->given_up)
+        return;
+    it->given_up = true;
+    it->of->last = told.what;
+    if (told.what == claims::tell::answer) {
+        it->of->answered = true;
+        return;
+    }
+    if (told.what == claims::tell::not_run) {
+        it->told_not_run = true;
+        totals_.false_not_run += it->of->executions > 0 ? 1 : 0;
+    }
+    retry_later(it->of, random_ms(200, 1500));
+}
+
+} // namespace limpetlock::bench
--- /dev/null
+++ b/utils/bench-claims/world_types.hpp
@@ -0,0 +1,35 @@
+/// \file
+/// Requests of callers and their attempts, shared by the parts of the driver.
+#pragma once
+
+#include "world.hpp"
+
+#include <set>
+
+namespace limpetlock::bench {
+
+/// One key of one caller with everything that happened to it.
+struct world::request {
+    std::string key;
+    int side = 0;
+    int attempts = 0;
+    bool two_retries = false;
+    bool answered = false;
+    time_point first_sent{};
+    std::uint64_t executions = 0;
+    claims::tell last = claims::tell::unknown;
+};
+
+/// One attempt as the caller sees it and as the instance that received it sees it.
+struct world::attempt {
+    shared_request of;
+    int number = 0;
+    bool given_up = false;
+    bool told_not_run = false;
+    std::optional<claims::holder> holder;
+    int asked = 0;
+    std::vector<claims::claim_reply> votes;
+    bool voted = false;
+};
+
+} // namespace limpetlock::bench
