--- /dev/null
+++ b/lib/peer/node.cpp
@@ -0,0 +1,442 @@
+#include <limpetlock/peer/generated/peer_types.h>
+#include <limpetlock/peer/node.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+#include <deque>
+#include <mutex>
+#include <stdexcept>
+#include <utility>
+#include <vector>
+
+namespace limpetlock::peer {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using asio::ip::tcp;
+using boost::system::error_code;
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+
+namespace {
+
+constexpr std::size_t max_inbound_connections = 1024;
+constexpr std::size_t max_queued_frames = 1024;
+constexpr duration connect_timeout{500};
+
+/// A connected socket with a queue of frames that one writer coroutine sends in order.
+struct connection {
+    explicit connection(tcp::socket it) : socket(std::move(it)), wake(socket.get_executor()) {}
+
+    void close()
+    {
+        error_code ec;
+        socket.close(ec);
+        wake.cancel();
+        closed = true;
+    }
+
+    tcp::socket socket;
+    asio::steady_timer wake;
+    std::deque<std::string> outgoing;
+    bool closed{false};
+};
+
+using connection_ptr = std::shared_ptr<connection>;
+
+struct waiter {
+    explicit waiter(const asio::any_io_executor& executor) : done(executor) {}
+
+    asio::steady_timer done;
+    std::optional<wire::frame> reply;
+    bool lost{false};
+};
+
+struct outbound {
+    address to;
+    connection_ptr link;
+    std::map<std::int64_t, std::shared_ptr<waiter>> waiting;
+};
+
+duration remaining(time_point deadline)
+{
+    return deadline - boot_clock::now();
+}
+
+awaitable<std::optional<std::string>> read_frame(tcp::socket& socket)
+{
+    std::array<unsigned char, length_prefix_bytes> prefix{};
+    auto [head_ec, head_n] = co_await asio::async_read(socket, asio::buffer(prefix), use_tuple);
+    if (head_ec)
+        co_return std::nullopt;
+    const auto n = frame_length(prefix);
+    if (!n)
+        co_return std::string();
+    std::string body(*n, '\0');
+    auto [ec, got] = co_await asio::async_read(socket, asio::buffer(body), use_tuple);
+    if (ec)
+        co_return std::nullopt;
+    co_return body;
+}
+
+awaitable<void> write_loop(connection_ptr link)
+{
+    while (!link->closed) {
+        if (link->outgoing.empty()) {
+            link->wake.expires_at(asio::steady_timer::time_point::max());
+            co_await link->wake.async_wait(use_tuple);
+            continue;
+        }
+        const std::string bytes = std::move(link->outgoing.front());
+        link->outgoing.pop_front();
+        auto [ec, n] = co_await asio::async_write(link->socket, asio::buffer(bytes), use_tuple);
+        if (ec)
+            link->close();
+    }
+}
+
+} // namespace
+
+struct node::impl : std::enable_shared_from_this<impl> {
+    impl(const asio::any_io_executor& executor, std::string own_name, std::int64_t own_incarnation,
+         handler on_frame)
+        : strand(asio::make_strand(executor)), acceptor(strand), name(std::move(own_name)),
+          incarnation(own_incarnation), handle(std::move(on_frame))
+    {
+    }
+
+    void listen(const address& where)
+    {
+        error_code ec;
+        const auto ip = asio::ip::make_address(where.host, ec);
+        if (ec)
+            throw std::runtime_error(fmt::format("peer listener: '{}' is not an IP number", where.host));
+        try {
+            const tcp::endpoint local(ip, where.port);
+            acceptor.open(local.protocol());
+            acceptor.set_option(asio::socket_base::reuse_address(true));
+            acceptor.bind(local);
+            acceptor.listen();
+        } catch (const std::exception& it) {
+            throw std::runtime_error(
+                fmt::format("peer listener {}:{}: {}", where.host, where.port, it.what()));
+        }
+        bound_port = acceptor.local_endpoint().port();
+    }
+
+    awaitable<void> accept_loop()
+    {
+        while (!stopped) {
+            auto [ec, socket] = co_await acceptor.async_accept(use_tuple);
+            if (ec == asio::error::operation_aborted || stopped)
+                co_return;
+            if (ec || inbound.size() >= max_inbound_connections)
+                continue;
+            socket.set_option(tcp::no_delay(true), ec);
+            auto link = std::make_shared<connection>(std::move(socket));
+            inbound.push_back(link);
+            asio::co_spawn(strand, serve(shared_from_this(), link), asio::detached);
+            asio::co_spawn(strand, write_loop(link), asio::detached);
+        }
+    }
+
+    static awaitable<void> serve(std::shared_ptr<impl> self, connection_ptr link)
+    {
+        while (!link->closed) {
+            auto bytes = co_await read_frame(link->socket);
+            if (!bytes)
+                break;
+            auto message = self->receive(*bytes);
+            if (!message)
+                break;
+            if (!self->is_current(*message))
+                continue;
+            asio::co_spawn(self->strand, self->answer(self, link, std::move(*message)), asio::detached);
+        }
+        link->close();
+        std::erase(self->inbound, link);
+    }
+
+    awaitable<void> answer(std::shared_ptr<impl> self, connection_ptr link, wire::frame message)
+    {
+        const std::int64_t correlation = message.correlation;
+        auto reply = co_await self->handle(std::move(message));
+        if (reply)
+            self->enqueue(link, std::move(*reply), correlation);
+    }
+
+    /// Decodes and counts; nullopt closes the connection, because its framing can't be trusted any more.
+    std::optional<wire::frame> receive(const std::string& bytes)
+    {
+        codec_error error;
+        auto message = bytes.empty() ? std::nullopt : decode(bytes, error);
+        const std::lock_guard lock(mutex);
+        if (!message) {
+            ++numbers.malformed;
+            return std::nullopt;
+        }
+        ++numbers.frames_received;
+        numbers.bytes_received += bytes.size() + length_prefix_bytes;
+        return message;
+    }
+
+    bool is_current(const wire::frame& message)
+    {
+        const std::lock_guard lock(mutex);
+        std::int64_t& highest = seen[message.sender];
+        if (message.incarnation < highest) {
+            ++numbers.old_incarnation;
+            return false;
+        }
+        highest = message.incarnation;
+        return true;
+    }
+
+    bool enqueue(const connection_ptr& link, wire::frame message, std::int64_t correlation)
+    {
+        if (link->closed || link->outgoing.size() >= max_queued_frames)
+            return false;
+        message.sender = name;
+        message.incarnation = incarnation;
+        message.correlation = correlation;
+        link->outgoing.push_back(encode(message));
+        {
+            const std::lock_guard lock(mutex);
+            ++numbers.frames_sent;
+            numbers.bytes_sent += link->outgoing.back().size();
+        }
+        link->wake.cancel();
+        return true;
+    }
+
+    awaitable<connection_ptr> connect(std::string to, time_point deadline, call_error& error)
+    {
+        const auto found = peers.find(to);
+        if (found == peers.end()) {
+            error = {errc::unknown_peer, fmt::format("no instance '{}' in the list", to), false};
+            co_return nullptr;
+        }
+        if (found->second.link && !found->second.link->closed)
+            co_return found->second.link;
+        const address where = found->second.to;
+        error_code parse_ec;
+        const auto ip = asio::ip::make_address(where.host, parse_ec);
+        tcp::socket socket(strand);
+        asio::steady_timer timer(strand);
+        timer.expires_after(std::min(connect_timeout, std::max(duration{1}, remaining(deadline))));
+        using namespace asio::experimental::awaitable_operators;
+        auto result = co_await (socket.async_connect(tcp::endpoint(ip, where.port), use_tuple) ||
+                                timer.async_wait(use_tuple));
+        if (result.index() == 1) {
+            error = {errc::timeout, fmt::format("no connection to {} in time", to), false};
+            co_return nullptr;
+        }
+        if (const auto ec = std::get<0>(std::get<0>(result)); ec) {
+            error = {errc::refused, fmt::format("connection to {}: {}", to, ec.message()), false};
+            co_return nullptr;
+        }
+        co_return adopt(to, where, std::move(socket));
+    }
+
+    /// Another call may have connected meanwhile, or the table may have changed: then that state is used.
+    connection_ptr adopt(const std::string& to, const address& where, tcp::socket socket)
+    {
+        const auto found = peers.find(to);
+        if (found == peers.end() || found->second.to != where)
+            return nullptr;
+        if (found->second.link && !found->second.link->closed)
+            return found->second.link;
+        error_code ec;
+        socket.set_option(tcp::no_delay(true), ec);
+        auto link = std::make_shared<connection>(std::move(socket));
+        found->second.link = link;
+        asio::co_spawn(strand, read_replies(shared_from_this(), to, link), asio::detached);
+        asio::co_spawn(strand, write_loop(link), asio::detached);
+        return link;
+    }
+
+    static awaitable<void> read_replies(std::shared_ptr<impl> self, std::string to, connection_ptr link)
+    {
+        while (!link->closed) {
+            auto bytes = co_await read_frame(link->socket);
+            if (!bytes)
+                break;
+            auto message = self->receive(*bytes);
+            if (!message)
+                break;
+            if (self->is_current(*message))
+                self->complete(to, std::move(*message));
+        }
+        link->close();
+        self->fail_waiting(to, link);
+    }
+
+    void complete(const std::string& to, wire::frame message)
+    {
+        const auto found = peers.find(to);
+        if (found == peers.end())
+            return;
+        const auto it = found->second.waiting.find(message.correlation);
+        if (it == found->second.waiting.end()) {
+            const std::lock_guard lock(mutex);
+            ++numbers.late_replies;
+            return;
+        }
+        it->second->reply = std::move(message);
+        it->second->done.cancel();
+        found->second.waiting.erase(it);
+    }
+
+    void fail_waiting(const std::string& to, const connection_ptr& link)
+    {
+        const auto found = peers.find(to);
+        if (found == peers.end() || found->second.link != link)
+            return;
+        found->second.link = nullptr;
+        fail_all(found->second);
+    }
+
+    static void fail_all(outbound& peer)
+    {
+        for (auto& [correlation, it] : peer.waiting) {
+            it->lost = true;
+            it->done.cancel();
+        }
+        peer.waiting.clear();
+    }
+
+    awaitable<std::optional<wire::frame>> call(std::string to, wire::frame message, time_point deadline,
+                                               call_error& error)
+    {
+        const auto link = co_await connect(to, deadline, error);
+        if (!link) {
+            if (error.code == errc::none)
+                error = {errc::closed, fmt::format("address of {} changed", to), false};
+            co_return std::nullopt;
+        }
+        const auto found = peers.find(to);
+        if (found == peers.end() || remaining(deadline) <= duration{0}) {
+            error = {errc::timeout, "deadline passed before sending", false};
+            co_return std::nullopt;
+        }
+        const std::int64_t correlation = ++last_correlation;
+        const auto it = std::make_shared<waiter>(strand);
+        found->second.waiting.emplace(correlation, it);
+        if (!enqueue(link, std::move(message), correlation)) {
+            found->second.waiting.erase(correlation);
+            error = {errc::closed, fmt::format("connection to {} closed", to), false};
+            co_return std::nullopt;
+        }
+        it->done.expires_after(remaining(deadline));
+        co_await it->done.async_wait(use_tuple);
+        if (it->reply)
+            co_return std::move(it->reply);
+        if (const auto again = peers.find(to); again != peers.end())
+            again->second.waiting.erase(correlation);
+        error = it->lost ? call_error{errc::closed, fmt::format("connection to {} lost", to), true}
+                         : call_error{errc::timeout, fmt::format("no reply from {} in time", to), true};
+        co_return std::nullopt;
+    }
+
+    void set_peers(std::map<std::string, address> table)
+    {
+        for (auto it = peers.begin(); it != peers.end();) {
+            const auto found = table.find(it->first);
+            if (found != table.end() && found->second == it->second.to) {
+                ++it;
+                continue;
+            }
+            if (it->second.link)
+                it->second.link->close();
+            fail_all(it->second);
+            it = peers.erase(it);
+        }
+        for (auto& [to, where] : table)
+            peers.try_emplace(to, outbound{std::move(where), nullptr, {}});
+    }
+
+    void stop()
+    {
+        stopped = true;
+        error_code ec;
+        acceptor.close(ec);
+        for (auto& it : inbound)
+            it->close();
+        set_peers({});
+    }
+
+    asio::strand<asio::any_io_executor> strand;
+    tcp::acceptor acceptor;
+    std::string name;
+    std::int64_t incarnation;
+    handler handle;
+    std::uint16_t bound_port{0};
+    bool stopped{false};
+    std::vector<connection_ptr> inbound;
+    std::map<std::string, outbound> peers;
+    std::int64_t last_correlation{0};
+    mutable std::mutex mutex;
+    node_counters numbers;
+    std::map<std::string, std::int64_t> seen;
+};
+
+node::node(asio::any_io_executor executor, std::string name, std::int64_t incarnation, const address& listen,
+           handler handle)
+    : impl_(std::make_shared<impl>(executor, std::move(name), incarnation, std::move(handle)))
+{
+    impl_->listen(listen);
+    asio::co_spawn(
+        impl_->strand, [it = impl_]() -> awaitable<void> { co_await it->accept_loop(); }, asio::detached);
+}
+
+node::~node()
+{
+    stop();
+}
+
+std::uint16_t node::port() const
+{
+    return impl_->bound_port;
+}
+
+void node::set_peers(std::map<std::string, address> peers)
+{
+    asio::post(impl_->strand,
+               [it = impl_, table = std::move(peers)]() mutable { it->set_peers(std::move(table)); });
+}
+
+awaitable<std::optional<wire::frame>> node::call(std::string to, wire::frame message, time_point deadline,
+                                                 call_error& error)
+{
+    co_return co_await asio::co_spawn(
+        impl_->strand, impl_->call(std::move(to), std::move(message), deadline, error), asio::use_awaitable);
+}
+
+node_counters node::counters() const
+{
+    const std::lock_guard lock(impl_->mutex);
+    return impl_->numbers;
+}
+
+std::map<std::string, std::int64_t> node::incarnations() const
+{
+    const std::lock_guard lock(impl_->mutex);
+    return impl_->seen;
+}
+
+void node::stop()
+{
+    asio::post(impl_->strand, [it = impl_] { it->stop(); });
+}
+
+} // namespace limpetlock::peer
--- /dev/null
+++ b/unittests/peer/peer_test.cpp
@@ -0,0 +1,190 @@
+#include <limpetlock/peer/codec.hpp>
+#include <limpetlock/peer/generated/peer_types.h>
+#include <limpetlock/peer/node.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+
+#include <future>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace limpetlock;
+using namespace limpetlock::peer;
+namespace asio = boost::asio;
+
+namespace {
+
+wire::frame heartbeat(std::int64_t sequence)
+{
+    wire::heartbeat_message it;
+    it.sequence = sequence;
+    wire::frame out;
+    out.sender = "entry-a1";
+    out.__set_heartbeat(it);
+    return out;
+}
+
+/// Runs an Asio context on two threads for the lifetime of a test.
+struct context {
+    context()
+    {
+        for (int n = 0; n < 2; ++n)
+            threads.emplace_back([this] { io.run(); });
+    }
+    ~context()
+    {
+        io.stop();
+        for (auto& it : threads)
+            it.join();
+    }
+    context(const context&) = delete;
+    context& operator=(const context&) = delete;
+
+    std::optional<wire::frame> call(node& from, std::string to, wire::frame message, duration patience,
+                                    call_error& error)
+    {
+        return asio::co_spawn(
+                   io, from.call(std::move(to), std::move(message), boot_clock::now() + patience, error),
+                   asio::use_future)
+            .get();
+    }
+
+    asio::io_context io;
+    asio::executor_work_guard<asio::io_context::executor_type> work{io.get_executor()};
+    std::vector<std::thread> threads;
+};
+
+/// Acknowledges a heartbeat with its own sequence number.
+asio::awaitable<std::optional<wire::frame>> acknowledge(wire::frame message)
+{
+    wire::heartbeat_ack_message ack;
+    ack.sequence = message.heartbeat.sequence;
+    wire::frame out;
+    out.__set_heartbeat_ack(ack);
+    co_return out;
+}
+
+asio::awaitable<std::optional<wire::frame>> stay_silent(wire::frame)
+{
+    co_return std::nullopt;
+}
+
+} // namespace
+
+// Guards against frames that change on the way through the codec.
+Test(codec, round_trip)
+{
+    const std::string bytes = encode(heartbeat(42));
+    codec_error error;
+    const auto out = decode(std::string_view(bytes).substr(length_prefix_bytes), error);
+    cr_assert(out.has_value());
+    cr_assert_eq(out->heartbeat.sequence, 42);
+    cr_assert(out->__isset.heartbeat);
+    cr_assert_not(out->__isset.claim_request);
+}
+
+// Guards against a crash or an accepted frame when bytes are missing at the end.
+Test(codec, refuses_every_truncation)
+{
+    const std::string bytes = encode(heartbeat(42)).substr(length_prefix_bytes);
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        codec_error error;
+        cr_assert_not(decode(std::string_view(bytes).substr(0, n), error).has_value(), "length %zu", n);
+        cr_assert_eq(error.code, codec_errc::malformed);
+    }
+    codec_error error;
+    cr_assert_not(decode(bytes + "x", error).has_value());
+}
+
+// Guards against unbounded memory through an announced length.
+Test(codec, refuses_oversized_lengths)
+{
+    cr_assert_not(frame_length({0xff, 0xff, 0xff, 0xff}).has_value());
+    cr_assert_not(frame_length({0, 0, 0, 0}).has_value());
+    cr_assert_eq(*frame_length({0, 0, 1, 2}), 258U);
+}
+
+// Guards against replies that reach another call when many are in flight on one connection.
+Test(node, replies_match_their_calls)
+{
+    context it;
+    node server(it.io.get_executor(), "entry-b1", 1, {"127.0.0.1", 0}, acknowledge);
+    node client(it.io.get_executor(), "entry-a1", 1, {"127.0.0.1", 0}, stay_silent);
+    client.set_peers({{"entry-b1", {"127.0.0.1", server.port()}}});
+    std::vector<std::future<std::optional<wire::frame>>> replies;
+    std::vector<call_error> errors(200);
+    for (std::size_t n = 0; n < errors.size(); ++n)
+        replies.push_back(asio::co_spawn(it.io,
+                                         client.call("entry-b1", heartbeat(static_cast<std::int64_t>(n)),
+                                                     boot_clock::now() + duration{10'000}, errors[n]),
+                                         asio::use_future));
+    for (std::size_t n = 0; n < errors.size(); ++n) {
+        const auto reply = replies[n].get();
+        cr_assert(reply.has_value(), "%s", errors[n].reason.c_str());
+        cr_assert_eq(reply->heartbeat_ack.sequence, static_cast<std::int64_t>(n));
+    }
+}
+
+// Guards against a process that acts on messages which a former life of a peer sent.
+Test(node, drops_frames_of_an_older_incarnation)
+{
+    context it;
+    node server(it.io.get_executor(), "entry-b1", 1, {"127.0.0.1", 0}, acknowledge);
+    node replacement(it.io.get_executor(), "entry-a1", 20, {"127.0.0.1", 0}, stay_silent);
+    node former(it.io.get_executor(), "entry-a1", 10, {"127.0.0.1", 0}, stay_silent);
+    replacement.set_peers({{"entry-b1", {"127.0.0.1", server.port()}}});
+    former.set_peers({{"entry-b1", {"127.0.0.1", server.port()}}});
+    call_error error;
+    cr_assert(it.call(replacement, "entry-b1", heartbeat(1), duration{10'000}, error).has_value());
+    cr_assert_not(it.call(former, "entry-b1", heartbeat(2), duration{300}, error).has_value());
+    cr_assert_eq(error.code, errc::timeout);
+    cr_assert(error.sent);
+    cr_assert_eq(server.counters().old_incarnation, 1U);
+}
+
+// Guards against a claim that is reported as possibly sent although the peer was never reached, and the
+// reverse.
+Test(node, tells_whether_a_message_may_have_left)
+{
+    context it;
+    node client(it.io.get_executor(), "entry-a1", 1, {"127.0.0.1", 0}, stay_silent);
+    call_error error;
+    cr_assert_not(it.call(client, "entry-z9", heartbeat(1), duration{1000}, error).has_value());
+    cr_assert_eq(error.code, errc::unknown_peer);
+    cr_assert_not(error.sent);
+    client.set_peers({{"entry-b1", {"127.0.0.1", 1}}});
+    cr_assert_not(it.call(client, "entry-b1", heartbeat(1), duration{1000}, error).has_value());
+    cr_assert_eq(error.code, errc::refused);
+    cr_assert_not(error.sent);
+}
+
+// Guards against a listener that dies or hangs on bytes that are no frame.
+Test(node, survives_malformed_bytes)
+{
+    context it;
+    node server(it.io.get_executor(), "entry-b1", 1, {"127.0.0.1", 0}, acknowledge);
+    for (const auto& bytes : {std::string("GET / HTTP/1.1\r\n\r\n"), std::string("\0\0\0\4abcd", 8)}) {
+        asio::ip::tcp::socket raw(it.io);
+        raw.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+        asio::write(raw, asio::buffer(bytes));
+        char byte = 0;
+        boost::system::error_code ec;
+        raw.read_some(asio::buffer(&byte, 1), ec);
+        cr_assert(ec);
+    }
+    cr_assert_eq(server.counters().malformed, 2U);
+    node client(it.io.get_executor(), "entry-a1", 1, {"127.0.0.1", 0}, stay_silent);
+    client.set_peers({{"entry-b1", {"127.0.0.1", server.port()}}});
+    call_error error;
+    cr_assert(it.call(client, "entry-b1", heartbeat(1), duration{10'000}, error).has_value());
+}
