--- a/include/limpetlock/peer/node.hpp
+++ b/include/limpetlock/peer/node.hpp
@@ -54,7 +54,7 @@
 class node {
 public:
     /// Throws std::runtime_error when the address can't be bound.
-    node(boost::asio::any_io_executor executor, std::string name, std::int64_t incarnation,
+    node(const boost::asio::any_io_executor& executor, std::string name, std::int64_t incarnation,
          const address& listen, handler handle);
     ~node();
     node(const node&) = delete;
--- a/lib/peer/node.cpp
+++ b/lib/peer/node.cpp
@@ -390,8 +390,8 @@
     std::map<std::string, std::int64_t> seen;
 };
 
-node::node(asio::any_io_executor executor, std::string name, std::int64_t incarnation, const address& listen,
-           handler handle)
+node::node(const asio::any_io_executor& executor, std::string name, std::int64_t incarnation,
+           const address& listen, handler handle)
     : impl_(std::make_shared<impl>(executor, std::move(name), incarnation, std::move(handle)))
 {
     impl_->listen(listen);
