Add the configuration library: document, fold and sync decisions

Nothing read, checked or distributed the configuration yet. The library adds the immutable document with a check of every key, the fold of published entries, the reading of the platform's reply, the choice of watchers by rendezvous hash, and the decisions when to read the service, when to pull from a peer and when an instance is ready.

--- /dev/null
+++ b/include/limpetlock/config/fold.hpp
@@ -0,0 +1,128 @@
+/// \file
+/// The fold of published entries into the configuration in force.
+#pragma once
+
+#include <limpetlock/config/document.hpp>
+#include <limpetlock/config/entry.hpp>
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace limpetlock::config {
+
+/// A numbered configuration.
+struct version {
+    std::int64_t number{};
+    /// Revision of the entry that made this version.
+    std::int64_t revision{};
+    /// Number at which the claims section last changed.
+    std::int64_t claims_number{};
+    config::document document;
+
+    const std::string& digest() const { return document.digest(); }
+
+    friend bool operator==(const version&, const version&) = default;
+};
+
+/// A version as a peer sends it; the fold checks it before use.
+struct peer_version {
+    std::int64_t number{};
+    std::int64_t revision{};
+    std::int64_t claims_number{};
+    std::string digest;
+    std::string text;
+
+    friend bool operator==(const peer_version&, const peer_version&) = default;
+};
+
+peer_version to_peer_version(const version& it);
+
+/// accepted: in force now. ignored: already known. stale_base: made against another number than the one in
+/// force. invalid: the result breaks a rule of the format. conflict: other content under the number in force.
+enum class verdict : std::uint8_t { accepted, ignored, stale_base, invalid, conflict };
+
+inline constexpr std::size_t verdict_count = 5;
+
+std::string_view to_string(verdict it);
+
+/// What became of one entry or of one version from a peer.
+struct outcome {
+    verdict result{};
+    std::int64_t revision{};
+    std::string author;
+    std::int64_t base{};
+    /// The number in force after the entry.
+    std::int64_t number{};
+    /// Empty when accepted.
+    std::string reason;
+
+    friend bool operator==(const outcome&, const outcome&) = default;
+};
+
+/// Result of a dry run.
+struct check_result {
+    verdict result{};
+    /// The number that the patch would get if it were the next entry; the number in force when it is refused.
+    std::int64_t number{};
+    std::string reason;
+    /// Paths that the patch would change.
+    std::vector<std::string> changes;
+
+    friend bool operator==(const check_result&, const check_result&) = default;
+};
+
+/// Folds entries in the order of their revisions. Every reader that folds the same entries has the same
+/// versions.
+class fold {
+public:
+    /// How many outcomes are kept for operators.
+    static constexpr std::size_t kept_outcomes = 100;
+
+    /// Folds one entry. Entries at or below revision() are ignored.
+    outcome apply(const entry& it);
+
+    /// Folds the entries of a reply and returns what became of each.
+    std::vector<outcome> apply(const service_reply& reply);
+
+    /// Takes over a version from a peer if its number is larger than the one in force and its content is
+    /// whole.
+    outcome adopt(const peer_version& it, std::string_view peer);
+
+    /// What would become of a patch if it were published now. Changes nothing.
+    check_result check(std::int64_t base, std::string_view patch) const;
+
+    /// nullptr while nothing is in force.
+    std::shared_ptr<const version> in_force() const { return in_force_; }
+
+    /// 0 while nothing is in force.
+    std::int64_t number() const { return in_force_ ? in_force_->number : 0; }
+
+    /// Entries after this revision are still to be read.
+    std::int64_t revision() const { return revision_; }
+
+    /// The last outcomes, oldest first. Entries that are ignored because of their revision are counted only.
+    const std::deque<outcome>& outcomes() const { return outcomes_; }
+
+    /// How often a verdict was given, entries and peers together.
+    std::int64_t count(verdict it) const { return counts_[static_cast<std::size_t>(it)]; }
+
+private:
+    outcome fold_document(const entry& it);
+    outcome fold_patch(const entry& it);
+    outcome conclude(const entry& it, verdict result, std::string reason);
+    outcome accept(const entry& it, std::int64_t number, document content);
+    outcome record(outcome it);
+
+    std::shared_ptr<const version> in_force_;
+    std::int64_t revision_{};
+    std::deque<outcome> outcomes_;
+    std::array<std::int64_t, verdict_count> counts_{};
+};
+
+} // namespace limpetlock::config
--- /dev/null
+++ b/include/limpetlock/config/sync.hpp
@@ -0,0 +1,230 @@
+/// \file
+/// Decides when an instance reads the configuration service, when it pulls a version from a peer, whether it
+/// is ready and whether instances diverge. It does no I/O: a controller carries out the decisions and reports
+/// what happened.
+#pragma once
+
+#include <limpetlock/config/watchers.hpp>
+#include <limpetlock/support/time.hpp>
+
+#include <boost/random/linear_congruential.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace limpetlock::config {
+
+struct sync_settings {
+    /// Watchers of the service in each failure domain. Two, so that the loss of one does not leave a domain
+    /// to the fallback reads.
+    std::size_t watchers_per_domain{2};
+    /// How long a watch waits at the service.
+    duration watch_wait{10'000};
+    /// Least time between the starts of two calls of this instance to the service.
+    duration read_floor{250};
+    /// Time beyond the wait after which a read without an answer counts as failed.
+    duration read_timeout{2000};
+    /// First and longest delay after a failed read. The longest delay is part of the time that a change takes
+    /// after an outage, so it stays well under the 18 s of promise P7.
+    duration back_off_first{500};
+    duration back_off_last{8000};
+    /// The first read of an instance comes within this time of its start, so that a restarted fleet spreads
+    /// its reads.
+    duration start_spread{500};
+    /// How long a new instance that has peers waits to hear from one before it is ready.
+    duration settle{2000};
+    /// A peer's report counts for this long.
+    duration report_lifetime{5000};
+    /// An instance that does not watch reads the service itself when no watcher has reported for this long.
+    /// With a read it stays under the 18 s of promise P7.
+    duration watcher_silence{10'000};
+    /// An instance that does not watch also reads the service when nothing has changed for this long, in case
+    /// the watchers are alive but do not reach the service.
+    duration quiet_read{60'000};
+    /// Time after which a pull without an answer counts as failed, and how long a peer whose pull failed is
+    /// avoided.
+    duration pull_timeout{2000};
+    /// Least time between the starts of two pulls.
+    duration pull_floor{200};
+    /// How long an instance with a watch at the service waits for its answer before it pulls from a peer that
+    /// is ahead. The watch brings a patch, a pull the whole document.
+    duration watch_grace{500};
+    /// A call of next() later than it asked for by more than this means that the process was paused.
+    duration pause{1000};
+
+    friend bool operator==(const sync_settings&, const sync_settings&) = default;
+};
+
+/// Where the fold of this instance stands.
+struct position {
+    std::int64_t number{};
+    std::string digest;
+    std::int64_t revision{};
+
+    friend bool operator==(const position&, const position&) = default;
+};
+
+/// A call to the service: entries after `after`, waiting up to `wait`.
+struct read_order {
+    std::int64_t id{};
+    std::int64_t after{};
+    duration wait{};
+
+    friend bool operator==(const read_order&, const read_order&) = default;
+};
+
+/// A request to a peer for its version, which is newer than `after_number`.
+struct pull_order {
+    std::int64_t id{};
+    std::string peer;
+    std::int64_t after_number{};
+
+    friend bool operator==(const pull_order&, const pull_order&) = default;
+};
+
+/// Other content under the number in force, reported by a peer.
+struct divergence {
+    std::int64_t number{};
+    std::string digest;
+    std::string peer;
+    std::string peer_digest;
+
+    friend bool operator==(const divergence&, const divergence&) = default;
+};
+
+struct decision {
+    std::optional<read_order> read;
+    std::optional<pull_order> pull;
+    /// A divergence that was not raised before. diverged() tells whether one is going on.
+    std::optional<divergence> raised;
+    bool ready{};
+    /// next() wants to be called again no later than this, and after every event.
+    time_point wake{};
+
+    friend bool operator==(const decision&, const decision&) = default;
+};
+
+struct sync_counters {
+    std::int64_t reads{};
+    std::int64_t read_failures{};
+    std::int64_t fallback_reads{};
+    /// Replies with a lower revision than already known.
+    std::int64_t stale_revisions{};
+    /// Reports of a lower number than the one in force here.
+    std::int64_t stale_numbers{};
+    std::int64_t pulls{};
+    std::int64_t pull_failures{};
+    std::int64_t divergences{};
+    std::int64_t pauses{};
+
+    friend bool operator==(const sync_counters&, const sync_counters&) = default;
+};
+
+class sync {
+public:
+    /// `seed` makes the jitter of instances differ; the incarnation is a good value.
+    sync(const sync_settings& settings, std::string self, std::uint64_t seed, time_point now);
+
+    /// The entry instances of a new instance list. While the list is empty, the instance watches the service.
+    void set_instances(const std::vector<instance>& it);
+
+    /// The fold moved, by a reply or by a version from a peer.
+    void set_position(const position& it, time_point now);
+
+    /// A read was answered. Call it after the reply's entries were folded and set_position was called.
+    /// \param revision the service's revision; \param entries how many entries the reply had.
+    void read_answered(std::int64_t id, std::int64_t revision, std::size_t entries, time_point now);
+    /// A read failed: refused, timed out, or its body could not be read.
+    void read_failed(std::int64_t id, time_point now);
+
+    /// A heartbeat or its acknowledgement told a peer's number and digest.
+    void peer_reported(std::string_view peer, std::int64_t number, std::string_view digest, time_point now);
+    /// A pull brought a version, whatever the fold made of it.
+    void pull_answered(std::int64_t id, bool adopted, time_point now);
+    void pull_failed(std::int64_t id, time_point now);
+
+    decision next(time_point now);
+
+    bool ready() const { return ready_; }
+    bool watches() const { return watches_; }
+    /// Whether a peer that reported lately has other content under the number in force.
+    bool diverged(time_point now) const;
+    /// The largest number known in the fleet, in force here or not.
+    std::int64_t known_number() const { return known_number_; }
+    const sync_counters& counters() const { return counters_; }
+
+private:
+    struct report {
+        std::int64_t number{};
+        std::string digest;
+        time_point at{};
+        time_point avoid_until{};
+    };
+
+    struct running_read {
+        read_order order;
+        time_point started{};
+    };
+
+    struct running_pull {
+        pull_order order;
+        time_point started{};
+    };
+
+    duration between(duration least, duration most);
+    duration shortened(duration longest) { return between(longest * 3 / 4, longest); }
+    bool fresh(const report& it, time_point now) const { return now - it.at < settings_.report_lifetime; }
+    bool is_watcher(std::string_view peer) const;
+    bool is_listed_alone() const;
+    bool is_peer_ahead(time_point now) const;
+    bool heard_version(time_point now) const;
+    bool may_pull(const report& it, time_point now) const;
+    duration next_back_off(duration& former);
+    void notice_pause(time_point now);
+    void drop_overdue(time_point now);
+    void drop_old_reports(time_point now);
+    void end_pull(bool success, time_point now);
+    time_point next_read_time() const;
+    std::optional<read_order> decide_read(time_point now);
+    std::optional<pull_order> decide_pull(time_point now);
+    std::optional<divergence> decide_divergence(time_point now);
+    void decide_ready(time_point now);
+    time_point wake_time(time_point now) const;
+
+    sync_settings settings_;
+    std::string self_;
+    boost::random::minstd_rand random_;
+    position position_;
+    std::vector<instance> instances_;
+    std::vector<std::string> watchers_;
+    std::map<std::string, std::string, std::less<>> domains_;
+    std::map<std::string, report, std::less<>> reports_;
+    std::optional<running_read> read_;
+    std::optional<running_pull> pull_;
+    std::int64_t last_id_{};
+    std::int64_t known_revision_{};
+    std::int64_t known_number_{};
+    time_point started_;
+    time_point last_wake_;
+    time_point earliest_read_;
+    time_point earliest_pull_;
+    /// When an instance that does not watch reads the service for want of a watcher's report, or of any
+    /// change.
+    time_point watcher_due_;
+    time_point quiet_due_;
+    std::optional<time_point> ahead_since_;
+    duration read_back_off_{};
+    duration pull_back_off_{};
+    /// Digests that were raised as divergent under the number in force.
+    std::set<std::string, std::less<>> raised_;
+    bool watches_{true};
+    bool ready_{};
+    sync_counters counters_;
+};
+
+} // namespace limpetlock::config
--- /dev/null
+++ b/lib/config/document.cpp
@@ -0,0 +1,166 @@
+#include "document_reader.hpp"
+#include "json.hpp"
+
+#include <limpetlock/config/document.hpp>
+#include <limpetlock/support/hash.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetlock::config {
+
+namespace {
+
+constexpr std::array<std::string_view, rank_count> rank_names{"urgent", "standard", "background"};
+constexpr std::string_view hidden_token = "(hidden)";
+
+bool lists(const std::vector<std::string>& callers, std::string_view team)
+{
+    return callers.empty() || std::find(callers.begin(), callers.end(), team) != callers.end();
+}
+
+/// Adds the paths of the values that differ. Arrays of different sizes differ as a whole.
+void compare(const json& from, const json& to, const std::string& path, std::vector<std::string>& paths)
+{
+    if (from == to)
+        return;
+    if (from.is_object() && to.is_object()) {
+        for (const auto& it : from.items())
+            compare(it.value(), to.value(it.key(), json()), member_path(path, it.key()), paths);
+        for (const auto& it : to.items())
+            if (!from.contains(it.key()))
+                paths.push_back(member_path(path, it.key()));
+        return;
+    }
+    if (!from.is_array() || !to.is_array() || from.size() != to.size()) {
+        paths.push_back(path);
+        return;
+    }
+    for (std::size_t n = 0; n < from.size(); ++n)
+        compare(from[n], to[n], element_path(path, n), paths);
+}
+
+} // namespace
+
+std::string_view to_string(rank it)
+{
+    return rank_names[static_cast<std::size_t>(it)];
+}
+
+std::optional<rank> rank_from(std::string_view name)
+{
+    for (std::size_t n = 0; n < rank_count; ++n)
+        if (rank_names[n] == name)
+            return static_cast<rank>(n);
+    return std::nullopt;
+}
+
+bool pipeline::allows(std::string_view team) const
+{
+    return lists(callers, team);
+}
+
+double pipeline::cost_ms() const
+{
+    double sum = 0;
+    for (const stage& it : stages)
+        sum += it.cost_ms;
+    return sum;
+}
+
+bool service::allows(std::string_view team) const
+{
+    return lists(callers, team);
+}
+
+struct document::state {
+    contents typed;
+    std::string text;
+    std::string digest;
+    section<std::string> team_by_token;
+
+    static std::shared_ptr<const state> make(const json& value, error_slot<errc>& last);
+};
+
+std::shared_ptr<const document::state> document::state::make(const json& value, error_slot<errc>& last)
+{
+    problem_list problems;
+    auto it = std::make_shared<state>();
+    it->typed = read_contents(value, problems);
+    if (!problems.empty()) {
+        last.fail(errc::invalid, join_problems(problems));
+        return nullptr;
+    }
+    it->text = value.dump();
+    it->digest = digest128(it->text);
+    for (const auto& [name, team] : it->typed.teams)
+        it->team_by_token.emplace(team.token, name);
+    return it;
+}
+
+std::optional<document> document::parse(std::string_view text, error_slot<errc>& last)
+{
+    const auto value = parse_strict_json(text, last);
+    if (!value)
+        return std::nullopt;
+    auto it = state::make(*value, last);
+    if (!it)
+        return std::nullopt;
+    return document(std::move(it));
+}
+
+std::optional<document> document::merge(std::string_view patch, error_slot<errc>& last) const
+{
+    const auto change = parse_strict_json(patch, last);
+    if (!change)
+        return std::nullopt;
+    // RFC 7396 lets any other value replace the whole document; that is what a document entry is for.
+    if (!change->is_object())
+        return last.fail(errc::invalid, fmt::format("a patch must be an object, is {}", change->type_name()));
+    json value = json::parse(text());
+    value.merge_patch(*change);
+    auto it = state::make(value, last);
+    if (!it)
+        return std::nullopt;
+    return document(std::move(it));
+}
+
+const contents& document::get() const
+{
+    return state_->typed;
+}
+
+const std::string* document::team_of_token(std::string_view token) const
+{
+    const auto it = state_->team_by_token.find(token);
+    return it == state_->team_by_token.end() ? nullptr : &it->second;
+}
+
+const std::string& document::text() const
+{
+    return state_->text;
+}
+
+std::string document::redacted_text() const
+{
+    json value = json::parse(text());
+    for (auto& it : value["teams"])
+        it["token"] = hidden_token;
+    return value.dump();
+}
+
+const std::string& document::digest() const
+{
+    return state_->digest;
+}
+
+std::vector<std::string> changed_paths(const document& from, const document& to)
+{
+    std::vector<std::string> paths;
+    compare(json::parse(from.text()), json::parse(to.text()), "", paths);
+    return paths;
+}
+
+} // namespace limpetlock::config
--- /dev/null
+++ b/lib/config/reader.hpp
@@ -0,0 +1,69 @@
+/// \file
+/// Reads a JSON object key by key and records every departure from the format with the path of the key.
+#pragma once
+
+#include "json.hpp"
+
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace limpetlock::config {
+
+/// A range of numbers, both ends included.
+template <typename T>
+struct range {
+    T least;
+    T most;
+};
+
+/// Keys of the document that name things: letters, digits, '-' and '_', at most 64, so that they fit paths
+/// and metrics.
+bool is_key_name(std::string_view it);
+
+/// Names that are values (pools, models, instances, classes): also '.', ':' and '/'.
+bool is_value_name(std::string_view it);
+
+/// A bearer token: 1 to 256 visible ASCII characters.
+bool is_token(std::string_view it);
+
+class object_reader {
+public:
+    /// `value` may be nullptr or of another type; then every key without a default is reported as missing.
+    object_reader(const json* value, std::string path, problem_list& problems);
+
+    /// The functions below return the default, or T() when there is none, after reporting a problem.
+    std::int64_t integer(std::string_view key, range<std::int64_t> allowed,
+                         std::optional<std::int64_t> otherwise = {});
+    double number(std::string_view key, range<double> allowed, std::optional<double> otherwise = {});
+    bool boolean(std::string_view key, std::optional<bool> otherwise = {});
+    std::string name(std::string_view key, const std::optional<std::string>& otherwise = {});
+    std::string token(std::string_view key);
+    /// A list of distinct names.
+    std::vector<std::string> names(std::string_view key, range<std::size_t> size, bool required);
+
+    /// A nested object or array; nullptr when it is missing (reported if required) or of another type
+    /// (reported).
+    const json* object(std::string_view key, bool required);
+    const json* array(std::string_view key, bool required);
+
+    /// Reports the keys that nobody asked for.
+    void finish();
+
+    void report(std::string_view key, std::string reason);
+    std::string path_of(std::string_view key) const { return member_path(path_, key); }
+
+private:
+    const json* find(std::string_view key, bool required);
+    std::optional<std::string> text(std::string_view key, bool required);
+
+    const json* value_;
+    std::string path_;
+    problem_list& problems_;
+    std::set<std::string, std::less<>> asked_;
+};
+
+} // namespace limpetlock::config
--- /dev/null
+++ b/lib/config/sync.cpp
@@ -0,0 +1,313 @@
+#include <limpetlock/config/sync.hpp>
+#include <limpetlock/support/hash.hpp>
+
+#include <boost/random/uniform_int_distribution.hpp>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace limpetlock::config {
+
+namespace {
+
+/// next() asks to be called at least this often, so that a pause of the process is noticed soon after it.
+constexpr duration longest_sleep{1000};
+/// Shortest time between two calls that next() asks for.
+constexpr duration shortest_sleep{10};
+
+} // namespace
+
+sync::sync(const sync_settings& settings, std::string self, std::uint64_t seed, time_point now)
+    : settings_(settings), self_(std::move(self)),
+      random_(static_cast<std::uint32_t>(hash64(self_, seed) >> 33)), started_(now), last_wake_(now),
+      earliest_read_(now + between({}, settings_.start_spread)), earliest_pull_(now),
+      watcher_due_(now + shortened(settings_.watcher_silence)),
+      quiet_due_(now + shortened(settings_.quiet_read))
+{
+}
+
+void sync::set_instances(const std::vector<instance>& it)
+{
+    instances_ = it;
+    watchers_ = watcher_set(instances_, settings_.watchers_per_domain);
+    watches_ = instances_.empty() || is_watcher(self_);
+    domains_.clear();
+    for (const instance& n : instances_)
+        domains_.emplace(n.name, n.failure_domain);
+}
+
+void sync::set_position(const position& it, time_point now)
+{
+    if (it.number > position_.number) {
+        quiet_due_ = now + shortened(settings_.quiet_read);
+        raised_.clear();
+    }
+    position_ = it;
+    known_number_ = std::max(known_number_, it.number);
+    known_revision_ = std::max(known_revision_, it.revision);
+}
+
+void sync::read_answered(std::int64_t id, std::int64_t revision, std::size_t entries, time_point now)
+{
+    if (!read_ || read_->order.id != id)
+        return;
+    const running_read done = *std::exchange(read_, std::nullopt);
+    if (revision < known_revision_) {
+        ++counters_.stale_revisions;
+        earliest_read_ = now + next_back_off(read_back_off_);
+        return;
+    }
+    known_revision_ = revision;
+    // A service that answers a watch at once without news would otherwise be read at the rate of the floor.
+    const bool waited = now - done.started >= done.order.wait / 2;
+    if (entries == 0 && !waited) {
+        earliest_read_ = std::max(earliest_read_, now + next_back_off(read_back_off_));
+        return;
+    }
+    read_back_off_ = {};
+}
+
+void sync::read_failed(std::int64_t id, time_point now)
+{
+    if (!read_ || read_->order.id != id)
+        return;
+    read_.reset();
+    ++counters_.read_failures;
+    earliest_read_ = now + next_back_off(read_back_off_);
+}
+
+void sync::peer_reported(std::string_view peer, std::int64_t number, std::string_view digest, time_point now)
+{
+    if (peer == self_)
+        return;
+    report& it = reports_[std::string(peer)];
+    it.number = number;
+    it.digest = digest;
+    it.at = now;
+    if (number < position_.number)
+        ++counters_.stale_numbers;
+    known_number_ = std::max(known_number_, number);
+    if (is_watcher(peer))
+        watcher_due_ = now + shortened(settings_.watcher_silence);
+}
+
+void sync::pull_answered(std::int64_t id, bool adopted, time_point now)
+{
+    if (pull_ && pull_->order.id == id)
+        end_pull(adopted, now);
+}
+
+void sync::pull_failed(std::int64_t id, time_point now)
+{
+    if (pull_ && pull_->order.id == id)
+        end_pull(false, now);
+}
+
+decision sync::next(time_point now)
+{
+    notice_pause(now);
+    drop_overdue(now);
+    drop_old_reports(now);
+    if (!is_peer_ahead(now))
+        ahead_since_.reset();
+    else if (!ahead_since_)
+        ahead_since_ = now;
+    decision it;
+    it.raised = decide_divergence(now);
+    it.pull = decide_pull(now);
+    it.read = decide_read(now);
+    decide_ready(now);
+    it.ready = ready_;
+    it.wake = wake_time(now);
+    last_wake_ = it.wake;
+    return it;
+}
+
+bool sync::diverged(time_point now) const
+{
+    return std::any_of(reports_.begin(), reports_.end(), [&](const auto& it) {
+        const report& r = it.second;
+        return fresh(r, now) && r.number == position_.number && r.number > 0 && r.digest != position_.digest;
+    });
+}
+
+duration sync::between(duration least, duration most)
+{
+    boost::random::uniform_int_distribution<std::int64_t> pick(least.count(), most.count());
+    return duration(pick(random_));
+}
+
+bool sync::is_watcher(std::string_view peer) const
+{
+    return std::binary_search(watchers_.begin(), watchers_.end(), peer);
+}
+
+bool sync::is_listed_alone() const
+{
+    return instances_.size() == 1 && instances_.front().name == self_;
+}
+
+bool sync::is_peer_ahead(time_point now) const
+{
+    return std::any_of(reports_.begin(), reports_.end(), [&](const auto& it) {
+        return fresh(it.second, now) && it.second.number > position_.number;
+    });
+}
+
+bool sync::heard_version(time_point now) const
+{
+    return std::any_of(reports_.begin(), reports_.end(),
+                       [&](const auto& it) { return fresh(it.second, now) && it.second.number > 0; });
+}
+
+bool sync::may_pull(const report& it, time_point now) const
+{
+    return fresh(it, now) && it.number > position_.number && now >= it.avoid_until;
+}
+
+duration sync::next_back_off(duration& former)
+{
+    former = former == duration{} ? settings_.back_off_first : std::min(former * 2, settings_.back_off_last);
+    return between(former / 2, former);
+}
+
+void sync::notice_pause(time_point now)
+{
+    if (now <= last_wake_ + settings_.pause)
+        return;
+    // What peers reported before the pause is old. The reads are spread, since a pause can hit many instances
+    // at once.
+    ++counters_.pauses;
+    reports_.clear();
+    read_back_off_ = {};
+    pull_back_off_ = {};
+    earliest_read_ = now + between({}, settings_.start_spread);
+    watcher_due_ = earliest_read_;
+    earliest_pull_ = now;
+}
+
+void sync::drop_overdue(time_point now)
+{
+    if (read_ && now - read_->started >= read_->order.wait + settings_.read_timeout)
+        read_failed(read_->order.id, now);
+    if (pull_ && now - pull_->started >= settings_.pull_timeout)
+        end_pull(false, now);
+}
+
+void sync::drop_old_reports(time_point now)
+{
+    for (auto it = reports_.begin(); it != reports_.end();)
+        it = fresh(it->second, now) ? std::next(it) : reports_.erase(it);
+}
+
+void sync::end_pull(bool success, time_point now)
+{
+    const running_pull done = *std::exchange(pull_, std::nullopt);
+    if (success) {
+        pull_back_off_ = {};
+        return;
+    }
+    ++counters_.pull_failures;
+    earliest_pull_ = std::max(earliest_pull_, now + next_back_off(pull_back_off_));
+    const auto it = reports_.find(done.order.peer);
+    if (it != reports_.end())
+        it->second.avoid_until = now + settings_.pull_timeout;
+}
+
+time_point sync::next_read_time() const
+{
+    if (watches_)
+        return earliest_read_;
+    if (position_.number == 0)
+        return std::max(earliest_read_, started_ + settings_.settle);
+    return std::max(earliest_read_, std::min(watcher_due_, quiet_due_));
+}
+
+std::optional<read_order> sync::decide_read(time_point now)
+{
+    if (read_ || now < next_read_time())
+        return std::nullopt;
+    // A peer's version saves reading the whole history from the service.
+    if (position_.number == 0 && pull_)
+        return std::nullopt;
+    const bool waits = watches_ || position_.number == 0;
+    read_ = running_read{{++last_id_, position_.revision, waits ? settings_.watch_wait : duration{}}, now};
+    earliest_read_ = now + settings_.read_floor + between({}, settings_.read_floor / 2);
+    watcher_due_ = now + shortened(settings_.watcher_silence);
+    quiet_due_ = now + shortened(settings_.quiet_read);
+    ++counters_.reads;
+    if (!watches_)
+        ++counters_.fallback_reads;
+    return read_->order;
+}
+
+std::optional<pull_order> sync::decide_pull(time_point now)
+{
+    if (pull_ || now < earliest_pull_ || !ahead_since_)
+        return std::nullopt;
+    if (watches_ && read_ && position_.number > 0 && now < *ahead_since_ + settings_.watch_grace)
+        return std::nullopt;
+    // The largest number first, then a peer in the own failure domain; a random one among equals spreads the
+    // load.
+    const auto own = domains_.find(self_);
+    std::tuple<std::int64_t, bool, duration> best;
+    const std::string* chosen = nullptr;
+    for (const auto& [peer, it] : reports_) {
+        if (!may_pull(it, now))
+            continue;
+        const auto domain = domains_.find(peer);
+        const bool near = own != domains_.end() && domain != domains_.end() && own->second == domain->second;
+        const std::tuple rating(it.number, near, between({}, longest_sleep));
+        if (chosen != nullptr && rating <= best)
+            continue;
+        best = rating;
+        chosen = &peer;
+    }
+    if (chosen == nullptr)
+        return std::nullopt;
+    pull_ = running_pull{{++last_id_, *chosen, position_.number}, now};
+    earliest_pull_ = now + settings_.pull_floor;
+    ++counters_.pulls;
+    return pull_->order;
+}
+
+std::optional<divergence> sync::decide_divergence(time_point now)
+{
+    if (position_.number == 0)
+        return std::nullopt;
+    for (const auto& [peer, it] : reports_) {
+        if (!fresh(it, now) || it.number != position_.number || it.digest == position_.digest)
+            continue;
+        if (!raised_.insert(it.digest).second)
+            continue;
+        ++counters_.divergences;
+        return divergence{position_.number, position_.digest, peer, it.digest};
+    }
+    return std::nullopt;
+}
+
+void sync::decide_ready(time_point now)
+{
+    if (ready_ || position_.number == 0 || is_peer_ahead(now))
+        return;
+    // A first read may have reached a stale replica of the service, so an instance that has peers hears them
+    // first.
+    ready_ = heard_version(now) || is_listed_alone() || now >= started_ + settings_.settle;
+}
+
+time_point sync::wake_time(time_point now) const
+{
+    time_point it = now + longest_sleep;
+    const auto at_most = [&](time_point t) { it = std::min(it, t); };
+    at_most(read_ ? read_->started + read_->order.wait + settings_.read_timeout : next_read_time());
+    if (pull_)
+        at_most(pull_->started + settings_.pull_timeout);
+    else if (ahead_since_)
+        at_most(std::max(earliest_pull_, *ahead_since_ + settings_.watch_grace));
+    if (!ready_ && now < started_ + settings_.settle)
+        at_most(started_ + settings_.settle);
+    return std::max(it, now + shortest_sleep);
+}
+
+} // namespace limpetlock::config
