--- /dev/null
+++ b/lib/admission/queue.cpp
@@ -0,0 +1,258 @@
+#include "lane.hpp"
+
+#include <limpetlock/admission/queue.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace limpetlock::admission {
+
+namespace {
+
+constexpr std::array<std::string_view, rank_count> rank_names{"urgent", "standard", "background"};
+
+constexpr std::size_t index(rank it)
+{
+    return static_cast<std::size_t>(it);
+}
+
+} // namespace
+
+std::string_view to_string(rank it)
+{
+    return rank_names.at(index(it));
+}
+
+std::optional<rank> parse_rank(std::string_view name)
+{
+    const auto it = std::find(rank_names.begin(), rank_names.end(), name);
+    if (it == rank_names.end())
+        return std::nullopt;
+    return static_cast<rank>(it - rank_names.begin());
+}
+
+class queue::impl {
+public:
+    impl(queue_options initial, const estimator& times)
+        : options(std::move(initial)), times_(times), lanes_{lane(options), lane(options), lane(options)}
+    {
+    }
+
+    std::optional<std::size_t> offer(request it, time_point now);
+    std::optional<ticket> next(time_point now, const predicate& fits);
+    std::vector<std::uint64_t> expire(time_point now);
+    void complete(const ticket& it, double actual_cost_ms);
+    std::vector<team_usage> take_usage();
+    void add_peer_usage(const std::vector<team_usage>& served);
+
+    lane& of(rank it) { return lanes_.at(index(it)); }
+
+    queue_options options;
+    error_slot<errc> last;
+    std::array<double, rank_count> served_by_rank{};
+
+private:
+    struct choice {
+        rank priority;
+        const request* head;
+        bool by_share;
+    };
+
+    bool can_meet(const request& it, time_point now) const;
+    std::optional<choice> choose(const lane::test& viable, const lane::test& fits);
+    void settle_credits(rank taken, double cost, bool by_share);
+
+    const estimator& times_;
+    std::array<lane, rank_count> lanes_;
+    std::vector<std::uint64_t> dropped_;
+    std::array<std::unordered_map<std::string, double>, rank_count> usage_;
+};
+
+bool queue::impl::can_meet(const request& it, time_point now) const
+{
+    const double needed = it.stages ? times_.remaining_ms(*it.stages, now) : 0;
+    return now < it.deadline && needed <= static_cast<double>((it.deadline - now).count());
+}
+
+std::optional<std::size_t> queue::impl::offer(request it, time_point now)
+{
+    auto& lane = of(it.priority);
+    if (!can_meet(it, now))
+        return last.fail(errc::deadline, fmt::format("the remaining stages need more than the {} ms left",
+                                                     (it.deadline - now).count()));
+    const auto before = lane.waiting_of(it.team);
+    if (before >= options.per_team)
+        return last.fail(errc::queue_full, fmt::format("{} requests of this team wait", before));
+    if (lane.waiting() >= options.total)
+        return last.fail(errc::queue_full, fmt::format("{} requests of this rank wait", lane.waiting()));
+    it.cost_ms = std::max(1.0, it.cost_ms);
+    lane.push(std::move(it));
+    return before;
+}
+
+// A rank whose credit covers its first request is served before the order of ranks.
+std::optional<queue::impl::choice> queue::impl::choose(const lane::test& viable, const lane::test& fits)
+{
+    std::array<const request*, rank_count> heads{};
+    for (std::size_t n = 0; n < rank_count; ++n)
+        heads[n] = lanes_[n].empty() ? nullptr : lanes_[n].front(viable, fits, dropped_);
+    for (std::size_t n = rank_count - 1; n > 0; --n)
+        if (heads[n] != nullptr && lanes_[n].credit >= heads[n]->cost_ms)
+            return choice{static_cast<rank>(n), heads[n], true};
+    for (std::size_t n = 0; n < rank_count; ++n)
+        if (heads[n] != nullptr)
+            return choice{static_cast<rank>(n), heads[n], false};
+    return std::nullopt;
+}
+
+// Every rank with waiting work earns its share of the cost that is served. What a rank takes beyond its share
+// is not held against it. The credit of a rank that waits for nothing ends, and a rank that can't be served
+// (no room in its pools) keeps at most the credit of two requests.
+void queue::impl::settle_credits(rank taken, double cost, bool by_share)
+{
+    for (std::size_t n = 1; n < rank_count; ++n) {
+        auto& lane = lanes_.at(n);
+        if (lane.empty()) {
+            lane.credit = 0;
+            continue;
+        }
+        lane.credit += options.min_share.at(n) * cost;
+        if (by_share && n == index(taken))
+            lane.credit -= cost;
+        lane.credit = std::min(lane.credit, 2 * lane.largest_cost());
+    }
+}
+
+std::optional<ticket> queue::impl::next(time_point now, const predicate& fits)
+{
+    const auto picked = choose([&](const request& it) { return can_meet(it, now); },
+                               [&](const request& it) { return !fits || fits(it.id); });
+    if (!picked)
+        return std::nullopt;
+    const auto cost = picked->head->cost_ms;
+    settle_credits(picked->priority, cost, picked->by_share);
+    request it = of(picked->priority).pop(*picked->head);
+    served_by_rank.at(index(it.priority)) += cost;
+    usage_.at(index(it.priority))[it.team] += cost;
+    return ticket{it.id, std::move(it.team), it.priority, cost, picked->by_share};
+}
+
+std::vector<std::uint64_t> queue::impl::expire(time_point now)
+{
+    for (auto& lane : lanes_) {
+        lane.drop_if([&](const request& it) { return !can_meet(it, now); }, dropped_);
+        lane.forget_idle();
+    }
+    return std::exchange(dropped_, {});
+}
+
+void queue::impl::complete(const ticket& it, double actual_cost_ms)
+{
+    const double off = actual_cost_ms - it.cost_ms;
+    auto& lane = of(it.priority);
+    lane.charge(it.team, off);
+    if (it.by_share)
+        lane.credit -= off;
+    served_by_rank.at(index(it.priority)) += off;
+    usage_.at(index(it.priority))[it.team] += off;
+}
+
+std::vector<team_usage> queue::impl::take_usage()
+{
+    std::vector<team_usage> all;
+    for (std::size_t n = 0; n < rank_count; ++n) {
+        for (const auto& [team, cost] : usage_.at(n))
+            if (cost > 0)
+                all.push_back({team, static_cast<rank>(n), cost});
+        usage_.at(n).clear();
+    }
+    std::sort(all.begin(), all.end(), [](const team_usage& a, const team_usage& b) {
+        return std::tie(a.priority, a.team) < std::tie(b.priority, b.team);
+    });
+    return all;
+}
+
+void queue::impl::add_peer_usage(const std::vector<team_usage>& served)
+{
+    std::array<std::vector<std::pair<std::string, double>>, rank_count> by_rank;
+    for (const auto& it : served)
+        by_rank.at(index(it.priority)).emplace_back(it.team, it.cost_ms);
+    for (std::size_t n = 0; n < rank_count; ++n)
+        if (!by_rank.at(n).empty())
+            lanes_.at(n).charge_peers(by_rank.at(n));
+}
+
+queue::queue(queue_options options, const estimator& times)
+    : impl_(std::make_unique<impl>(std::move(options), times))
+{
+}
+
+queue::~queue() = default;
+
+void queue::configure(queue_options options)
+{
+    impl_->options = std::move(options);
+}
+
+std::optional<std::size_t> queue::offer(request it, time_point now)
+{
+    return impl_->offer(std::move(it), now);
+}
+
+std::optional<ticket> queue::next(time_point now, const predicate& fits)
+{
+    return impl_->next(now, fits);
+}
+
+std::vector<std::uint64_t> queue::expire(time_point now)
+{
+    return impl_->expire(now);
+}
+
+bool queue::cancel(std::uint64_t id, const std::string& team, rank priority)
+{
+    return impl_->of(priority).cancel(id, team);
+}
+
+void queue::complete(const ticket& it, double actual_cost_ms)
+{
+    impl_->complete(it, actual_cost_ms);
+}
+
+std::vector<team_usage> queue::take_usage()
+{
+    return impl_->take_usage();
+}
+
+void queue::add_peer_usage(const std::vector<team_usage>& served)
+{
+    impl_->add_peer_usage(served);
+}
+
+std::size_t queue::waiting() const
+{
+    std::size_t sum = 0;
+    for (std::size_t n = 0; n < rank_count; ++n)
+        sum += waiting(static_cast<rank>(n));
+    return sum;
+}
+
+std::size_t queue::waiting(rank it) const
+{
+    return impl_->of(it).waiting();
+}
+
+double queue::served_ms(rank it) const
+{
+    return impl_->served_by_rank.at(index(it));
+}
+
+const error& queue::last_error() const
+{
+    return impl_->last.last();
+}
+
+} // namespace limpetlock::admission
--- /dev/null
+++ b/lib/membership/view.cpp
@@ -0,0 +1,415 @@
+#include "record.hpp"
+
+#include <limpetlock/membership/view.hpp>
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+
+namespace limpetlock::membership {
+
+namespace {
+constexpr std::array<std::string_view, 5> state_names{"live", "leaving", "suspect", "ejected", "probing"};
+}
+
+std::string_view to_string(state it)
+{
+    return state_names.at(static_cast<std::size_t>(it));
+}
+
+const std::vector<endpoint>& snapshot::pool(std::string_view name) const
+{
+    static const std::vector<endpoint> none;
+    const auto it = routable.find(name);
+    return it == routable.end() ? none : it->second;
+}
+
+class view::impl {
+public:
+    using name_key = std::pair<std::string, std::string>; // pool, name
+
+    explicit impl(const view_options& initial) : options(initial) {}
+
+    bool apply(const instance_list& list);
+    void succeeded(record& it, time_point now);
+    void failed(record& it, failure how, time_point now);
+    std::optional<leaving_evidence> answered_leaving(record& it, time_point now);
+    bool peer_reported(const leaving_evidence& evidence, time_point now);
+    bool heard(const std::string& name, std::int64_t incarnation, time_point now);
+    bool tick(time_point now);
+    std::shared_ptr<const snapshot> current();
+
+    /// The record of an id when a result of a call that was sent at `started` counts for it.
+    record* find(std::uint64_t id, time_point started);
+
+    view_options options;
+    std::int64_t version{-1};
+    std::map<name_key, record> endpoints;
+    std::map<std::string, time_point> heartbeats;
+    counters counts;
+
+private:
+    void list_endpoint(const listed_instance& it);
+    void list_entry(const listed_instance& it);
+    bool may_eject(const std::string& pool) const;
+    void eject(record& it, time_point now);
+    void eject_suspects(const std::string& pool, time_point now);
+    void return_to_service(record& it);
+    void set_leaving(record& it, time_point now);
+    void drop_suspicions();
+
+    std::unordered_map<std::uint64_t, name_key> names_;
+    std::map<std::string, entry_instance> entries_;
+    std::map<name_key, std::int64_t> leaving_versions_;
+    std::uint64_t next_id_{1};
+    std::optional<time_point> last_tick_;
+    std::optional<time_point> gap_end_;
+    std::shared_ptr<const snapshot> snapshot_;
+};
+
+record* view::impl::find(std::uint64_t id, time_point started)
+{
+    const auto name = names_.find(id);
+    if (name == names_.end() || (gap_end_ && started < *gap_end_)) {
+        ++counts.stale_evidence;
+        return nullptr;
+    }
+    return &endpoints.at(name->second);
+}
+
+void view::impl::list_endpoint(const listed_instance& it)
+{
+    const name_key key{it.pool, it.name};
+    const auto [entry, added] = endpoints.try_emplace(key);
+    auto& known = entry->second;
+    const bool other_address = known.listed.address != it.address || known.listed.port != it.port;
+    const bool back_to_live = known.listed.leaving && !it.leaving;
+    if (added || other_address || back_to_live) {
+        names_.erase(known.id);
+        known = record{};
+        known.id = next_id_++;
+        known.listed_since = version;
+        names_.emplace(known.id, key);
+        const auto evidence = leaving_versions_.find(key);
+        known.leaving_by_evidence = evidence != leaving_versions_.end() && evidence->second >= version;
+    }
+    known.listed = it;
+}
+
+void view::impl::list_entry(const listed_instance& it)
+{
+    auto& known = entries_[it.name];
+    known.name = it.name;
+    known.address = it.address;
+    known.port = it.port;
+    known.peer_port = it.peer_port;
+    known.failure_domain = it.failure_domain;
+    known.leaving = it.leaving;
+}
+
+bool view::impl::apply(const instance_list& list)
+{
+    if (list.version <= version) {
+        ++counts.lists_ignored;
+        return false;
+    }
+    version = list.version;
+    std::set<name_key> listed;
+    for (const auto& it : list.instances) {
+        listed.emplace(it.pool, it.name);
+        it.pool == entry_pool ? list_entry(it) : list_endpoint(it);
+    }
+    std::erase_if(endpoints, [&](const auto& it) {
+        if (listed.contains(it.first))
+            return false;
+        names_.erase(it.second.id);
+        return true;
+    });
+    std::erase_if(entries_, [&](const auto& it) {
+        return !listed.contains({std::string(entry_pool), it.first});
+    });
+    std::erase_if(heartbeats, [&](const auto& it) { return !entries_.contains(it.first); });
+    std::erase_if(leaving_versions_,
+                  [&](const auto& it) { return !listed.contains(it.first) && it.second < version; });
+    snapshot_.reset();
+    return true;
+}
+
+void view::impl::return_to_service(record& it)
+{
+    it.ejected = it.probing = it.leaving_by_evidence = false;
+    it.score = it.probe_successes = it.ejections = 0;
+    ++counts.returns;
+    snapshot_.reset();
+}
+
+void view::impl::succeeded(record& it, time_point now)
+{
+    if (it.probing) {
+        if (++it.probe_successes >= options.probe_successes)
+            return_to_service(it);
+        return;
+    }
+    // A call that was sent before the ejection or the leaving answer and ends well does not undo them.
+    if (it.ejected || it.leaving_by_evidence || it.score == 0)
+        return;
+    it.score = 0;
+    snapshot_.reset();
+    static_cast<void>(now);
+}
+
+void view::impl::failed(record& it, failure how, time_point now)
+{
+    it.score += how == failure::refused ? options.refused_score : 1;
+    if (it.probing)
+        return it.leaving_by_evidence ? set_leaving(it, now) : eject(it, now);
+    if (it.ejected || it.leaving_by_evidence)
+        return;
+    snapshot_.reset();
+    eject_suspects(it.listed.pool, now);
+}
+
+// Leaving endpoints are no part of the pool for the cap: they are out for another reason.
+bool view::impl::may_eject(const std::string& pool) const
+{
+    int size = 0;
+    int ejected = 0;
+    for (auto it = endpoints.lower_bound({pool, ""}); it != endpoints.end() && it->first.first == pool;
+         ++it) {
+        if (it->second.listed.leaving || it->second.leaving_by_evidence)
+            continue;
+        ++size;
+        ejected += it->second.ejected ? 1 : 0;
+    }
+    return ejected + 1 <= options.ejection_max_share * size;
+}
+
+void view::impl::eject(record& it, time_point now)
+{
+    constexpr int most_doublings = 20;
+    const duration doubled = options.ejection_time * (1LL << std::min(it.ejections, most_doublings));
+    it.ejected = true;
+    it.probing = false;
+    it.probe_successes = 0;
+    it.probe_at = now + std::min(doubled, options.ejection_time_max);
+    ++it.ejections;
+    ++counts.ejections;
+    snapshot_.reset();
+}
+
+// Ejects the most suspect endpoints first, as far as the cap allows.
+void view::impl::eject_suspects(const std::string& pool, time_point now)
+{
+    std::vector<record*> due;
+    for (auto it = endpoints.lower_bound({pool, ""}); it != endpoints.end() && it->first.first == pool;
+         ++it) {
+        auto& known = it->second;
+        if (known.status() == state::suspect && known.score >= options.ejection_score)
+            due.push_back(&known);
+    }
+    std::stable_sort(due.begin(), due.end(),
+                     [](const record* a, const record* b) { return a->score > b->score; });
+    for (auto* it : due) {
+        if (!may_eject(pool)) {
+            ++counts.ejections_capped;
+            return;
+        }
+        eject(*it, now);
+    }
+}
+
+void view::impl::set_leaving(record& it, time_point now)
+{
+    it.leaving_by_evidence = true;
+    it.ejected = it.probing = false;
+    it.probe_successes = 0;
+    it.probe_at = now + options.leaving_recheck;
+    snapshot_.reset();
+}
+
+std::optional<leaving_evidence> view::impl::answered_leaving(record& it, time_point now)
+{
+    const bool known = it.leaving_by_evidence && !it.probing;
+    set_leaving(it, now);
+    const name_key key{it.listed.pool, it.listed.name};
+    leaving_versions_[key] = version;
+    if (known)
+        return std::nullopt;
+    return leaving_evidence{key.first, key.second, version};
+}
+
+bool view::impl::peer_reported(const leaving_evidence& evidence, time_point now)
+{
+    const name_key key{evidence.pool, evidence.name};
+    const auto it = endpoints.find(key);
+    if (it == endpoints.end() && evidence.list_version <= version) {
+        ++counts.stale_evidence;
+        return false;
+    }
+    auto& heard_version = leaving_versions_.try_emplace(key, evidence.list_version).first->second;
+    heard_version = std::max(heard_version, evidence.list_version);
+    if (it == endpoints.end() || it->second.leaving_by_evidence)
+        return false;
+    if (evidence.list_version < it->second.listed_since) {
+        ++counts.stale_evidence;
+        return false;
+    }
+    set_leaving(it->second, now);
+    return true;
+}
+
+bool view::impl::heard(const std::string& name, std::int64_t incarnation, time_point now)
+{
+    const auto it = entries_.find(name);
+    if (it == entries_.end())
+        return true;
+    auto& known = it->second;
+    if (incarnation < known.incarnation) {
+        ++counts.stale_frames;
+        return false;
+    }
+    const bool newer = incarnation > known.incarnation;
+    known.incarnation = incarnation;
+    heartbeats[name] = now;
+    if (newer)
+        snapshot_.reset();
+    return true;
+}
+
+// After a pause, failures and silences of the time before say more about this process than about the others.
+// What an endpoint said about itself stays.
+void view::impl::drop_suspicions()
+{
+    for (auto& [key, it] : endpoints) {
+        it.ejected = false;
+        it.probing = it.probing && it.leaving_by_evidence;
+        it.score = it.ejections = it.probe_successes = 0;
+    }
+    heartbeats.clear();
+    ++counts.timer_gaps;
+    snapshot_.reset();
+}
+
+bool view::impl::tick(time_point now)
+{
+    const bool gap = last_tick_ && now - *last_tick_ > options.timer_gap;
+    last_tick_ = now;
+    if (gap) {
+        gap_end_ = now;
+        drop_suspicions();
+    }
+    for (auto& [key, it] : endpoints) {
+        const bool out = it.ejected || (it.leaving_by_evidence && !it.listed.leaving);
+        if (!out || it.probing || now < it.probe_at)
+            continue;
+        it.probing = true;
+        snapshot_.reset();
+    }
+    return gap;
+}
+
+std::shared_ptr<const snapshot> view::impl::current()
+{
+    if (snapshot_)
+        return snapshot_;
+    auto it = std::make_shared<snapshot>();
+    it->list_version = version;
+    for (const auto& [key, known] : endpoints) {
+        const auto status = known.status();
+        if (status == state::leaving || status == state::ejected)
+            continue;
+        const auto& listed = known.listed;
+        it->routable[key.first].push_back(
+            {known.id, listed.name, listed.address, listed.port, listed.failure_domain, status});
+    }
+    for (const auto& [name, known] : entries_)
+        it->entries.push_back(known);
+    snapshot_ = std::move(it);
+    return snapshot_;
+}
+
+view::view(view_options options) : impl_(std::make_unique<impl>(options)) {}
+
+view::~view() = default;
+
+void view::configure(const view_options& options)
+{
+    impl_->options = options;
+}
+
+bool view::apply(const instance_list& list, time_point now)
+{
+    static_cast<void>(now);
+    return impl_->apply(list);
+}
+
+void view::succeeded(std::uint64_t id, time_point started, time_point now)
+{
+    if (auto* it = impl_->find(id, started))
+        impl_->succeeded(*it, now);
+}
+
+void view::failed(std::uint64_t id, failure how, time_point started, time_point now)
+{
+    if (auto* it = impl_->find(id, started))
+        impl_->failed(*it, how, now);
+}
+
+std::optional<leaving_evidence> view::answered_leaving(std::uint64_t id, time_point now)
+{
+    auto* it = impl_->find(id, now);
+    if (it == nullptr)
+        return std::nullopt;
+    return impl_->answered_leaving(*it, now);
+}
+
+bool view::peer_reported(const leaving_evidence& evidence, time_point now)
+{
+    return impl_->peer_reported(evidence, now);
+}
+
+bool view::heard(const std::string& name, std::int64_t incarnation, time_point now)
+{
+    return impl_->heard(name, incarnation, now);
+}
+
+bool view::tick(time_point now)
+{
+    return impl_->tick(now);
+}
+
+std::optional<state> view::status(std::string_view pool, std::string_view name) const
+{
+    const auto it = impl_->endpoints.find({std::string(pool), std::string(name)});
+    if (it == impl_->endpoints.end())
+        return std::nullopt;
+    return it->second.status();
+}
+
+std::optional<time_point> view::last_heartbeat(const std::string& name) const
+{
+    const auto it = impl_->heartbeats.find(name);
+    if (it == impl_->heartbeats.end())
+        return std::nullopt;
+    return it->second;
+}
+
+std::int64_t view::list_version() const
+{
+    return impl_->version;
+}
+
+std::shared_ptr<const snapshot> view::current() const
+{
+    return impl_->current();
+}
+
+const view::counters& view::counts() const
+{
+    return impl_->counts;
+}
+
+} // namespace limpetlock::membership
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -75,6 +75,8 @@
 struct team_usage_message {
   1: string team;
   2: double cost_ms;
+  3: i32 rank;            // 0 urgent, 1 standard, 2 background
+  4: string pool;         // bottleneck pool of the queue that served it
 }
 
 struct usage_message {
--- /dev/null
+++ b/lib/routing/endpoint_stats.cpp
@@ -0,0 +1,116 @@
+#include <limpetlock/routing/endpoint_stats.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace limpetlock::routing {
+
+namespace {
+// Weight of one latency sample: single calls vary by several times at the same load.
+constexpr double ratio_weight = 0.1;
+} // namespace
+
+limit_options scaled_limits(double endpoint_concurrency, std::size_t instances)
+{
+    const double share = endpoint_concurrency / static_cast<double>(std::max<std::size_t>(1, instances));
+    limit_options it;
+    it.initial = share;
+    it.minimum = std::min(0.25, share / 8);
+    it.maximum = endpoint_concurrency;
+    it.increase = std::min(0.25, share / 8);
+    return it;
+}
+
+endpoint_stats::endpoint_stats(limit_options options) : options_(options), limit_(options.initial) {}
+
+void endpoint_stats::set_options(const limit_options& options)
+{
+    options_ = options;
+    limit_ = std::clamp(limit_, options.minimum, options.maximum);
+}
+
+// Fills the slots up to now with the present count before the count changes.
+void endpoint_stats::note(time_point now)
+{
+    const auto slot = to_ms(now) / slot_ms;
+    const auto count = static_cast<std::uint16_t>(std::min<std::uint32_t>(in_flight_, UINT16_MAX));
+    const auto first = std::max(last_slot_, slot - static_cast<std::int64_t>(history_slots));
+    for (auto n = first; n < slot; ++n)
+        history_[static_cast<std::size_t>(n) % history_slots] = count;
+    last_slot_ = std::max(last_slot_, slot);
+}
+
+std::uint32_t endpoint_stats::in_flight_at(time_point t) const
+{
+    const auto slot = to_ms(t) / slot_ms;
+    if (slot >= last_slot_)
+        return in_flight_;
+    if (slot < 0 || last_slot_ - slot >= static_cast<std::int64_t>(history_slots))
+        return 0;
+    return history_[static_cast<std::size_t>(slot) % history_slots];
+}
+
+void endpoint_stats::started(time_point now)
+{
+    note(now);
+    ++in_flight_;
+}
+
+void endpoint_stats::finished(time_point now, outcome how, double took_ms, double expected_ms)
+{
+    adapt(now, how, took_ms / std::max(1.0, expected_ms));
+    note(now);
+    if (in_flight_ > 0)
+        --in_flight_;
+}
+
+void endpoint_stats::adapt(time_point now, outcome how, double ratio)
+{
+    if (how == outcome::overloaded)
+        return decrease(now, options_.overload_decrease);
+    if (how != outcome::success)
+        return;
+    recent_ratio_ = recent_ratio_ == 0 ? ratio : recent_ratio_ + ratio_weight * (ratio - recent_ratio_);
+    const auto elapsed = static_cast<double>((now - last_sample_).count()) / 1000;
+    const auto drifted = least_ratio_ * (1 + options_.minimum_drift * std::min(elapsed, 10.0));
+    least_ratio_ = least_ratio_ == 0 ? recent_ratio_ : std::min(drifted, recent_ratio_);
+    last_sample_ = now;
+    if (recent_ratio_ > options_.tolerance * least_ratio_)
+        return decrease(now, options_.latency_decrease);
+    // A limit that is not in use says nothing about a higher one.
+    if (in_flight_ * 2 >= limit_)
+        limit_ = std::min(options_.maximum, limit_ + options_.increase / std::max(limit_, 1.0));
+}
+
+void endpoint_stats::decrease(time_point now, double factor)
+{
+    if (last_decrease_ != time_point{} && now - last_decrease_ < options_.decrease_interval)
+        return;
+    last_decrease_ = now;
+    limit_ = std::max(options_.minimum, limit_ * factor);
+}
+
+void endpoint_stats::reported(const load_report& report, time_point now)
+{
+    const auto measured = now - report.age;
+    if (reported_ >= 0 && measured < measured_)
+        return;
+    measured_ = measured;
+    reported_ = static_cast<double>(report.running) + report.queued;
+    others_ = std::max(0.0, reported_ - in_flight_at(measured));
+}
+
+double endpoint_stats::load(time_point now) const
+{
+    const bool fresh = reported_ >= 0 && now - measured_ <= report_lifetime;
+    return in_flight_ + (fresh ? others_ : 0);
+}
+
+std::optional<double> endpoint_stats::raw_report() const
+{
+    if (reported_ < 0)
+        return std::nullopt;
+    return reported_;
+}
+
+} // namespace limpetlock::routing
--- /dev/null
+++ b/lib/routing/retry_budget.cpp
@@ -0,0 +1,98 @@
+#include <limpetlock/routing/retry_budget.hpp>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+#include <algorithm>
+
+namespace limpetlock::routing {
+
+retry_budget::retry_budget(retry_options options) : options_(options), tokens_(options.allowance) {}
+
+void retry_budget::set_options(const retry_options& options)
+{
+    options_ = options;
+    tokens_ = std::min(tokens_, options.allowance);
+}
+
+void retry_budget::first_attempt()
+{
+    hedge_tokens_ = std::min(options_.allowance, hedge_tokens_ + options_.hedge_share);
+}
+
+void retry_budget::first_attempt_succeeded()
+{
+    tokens_ = std::min(options_.allowance, tokens_ + options_.retry_share);
+}
+
+bool retry_budget::try_retry()
+{
+    if (tokens_ < 1)
+        return false;
+    tokens_ -= 1;
+    return true;
+}
+
+bool retry_budget::try_hedge()
+{
+    if (hedge_tokens_ < 1 || !try_retry())
+        return false;
+    hedge_tokens_ -= 1;
+    return true;
+}
+
+namespace acc = boost::accumulators;
+
+class hedge_delay::impl {
+public:
+    using quantile_set =
+        acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::p_square_quantile>>;
+
+    impl(double wanted, duration length) : quantile(wanted), window(length), present(make()), former(make())
+    {
+    }
+
+    // A window that got few measurements goes on, so that a quiet stage keeps its quantile.
+    void rotate(time_point now)
+    {
+        if (now - started < window || acc::count(present) < least_samples)
+            return;
+        former = present;
+        present = make();
+        started = now;
+    }
+
+    quantile_set make() const { return quantile_set(acc::quantile_probability = quantile); }
+
+    double quantile;
+    duration window;
+    quantile_set present;
+    quantile_set former;
+    time_point started{};
+};
+
+hedge_delay::hedge_delay(double quantile, duration window) : impl_(std::make_unique<impl>(quantile, window))
+{
+}
+
+hedge_delay::~hedge_delay() = default;
+
+void hedge_delay::record(duration took, time_point now)
+{
+    impl_->rotate(now);
+    impl_->present(static_cast<double>(took.count()));
+}
+
+std::optional<duration> hedge_delay::current(time_point now) const
+{
+    static_cast<void>(now);
+    const auto& newest = impl_->present;
+    const auto& it = acc::count(newest) >= least_samples ? newest : impl_->former;
+    if (acc::count(it) < least_samples)
+        return std::nullopt;
+    return duration(static_cast<std::int64_t>(acc::p_square_quantile(it)) + 1);
+}
+
+} // namespace limpetlock::routing
