--- /dev/null
+++ b/include/limpetlock/server/settings.hpp
@@ -0,0 +1,37 @@
+/// \file
+/// Local settings of one instance. Everything that operators change at run time is in the platform's configuration
+/// instead.
+#pragma once
+
+#include <limpetlock/support/time.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace limpetlock::server {
+
+struct listen_address {
+    std::string host; ///< IP number
+    std::uint16_t port{0};
+
+    friend auto operator<=>(const listen_address&, const listen_address&) = default;
+};
+
+struct instance_settings {
+    std::string name;
+    std::string failure_domain;
+    listen_address caller;
+    listen_address admin;
+    listen_address peer;
+    listen_address platform;
+    std::int64_t threads{2};
+    /// How long the platform's balancer may go on sending requests after the instance reports not ready.
+    duration balancer_lag{2'000};
+    /// Requests still in flight this long after the stop signal are cut.
+    duration stop_limit{30'000};
+    std::string log_level{"info"};
+
+    friend bool operator==(const instance_settings&, const instance_settings&) = default;
+};
+
+} // namespace limpetlock::server
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -46,7 +46,9 @@
   5: string answer;
 }
 
-struct claim_settle_ack_message {
+/// Acknowledges a message that has no other reply.
+struct received_message {
+  1: bool accepted;
 }
 
 struct config_pull_message {
@@ -99,10 +101,13 @@
   3: bool sealed;
   4: i64 lease_age_ms;
   5: list<claim_record_message> records;
+  6: i32 part;            // a long list is sent in parts, numbered from 0
+  7: i32 parts;
 }
 
 struct handover_pull_message {
   1: string owner;
+  2: i32 part;
 }
 
 struct frame {
@@ -114,7 +119,7 @@
   12: optional claim_request_message claim_request;
   13: optional claim_reply_message claim_reply;
   14: optional claim_settle_message claim_settle;
-  15: optional claim_settle_ack_message claim_settle_ack;
+  15: optional received_message received;
   16: optional config_pull_message config_pull;
   17: optional config_push_message config_push;
   18: optional evidence_message evidence;
--- /dev/null
+++ b/lib/server/admission_controller.cpp
@@ -0,0 +1,292 @@
+#include "admission_controller.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace limpetlock::server {
+
+using boost::asio::awaitable;
+
+namespace {
+
+/// How often deadlines of queued work and the capacity of the pools are looked at. Releases do not wait for
+/// it.
+constexpr duration tick_interval{20};
+
+struct costed_stage {
+    std::string name;
+    std::string pool;
+    double cost_ms;
+};
+
+std::shared_ptr<const work_profile> make_profile(const std::string& name,
+                                                 const std::vector<costed_stage>& stages,
+                                                 admission::estimator& estimator)
+{
+    auto out = std::make_shared<work_profile>();
+    out->name = name;
+    std::map<std::string, double> by_pool;
+    std::vector<admission::stage_id> ids;
+    double total = 0;
+    for (const auto& it : stages) {
+        ids.push_back(estimator.declare(fmt::format("{}/{}", name, it.name), it.cost_ms));
+        by_pool[it.pool] += it.cost_ms;
+        total += it.cost_ms;
+    }
+    out->stages = std::make_shared<const std::vector<admission::stage_id>>(std::move(ids));
+    double largest = -1;
+    for (const auto& [pool, cost] : by_pool) {
+        out->footprint.push_back({pool, total > 0 ? cost / total : 1});
+        if (cost > largest) {
+            largest = cost;
+            out->bottleneck = pool;
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+admission_permit::~admission_permit()
+{
+    if (owner_ != nullptr)
+        owner_->release(ticket_, *profile_, used_ms_);
+}
+
+class admission_controller::waiting_entry {
+public:
+    waiting_entry(admission_controller& owner, std::uint64_t id, std::string team, admission::rank priority)
+        : owner_(owner), id_(id), team_(std::move(team)), priority_(priority)
+    {
+    }
+    waiting_entry(const waiting_entry&) = delete;
+    waiting_entry& operator=(const waiting_entry&) = delete;
+    ~waiting_entry() { owner_.withdraw(id_, team_, priority_); }
+
+private:
+    admission_controller& owner_;
+    std::uint64_t id_;
+    std::string team_;
+    admission::rank priority_;
+};
+
+admission_controller::admission_controller(const boost::asio::any_io_executor& executor,
+                                           endpoint_table& table)
+    : executor_(executor), table_(table)
+{
+}
+
+void admission_controller::start()
+{
+    boost::asio::co_spawn(boost::asio::make_strand(executor_), tick_loop(), boost::asio::detached);
+}
+
+void admission_controller::configure(const config::document& document)
+{
+    const std::lock_guard lock(mutex_);
+    for (std::size_t n = 0; n < admission::rank_count; ++n)
+        options_.min_share[n] = document.get().ranks[n].min_share;
+    options_.weights.clear();
+    for (const auto& [name, team] : document.teams())
+        options_.weights[name] = team.weight;
+    options_.per_team = static_cast<std::size_t>(document.limits().queue_per_team);
+    for (auto& [pool, it] : queues_)
+        it->configure(options_);
+
+    std::map<std::string, std::shared_ptr<const work_profile>> profiles;
+    for (const auto& [name, pipeline] : document.pipelines()) {
+        std::vector<costed_stage> stages;
+        for (const auto& it : pipeline.stages)
+            stages.push_back({it.name, it.pool, it.cost_ms});
+        profiles[name] = make_profile(name, stages, estimator_);
+    }
+    for (const auto& [name, service] : document.services())
+        for (const auto& [call_name, call] : service.calls) {
+            const auto label = fmt::format("{}/{}", name, call_name);
+            profiles[label] = make_profile(label, {{"call", service.pool, call.cost_ms}}, estimator_);
+        }
+    profiles_ = std::move(profiles);
+}
+
+std::shared_ptr<const work_profile> admission_controller::profile(const std::string& name) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto it = profiles_.find(name);
+    return it == profiles_.end() ? nullptr : it->second;
+}
+
+admission::queue& admission_controller::queue_of(const std::string& pool)
+{
+    auto& it = queues_[pool];
+    if (!it)
+        it = std::make_unique<admission::queue>(options_, estimator_);
+    return *it;
+}
+
+awaitable<std::optional<admission_permit>>
+admission_controller::admit(std::shared_ptr<const work_profile> profile, std::string team,
+                            admission::rank priority, time_point deadline, request_error& error)
+{
+    const auto wake = std::make_shared<notification>(co_await boost::asio::this_coro::executor);
+    std::uint64_t id = 0;
+    {
+        const time_point now = boot_clock::now();
+        const std::lock_guard lock(mutex_);
+        id = ++last_id_;
+        auto& queue = queue_of(profile->bottleneck);
+        const double cost = estimator_.cost_ms(*profile->stages, now);
+        if (!queue.offer({id, team, priority, cost, deadline, profile->stages}, now)) {
+            const bool full = queue.last_error().code == admission::errc::queue_full;
+            error = {full ? errc::over_limit : errc::not_run, queue.last_error().reason, execution::no};
+            co_return std::nullopt;
+        }
+        waiting_.emplace(id, waiter{profile, wake, {}, false});
+        pump_queue_locked(queue, now);
+    }
+    const waiting_entry entry(*this, id, team, priority);
+    co_await wake->wait(deadline);
+    const std::lock_guard lock(mutex_);
+    auto& own = waiting_.at(id);
+    if (!own.ticket) {
+        error = {errc::not_run,
+                 own.expired ? "the deadline can't be met by the present estimate"
+                             : "the deadline passed while the request waited",
+                 execution::no};
+        co_return std::nullopt;
+    }
+    const admission::ticket ticket = *std::exchange(own.ticket, std::nullopt);
+    co_return std::optional<admission_permit>(std::in_place, *this, ticket, profile);
+}
+
+void admission_controller::withdraw(std::uint64_t id, const std::string& team, admission::rank priority)
+{
+    std::optional<admission::ticket> unused;
+    std::shared_ptr<const work_profile> profile;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto it = waiting_.find(id);
+        if (it == waiting_.end())
+            return;
+        unused = it->second.ticket;
+        profile = it->second.profile;
+        if (!unused)
+            queue_of(profile->bottleneck).cancel(id, team, priority);
+        waiting_.erase(it);
+    }
+    // The release came together with the end of the wait, and nobody will use it.
+    if (unused)
+        release(*unused, *profile, 0);
+}
+
+void admission_controller::release(const admission::ticket& ticket, const work_profile& profile,
+                                   double used_ms)
+{
+    const std::lock_guard lock(mutex_);
+    queue_of(profile.bottleneck).complete(ticket, used_ms);
+    gate_.leave(profile.footprint);
+    pump_locked(boot_clock::now());
+}
+
+void admission_controller::pump_locked(time_point now)
+{
+    for (auto& [pool, queue] : queues_)
+        pump_queue_locked(*queue, now);
+}
+
+void admission_controller::pump_queue_locked(admission::queue& queue, time_point now)
+{
+    const auto fits = [this](std::uint64_t id) { return gate_.has_room(waiting_.at(id).profile->footprint); };
+    while (const auto ticket = queue.next(now, fits)) {
+        auto& it = waiting_.at(ticket->id);
+        gate_.enter(it.profile->footprint);
+        it.ticket = *ticket;
+        it.wake->notify();
+    }
+}
+
+void admission_controller::expire_locked(admission::queue& queue, time_point now)
+{
+    for (const std::uint64_t id : queue.expire(now)) {
+        const auto it = waiting_.find(id);
+        if (it == waiting_.end())
+            continue;
+        it->second.expired = true;
+        it->second.wake->notify();
+    }
+}
+
+void admission_controller::tick()
+{
+    const auto capacities = table_.capacities();
+    const time_point now = boot_clock::now();
+    const std::lock_guard lock(mutex_);
+    for (const auto& [pool, slots] : capacities)
+        gate_.set_capacity(pool, slots);
+    for (auto& [pool, queue] : queues_) {
+        if (!capacities.contains(pool))
+            gate_.set_capacity(pool, 0);
+        expire_locked(*queue, now);
+    }
+    pump_locked(now);
+}
+
+awaitable<void> admission_controller::tick_loop()
+{
+    while (!stopped_) {
+        tick();
+        co_await sleep_for(tick_interval);
+    }
+}
+
+void admission_controller::record_stage(admission::stage_id stage, double took_ms)
+{
+    const std::lock_guard lock(mutex_);
+    estimator_.record(stage, took_ms, boot_clock::now());
+}
+
+double admission_controller::expected_ms(admission::stage_id stage) const
+{
+    const std::lock_guard lock(mutex_);
+    return estimator_.mean_ms(stage, boot_clock::now());
+}
+
+std::vector<pool_usage> admission_controller::take_usage()
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<pool_usage> out;
+    for (auto& [pool, queue] : queues_)
+        for (auto& it : queue->take_usage())
+            out.push_back({pool, std::move(it)});
+    return out;
+}
+
+void admission_controller::add_peer_usage(const std::vector<pool_usage>& served)
+{
+    std::map<std::string, std::vector<admission::team_usage>> by_pool;
+    for (const auto& it : served)
+        by_pool[it.pool].push_back(it.usage);
+    const std::lock_guard lock(mutex_);
+    for (const auto& [pool, usage] : by_pool)
+        if (const auto it = queues_.find(pool); it != queues_.end())
+            it->second->add_peer_usage(usage);
+}
+
+std::vector<queue_row> admission_controller::rows() const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<queue_row> out;
+    for (const auto& [pool, queue] : queues_) {
+        queue_row row{pool, queue->waiting(), {}, {}, gate_.capacity(pool), gate_.occupied(pool)};
+        for (std::size_t n = 0; n < admission::rank_count; ++n) {
+            row.waiting_by_rank[n] = queue->waiting(static_cast<admission::rank>(n));
+            row.served_ms[n] = queue->served_ms(static_cast<admission::rank>(n));
+        }
+        out.push_back(std::move(row));
+    }
+    return out;
+}
+
+} // namespace limpetlock::server
--- /dev/null
+++ b/lib/server/config_controller.cpp
@@ -0,0 +1,203 @@
+#include "config_controller.hpp"
+
+#include "notification.hpp"
+
+#include <limpetlock/support/log.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace limpetlock::server {
+
+using boost::asio::awaitable;
+
+namespace {
+
+constexpr duration read_grace{1'500};
+constexpr duration pull_timeout{1'500};
+constexpr duration shortest_wait{5};
+
+} // namespace
+
+config_controller::config_controller(const boost::asio::any_io_executor& executor,
+                                     const instance_settings& settings, std::int64_t incarnation,
+                                     http::client& client, peer_controller& peers,
+                                     snapshot_cell<config::version>& in_force)
+    : strand_(boost::asio::make_strand(executor)), settings_(settings), client_(client), peers_(peers),
+      in_force_(in_force), timer_(strand_),
+      sync_({}, settings.name, static_cast<std::uint64_t>(incarnation), boot_clock::now())
+{
+}
+
+void config_controller::start(on_change changed)
+{
+    changed_ = std::move(changed);
+    boost::asio::co_spawn(strand_, decide_loop(), boost::asio::detached);
+}
+
+awaitable<void> config_controller::decide_loop()
+{
+    while (!stopped_) {
+        config::decision next;
+        {
+            const std::lock_guard lock(mutex_);
+            next = sync_.next(boot_clock::now());
+        }
+        if (next.ready && !ready_.exchange(true))
+            log::info("config_ready", {{"number", fmt::to_string(fold_.number())}});
+        if (next.raised)
+            log::error("config_divergence", {{"number", fmt::to_string(next.raised->number)},
+                                             {"peer", next.raised->peer},
+                                             {"digest", next.raised->digest},
+                                             {"peer_digest", next.raised->peer_digest}});
+        if (next.read)
+            boost::asio::co_spawn(strand_, read(*next.read), boost::asio::detached);
+        if (next.pull)
+            boost::asio::co_spawn(strand_, pull(*next.pull), boost::asio::detached);
+        timer_.expires_after(std::max(shortest_wait, next.wake - boot_clock::now()));
+        auto [ec] = co_await timer_.async_wait(use_tuple);
+    }
+}
+
+awaitable<void> config_controller::read(config::read_order order)
+{
+    const http::request request{"GET", config::service_target(order.after, order.wait), {}, {}};
+    http::call_error transport;
+    const auto reply =
+        co_await client_.call({settings_.platform.host, settings_.platform.port}, request,
+                              boot_clock::now() + order.wait + read_grace, http::reuse::pooled, transport);
+    error_slot<config::errc> last;
+    std::optional<config::service_reply> parsed;
+    if (reply && reply->status == 200)
+        parsed = config::read_service_reply(reply->body, last);
+    if (parsed) {
+        conclude_read(order, *parsed);
+    } else {
+        const std::lock_guard lock(mutex_);
+        sync_.read_failed(order.id, boot_clock::now());
+    }
+    publish_if_changed();
+    wake();
+}
+
+void config_controller::conclude_read(const config::read_order& order, const config::service_reply& reply)
+{
+    const time_point now = boot_clock::now();
+    const std::lock_guard lock(mutex_);
+    for (const auto& it : fold_.apply(reply))
+        report(it);
+    const auto version = fold_.in_force();
+    sync_.set_position({fold_.number(), version ? version->digest() : std::string(), fold_.revision()}, now);
+    sync_.read_answered(order.id, reply.revision, reply.entries.size(), now);
+}
+
+awaitable<void> config_controller::pull(config::pull_order order)
+{
+    auto version =
+        co_await peers_.pull_config(order.peer, order.after_number, boot_clock::now() + pull_timeout);
+    {
+        const time_point now = boot_clock::now();
+        const std::lock_guard lock(mutex_);
+        if (version) {
+            const auto outcome = fold_.adopt(*version, order.peer);
+            report(outcome);
+            const auto held = fold_.in_force();
+            sync_.set_position({fold_.number(), held ? held->digest() : std::string(), fold_.revision()},
+                               now);
+            sync_.pull_answered(order.id, outcome.result == config::verdict::accepted, now);
+        } else {
+            sync_.pull_failed(order.id, now);
+        }
+    }
+    publish_if_changed();
+    wake();
+}
+
+void config_controller::report(const config::outcome& it)
+{
+    if (it.result == config::verdict::ignored)
+        return;
+    const bool accepted = it.result == config::verdict::accepted;
+    log::line(accepted ? log::level::info : log::level::warning, "config_entry",
+              {{"result", std::string(config::to_string(it.result))},
+               {"revision", fmt::to_string(it.revision)},
+               {"author", it.author},
+               {"base", fmt::to_string(it.base)},
+               {"number", fmt::to_string(it.number)},
+               {"reason", it.reason}});
+}
+
+void config_controller::publish_if_changed()
+{
+    const auto version = fold_.in_force();
+    if (!version || version == in_force_.load())
+        return;
+    in_force_.store(version);
+    changed_(version);
+}
+
+void config_controller::peer_reported(std::string peer, std::int64_t number, std::string digest)
+{
+    boost::asio::post(strand_, [this, peer = std::move(peer), number, digest = std::move(digest)] {
+        const bool news = number != fold_.number();
+        {
+            const std::lock_guard lock(mutex_);
+            sync_.peer_reported(peer, number, digest, boot_clock::now());
+        }
+        if (news || !ready_)
+            wake();
+    });
+}
+
+void config_controller::set_members(const std::shared_ptr<const membership::snapshot>& members)
+{
+    std::vector<config::instance> instances;
+    for (const auto& it : members->entries)
+        instances.push_back({it.name, it.failure_domain, it.leaving});
+    boost::asio::post(strand_, [this, instances = std::move(instances)] {
+        const std::lock_guard lock(mutex_);
+        sync_.set_instances(instances);
+        wake();
+    });
+}
+
+bool config_controller::diverged() const
+{
+    const std::lock_guard lock(mutex_);
+    return sync_.diverged(boot_clock::now());
+}
+
+config::check_result config_controller::check(std::int64_t base, std::string_view patch) const
+{
+    const std::lock_guard lock(mutex_);
+    return fold_.check(base, patch);
+}
+
+std::deque<config::outcome> config_controller::outcomes() const
+{
+    const std::lock_guard lock(mutex_);
+    return fold_.outcomes();
+}
+
+config::sync_counters config_controller::counters() const
+{
+    const std::lock_guard lock(mutex_);
+    return sync_.counters();
+}
+
+std::int64_t config_controller::count(config::verdict it) const
+{
+    const std::lock_guard lock(mutex_);
+    return fold_.count(it);
+}
+
+std::int64_t config_controller::revision() const
+{
+    const std::lock_guard lock(mutex_);
+    return fold_.revision();
+}
+
+} // namespace limpetlock::server
--- /dev/null
+++ b/lib/server/config_controller.hpp
@@ -0,0 +1,77 @@
+/// \file
+/// Owns the configuration in force: reads the platform's service, pulls newer versions from peers and
+/// publishes snapshots.
+#pragma once
+
+#include "peer_controller.hpp"
+
+#include <limpetlock/config/fold.hpp>
+#include <limpetlock/config/sync.hpp>
+#include <limpetlock/http/client.hpp>
+#include <limpetlock/membership/view.hpp>
+#include <limpetlock/server/settings.hpp>
+#include <limpetlock/support/snapshot_cell.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <atomic>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace limpetlock::server {
+
+class config_controller {
+public:
+    using on_change = std::function<void(const std::shared_ptr<const config::version>&)>;
+
+    config_controller(const boost::asio::any_io_executor& executor, const instance_settings& settings,
+                      std::int64_t incarnation, http::client& client, peer_controller& peers,
+                      snapshot_cell<config::version>& in_force);
+
+    void start(on_change changed);
+    void stop() { stopped_ = true; }
+
+    /// A heartbeat or an acknowledgement told the number and digest in force at a peer.
+    void peer_reported(std::string peer, std::int64_t number, std::string digest);
+
+    void set_members(const std::shared_ptr<const membership::snapshot>& members);
+
+    bool ready() const { return ready_; }
+    bool diverged() const;
+    config::check_result check(std::int64_t base, std::string_view patch) const;
+    std::deque<config::outcome> outcomes() const;
+    config::sync_counters counters() const;
+    std::int64_t count(config::verdict it) const;
+    std::int64_t revision() const;
+
+private:
+    boost::asio::awaitable<void> decide_loop();
+    boost::asio::awaitable<void> read(config::read_order order);
+    boost::asio::awaitable<void> pull(config::pull_order order);
+    void conclude_read(const config::read_order& order, const config::service_reply& reply);
+    void report(const config::outcome& it);
+    void publish_if_changed();
+    void wake() { timer_.cancel(); }
+
+    boost::asio::strand<boost::asio::any_io_executor> strand_;
+    const instance_settings& settings_;
+    http::client& client_;
+    peer_controller& peers_;
+    snapshot_cell<config::version>& in_force_;
+    on_change changed_;
+    boost::asio::steady_timer timer_;
+    /// Guards fold_ and sync_ against readers of the admin API; all changes happen on the strand.
+    mutable std::mutex mutex_;
+    config::fold fold_;
+    config::sync sync_;
+    std::atomic<bool> ready_{false};
+    std::atomic<bool> stopped_{false};
+};
+
+} // namespace limpetlock::server
--- /dev/null
+++ b/lib/server/endpoint_observer.hpp
@@ -0,0 +1,26 @@
+/// \file
+/// Where the request path reports what calls say about the health of endpoints.
+#pragma once
+
+#include <limpetlock/membership/view.hpp>
+#include <limpetlock/support/time.hpp>
+
+#include <cstdint>
+
+namespace limpetlock::server {
+
+class endpoint_observer {
+public:
+    virtual ~endpoint_observer() = default;
+
+    virtual void succeeded(std::uint64_t id, time_point started) = 0;
+    virtual void failed(std::uint64_t id, membership::failure how, time_point started) = 0;
+    virtual void answered_leaving(std::uint64_t id) = 0;
+
+protected:
+    endpoint_observer() = default;
+    endpoint_observer(const endpoint_observer&) = default;
+    endpoint_observer& operator=(const endpoint_observer&) = default;
+};
+
+} // namespace limpetlock::server
--- /dev/null
+++ b/lib/server/membership_controller.hpp
@@ -0,0 +1,89 @@
+/// \file
+/// Keeps the view of endpoints and instances: watches the platform's list, takes evidence from calls and
+/// peers, polls load, and publishes snapshots for the request path.
+#pragma once
+
+#include "endpoint_observer.hpp"
+#include "endpoint_table.hpp"
+
+#include <limpetlock/http/client.hpp>
+#include <limpetlock/membership/view.hpp>
+#include <limpetlock/server/settings.hpp>
+#include <limpetlock/support/snapshot_cell.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace limpetlock::server {
+
+class membership_controller : public endpoint_observer {
+public:
+    /// Called on the controller's strand.
+    struct callbacks {
+        std::function<void(const std::shared_ptr<const membership::snapshot>&)> on_members;
+        std::function<void(const membership::leaving_evidence&)> on_leaving;
+        std::function<void()> on_timer_gap;
+    };
+
+    membership_controller(const boost::asio::any_io_executor& executor, const instance_settings& settings,
+                          http::client& client, endpoint_table& table,
+                          snapshot_cell<membership::snapshot>& members);
+
+    void start(callbacks calls);
+    void stop() { stopped_ = true; }
+
+    void configure(const config::limit_settings& limits);
+
+    void succeeded(std::uint64_t id, time_point started) override;
+    void failed(std::uint64_t id, membership::failure how, time_point started) override;
+    void answered_leaving(std::uint64_t id) override;
+
+    void peer_reported(const membership::leaving_evidence& evidence);
+    bool heard(const std::string& name, std::int64_t incarnation);
+
+    /// Leaving evidence of the last seconds, for peers that missed the first message.
+    std::vector<membership::leaving_evidence> recent_evidence() const;
+
+    membership::view::counters counts() const;
+    std::int64_t list_version() const;
+    std::uint64_t list_failures() const { return list_failures_; }
+    std::uint64_t load_polls() const { return load_polls_; }
+
+private:
+    struct remembered {
+        membership::leaving_evidence evidence;
+        time_point at;
+    };
+
+    boost::asio::awaitable<void> watch_list();
+    boost::asio::awaitable<bool> read_list();
+    boost::asio::awaitable<void> tick_loop();
+    boost::asio::awaitable<void> poll_loads();
+    boost::asio::awaitable<void> poll_load(membership::endpoint it);
+    void publish();
+    void remember(const membership::leaving_evidence& evidence, time_point now);
+
+    boost::asio::strand<boost::asio::any_io_executor> strand_;
+    const instance_settings& settings_;
+    http::client& client_;
+    endpoint_table& table_;
+    snapshot_cell<membership::snapshot>& members_;
+    callbacks callbacks_;
+    mutable std::mutex mutex_;
+    membership::view view_;
+    std::vector<remembered> evidence_;
+    std::shared_ptr<const membership::snapshot> published_;
+    std::atomic<bool> stopped_{false};
+    std::atomic<std::uint64_t> list_failures_{0};
+    std::atomic<std::uint64_t> load_polls_{0};
+};
+
+} // namespace limpetlock::server
--- /dev/null
+++ b/lib/server/stage_costs.hpp
@@ -0,0 +1,52 @@
+/// \file
+/// Endpoint time by stage, split by what became of it.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace limpetlock::server {
+
+/// useful: the answer was used. retried: the call failed and another attempt followed. hedged: the other call
+/// of a hedged pair answered first. abandoned: the call failed or was cancelled and nothing followed.
+enum class spent { useful, retried, hedged, abandoned };
+inline constexpr std::size_t spent_count = 4;
+
+inline std::string_view to_string(spent it)
+{
+    constexpr std::array<std::string_view, spent_count> names{"useful", "retried", "hedged", "abandoned"};
+    return names[static_cast<std::size_t>(it)];
+}
+
+struct stage_cost {
+    std::array<double, spent_count> milliseconds{};
+    std::array<std::uint64_t, spent_count> calls{};
+};
+
+class stage_costs {
+public:
+    void add(const std::string& stage, spent kind, double milliseconds)
+    {
+        const std::lock_guard lock(mutex_);
+        auto& it = costs_[stage];
+        it.milliseconds[static_cast<std::size_t>(kind)] += milliseconds;
+        ++it.calls[static_cast<std::size_t>(kind)];
+    }
+
+    std::map<std::string, stage_cost> all() const
+    {
+        const std::lock_guard lock(mutex_);
+        return costs_;
+    }
+
+private:
+    mutable std::mutex mutex_;
+    std::map<std::string, stage_cost> costs_;
+};
+
+} // namespace limpetlock::server
