Bind a handover to the claims section under which it was sealed

The handover now carries the claims number and is imported only under the same one; peer.thrift has the field.

--- a/include/limpetlock/claims/messages.hpp
+++ b/include/limpetlock/claims/messages.hpp
@@ -94,6 +94,7 @@
     bool sealed = false;
     std::int64_t lease_age_ms = 0;
     std::vector<claim_record> records;
+    std::int64_t claims_number = 0;
 
     friend bool operator==(const handover&, const handover&) = default;
 };
--- a/include/limpetlock/claims/table.hpp
+++ b/include/limpetlock/claims/table.hpp
@@ -38,7 +38,15 @@
     friend bool operator==(const table_counters&, const table_counters&) = default;
 };
 
-enum class table_errc { none, not_sealed, other_owner, not_predecessor, already_imported, no_lease };
+enum class table_errc {
+    none,
+    not_sealed,
+    other_owner,
+    not_predecessor,
+    already_imported,
+    no_lease,
+    other_section
+};
 
 /// The claim table of one incarnation of an owner.
 class table {
--- a/include/limpetlock/claims/witness.hpp
+++ b/include/limpetlock/claims/witness.hpp
@@ -13,10 +13,10 @@
 /// Keeps one entry per owner name: the highest incarnation seen, the incarnation vouched for last, the time
 /// of that, and the one vouched for before it.
 ///
-/// A witness is settled when its own lease has held for one lease time. It is also settled after the cold start
-/// wait since its start, or since it last lost its lease or was suspended, if by then every owner acknowledges its
-/// heartbeats. An unsettled witness vouches for nobody. Call vouch() for the own name at every heartbeat, so that
-/// a pause in the calls shows a suspension.
+/// A witness is settled when its own lease has held for one lease time. It is also settled after the cold
+/// start wait since its start, or since it last lost its lease or was suspended, if by then every owner
+/// acknowledges its heartbeats. An unsettled witness vouches for nobody. Call vouch() for the own name at
+/// every heartbeat, so that a pause in the calls shows a suspension.
 class witness {
 public:
     witness(settings section, time_point start);
--- a/lib/claims/handover.cpp
+++ b/lib/claims/handover.cpp
@@ -22,7 +22,7 @@
 {
     expire(now);
     const auto predecessor = own.confirm_predecessor(owner, successor);
-    handover reply{std::string(owner), predecessor, false, 0, {}};
+    handover reply{std::string(owner), predecessor, false, 0, {}, 0};
     const auto it = kept_.find(owner);
     if (it == kept_.end() || it->second.records.incarnation != predecessor)
         return reply;
--- a/lib/claims/table.cpp
+++ b/lib/claims/table.cpp
@@ -115,6 +115,7 @@
     bool sealed_ = false;
     bool sealed_with_lease_ = false;
     duration sealed_coverage_{0};
+    std::int64_t sealed_number_ = 0;
     std::optional<time_point> import_hold_;
     duration inherited_{0};
     std::optional<time_point> complete_since_;
@@ -305,11 +306,13 @@
     sealed_ = true;
     sealed_with_lease_ = own.held(now);
     sealed_coverage_ = coverage(own, now);
+    sealed_number_ = map_.section().number;
 }
 
 handover table::implementation::export_records(time_point now) const
 {
-    handover it{name_, incarnation_, sealed_ && sealed_with_lease_, sealed_coverage_.count(), {}};
+    handover it{name_, incarnation_,  sealed_ && sealed_with_lease_, sealed_coverage_.count(),
+                {},    sealed_number_};
     it.records.reserve(records_.size());
     for (const auto& from : records_.get<by_due>())
         it.records.push_back({team_of(from), key_of(from), from.body_digest, from.attempt_id, from.state,
@@ -326,6 +329,8 @@
         return error_.fail(table_errc::other_owner, "the handover is of another owner");
     if (from.incarnation >= incarnation_)
         return error_.fail(table_errc::not_predecessor, "the handover is not of a former incarnation");
+    if (from.claims_number != map_.section().number)
+        return error_.fail(table_errc::other_section, "the handover is of another claims section");
     if (import_hold_)
         return error_.fail(table_errc::already_imported, "a handover is already imported");
     if (!own.held(now) || sealed_)
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -103,6 +103,7 @@
   5: list<claim_record_message> records;
   6: i32 part;            // a long list is sent in parts, numbered from 0
   7: i32 parts;
+  8: i64 claims_number;   // claims section under which the owner sealed
 }
 
 struct handover_pull_message {
--- a/lib/server/peer_messages.cpp
+++ b/lib/server/peer_messages.cpp
@@ -226,6 +226,7 @@
         out[n].incarnation = it.incarnation;
         out[n].sealed = it.sealed;
         out[n].lease_age_ms = it.lease_age_ms;
+        out[n].claims_number = it.claims_number;
         out[n].part = static_cast<std::int32_t>(n);
         out[n].parts = static_cast<std::int32_t>(out.size());
     }
@@ -238,6 +239,7 @@
     whole.incarnation = part.incarnation;
     whole.sealed = part.sealed;
     whole.lease_age_ms = part.lease_age_ms;
+    whole.claims_number = part.claims_number;
     for (const auto& it : part.records)
         whole.records.push_back(from_wire(it));
 }
--- a/unittests/claims/golden_test.cpp
+++ b/unittests/claims/golden_test.cpp
@@ -22,8 +22,8 @@
 
 } // namespace
 
-// Guards every decision of the claim objects in the sessions under golden/. The first line of each session names
-// the failure that it guards against.
+// Guards every decision of the claim objects in the sessions under golden/. The first line of each session
+// names the failure that it guards against.
 Test(claims, golden_sessions)
 {
     const bool rewrite = std::getenv("LIMPETLOCK_REWRITE_GOLDEN") != nullptr;
--- a/unittests/claims/random_test.cpp
+++ b/unittests/claims/random_test.cpp
@@ -23,8 +23,8 @@
 
 } // namespace
 
-// Guards against a second execution of a key and a "not run" about a key that ran, under random freezes, kills,
-// replacements, cuts, changes of the claims section, planned stops and retries. 220 runs in all.
+// Guards against a second execution of a key and a "not run" about a key that ran, under random freezes,
+// kills, replacements, cuts, changes of the claims section, planned stops and retries. 220 runs in all.
 Test(claims, random_traces_run_each_key_at_most_once)
 {
     for (int mix = 0; mix < bench::fault_mixes; ++mix)
@@ -32,7 +32,8 @@
             check(static_cast<bench::fault_mix>(mix), static_cast<std::uint64_t>(n));
 }
 
-// Guards the driver itself: if it cannot show the double run of the plain owner, it proves nothing about the lease.
+// Guards the driver itself: if it cannot show the double run of the plain owner, it proves nothing about the
+// lease.
 Test(claims, random_traces_double_keys_without_the_lease)
 {
     bench::totals sum;
--- a/unittests/claims/session.cpp
+++ b/unittests/claims/session.cpp
@@ -30,7 +30,8 @@
 
 const char* to_text(claims::claim_verdict it)
 {
-    static constexpr std::array names{"", "granted", "answered", "in_progress", "unknown", "refused", "key_reused"};
+    static constexpr std::array names{"",        "granted", "answered",  "in_progress",
+                                      "unknown", "refused", "key_reused"};
     return names[static_cast<std::size_t>(it)];
 }
 
@@ -150,10 +151,21 @@
 {
     const auto name = label.substr(0, 1);
     const auto incarnation = std::stoll(label.substr(1));
-    members_[label] = std::make_unique<member>(
-        member{name, incarnation, 0, true, false, false, section_, claims::lease(name, incarnation, section_),
-               claims::witness(section_, now_), claims::table(name, incarnation, section_), {},
-               claims::wake_watch(now_), {}, claims::succession(name, incarnation, claims::owner_map(section_))});
+    members_[label] =
+        std::make_unique<member>(member{name,
+                                        incarnation,
+                                        0,
+                                        true,
+                                        false,
+                                        false,
+                                        section_,
+                                        claims::lease(name, incarnation, section_),
+                                        claims::witness(section_, now_),
+                                        claims::table(name, incarnation, section_),
+                                        {},
+                                        claims::wake_watch(now_),
+                                        {},
+                                        claims::succession(name, incarnation, claims::owner_map(section_))});
 }
 
 void session::advance(time_point to)
@@ -187,8 +199,7 @@
         if (from.incarnation < highest)
             continue;
         highest = from.incarnation;
-        const bool vouches =
-            to->own_witness.vouch(from.name, from.incarnation, from.section.number, now_);
+        const bool vouches = to->own_witness.vouch(from.name, from.incarnation, from.section.number, now_);
         from.own_lease.note_ack(to->name, to->incarnation, {sequence, to_ms(now_), vouches, 0, {}}, now_);
         from.own_witness.note_own_lease(from.own_lease.state(now_), now_);
     }
@@ -282,7 +293,8 @@
 claims::lease_state session::lease_of(const member& it) const
 {
     if (plain_)
-        return {now_ - 2 * it.section.key_lifetime, now_ + duration{1}, now_ + duration{1}, now_ + duration{1}};
+        return {now_ - 2 * it.section.key_lifetime, now_ + duration{1}, now_ + duration{1},
+                now_ + duration{1}};
     return it.own_lease.state(now_);
 }
 
--- a/unittests/lifecycle/stop_sequence_test.cpp
+++ b/unittests/lifecycle/stop_sequence_test.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-/// Runs lines "signal MS" and "step MS IN_FLIGHT no|yes" and records the state and the actions after each step.
+/// Runs lines "signal MS" and "step MS IN_FLIGHT no|yes" and records the state and the actions after each
+/// step.
 std::string run(const std::string& script)
 {
     stop_sequence it({duration{3000}, duration{20'000}, duration{2000}});
@@ -49,8 +50,8 @@
 
 } // namespace
 
-// Guards against a stop that cuts a request without a second signal or the limit, that refuses work before the load
-// balancer knows, or that seals the claim table while a request is in flight.
+// Guards against a stop that cuts a request without a second signal or the limit, that refuses work before
+// the load balancer knows, or that seals the claim table while a request is in flight.
 Test(stop_sequence, golden_sessions)
 {
     const std::string path = std::string(LIMPETLOCK_GOLDEN_DIR) + "/stops.txt";
--- a/utils/bench-claims/callers.cpp
+++ b/utils/bench-claims/callers.cpp
@@ -1,5 +1,4 @@
 #include "world.hpp"
-
 #include "world_types.hpp"
 
 #include <algorithm>
--- a/utils/bench-claims/faults.cpp
+++ b/utils/bench-claims/faults.cpp
@@ -21,10 +21,14 @@
 {
     auto kind = mix_;
     if (kind == fault_mix::mixed) {
-        static constexpr std::array kinds{fault_mix::freeze,       fault_mix::freeze_and_replace,
-                                          fault_mix::kill,         fault_mix::cut_off,
-                                          fault_mix::planned_stop, fault_mix::map_change,
-                                          fault_mix::pair_frozen_and_replaced, fault_mix::majority_cut_off};
+        static constexpr std::array kinds{fault_mix::freeze,
+                                          fault_mix::freeze_and_replace,
+                                          fault_mix::kill,
+                                          fault_mix::cut_off,
+                                          fault_mix::planned_stop,
+                                          fault_mix::map_change,
+                                          fault_mix::pair_frozen_and_replaced,
+                                          fault_mix::majority_cut_off};
         kind = kinds[std::uniform_int_distribution<std::size_t>(0, kinds.size() - 1)(fault_random_)];
     }
     apply_fault(kind);
@@ -49,7 +53,8 @@
         cut_off(1, 40s);
         return;
     case fault_mix::majority_cut_off:
-        // Shorter than the key lifetime: the limit of the protocol for a majority that is replaced while alive.
+        // Shorter than the key lifetime: the limit of the protocol for a majority that is replaced while
+        // alive.
         cut_off(2, 18s);
         return;
     case fault_mix::planned_stop:
@@ -98,7 +103,8 @@
 {
     // Both wake at the same time, find each other at their former addresses, and are a majority by name.
     const auto length = between(fault_random_, 3000, 6000);
-    const auto skipped = std::uniform_int_distribution<std::size_t>(0, section_.owners.size() - 1)(fault_random_);
+    const auto skipped =
+        std::uniform_int_distribution<std::size_t>(0, section_.owners.size() - 1)(fault_random_);
     for (std::size_t n = 0; n < section_.owners.size(); ++n) {
         if (n == skipped)
             continue;
@@ -121,7 +127,8 @@
         return;
     cut_ = true;
     std::vector<int> cut{list_["d"]};
-    const auto first = std::uniform_int_distribution<std::size_t>(0, section_.owners.size() - 1)(fault_random_);
+    const auto first =
+        std::uniform_int_distribution<std::size_t>(0, section_.owners.size() - 1)(fault_random_);
     const bool replaced = std::bernoulli_distribution(0.8)(fault_random_);
     for (std::size_t n = 0; n < owners; ++n) {
         const auto& name = section_.owners[(first + n) % section_.owners.size()];
--- a/utils/bench-claims/main.cpp
+++ b/utils/bench-claims/main.cpp
@@ -6,11 +6,11 @@
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
+#include <malloc.h>
 #include <nlohmann/json.hpp>
 
 #include <chrono>
 #include <cstdio>
-#include <malloc.h>
 
 DEFINE_uint64(seeds, 50, "Seeds per policy and fault");
 DEFINE_uint64(first_seed, 1, "First seed");
@@ -64,8 +64,9 @@
 
 std::string compare_policies()
 {
-    auto text = fmt::format("{:24} {:13} {:>4} {:>7} {:>9} {:>9} {:>8} {:>8} {:>8} {:>6}\n", "fault", "policy",
-                            "max", "doubled", "false n-r", "answered", "not run", "unknown", "messages", "trips");
+    auto text =
+        fmt::format("{:24} {:13} {:>4} {:>7} {:>9} {:>9} {:>8} {:>8} {:>8} {:>6}\n", "fault", "policy", "max",
+                    "doubled", "false n-r", "answered", "not run", "unknown", "messages", "trips");
     for (int m = 0; m < bench::fault_mixes; ++m) {
         for (int r = 0; r < bench::policies; ++r) {
             const auto mix = static_cast<bench::fault_mix>(m);
@@ -123,8 +124,8 @@
                                                   {"repeat_us", repeated_us},
                                                   {"bytes_per_record", bytes}}
                                .dump());
-    return fmt::format("{:8} {:9.2f} {:9.2f} {:9.2f} {:12.0f}\n", records, granted_us, settled_us, repeated_us,
-                       bytes);
+    return fmt::format("{:8} {:9.2f} {:9.2f} {:9.2f} {:12.0f}\n", records, granted_us, settled_us,
+                       repeated_us, bytes);
 }
 
 std::string measure_witness()
@@ -147,17 +148,18 @@
     const auto us = elapsed_us(start) / static_cast<double>(names);
     const auto bytes = static_cast<double>(mallinfo2().uordblks - before) / static_cast<double>(names);
     if (FLAGS_json)
-        fmt::print("{}\n", nlohmann::ordered_json{{"witness_entries", vouched},
-                                                  {"vouch_us", us},
-                                                  {"bytes_per_entry", bytes}}
-                               .dump());
-    return fmt::format("witness: {} entries, {:.2f} us per vouch, {:.0f} bytes per entry\n", vouched, us, bytes);
+        fmt::print(
+            "{}\n",
+            nlohmann::ordered_json{{"witness_entries", vouched}, {"vouch_us", us}, {"bytes_per_entry", bytes}}
+                .dump());
+    return fmt::format("witness: {} entries, {:.2f} us per vouch, {:.0f} bytes per entry\n", vouched, us,
+                       bytes);
 }
 
 std::string measure_records()
 {
-    auto text = fmt::format("{:>8} {:>9} {:>9} {:>9} {:>12}\n", "records", "grant us", "settle us", "repeat us",
-                            "bytes/record");
+    auto text = fmt::format("{:>8} {:>9} {:>9} {:>9} {:>12}\n", "records", "grant us", "settle us",
+                            "repeat us", "bytes/record");
     for (const std::size_t records : {1'000U, 10'000U, 100'000U})
         text += measure_table(records);
     return text + measure_witness();
--- a/utils/bench-claims/world.cpp
+++ b/utils/bench-claims/world.cpp
@@ -22,15 +22,25 @@
 
 std::string_view to_string(policy it)
 {
-    static constexpr std::array<std::string_view, policies> names{"plain_owner", "owner_lease", "majority_vote"};
+    static constexpr std::array<std::string_view, policies> names{"plain_owner", "owner_lease",
+                                                                  "majority_vote"};
     return names[static_cast<std::size_t>(it)];
 }
 
 std::string_view to_string(fault_mix it)
 {
-    static constexpr std::array<std::string_view, fault_mixes> names{
-        "none",       "freeze",           "freeze_and_replace",       "kill",         "cut_off", "majority_cut_off", "planned_stop",
-        "map_change", "witness_replaced", "pair_frozen_and_replaced", "all_replaced", "mixed"};
+    static constexpr std::array<std::string_view, fault_mixes> names{"none",
+                                                                     "freeze",
+                                                                     "freeze_and_replace",
+                                                                     "kill",
+                                                                     "cut_off",
+                                                                     "majority_cut_off",
+                                                                     "planned_stop",
+                                                                     "map_change",
+                                                                     "witness_replaced",
+                                                                     "pair_frozen_and_replaced",
+                                                                     "all_replaced",
+                                                                     "mixed"};
     return names[static_cast<std::size_t>(it)];
 }
 
@@ -50,7 +60,8 @@
 }
 
 world::world(policy rule, fault_mix mix, std::uint64_t seed)
-    : rule_(rule), mix_(mix), random_(seed), fault_random_(seed ^ 0x9e3779b97f4a7c15U), now_(duration{1'000'000})
+    : rule_(rule), mix_(mix), random_(seed), fault_random_(seed ^ 0x9e3779b97f4a7c15U),
+      now_(duration{1'000'000})
 {
     section_ = {1, {"a", "b", "c"}, 20s, 1000ms, 5000};
     for (const char* name : {"a", "b", "c", "d", "e"})
@@ -129,10 +140,21 @@
     auto voter = section_;
     if (rule_ == policy::majority_vote)
         voter.owners = {name};
-    processes_.push_back(std::make_unique<process>(
-        process{name, incarnation, side, true, {}, section_, claims::lease(name, incarnation, section_),
-                claims::witness(section_, now_), claims::table(name, incarnation, voter), {},
-                claims::wake_watch(now_), {}, {}, now_, std::nullopt}));
+    processes_.push_back(std::make_unique<process>(process{name,
+                                                           incarnation,
+                                                           side,
+                                                           true,
+                                                           {},
+                                                           section_,
+                                                           claims::lease(name, incarnation, section_),
+                                                           claims::witness(section_, now_),
+                                                           claims::table(name, incarnation, voter),
+                                                           {},
+                                                           claims::wake_watch(now_),
+                                                           {},
+                                                           {},
+                                                           now_,
+                                                           std::nullopt}));
     list_[name] = p;
     auto& it = *processes_.back();
     it.view = list_;
--- a/utils/bench-claims/world.hpp
+++ b/utils/bench-claims/world.hpp
@@ -1,7 +1,7 @@
 /// \file
-/// A single-threaded driver that interleaves callers, faults and the claim objects of a few processes. It checks
-/// what the protocol promises: at most one execution per key and no false "not run". The objects are the real
-/// ones; links are closures in one event queue, so it measures decisions and not performance.
+/// A single-threaded driver that interleaves callers, faults and the claim objects of a few processes. It
+/// checks what the protocol promises: at most one execution per key and no false "not run". The objects are
+/// the real ones; links are closures in one event queue, so it measures decisions and not performance.
 #pragma once
 
 #include <limpetlock/claims/handover.hpp>
@@ -63,6 +63,8 @@
 class world {
 public:
     world(policy rule, fault_mix mix, std::uint64_t seed);
+    world(const world&) = delete;
+    world& operator=(const world&) = delete;
     ~world();
 
     totals run();
