Bound how long a replaced majority grants first attempts

An owner now stops first attempts when another owner has not vouched for a key lifetime, and a retry without a record needs a hold of two key lifetimes.

--- a/lib/claims/lease.cpp
+++ b/lib/claims/lease.cpp
@@ -48,6 +48,9 @@
     expires_ = *end;
     if (!held_since_)
         held_since_ = now;
+    if (!unanimous_at_)
+        unanimous_at_ = now;
+    unanimous_at_ = std::max(*unanimous_at_, end_of_all(&vote::vouched) - map_.section().lease);
     return true;
 }
 
@@ -87,6 +90,7 @@
     for (auto& [name, it] : votes_)
         it.vouched = it.heard = std::nullopt;
     held_since_.reset();
+    unanimous_at_.reset();
     expires_ = {};
 }
 
@@ -106,6 +110,7 @@
     it.held_since = held_since_;
     it.expires = expires_;
     it.unanimous_until = end_of_all(&vote::vouched);
+    it.unanimous_at = unanimous_at_.value_or(time_point{});
     return it;
 }
 
--- a/lib/claims/table.cpp
+++ b/lib/claims/table.cpp
@@ -96,6 +96,8 @@
     auto& ids() { return records_.get<by_id>(); }
 
     duration coverage(const lease_state& own, time_point now) const;
+    const char* why_no_record_means_nothing(const claim_request& ask, const lease_state& own,
+                                            time_point now) const;
     const char* why_not_owner(const claim_request& ask, const lease_state& own, time_point now) const;
     claim_reply decide(const claim_request& ask, const lease_state& own, time_point now);
     claim_reply on_record(record_iterator it, const claim_request& ask, const lease_state& own,
@@ -185,17 +187,9 @@
         ++counters_.refused_lease;
         return {denied, reason, {}, 0};
     }
-    const auto needed =
-        ask.first_attempt ? first_attempt_hold(map_.section().lease) : map_.section().key_lifetime;
-    if (coverage(own, now) < needed) {
+    if (const char* reason = why_no_record_means_nothing(ask, own, now)) {
         ++counters_.refused_lease;
-        return {denied, "the lease is not held for long enough", {}, 0};
-    }
-    // A majority of replaced owners that are cut off together still vouch for each other, while a newer
-    // incarnation grants first attempts elsewhere. A missing owner shows that this may be the case.
-    if (!ask.first_attempt && !own.unanimous(now)) {
-        ++counters_.refused_lease;
-        return {denied, "an owner does not vouch, so records may exist elsewhere", {}, 0};
+        return {denied, reason, {}, 0};
     }
     if (records_.size() >= map_.section().max_claims) {
         ++counters_.refused_full;
@@ -223,6 +217,22 @@
     return nullptr;
 }
 
+const char* table::implementation::why_no_record_means_nothing(const claim_request& ask, const lease_state& own,
+                                                               time_point now) const
+{
+    const auto& section = map_.section();
+    const auto needed = ask.first_attempt ? first_attempt_hold(section.lease) : retry_hold(section.key_lifetime);
+    if (coverage(own, now) < needed)
+        return "the lease is not held for long enough";
+    // A majority of replaced owners that are cut off together still vouch for each other, while a newer
+    // incarnation grants elsewhere. A missing owner shows that this may be the case.
+    if (!ask.first_attempt && !own.unanimous(now))
+        return "an owner does not vouch, so records may exist elsewhere";
+    if (now - own.unanimous_at >= missing_owner_limit(section.key_lifetime))
+        return "an owner has been missing for too long";
+    return nullptr;
+}
+
 duration table::implementation::coverage(const lease_state& own, time_point now) const
 {
     auto covered = own.held_for(now);
--- a/utils/bench-claims/main.cpp
+++ b/utils/bench-claims/main.cpp
@@ -98,7 +98,7 @@
     claims::table table("a", 1, section);
     const time_point now{std::chrono::hours(2)};
     const auto end = now + std::chrono::hours(1);
-    const claims::lease_state own{time_point{}, end, end, end};
+    const claims::lease_state own{time_point{}, end, end, now, end};
     std::vector<claims::claim_request> asks;
     for (std::size_t n = 0; n < records; ++n)
         asks.push_back(make_ask(n));
@@ -138,7 +138,7 @@
     claims::witness witness(section, begin);
     const auto end = begin + std::chrono::minutes(1);
     for (int s = 0; s < 20; ++s)
-        witness.note_own_lease({std::nullopt, {}, {}, end}, begin + std::chrono::seconds(s));
+        witness.note_own_lease({std::nullopt, {}, {}, {}, end}, begin + std::chrono::seconds(s));
     const auto now = begin + std::chrono::seconds(20);
     const auto before = mallinfo2().uordblks;
     const auto start = std::chrono::steady_clock::now();
