Test the claim rules that no session covers

Removing a rule at a time from a scratch copy left seven removals unnoticed by the sessions and the random traces (claims number, lower incarnation, first-attempt hold, old tombstone, predecessor quorum, keeper's predecessor check, finality of done). Each now has a test. The measurement program can also give one fault per run.

--- a/include/limpetlock/claims/owner_map.hpp
+++ b/include/limpetlock/claims/owner_map.hpp
@@ -34,15 +34,16 @@
     return lease + longest_deadline;
 }
 
-/// How long an owner goes on granting first attempts while another owner does not vouch. A majority of replaced
-/// owners that are cut off together cannot tell that they are replaced; this bounds how long they grant.
+/// How long an owner goes on granting first attempts while another owner does not vouch. A majority of
+/// replaced owners that are cut off together cannot tell that they are replaced; this bounds how long they
+/// grant.
 constexpr duration missing_owner_limit(duration key_lifetime)
 {
     return key_lifetime;
 }
 
-/// How long an owner holds the lease before it grants a retry without a record: everything that a former owner
-/// granted, also one that went on for the limit above, is then older than the key lifetime.
+/// How long an owner holds the lease before it grants a retry without a record: everything that a former
+/// owner granted, also one that went on for the limit above, is then older than the key lifetime.
 constexpr duration retry_hold(duration key_lifetime)
 {
     return key_lifetime + missing_owner_limit(key_lifetime);
--- a/lib/claims/table.cpp
+++ b/lib/claims/table.cpp
@@ -217,11 +217,12 @@
     return nullptr;
 }
 
-const char* table::implementation::why_no_record_means_nothing(const claim_request& ask, const lease_state& own,
-                                                               time_point now) const
+const char* table::implementation::why_no_record_means_nothing(const claim_request& ask,
+                                                               const lease_state& own, time_point now) const
 {
     const auto& section = map_.section();
-    const auto needed = ask.first_attempt ? first_attempt_hold(section.lease) : retry_hold(section.key_lifetime);
+    const auto needed =
+        ask.first_attempt ? first_attempt_hold(section.lease) : retry_hold(section.key_lifetime);
     if (coverage(own, now) < needed)
         return "the lease is not held for long enough";
     // A majority of replaced owners that are cut off together still vouch for each other, while a newer
--- a/unittests/claims/random_test.cpp
+++ b/unittests/claims/random_test.cpp
@@ -23,8 +23,9 @@
 
 } // namespace
 
-// Guards against a second execution of a key and a "not run" about a key that ran, under random freezes, kills,
-// replacements, cuts, changes of the claims section, planned stops and retries. The two tests are 240 runs.
+// Guards against a second execution of a key and a "not run" about a key that ran, under random freezes,
+// kills, replacements, cuts, changes of the claims section, planned stops and retries. The two tests are 240
+// runs.
 Test(claims, random_single_faults_run_each_key_at_most_once)
 {
     for (int mix = 0; mix < bench::fault_mixes / 2; ++mix)
--- /dev/null
+++ b/unittests/claims/rules_test.cpp
@@ -0,0 +1,235 @@
+#include <limpetlock/claims/handover.hpp>
+#include <limpetlock/claims/holder.hpp>
+#include <limpetlock/claims/lease.hpp>
+#include <limpetlock/claims/owner_map.hpp>
+#include <limpetlock/claims/table.hpp>
+#include <limpetlock/claims/witness.hpp>
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+using namespace limpetlock;
+using namespace limpetlock::claims;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start{1'000'000ms};
+
+settings three_owners()
+{
+    return {7, {"a", "b", "c"}, 60s, 2000ms, 100};
+}
+
+settings one_owner()
+{
+    return {7, {"a"}, 60s, 2000ms, 100};
+}
+
+lease_state held_for(duration time, time_point now)
+{
+    return {now - time, now + 1s, now + 1s, now, now + 1s};
+}
+
+claim_request ask(const std::string& attempt, bool first)
+{
+    return {"team", "key", "digest", attempt, first, 7};
+}
+
+witness settled_witness(time_point now)
+{
+    witness it(three_owners(), now - 10s);
+    for (auto t = now - 10s; t <= now; t += 1s)
+        it.note_own_lease({std::nullopt, {}, {}, {}, t + 2s}, t);
+    return it;
+}
+
+} // namespace
+
+// Guards against a vote under a claims section that the owner or the witness does not know.
+Test(witness, vouches_only_under_its_own_claims_number)
+{
+    auto it = settled_witness(start);
+    cr_assert_not(it.vouch("a", 5, 6, start));
+    cr_assert_not(it.vouch("a", 5, 8, start));
+    cr_assert(it.vouch("a", 5, 7, start));
+}
+
+// Guards against a vote for a replaced incarnation, also after the separation time.
+Test(witness, never_returns_to_a_lower_incarnation)
+{
+    auto it = settled_witness(start);
+    cr_assert(it.vouch("a", 5, 7, start));
+    cr_assert_not(it.vouch("a", 6, 7, start + 1s));
+    cr_assert_not(it.vouch("a", 5, 7, start + 1500ms));
+    cr_assert(it.vouch("a", 6, 7, start + 3s));
+    cr_assert_not(it.vouch("a", 5, 7, start + 4s));
+    cr_assert_eq(it.confirm_predecessor("a", 6), 5);
+    cr_assert_eq(it.confirm_predecessor("a", 5), 0, "an incarnation that is replaced gets no confirmation");
+}
+
+// Guards against the vote of a witness that does not learn of a newer incarnation from the confirmation.
+Test(witness, confirmation_excludes_incarnations_in_between)
+{
+    auto it = settled_witness(start);
+    cr_assert(it.vouch("a", 5, 7, start));
+    cr_assert_eq(it.confirm_predecessor("a", 9), 5);
+    cr_assert_not(it.vouch("a", 8, 7, start + 5s));
+}
+
+// Guards against an acknowledgement of a former incarnation's heartbeat, of an old round, or with another
+// send time.
+Test(lease, counts_only_acknowledgements_of_its_own_recent_heartbeats)
+{
+    lease it("a", 5, three_owners());
+    const auto first = it.note_sent(start);
+    cr_assert_not(it.note_ack("b", 1, {first, to_ms(start) - 1, true, 0, {}}, start));
+    cr_assert_not(it.note_ack("b", 1, {first + 1, to_ms(start), true, 0, {}}, start));
+    cr_assert_not(it.note_ack("x", 1, {first, to_ms(start), true, 0, {}}, start));
+    cr_assert(it.note_ack("a", 5, {first, to_ms(start), true, 0, {}}, start));
+    cr_assert_not(it.held(start));
+    cr_assert(it.note_ack("b", 1, {first, to_ms(start), true, 0, {}}, start + 500ms));
+    cr_assert(it.held(start + 1999ms));
+    cr_assert_eq(it.remaining(start + 500ms).count(), 1500, "counted from the send time");
+    cr_assert_not(it.held(start + 2000ms));
+}
+
+// Guards against a majority that counts the vote of a replaced witness, and against a lease after
+// replacement.
+Test(lease, replaced_processes_do_not_count)
+{
+    lease it("a", 5, three_owners());
+    const auto round = it.note_sent(start);
+    it.note_ack("a", 5, {round, to_ms(start), true, 0, {}}, start);
+    it.note_ack("b", 1, {round, to_ms(start), true, 0, {}}, start);
+    cr_assert(it.held(start + 1s));
+    it.note_incarnation("b", 2);
+    cr_assert_not(it.held(start + 1s));
+    cr_assert_not(it.note_ack("b", 1, {round, to_ms(start), true, 0, {}}, start + 1s));
+    cr_assert(it.note_ack("b", 2, {round, to_ms(start), true, 0, {}}, start + 1s));
+    cr_assert(it.held(start + 1s));
+    it.note_incarnation("a", 6);
+    cr_assert(it.superseded());
+    cr_assert_not(it.held(start + 1s));
+}
+
+// Guards against a first attempt while a grant of a former owner may still be before its dispatch.
+Test(table, first_attempts_wait_for_the_hold)
+{
+    table it("a", 5, one_owner());
+    cr_assert_eq(it.request(ask("1", true), held_for(4999ms, start), start).verdict, claim_verdict::refused);
+    cr_assert_eq(it.request(ask("1", true), held_for(5000ms, start), start).verdict, claim_verdict::granted);
+}
+
+// Guards against a grant on a "not run" record that another incarnation may have used during a break of the
+// lease.
+Test(table, tombstone_older_than_the_hold_is_no_proof)
+{
+    table it("a", 5, one_owner());
+    it.request(ask("1", true), held_for(10s, start), start);
+    cr_assert(it.settle({"team", "key", "1", claim_outcome::not_run, {}}, start));
+    const auto later = start + 20s;
+    cr_assert_eq(it.request(ask("2", false), held_for(19s, later), later).verdict, claim_verdict::unknown);
+    cr_assert_eq(it.request(ask("2", false), held_for(20s, later), later).verdict, claim_verdict::granted);
+}
+
+// Guards against settlements that arrive out of order: an answer must not be taken back.
+Test(table, done_is_final)
+{
+    table it("a", 5, one_owner());
+    it.request(ask("1", true), held_for(10s, start), start);
+    cr_assert(it.settle({"team", "key", "1", claim_outcome::unknown, {}}, start));
+    cr_assert(it.settle({"team", "key", "1", claim_outcome::done, "answer"}, start));
+    cr_assert_not(it.settle({"team", "key", "1", claim_outcome::not_run, {}}, start));
+    cr_assert_not(it.settle({"team", "key", "2", claim_outcome::not_run, {}}, start));
+    const auto reply = it.request(ask("2", false), held_for(10s, start), start);
+    cr_assert_eq(reply.verdict, claim_verdict::answered);
+    cr_assert_str_eq(reply.answer.c_str(), "answer");
+}
+
+// Guards against a cut answer being handed out as the whole one.
+Test(table, an_answer_too_long_to_keep_is_unknown)
+{
+    table it("a", 5, one_owner());
+    it.request(ask("1", true), held_for(10s, start), start);
+    it.settle({"team", "key", "1", claim_outcome::done, std::string(longest_kept_answer + 1, 'x')}, start);
+    cr_assert_eq(it.request(ask("2", false), held_for(10s, start), start).verdict, claim_verdict::unknown);
+}
+
+// Guards against two pairs of team and key that share a record, which would hand an answer to another team.
+Test(table, team_and_key_do_not_run_together)
+{
+    table it("a", 5, one_owner());
+    auto one = ask("1", true);
+    one.team = "plant-1";
+    one.key = "1-x";
+    auto two = ask("2", true);
+    two.team = "plant-11";
+    two.key = "-x";
+    cr_assert_eq(it.request(one, held_for(10s, start), start).verdict, claim_verdict::granted);
+    cr_assert_eq(it.request(two, held_for(10s, start), start).verdict, claim_verdict::granted);
+    cr_assert_eq(it.size(), 2U);
+    it.seal(held_for(10s, start), start);
+    for (const auto& record : it.export_records(start).records)
+        cr_assert(record.team == one.team ? record.key == one.key : record.key == two.key);
+}
+
+// Guards against records from an owner that is not the direct predecessor, and against a second successor.
+Test(handover, is_used_by_one_confirmed_successor)
+{
+    auto own = settled_witness(start);
+    own.vouch("a", 5, 7, start);
+    handover_keeper keeper;
+    cr_assert(keeper.keep({"a", 5, true, 60'000, {}, 7}, 60s, start));
+    cr_assert_not(keeper.keep({"a", 6, false, 60'000, {}, 7}, 60s, start), "not sealed");
+    const auto reply = keeper.answer_pull(own, "a", 8, start + 3s);
+    cr_assert(reply.sealed);
+    cr_assert(keeper.answer_pull(own, "a", 8, start + 3s).sealed, "a lost reply may be asked for again");
+
+    succession it("a", 8, owner_map(three_owners()));
+    it.note_reply("b", reply);
+    cr_assert_not(it.accepted().has_value(), "one of the two other owners has not confirmed");
+    it.note_reply("c", {"a", 7, false, 0, {}, 0});
+    cr_assert_not(it.accepted().has_value(), "the other owner vouched for an incarnation in between");
+    it.note_reply("c", {"a", 5, false, 0, {}, 0});
+    cr_assert(it.accepted().has_value());
+    cr_assert_not(keeper.answer_pull(own, "a", 9, start + 3s).sealed, "already used");
+}
+
+// Guards against a keeper that gives records although it vouched for an incarnation after the sealed one.
+Test(handover, keeper_that_saw_an_incarnation_in_between_gives_nothing)
+{
+    auto own = settled_witness(start);
+    own.vouch("a", 5, 7, start);
+    handover_keeper keeper;
+    keeper.keep({"a", 5, true, 60'000, {}, 7}, 60s, start);
+    own.note_own_lease({std::nullopt, {}, {}, {}, start + 4s}, start + 1500ms);
+    cr_assert(own.vouch("a", 6, 7, start + 2500ms));
+    const auto reply = keeper.answer_pull(own, "a", 8, start + 3s);
+    cr_assert_not(reply.sealed);
+    cr_assert_eq(reply.incarnation, 6);
+}
+
+// Guards against a change of owners whose majorities need not meet.
+Test(owner_map, only_one_owner_may_change_at_a_time)
+{
+    auto next = three_owners();
+    next.owners = {"a", "b", "c", "d"};
+    cr_assert_not(unsafe_change(three_owners(), next).has_value());
+    next.owners = {"b", "c"};
+    cr_assert_not(unsafe_change(three_owners(), next).has_value());
+    next.owners = {"a", "b", "d"};
+    cr_assert(unsafe_change(three_owners(), next).has_value());
+}
+
+// Guards against a suspension that goes unseen because the timer has not ticked since.
+Test(wake_watch, sees_a_suspension_before_and_after_the_tick)
+{
+    wake_watch it(start);
+    it.tick(start + 200ms);
+    cr_assert_not(it.woke(start + 400ms).has_value());
+    cr_assert(it.woke(start + 5s) == start + 5s);
+    it.tick(start + 5s);
+    cr_assert(it.woke(start + 6s) == start + 5s);
+}
--- a/unittests/claims/session.cpp
+++ b/unittests/claims/session.cpp
@@ -293,7 +293,8 @@
 claims::lease_state session::lease_of(const member& it) const
 {
     if (plain_)
-        return {now_ - 3 * it.section.key_lifetime, now_ + duration{1}, now_ + duration{1}, now_, now_ + duration{1}};
+        return {now_ - 3 * it.section.key_lifetime, now_ + duration{1}, now_ + duration{1}, now_,
+                now_ + duration{1}};
     return it.own_lease.state(now_);
 }
 
--- a/utils/bench-claims/faults.cpp
+++ b/utils/bench-claims/faults.cpp
@@ -32,6 +32,8 @@
         kind = kinds[std::uniform_int_distribution<std::size_t>(0, kinds.size() - 1)(fault_random_)];
     }
     apply_fault(kind);
+    if (!repeat_)
+        return;
     const int gap = mix_ == fault_mix::mixed ? 4000 : 8000;
     at(between(fault_random_, gap / 2, gap * 2), [this] { schedule_fault(); });
 }
--- a/utils/bench-claims/main.cpp
+++ b/utils/bench-claims/main.cpp
@@ -14,6 +14,7 @@
 
 DEFINE_uint64(seeds, 50, "Seeds per policy and fault");
 DEFINE_uint64(first_seed, 1, "First seed");
+DEFINE_bool(one_fault, false, "One fault per run instead of one about every eight seconds");
 DEFINE_bool(json, true, "Print JSON lines before the tables");
 DEFINE_bool(records, true, "Measure time and memory per record too");
 
@@ -31,7 +32,7 @@
 {
     totals sum;
     for (std::uint64_t n = 0; n < FLAGS_seeds; ++n)
-        sum.add(bench::world(rule, mix, FLAGS_first_seed + n).run());
+        sum.add(bench::world(rule, mix, FLAGS_first_seed + n, !FLAGS_one_fault).run());
     return sum;
 }
 
@@ -40,6 +41,7 @@
     const nlohmann::ordered_json line{{"policy", bench::to_string(rule)},
                                       {"fault", bench::to_string(mix)},
                                       {"seeds", FLAGS_seeds},
+                                      {"one_fault", FLAGS_one_fault},
                                       {"keys", it.keys},
                                       {"max_executions", it.max_executions},
                                       {"doubled_keys", it.doubled_keys},
--- a/utils/bench-claims/world.cpp
+++ b/utils/bench-claims/world.cpp
@@ -59,8 +59,8 @@
     heartbeat_messages += it.heartbeat_messages;
 }
 
-world::world(policy rule, fault_mix mix, std::uint64_t seed)
-    : rule_(rule), mix_(mix), random_(seed), fault_random_(seed ^ 0x9e3779b97f4a7c15U),
+world::world(policy rule, fault_mix mix, std::uint64_t seed, bool repeat)
+    : rule_(rule), mix_(mix), repeat_(repeat), random_(seed), fault_random_(seed ^ 0x9e3779b97f4a7c15U),
       now_(duration{1'000'000})
 {
     section_ = {1, {"a", "b", "c"}, 16s, 1000ms, 5000};
--- a/utils/bench-claims/world.hpp
+++ b/utils/bench-claims/world.hpp
@@ -62,7 +62,8 @@
 /// One run of one policy under one mix of faults. Equal seeds give equal faults and callers to every policy.
 class world {
 public:
-    world(policy rule, fault_mix mix, std::uint64_t seed);
+    /// `repeat` false gives one fault per run.
+    world(policy rule, fault_mix mix, std::uint64_t seed, bool repeat = true);
     world(const world&) = delete;
     world& operator=(const world&) = delete;
     ~world();
@@ -152,6 +153,7 @@
 
     policy rule_;
     fault_mix mix_;
+    bool repeat_;
     std::mt19937_64 random_;
     std::mt19937_64 fault_random_;
     time_point now_{};
