--- a/unittests/claims/rules_test.cpp
+++ b/unittests/claims/rules_test.cpp
@@ -56,6 +56,14 @@
     cr_assert(it.vouch("a", 5, 7, start));
 }
 
+// Guards against the vote of a process that knows that it is replaced.
+Test(witness, retired_vouches_for_nobody)
+{
+    auto it = settled_witness(start);
+    it.retire();
+    cr_assert_not(it.vouch("a", 5, 7, start));
+}
+
 // Guards against a vote for a replaced incarnation, also after the separation time.
 Test(witness, never_returns_to_a_lower_incarnation)
 {
@@ -148,6 +156,19 @@
     cr_assert_str_eq(reply.answer.c_str(), "answer");
 }
 
+// Guards against a handed-over hold that still counts after a break, during which another incarnation may
+// have granted.
+Test(table, a_break_of_the_lease_ends_the_imported_hold)
+{
+    table it("a", 8, one_owner());
+    const handover from{"a", 5, true, 200'000, {}, 7};
+    cr_assert(it.import_records(from, held_for(1s, start), start).has_value());
+    cr_assert_not(it.import_records(from, held_for(1s, start), start).has_value(), "imported twice");
+    const auto later = start + 10s;
+    cr_assert_eq(it.request(ask("2", false), held_for(5s, later), later).verdict, claim_verdict::unknown);
+    cr_assert_eq(it.request(ask("2", false), held_for(11s, later), later).verdict, claim_verdict::granted);
+}
+
 // Guards against a cut answer being handed out as the whole one.
 Test(table, an_answer_too_long_to_keep_is_unknown)
 {
--- a/utils/bench-claims/faults.cpp
+++ b/utils/bench-claims/faults.cpp
@@ -48,7 +48,11 @@
         freeze_owner(true);
         return;
     case fault_mix::kill:
+        kill_process(pick_owner());
+        return;
     case fault_mix::witness_replaced:
+        // A witness loses its memory while an owner that it supported is cut off and replaced.
+        cut_off(1, 20s);
         kill_process(pick_owner());
         return;
     case fault_mix::cut_off:
