--- a/lib/server/admission_controller.cpp
+++ b/lib/server/admission_controller.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
--- a/lib/server/admission_controller.hpp
+++ b/lib/server/admission_controller.hpp
@@ -51,7 +51,14 @@
           profile_(std::move(other.profile_)), used_ms_(other.used_ms_)
     {
     }
-    admission_permit& operator=(admission_permit&&) = delete;
+    admission_permit& operator=(admission_permit&& other) noexcept
+    {
+        std::swap(owner_, other.owner_);
+        std::swap(ticket_, other.ticket_);
+        std::swap(profile_, other.profile_);
+        std::swap(used_ms_, other.used_ms_);
+        return *this;
+    }
     admission_permit(const admission_permit&) = delete;
     admission_permit& operator=(const admission_permit&) = delete;
     ~admission_permit();
--- /dev/null
+++ b/lib/server/claim_controller.cpp
@@ -0,0 +1,403 @@
+#include "claim_controller.hpp"
+
+#include "notification.hpp"
+
+#include <limpetlock/config/watchers.hpp>
+#include <limpetlock/support/hash.hpp>
+#include <limpetlock/support/log.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetlock::server {
+
+using boost::asio::awaitable;
+
+namespace {
+
+/// Heartbeats per lease time: one or two lost ones do not end a lease.
+constexpr int heartbeats_per_lease = 8;
+constexpr duration shortest_heartbeat_interval{100};
+constexpr duration idle_interval{250};
+constexpr duration expiry_interval{1'000};
+
+/// While a fleet has at most this many instances, each exchanges heartbeats with all others; in a larger one
+/// with the owners and with the configuration watchers of its failure domain.
+constexpr std::size_t full_mesh_limit = 12;
+constexpr std::size_t watchers_per_domain = 2;
+
+constexpr duration ask_timeout{400};
+constexpr duration ask_pause{60};
+constexpr duration settle_patience{8'000};
+constexpr duration settle_timeout{500};
+constexpr duration handover_pull_timeout{500};
+constexpr duration handover_search{10'000};
+constexpr duration handover_send_timeout{1'500};
+
+claims::settings to_settings(const config::version& version)
+{
+    const auto& section = version.document.claims();
+    return {version.claims_number, section.owners, section.key_lifetime, section.lease,
+            static_cast<std::size_t>(section.max_claims)};
+}
+
+std::vector<std::string> choose_contacts(const std::vector<membership::entry_instance>& entries,
+                                         const std::string& self, const std::vector<std::string>& owners)
+{
+    std::vector<std::string> out;
+    const bool full_mesh = entries.size() <= full_mesh_limit;
+    std::vector<config::instance> own_domain;
+    const auto own =
+        std::find_if(entries.begin(), entries.end(), [&](const auto& it) { return it.name == self; });
+    for (const auto& it : entries)
+        if (own != entries.end() && it.failure_domain == own->failure_domain)
+            own_domain.push_back({it.name, it.failure_domain, it.leaving});
+    const auto watchers = config::watcher_set(own_domain, watchers_per_domain);
+    for (const auto& it : entries) {
+        const bool owner = std::find(owners.begin(), owners.end(), it.name) != owners.end();
+        const bool watcher = std::find(watchers.begin(), watchers.end(), it.name) != watchers.end();
+        if (it.name != self && (full_mesh || owner || watcher))
+            out.push_back(it.name);
+    }
+    return out;
+}
+
+} // namespace
+
+claim_controller::section_state::section_state(const std::string& name, std::int64_t incarnation,
+                                               const claims::settings& section, time_point now)
+    : map(section), lease(name, incarnation, section), witness(section, now),
+      table(name, incarnation, section), succession(name, incarnation, map)
+{
+}
+
+claim_controller::claim_controller(const boost::asio::any_io_executor& executor,
+                                   const instance_settings& settings, std::int64_t incarnation,
+                                   peer_controller& peers)
+    : strand_(boost::asio::make_strand(executor)), name_(settings.name), incarnation_(incarnation),
+      peers_(peers), wake_(boot_clock::now())
+{
+}
+
+void claim_controller::start(config_controller& configuration)
+{
+    configuration_ = &configuration;
+    boost::asio::co_spawn(strand_, heartbeat_loop(), boost::asio::detached);
+    boost::asio::co_spawn(strand_, look_for_handover(), boost::asio::detached);
+}
+
+void claim_controller::configure(const config::version& version)
+{
+    const time_point now = boot_clock::now();
+    const auto section = to_settings(version);
+    const std::lock_guard lock(mutex_);
+    config_number_ = version.number;
+    config_digest_ = version.digest();
+    if (!state_) {
+        state_ = std::make_unique<section_state>(name_, incarnation_, section, now);
+        return;
+    }
+    if (state_->map.section() == section)
+        return;
+    if (const auto reason = claims::unsafe_change(state_->map.section(), section))
+        log::warning("claims_section", {{"number", fmt::to_string(section.number)}, {"risk", *reason}});
+    state_->map = claims::owner_map(section);
+    state_->lease.reconfigure(section);
+    state_->witness.reconfigure(section, now);
+    state_->table.reconfigure(section, now);
+}
+
+void claim_controller::set_members(const std::shared_ptr<const membership::snapshot>& members)
+{
+    const std::lock_guard lock(mutex_);
+    const auto owners = state_ ? state_->map.section().owners : std::vector<std::string>();
+    contacts_ = choose_contacts(members->entries, name_, owners);
+}
+
+void claim_controller::noticed_pause()
+{
+    const std::lock_guard lock(mutex_);
+    wake_.tick(boot_clock::now());
+}
+
+void claim_controller::on_frame(const peer_identity& from)
+{
+    const std::lock_guard lock(mutex_);
+    if (!state_)
+        return;
+    const bool before = state_->lease.superseded();
+    state_->lease.note_incarnation(from.name, from.incarnation);
+    if (!before && state_->lease.superseded()) {
+        state_->witness.retire();
+        log::warning("claims_superseded", {{"incarnation", fmt::to_string(from.incarnation)}});
+    }
+}
+
+claims::heartbeat_ack claim_controller::on_heartbeat(const peer_identity& from,
+                                                     const claims::heartbeat& message)
+{
+    configuration_->peer_reported(from.name, message.config_number, message.config_digest);
+    const std::lock_guard lock(mutex_);
+    claims::heartbeat_ack out{message.sequence, message.sent_ms, false, config_number_, config_digest_};
+    if (state_ && message.sequence > 0)
+        out.vouches =
+            state_->witness.vouch(from.name, from.incarnation, message.claims_number, boot_clock::now());
+    return out;
+}
+
+claims::claim_reply claim_controller::on_claim(const claims::claim_request& ask)
+{
+    const time_point now = boot_clock::now();
+    const std::lock_guard lock(mutex_);
+    if (!state_)
+        return {claims::claim_verdict::unknown, "no configuration is in force at the owner", {}, 0};
+    return state_->table.request(ask, state_->lease.state(now), now);
+}
+
+void claim_controller::on_settle(const claims::claim_settle& outcome)
+{
+    const std::lock_guard lock(mutex_);
+    if (state_)
+        state_->table.settle(outcome, boot_clock::now());
+}
+
+bool claim_controller::on_handover(const claims::handover& records)
+{
+    const std::lock_guard lock(mutex_);
+    if (!state_ || stopping_)
+        return false;
+    return keeper_.keep(records, state_->map.section().key_lifetime, boot_clock::now());
+}
+
+claims::handover claim_controller::on_handover_pull(const peer_identity& from, const std::string& owner)
+{
+    const std::lock_guard lock(mutex_);
+    if (!state_ || from.name != owner)
+        return {owner, 0, false, 0, {}};
+    return keeper_.answer_pull(state_->witness, owner, from.incarnation, boot_clock::now());
+}
+
+std::optional<claims::heartbeat> claim_controller::next_heartbeat(std::vector<std::string>& targets,
+                                                                  duration& interval)
+{
+    const time_point now = boot_clock::now();
+    const std::lock_guard lock(mutex_);
+    wake_.tick(now);
+    interval = idle_interval;
+    if (!state_)
+        return claims::heartbeat{0, to_ms(now), 0, {}, 0, stopping_};
+    const auto& section = state_->map.section();
+    interval = std::max(shortest_heartbeat_interval, section.lease / heartbeats_per_lease);
+    targets = contacts_;
+    claims::heartbeat out{0, to_ms(now), config_number_, config_digest_, section.number, stopping_};
+    if (owns_claims_locked()) {
+        out.sequence = state_->lease.note_sent(now);
+        const bool vouches = state_->witness.vouch(name_, incarnation_, section.number, now);
+        state_->lease.note_ack(name_, incarnation_, {out.sequence, out.sent_ms, vouches, 0, {}}, now);
+        state_->witness.note_own_lease(state_->lease.state(now), now);
+    }
+    if (now - last_expiry_ >= expiry_interval) {
+        last_expiry_ = now;
+        state_->table.expire(now);
+        keeper_.expire(now);
+    }
+    return out;
+}
+
+awaitable<void> claim_controller::heartbeat_loop()
+{
+    while (!stopped_) {
+        std::vector<std::string> targets;
+        duration interval{};
+        const auto message = next_heartbeat(targets, interval);
+        for (auto& it : targets)
+            boost::asio::co_spawn(strand_, exchange_heartbeat(std::move(it), *message),
+                                  boost::asio::detached);
+        co_await sleep_for(interval);
+    }
+}
+
+awaitable<void> claim_controller::exchange_heartbeat(std::string to, claims::heartbeat message)
+{
+    duration patience = idle_interval;
+    {
+        const std::lock_guard lock(mutex_);
+        if (state_)
+            patience = state_->map.section().lease;
+    }
+    const auto reply = co_await peers_.heartbeat(to, message, boot_clock::now() + patience);
+    if (!reply)
+        co_return;
+    configuration_->peer_reported(reply->from.name, reply->value.config_number, reply->value.config_digest);
+    const time_point now = boot_clock::now();
+    const std::lock_guard lock(mutex_);
+    if (!state_ || message.sequence == 0)
+        co_return;
+    state_->lease.note_ack(reply->from.name, reply->from.incarnation, reply->value, now);
+    state_->witness.note_own_lease(state_->lease.state(now), now);
+}
+
+bool claim_controller::owns_claims_locked() const
+{
+    return state_ && state_->map.contains(name_);
+}
+
+/// Looks for records that a former incarnation handed over, and imports them once the lease is held.
+awaitable<void> claim_controller::look_for_handover()
+{
+    const time_point give_up = boot_clock::now() + handover_search;
+    while (!stopped_ && boot_clock::now() < give_up) {
+        co_await sleep_for(shortest_heartbeat_interval);
+        std::vector<std::string> witnesses;
+        std::optional<claims::handover> found;
+        {
+            const time_point now = boot_clock::now();
+            const std::lock_guard lock(mutex_);
+            if (!owns_claims_locked())
+                continue;
+            found = state_->succession.accepted();
+            if (!found)
+                witnesses = state_->map.section().owners;
+            else if (const auto n = state_->table.import_records(*found, state_->lease.state(now), now)) {
+                log::info("claims_imported", {{"records", fmt::to_string(*n)},
+                                              {"predecessor", fmt::to_string(found->incarnation)}});
+                co_return;
+            } else if (state_->table.last_error().code != claims::table_errc::no_lease) {
+                log::warning("claims_not_imported", {{"reason", state_->table.last_error().reason}});
+                co_return;
+            }
+        }
+        for (const auto& it : witnesses) {
+            if (it == name_)
+                continue;
+            const auto reply =
+                co_await peers_.pull_handover(it, name_, boot_clock::now() + handover_pull_timeout);
+            const std::lock_guard lock(mutex_);
+            if (reply)
+                state_->succession.note_reply(it, *reply);
+        }
+    }
+}
+
+std::string claim_controller::owner_of(const std::string& team, const std::string& key) const
+{
+    const std::lock_guard lock(mutex_);
+    return state_ ? std::string(state_->map.owner(team, key)) : std::string();
+}
+
+awaitable<std::optional<claims::claim_reply>>
+claim_controller::ask_once(std::string owner, claims::claim_request ask, time_point deadline)
+{
+    if (owner == name_)
+        co_return on_claim(ask);
+    bool sent = false;
+    co_return co_await peers_.claim(std::move(owner), std::move(ask),
+                                    std::min(deadline, boot_clock::now() + ask_timeout), sent);
+}
+
+awaitable<std::optional<claims::claim_reply>> claim_controller::ask(claims::claim_request ask,
+                                                                    time_point deadline)
+{
+    std::optional<claims::claim_reply> last;
+    while (boot_clock::now() < deadline) {
+        // A repeated ask of one attempt is safe: the owner grants an attempt once, and its holder dispatches
+        // once.
+        auto reply = co_await ask_once(owner_of(ask.team, ask.key), ask, deadline);
+        if (reply)
+            last = reply;
+        if (reply && reply->verdict != claims::claim_verdict::in_progress)
+            co_return reply;
+        co_await sleep_for(ask_pause);
+    }
+    co_return last;
+}
+
+awaitable<void> claim_controller::settle(claims::claim_settle outcome)
+{
+    const time_point give_up = boot_clock::now() + settle_patience;
+    while (boot_clock::now() < give_up) {
+        std::string owner = owner_of(outcome.team, outcome.key);
+        if (owner == name_) {
+            on_settle(outcome);
+            co_return;
+        }
+        if (co_await peers_.settle(std::move(owner), outcome, boot_clock::now() + settle_timeout))
+            co_return;
+        co_await sleep_for(ask_pause);
+    }
+}
+
+bool claim_controller::first_attempt_counts(bool asserted, time_point read_at, time_point asked_at) const
+{
+    const std::lock_guard lock(mutex_);
+    if (!state_)
+        return false;
+    return claims::first_attempt_counts(asserted, read_at, asked_at, wake_.woke(asked_at),
+                                        state_->map.section().lease);
+}
+
+std::int64_t claim_controller::claims_number() const
+{
+    const std::lock_guard lock(mutex_);
+    return state_ ? state_->map.section().number : 0;
+}
+
+awaitable<bool> claim_controller::hand_over()
+{
+    claims::handover records;
+    std::vector<std::string> keepers;
+    {
+        const time_point now = boot_clock::now();
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+        if (!owns_claims_locked())
+            co_return true;
+        state_->table.seal(state_->lease.state(now), now);
+        records = state_->table.export_records(now);
+        keepers = state_->map.section().owners;
+    }
+    if (!records.sealed)
+        co_return true;
+    // Start at a place that depends on the name, so that instances which stop together use different keepers.
+    std::rotate(keepers.begin(),
+                keepers.begin() + static_cast<std::ptrdiff_t>(hash64(name_) % keepers.size()), keepers.end());
+    for (const auto& it : keepers) {
+        if (it == name_)
+            continue;
+        if (co_await peers_.hand_over(it, records, boot_clock::now() + handover_send_timeout)) {
+            log::info("claims_handed_over",
+                      {{"keeper", it}, {"records", fmt::to_string(records.records.size())}});
+            co_return true;
+        }
+    }
+    log::warning("claims_not_handed_over", {{"records", fmt::to_string(records.records.size())}});
+    co_return false;
+}
+
+claim_status claim_controller::status() const
+{
+    const time_point now = boot_clock::now();
+    const std::lock_guard lock(mutex_);
+    claim_status out;
+    if (!state_)
+        return out;
+    const auto lease = state_->lease.state(now);
+    out.owner = owns_claims_locked();
+    out.lease_held = lease.held(now);
+    out.held_for = lease.held_for(now);
+    out.superseded = state_->lease.superseded();
+    out.sealed = state_->table.sealed();
+    out.records = state_->table.size();
+    out.witness_entries = state_->witness.entries();
+    out.kept_handovers = keeper_.size();
+    out.succession = state_->succession.reason();
+    out.counters = state_->table.counters();
+    return out;
+}
+
+} // namespace limpetlock::server
--- /dev/null
+++ b/lib/server/components.hpp
@@ -0,0 +1,56 @@
+/// \file
+/// The parts of an instance in the order of their construction. Controllers refer to each other only through
+/// what is declared before them; messages of peers and changes of state are wired in instance.cpp.
+#pragma once
+
+#include "admission_controller.hpp"
+#include "claim_controller.hpp"
+#include "config_controller.hpp"
+#include "endpoint_table.hpp"
+#include "membership_controller.hpp"
+#include "peer_controller.hpp"
+#include "request_metrics.hpp"
+#include "stage_costs.hpp"
+#include "stage_runner.hpp"
+
+#include <limpetlock/http/client.hpp>
+#include <limpetlock/lifecycle/stop_sequence.hpp>
+#include <limpetlock/server/settings.hpp>
+#include <limpetlock/support/snapshot_cell.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <mutex>
+
+namespace limpetlock::server {
+
+struct components {
+    components(instance_settings its_settings, std::int64_t its_incarnation);
+
+    lifecycle::stop_state stop_state() const;
+    bool accepts_work() const;
+
+    instance_settings settings;
+    std::int64_t incarnation;
+    time_point started;
+    boost::asio::io_context io;
+    http::client client;
+    snapshot_cell<config::version> in_force;
+    snapshot_cell<membership::snapshot> members;
+    request_metrics metrics;
+    endpoint_table table;
+    stage_costs costs;
+    membership_controller membership;
+    peer_controller peers;
+    config_controller configuration;
+    claim_controller claims;
+    admission_controller admission;
+    stage_runner runner;
+    mutable std::mutex stop_mutex;
+    lifecycle::stop_sequence stop;
+    std::atomic<std::size_t> in_flight{0};
+};
+
+} // namespace limpetlock::server
--- a/lib/server/config_controller.cpp
+++ b/lib/server/config_controller.cpp
@@ -58,7 +58,7 @@
         if (next.pull)
             boost::asio::co_spawn(strand_, pull(*next.pull), boost::asio::detached);
         timer_.expires_after(std::max(shortest_wait, next.wake - boot_clock::now()));
-        auto [ec] = co_await timer_.async_wait(use_tuple);
+        co_await timer_.async_wait(use_tuple);
     }
 }
 
--- /dev/null
+++ b/lib/server/instance.cpp
@@ -0,0 +1,332 @@
+#include "admin.hpp"
+#include "components.hpp"
+#include "notification.hpp"
+#include "pipeline_handler.hpp"
+#include "request_filters.hpp"
+#include "service_handler.hpp"
+
+#include <limpetlock/http/server.hpp>
+#include <limpetlock/server/instance.hpp>
+#include <limpetlock/support/log.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <csignal>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace limpetlock::server {
+
+using boost::asio::awaitable;
+
+namespace {
+
+constexpr duration stop_step_interval{50};
+constexpr duration usage_interval{500};
+constexpr duration evidence_interval{1'000};
+constexpr duration message_timeout{500};
+
+/// After the last answer, the time for its bytes to leave before the process ends.
+constexpr duration close_grace{100};
+
+/// Messages about usage and evidence go to this many instances per round, so that their cost does not grow
+/// with the fleet.
+constexpr std::size_t gossip_fanout = 8;
+
+std::int64_t wall_clock_ms()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+class in_flight_mark {
+public:
+    explicit in_flight_mark(std::atomic<std::size_t>& count) : count_(count) { ++count_; }
+    in_flight_mark(const in_flight_mark&) = delete;
+    in_flight_mark& operator=(const in_flight_mark&) = delete;
+    ~in_flight_mark() { --count_; }
+
+private:
+    std::atomic<std::size_t>& count_;
+};
+
+} // namespace
+
+struct instance::impl {
+    explicit impl(instance_settings settings)
+        : parts(std::move(settings), wall_clock_ms()), signals(parts.io, SIGTERM, SIGINT)
+    {
+        make_filters();
+        wire_peers();
+        open_listeners();
+    }
+
+    void make_filters()
+    {
+        filters.push_back(
+            make_accept_filter([this] { return parts.accepts_work(); }, parts.in_force, parts.claims));
+        filters.push_back(make_authenticate_filter(parts.claims));
+        filters.push_back(make_resolve_filter(parts.claims));
+        filters.push_back(make_pipeline_handler(parts.admission, parts.runner));
+        filters.push_back(
+            make_service_handler(parts.admission, parts.runner, parts.claims, parts.table, parts.client));
+    }
+
+    void open_listeners()
+    {
+        const auto& it = parts.settings;
+        admin = std::make_unique<http::server>(
+            parts.io.get_executor(), it.admin.host, it.admin.port, http::server_limits{},
+            [this](http::exchange& io) -> awaitable<void> { co_await serve_admin(parts, io); });
+        caller = std::make_unique<http::server>(
+            parts.io.get_executor(), it.caller.host, it.caller.port, http::server_limits{},
+            [this](http::exchange& io) -> awaitable<void> { co_await serve_caller(io); });
+    }
+
+    awaitable<void> serve_caller(http::exchange& io)
+    {
+        const in_flight_mark mark(parts.in_flight);
+        request_context it(io, fmt::format("{}-{}", parts.incarnation, ++last_request), boot_clock::now());
+        for (const auto& filter : filters)
+            if (!co_await filter->apply(it))
+                break;
+        parts.metrics.finished(it, boot_clock::now() - it.arrival);
+    }
+
+    void wire_peers()
+    {
+        peer_handlers on;
+        on.on_frame = [this](const peer_identity& from) {
+            parts.membership.heard(from.name, from.incarnation);
+            parts.claims.on_frame(from);
+        };
+        on.on_heartbeat = [this](const peer_identity& from, const claims::heartbeat& it) {
+            return parts.claims.on_heartbeat(from, it);
+        };
+        on.on_claim = [this](const peer_identity&, const claims::claim_request& it) {
+            return parts.claims.on_claim(it);
+        };
+        on.on_settle = [this](const peer_identity&, const claims::claim_settle& it) {
+            parts.claims.on_settle(it);
+        };
+        on.on_config_pull = [this](std::int64_t after) { return newer_version(after); };
+        on.on_evidence = [this](const std::vector<membership::leaving_evidence>& items) {
+            for (const auto& it : items)
+                parts.membership.peer_reported(it);
+        };
+        on.on_usage = [this](const std::vector<pool_usage>& items) { parts.admission.add_peer_usage(items); };
+        on.on_handover = [this](const claims::handover& it) { return parts.claims.on_handover(it); };
+        on.on_handover_pull = [this](const peer_identity& from, const std::string& owner) {
+            return parts.claims.on_handover_pull(from, owner);
+        };
+        handlers = std::move(on);
+    }
+
+    std::optional<config::peer_version> newer_version(std::int64_t after) const
+    {
+        const auto version = parts.in_force.load();
+        if (!version || version->number <= after)
+            return std::nullopt;
+        return config::to_peer_version(*version);
+    }
+
+    void start()
+    {
+        parts.peers.start(std::move(handlers));
+        membership_controller::callbacks calls;
+        calls.on_members = [this](const std::shared_ptr<const membership::snapshot>& it) {
+            members_changed(it);
+        };
+        calls.on_leaving = [this](const membership::leaving_evidence& it) { spread_evidence({it}); };
+        calls.on_timer_gap = [this] { parts.claims.noticed_pause(); };
+        parts.membership.start(std::move(calls));
+        parts.claims.start(parts.configuration);
+        parts.configuration.start(
+            [this](const std::shared_ptr<const config::version>& it) { config_changed(*it); });
+        parts.admission.start();
+        spawn(exchange_usage());
+        spawn(repeat_evidence());
+        signals.async_wait([this](const boost::system::error_code& ec, int) { on_signal(ec); });
+    }
+
+    template <typename Awaitable>
+    void spawn(Awaitable it)
+    {
+        boost::asio::co_spawn(parts.io, std::move(it), boost::asio::detached);
+    }
+
+    void members_changed(const std::shared_ptr<const membership::snapshot>& it)
+    {
+        parts.peers.set_members(it);
+        parts.configuration.set_members(it);
+        parts.claims.set_members(it);
+        if (const auto version = parts.in_force.load())
+            parts.table.configure(version->document.limits(), std::max<std::size_t>(1, it->entries.size()));
+    }
+
+    void config_changed(const config::version& it)
+    {
+        const auto members = parts.members.load();
+        parts.table.configure(it.document.limits(), std::max<std::size_t>(1, members->entries.size()));
+        parts.membership.configure(it.document.limits());
+        parts.admission.configure(it.document);
+        parts.claims.configure(it);
+        parts.claims.set_members(members);
+        log::info("config_in_force", {{"number", fmt::to_string(it.number)}, {"digest", it.digest()}});
+    }
+
+    /// Up to gossip_fanout other instances, a different group in each round.
+    std::vector<std::string> gossip_targets()
+    {
+        std::vector<std::string> names;
+        const auto members = parts.members.load();
+        for (const auto& it : members->entries)
+            if (it.name != parts.settings.name)
+                names.push_back(it.name);
+        if (names.size() <= gossip_fanout)
+            return names;
+        std::vector<std::string> out;
+        for (std::size_t n = 0; n < gossip_fanout; ++n)
+            out.push_back(names[(gossip_round * gossip_fanout + n) % names.size()]);
+        ++gossip_round;
+        return out;
+    }
+
+    void spread_evidence(const std::vector<membership::leaving_evidence>& items)
+    {
+        if (items.empty())
+            return;
+        for (auto& to : gossip_targets())
+            spawn(send_evidence(std::move(to), items));
+    }
+
+    awaitable<void> send_evidence(std::string to, std::vector<membership::leaving_evidence> items)
+    {
+        co_await parts.peers.send_evidence(std::move(to), std::move(items),
+                                           boot_clock::now() + message_timeout);
+    }
+
+    awaitable<void> send_usage(std::string to, std::vector<pool_usage> items)
+    {
+        co_await parts.peers.send_usage(std::move(to), std::move(items), boot_clock::now() + message_timeout);
+    }
+
+    awaitable<void> repeat_evidence()
+    {
+        while (!stopped) {
+            co_await sleep_for(evidence_interval);
+            spread_evidence(parts.membership.recent_evidence());
+        }
+    }
+
+    awaitable<void> exchange_usage()
+    {
+        while (!stopped) {
+            co_await sleep_for(usage_interval);
+            const auto usage = parts.admission.take_usage();
+            if (usage.empty())
+                continue;
+            for (auto& to : gossip_targets())
+                spawn(send_usage(std::move(to), usage));
+        }
+    }
+
+    void on_signal(const boost::system::error_code& ec)
+    {
+        if (ec)
+            return;
+        bool first = false;
+        {
+            const std::lock_guard lock(parts.stop_mutex);
+            first = parts.stop.state() == lifecycle::stop_state::running;
+            parts.stop.signal(boot_clock::now());
+        }
+        if (first)
+            spawn(stop_loop());
+        signals.async_wait([this](const boost::system::error_code& next, int) { on_signal(next); });
+    }
+
+    awaitable<void> stop_loop()
+    {
+        while (!stopped) {
+            std::vector<lifecycle::stop_action> actions;
+            {
+                const std::lock_guard lock(parts.stop_mutex);
+                actions = parts.stop.step(boot_clock::now(), parts.in_flight, handed_over);
+            }
+            for (const auto it : actions) {
+                log::info("stop", {{"action", std::string(lifecycle::to_string(it))},
+                                   {"in_flight", fmt::to_string(parts.in_flight.load())}});
+                co_await carry_out(it);
+            }
+            co_await sleep_for(stop_step_interval);
+        }
+    }
+
+    awaitable<void> carry_out(lifecycle::stop_action it)
+    {
+        using lifecycle::stop_action;
+        if (it == stop_action::cut_requests) {
+            const std::lock_guard lock(parts.stop_mutex);
+            log::warning("requests_cut", {{"count", fmt::to_string(parts.stop.cut())},
+                                          {"reason", std::string(parts.stop.cut_reason())}});
+        }
+        if (it == stop_action::seal_and_send) {
+            co_await parts.claims.hand_over();
+            handed_over = true;
+        }
+        if (it == stop_action::close) {
+            caller->stop_accepting();
+            co_await sleep_for(close_grace);
+            stopped = true;
+            parts.io.stop();
+        }
+    }
+
+    exit_reason run()
+    {
+        start();
+        log::info("started", {{"instance", parts.settings.name},
+                              {"failure_domain", parts.settings.failure_domain},
+                              {"incarnation", fmt::to_string(parts.incarnation)},
+                              {"caller_port", fmt::to_string(caller->port())},
+                              {"admin_port", fmt::to_string(admin->port())}});
+        std::vector<std::thread> threads;
+        for (std::int64_t n = 1; n < parts.settings.threads; ++n)
+            threads.emplace_back([this] { parts.io.run(); });
+        parts.io.run();
+        for (auto& it : threads)
+            it.join();
+        const std::lock_guard lock(parts.stop_mutex);
+        const bool cut = parts.stop.cut() > 0;
+        log::info("stopped", {{"requests_cut", fmt::to_string(parts.stop.cut())}});
+        return cut ? exit_reason::cut : exit_reason::graceful;
+    }
+
+    components parts;
+    std::vector<std::unique_ptr<request_filter>> filters;
+    peer_handlers handlers;
+    std::unique_ptr<http::server> admin;
+    std::unique_ptr<http::server> caller;
+    boost::asio::signal_set signals;
+    std::atomic<std::uint64_t> last_request{0};
+    std::atomic<std::size_t> gossip_round{0};
+    std::atomic<bool> handed_over{false};
+    std::atomic<bool> stopped{false};
+};
+
+instance::instance(instance_settings settings) : impl_(std::make_unique<impl>(std::move(settings))) {}
+
+instance::~instance() = default;
+
+exit_reason instance::run()
+{
+    return impl_->run();
+}
+
+} // namespace limpetlock::server
--- a/lib/server/notification.hpp
+++ b/lib/server/notification.hpp
@@ -32,6 +32,8 @@
         });
     }
 
+    boost::asio::any_io_executor executor() { return timer_.get_executor(); }
+
     /// True when notified, false when the deadline came first. Called on the strand of construction.
     boost::asio::awaitable<bool> wait(time_point deadline)
     {
@@ -40,7 +42,7 @@
             if (left <= duration{0})
                 co_return false;
             timer_.expires_after(left);
-            auto [ec] = co_await timer_.async_wait(use_tuple);
+            co_await timer_.async_wait(use_tuple);
         }
         co_return true;
     }
@@ -55,7 +57,7 @@
 {
     boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
     timer.expires_after(std::max(it, duration{0}));
-    auto [ec] = co_await timer.async_wait(use_tuple);
+    co_await timer.async_wait(use_tuple);
 }
 
 } // namespace limpetlock::server
--- /dev/null
+++ b/lib/server/pipeline_handler.cpp
@@ -0,0 +1,230 @@
+#include "pipeline_handler.hpp"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace limpetlock::server {
+
+using boost::asio::awaitable;
+using nlohmann::json;
+
+namespace {
+
+/// Bound of an answer that is collected instead of streamed.
+constexpr std::size_t max_collected_bytes = std::size_t{4} * 1024 * 1024;
+
+std::string dump(const json& it)
+{
+    return it.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string event(std::string_view name, std::string_view data)
+{
+    return fmt::format("event: {}\ndata: {}\n\n", name, data);
+}
+
+// The JSON texts are made outside the coroutines: GCC 12 can't compile initializer lists that stand in a
+// co_await expression.
+
+std::string token_data(std::int64_t position, const std::string& text)
+{
+    return dump({{"index", position}, {"text", text}});
+}
+
+std::string done_data(const request_context& it)
+{
+    return dump({{"request_id", it.request_id}, {"tokens", it.tokens}});
+}
+
+http::response whole_answer(const request_context& it, const std::string& value)
+{
+    return http::json_response(
+        200, dump({{"request_id", it.request_id}, {"answer", value}, {"tokens", it.tokens}}));
+}
+
+http::header_list stream_headers()
+{
+    return {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-store"}};
+}
+
+/// Writes tokens to the caller. The answer starts with the first token, so that an error before it has its
+/// own status.
+class answer_stream {
+public:
+    explicit answer_stream(request_context& it) : it_(it) {}
+
+    awaitable<bool> token(std::int64_t position, const std::string& text)
+    {
+        if (!it_.first_token)
+            it_.first_token = boot_clock::now() - it_.arrival;
+        ++it_.tokens;
+        if (!co_await begin())
+            co_return false;
+        co_return co_await it_.io.write(event("token", token_data(position, text)));
+    }
+
+    awaitable<void> done()
+    {
+        if (!co_await begin())
+            co_return;
+        if (co_await it_.io.write(event("done", done_data(it_))))
+            co_await it_.io.finish();
+    }
+
+    awaitable<void> failed(request_error error)
+    {
+        it_.refused = error.code;
+        if (co_await it_.io.write(event("error", to_json(error, it_.request_id))))
+            co_await it_.io.finish();
+    }
+
+    bool begun() const { return begun_; }
+
+private:
+    awaitable<bool> begin()
+    {
+        if (begun_)
+            co_return true;
+        begun_ = true;
+        co_return co_await it_.io.begin_stream(200, stream_headers());
+    }
+
+    request_context& it_;
+    bool begun_{false};
+};
+
+class pipeline_handler : public request_filter {
+public:
+    pipeline_handler(admission_controller& admission, stage_runner& runner)
+        : admission_(admission), runner_(runner)
+    {
+    }
+
+    awaitable<bool> apply(request_context& it) override
+    {
+        if (it.pipeline == nullptr)
+            co_return true;
+        using namespace boost::asio::experimental::awaitable_operators;
+        co_await (serve(it) || it.io.closed());
+        co_return false;
+    }
+
+private:
+    awaitable<void> serve(request_context& it)
+    {
+        const auto profile = admission_.profile(it.name);
+        request_error error{errc::not_run, "the configuration is changing", execution::no};
+        std::optional<admission_permit> permit;
+        if (profile && profile->stages->size() == it.pipeline->stages.size())
+            permit = co_await admission_.admit(profile, it.team, static_cast<admission::rank>(it.priority),
+                                               it.deadline, error);
+        if (!permit) {
+            co_await refuse(it, std::move(error));
+            co_return;
+        }
+        co_await run_stages(it, *profile, *permit);
+    }
+
+    awaitable<void> run_stages(request_context& it, const work_profile& profile, admission_permit& permit)
+    {
+        answer_stream answer(it);
+        std::string value = it.input;
+        bool ran = false;
+        for (std::size_t n = 0; n < it.pipeline->stages.size(); ++n) {
+            const auto& stage = it.pipeline->stages[n];
+            const bool last = n + 1 == it.pipeline->stages.size();
+            const auto work = work_of(it, stage, (*profile.stages)[n], std::move(value));
+            request_error error;
+            const time_point started = boot_clock::now();
+            auto output = co_await run_stage(it, stage, work, last && it.stream ? &answer : nullptr, error);
+            const auto took = static_cast<double>((boot_clock::now() - started).count());
+            permit.add_cost(took);
+            if (!output) {
+                error.ran = ran ? execution::unknown : error.ran;
+                co_await fail(it, answer, std::move(error));
+                co_return;
+            }
+            admission_.record_stage((*profile.stages)[n], took);
+            ran = true;
+            value = std::move(*output);
+        }
+        co_await complete(it, answer, value);
+    }
+
+    stage_work work_of(const request_context& it, const config::stage& stage, admission::stage_id id,
+                       std::string input) const
+    {
+        stage_work out;
+        out.label = fmt::format("{}/{}", it.name, stage.name);
+        out.call_base = fmt::format("{}-{}", it.request_id, stage.name);
+        out.pool = stage.pool;
+        out.stage = stage.name;
+        out.model = stage.model;
+        out.input = std::move(input);
+        out.max_tokens = it.max_tokens;
+        out.priority = static_cast<int>(it.priority);
+        out.expected_ms = admission_.expected_ms(id);
+        out.timeout = stage.timeout;
+        out.deadline = it.deadline;
+        return out;
+    }
+
+    /// Output of a stage: for a generation the collected text, or nothing more when it was streamed to the
+    /// caller.
+    awaitable<std::optional<std::string>> run_stage(request_context& it, const config::stage& stage,
+                                                    const stage_work& work, answer_stream* stream,
+                                                    request_error& error)
+    {
+        if (stage.model.empty())
+            co_return co_await runner_.run_stage(work, error);
+        std::string text;
+        const token_sink sink = [&](std::int64_t position, const std::string& token) -> awaitable<bool> {
+            if (stream != nullptr)
+                co_return co_await stream->token(position, token);
+            ++it.tokens;
+            text += token;
+            co_return text.size() <= max_collected_bytes;
+        };
+        if (!co_await runner_.generate(work, sink, error))
+            co_return std::nullopt;
+        co_return text;
+    }
+
+    static awaitable<void> complete(request_context& it, answer_stream& answer, const std::string& value)
+    {
+        if (it.stream && answer.begun()) {
+            co_await answer.done();
+            co_return;
+        }
+        if (it.stream) {
+            // A pipeline without a streamed last stage answers a streaming caller with one token.
+            if (co_await answer.token(0, value))
+                co_await answer.done();
+            co_return;
+        }
+        co_await it.io.respond(whole_answer(it, value));
+    }
+
+    static awaitable<void> fail(request_context& it, answer_stream& answer, request_error error)
+    {
+        if (answer.begun())
+            co_await answer.failed(std::move(error));
+        else
+            co_await refuse(it, std::move(error));
+    }
+
+    admission_controller& admission_;
+    stage_runner& runner_;
+};
+
+} // namespace
+
+std::unique_ptr<request_filter> make_pipeline_handler(admission_controller& admission, stage_runner& runner)
+{
+    return std::make_unique<pipeline_handler>(admission, runner);
+}
+
+} // namespace limpetlock::server
--- /dev/null
+++ b/lib/server/request_context.cpp
@@ -0,0 +1,25 @@
+#include "request_context.hpp"
+
+#include <utility>
+
+namespace limpetlock::server {
+
+boost::asio::awaitable<void> refuse(request_context& it, request_error error)
+{
+    it.refused = error.code;
+    co_await it.io.respond(to_response(error, it.request_id));
+}
+
+request_error speaking_for_booking(request_error error, bool keyed, bool first_attempt)
+{
+    if (!keyed || first_attempt)
+        return error;
+    error.ran = execution::unknown;
+    if (error.code == errc::not_run) {
+        error.code = errc::outcome_unknown;
+        error.reason += "; an earlier attempt with this key may have run";
+    }
+    return error;
+}
+
+} // namespace limpetlock::server
