--- /dev/null
+++ b/tools/limpetlock/main.cpp
@@ -0,0 +1,77 @@
+/// \file
+/// Entry point of the limpetlock binary: picks the subcommand and reports its exit code.
+#include "commands.hpp"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <array>
+#include <cstdio>
+#include <string_view>
+
+namespace {
+
+using limpetlock::tool::exit_code;
+
+struct subcommand {
+    std::string_view name;
+    std::string_view summary;
+    exit_code (*run)();
+};
+
+constexpr std::array subcommands{
+    subcommand{"serve", "run an instance", limpetlock::tool::serve},
+    subcommand{"check", "check a settings file and a configuration document without starting", limpetlock::tool::check},
+    subcommand{"state", "print the state dump of a running instance", limpetlock::tool::state},
+    subcommand{"example", "print an annotated settings file", limpetlock::tool::example},
+    subcommand{"version", "print the version", limpetlock::tool::version},
+};
+
+std::string usage_text()
+{
+    std::string out = "usage: limpetlock SUBCOMMAND [--flag=value ...]\n\nSubcommands:\n";
+    for (const auto& it : subcommands)
+        out += fmt::format("  {:<8} {}\n", it.name, it.summary);
+    out += "\nFlags:\n"
+           "  --settings=FILE  settings of the instance (serve, check)\n"
+           "  --config=FILE    configuration document to check (check)\n"
+           "  --admin=IP:PORT  admin listener of a running instance (state)\n"
+           "\nExit codes: 0 success, 1 failure, 2 wrong usage, 3 invalid settings or configuration, 4 stopped after\n"
+           "requests had to be cut.\n";
+    return out;
+}
+
+int print_usage(std::FILE* to, exit_code result)
+{
+    fmt::print(to, "{}", usage_text());
+    return static_cast<int>(result);
+}
+
+bool is_help(std::string_view text) { return text == "--help" || text == "-h" || text == "help"; }
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    if (argc < 2)
+        return print_usage(stderr, exit_code::wrong_usage);
+    const std::string_view name = argv[1];
+    if (is_help(name) || (argc > 2 && is_help(argv[2])))
+        return print_usage(stdout, exit_code::success);
+    if (name == "--version")
+        return static_cast<int>(limpetlock::tool::version());
+    for (const auto& it : subcommands) {
+        if (it.name != name)
+            continue;
+        int count = argc - 1;
+        char** rest = argv + 1;
+        gflags::ParseCommandLineNonHelpFlags(&count, &rest, true);
+        if (count > 1) {
+            fmt::print(stderr, "limpetlock: unexpected argument '{}'\n", rest[1]);
+            return print_usage(stderr, exit_code::wrong_usage);
+        }
+        return static_cast<int>(it.run());
+    }
+    fmt::print(stderr, "limpetlock: unknown subcommand '{}'\n", name);
+    return print_usage(stderr, exit_code::wrong_usage);
+}
