Add HTTP server and client over Asio and Beast

The http library had interfaces only. The server runs one coroutine per connection on a strand, with bounds on header, body and time, keep-alive, chunked streams and JSON errors. The client keeps a pool per address, checks an idle connection before use, and reads server-sent events. Beast parses; Asio moves the bytes.

g++ 12 drops the body of a coroutine that awaits inside an if, loop or try when the outermost block declares no local variable, so every coroutine here declares one.

--- a/include/limpetlock/http/client.hpp
+++ b/include/limpetlock/http/client.hpp
@@ -22,7 +22,7 @@
     std::string host; ///< IP number
     std::uint16_t port{0};
 
-    friend auto operator<=>(const address&, const address&) = default;
+    friend auto operator<=>(const address&, const address&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 enum class errc { none, refused, closed, timeout, malformed, too_large, cancelled };
@@ -39,7 +39,7 @@
 enum class reuse { pooled, fresh };
 
 struct client_limits {
-    std::size_t body_bytes{4 * 1024 * 1024};
+    std::size_t body_bytes{std::size_t{4} * 1024 * 1024};
     std::size_t idle_per_address{16};
     duration idle_timeout{10'000};
     duration connect_timeout{500};
@@ -59,6 +59,9 @@
     virtual boost::asio::awaitable<std::optional<std::string>> next(time_point deadline) = 0;
     virtual const call_error& error() const = 0;
 
+    /// The "event" line of the event that next() returned last; empty when it had none.
+    virtual const std::string& event_name() const = 0;
+
     /// For a status other than 200: the rest of the body (bounded).
     virtual boost::asio::awaitable<std::string> body(time_point deadline) = 0;
 };
--- a/include/limpetlock/http/server.hpp
+++ b/include/limpetlock/http/server.hpp
@@ -48,8 +48,8 @@
 /// Bounds of one listener. A request beyond a bound gets 413, 431 or 408 with a JSON error body and its
 /// connection is closed; a malformed one gets 400.
 struct server_limits {
-    std::size_t header_bytes{16 * 1024};
-    std::size_t body_bytes{1024 * 1024};
+    std::size_t header_bytes{std::size_t{16} * 1024};
+    std::size_t body_bytes{std::size_t{1024} * 1024};
     std::size_t connections{4096};
     duration header_timeout{5'000};
     duration body_timeout{10'000};
--- /dev/null
+++ b/lib/http/client.cpp
@@ -0,0 +1,500 @@
+#include "message_text.hpp"
+#include "pool.hpp"
+
+#include <limpetlock/http/client.hpp>
+#include <limpetlock/http/event_parser.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <algorithm>
+#include <array>
+#include <stdexcept>
+#include <utility>
+
+namespace limpetlock::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr auto quiet = asio::as_tuple(asio::use_awaitable);
+
+constexpr std::uint32_t max_header_bytes = 32 * 1024;
+constexpr std::size_t buffer_bytes = max_header_bytes + 4 * 1024;
+
+/// First read of an answer, and reads while a body arrives.
+constexpr std::size_t read_bytes = std::size_t{4} * 1024;
+constexpr std::size_t body_read_bytes = std::size_t{32} * 1024;
+
+/// Interim answers (1xx) that one exchange accepts before its final answer.
+constexpr int max_interim_answers = 8;
+
+errc code_of(const error_code& ec)
+{
+    if (ec == asio::error::operation_aborted)
+        return errc::cancelled;
+    if (ec == asio::error::timed_out)
+        return errc::timeout;
+    return errc::closed;
+}
+
+// g++ 12 drops the body of a coroutine that awaits inside an if, loop or try and has no local variable in its
+// outermost block. Every coroutine of this library therefore declares one there.
+
+/// One request on one connection, and its answer. A connection leaves an exchange only through release(),
+/// after an answer that was read to its end; otherwise the exchange closes it.
+class client_exchange {
+public:
+    client_exchange(std::shared_ptr<connection_pool> pool, connection_ptr link, client_limits limits)
+        : pool_(std::move(pool)), link_(std::move(link)), limits_(limits), buffer_(buffer_bytes)
+    {
+    }
+    client_exchange(const client_exchange&) = delete;
+    client_exchange& operator=(const client_exchange&) = delete;
+    ~client_exchange()
+    {
+        if (link_)
+            link_->close();
+    }
+
+    /// Connects when the connection is new, sends the request and reads the answer's header.
+    asio::awaitable<bool> start(std::string head, std::string body, time_point deadline);
+
+    /// Reads what is there of the body and gives it to the parser.
+    asio::awaitable<bool> read_more(time_point deadline);
+
+    bool done() const { return parser_ && parser_->is_done(); }
+    int status() const { return static_cast<int>(parser_->get().result_int()); }
+    header_list headers() const;
+    std::string& body() { return parser_->get().body(); }
+    bool fail(errc code, std::string reason);
+
+    /// The user takes the body while it arrives and bounds it.
+    void stream_body() { streamed_ = true; }
+
+    /// Records that an operation of this exchange ended with an exception; the destructor closes the
+    /// connection.
+    void abandon(const error_code& ec);
+
+    /// After done(): returns the connection to the pool, or closes it when it can't be used again.
+    void release();
+
+    call_error error;
+    auto executor() const { return link_->socket.get_executor(); }
+
+private:
+    using parser = beast::http::response_parser<beast::http::string_body>;
+
+    asio::awaitable<bool> connect(time_point deadline);
+    asio::awaitable<bool> send(std::string head, std::string body, time_point deadline);
+    asio::awaitable<bool> read_header(time_point deadline);
+    asio::awaitable<bool> fill(time_point deadline);
+    asio::awaitable<bool> advance(time_point deadline);
+    bool parse();
+    bool check_header();
+    bool fail_read(const error_code& ec);
+
+    std::shared_ptr<connection_pool> pool_;
+    connection_ptr link_;
+    client_limits limits_;
+    beast::flat_buffer buffer_;
+    std::optional<parser> parser_;
+    bool head_request_{false};
+    bool streamed_{false};
+    bool reusable_{true};
+    bool need_more_{false};
+};
+
+bool client_exchange::fail(errc code, std::string reason)
+{
+    error.code = code;
+    error.reason = std::move(reason);
+    reusable_ = false;
+    if (link_)
+        link_->close_here();
+    return false;
+}
+
+void client_exchange::abandon(const error_code& ec)
+{
+    if (error.code != errc::none)
+        return;
+    error.code = code_of(ec);
+    error.reason = ec == asio::error::operation_aborted ? "cancelled" : ec.message();
+    if (link_)
+        link_->close();
+}
+
+asio::awaitable<bool> client_exchange::start(std::string head, std::string body, time_point deadline)
+{
+    head_request_ = head.starts_with("HEAD ");
+    bool ok = link_->socket.is_open() || co_await connect(deadline);
+    if (ok)
+        ok = co_await send(std::move(head), std::move(body), deadline);
+    if (ok)
+        ok = co_await read_header(deadline);
+    co_return ok;
+}
+
+asio::awaitable<bool> client_exchange::connect(time_point deadline)
+{
+    error_code ec;
+    const auto ip = asio::ip::make_address(link_->peer.host, ec);
+    if (ec)
+        co_return fail(errc::malformed, "not an IP address: " + link_->peer.host);
+    const auto expiry =
+        std::min(deadline_timer::at(deadline), deadline_timer::after(limits_.connect_timeout));
+    link_->expire_at(expiry);
+    const auto [failed] = co_await link_->socket.async_connect(tcp::endpoint(ip, link_->peer.port), quiet);
+    if (link_->timer.expired() || failed == asio::error::timed_out)
+        co_return fail(errc::timeout, "connection not established in time");
+    if (failed == asio::error::operation_aborted)
+        co_return fail(errc::cancelled, "cancelled while connecting");
+    if (failed)
+        co_return fail(errc::refused, "can't connect: " + failed.message());
+    link_->timer.clear();
+    link_->socket.set_option(tcp::no_delay(true), ec);
+    co_return true;
+}
+
+asio::awaitable<bool> client_exchange::send(std::string head, std::string body, time_point deadline)
+{
+    link_->expire_at(deadline_timer::at(deadline));
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(head), asio::buffer(body)};
+    // Set before the operation starts, because an exception between the steps must not lose the fact.
+    error.sent = true;
+    const auto [ec, n] = co_await asio::async_write(link_->socket, buffers, quiet);
+    error.sent = n > 0;
+    if (link_->timer.expired())
+        co_return fail(errc::timeout, "request not sent in time");
+    if (ec == asio::error::operation_aborted)
+        co_return fail(errc::cancelled, "cancelled while sending");
+    if (!ec)
+        co_return true;
+    // The endpoint may have answered before it closed, for example to refuse a large body.
+    reusable_ = false;
+    if (n == 0)
+        co_return fail(errc::closed, "request not sent: " + ec.message());
+    co_return true;
+}
+
+asio::awaitable<bool> client_exchange::read_header(time_point deadline)
+{
+    bool ok = true;
+    for (int n = 0; n <= max_interim_answers; ++n) {
+        parser_.emplace();
+        parser_->header_limit(max_header_bytes);
+        if (streamed_)
+            parser_->body_limit(boost::none);
+        else
+            parser_->body_limit(limits_.body_bytes);
+        parser_->skip(head_request_);
+        while (ok && !parser_->is_header_done())
+            ok = co_await advance(deadline);
+        if (!ok)
+            co_return false;
+        if (status() >= 200)
+            co_return check_header();
+        if (status() == 101)
+            break;
+    }
+    co_return fail(errc::malformed, "no final answer");
+}
+
+/// An answer that ends with its connection can't be told from a cut one, so it is an error.
+bool client_exchange::check_header()
+{
+    if (parser_->need_eof() && !parser_->is_done())
+        return fail(errc::malformed, "answer has neither length nor chunks");
+    if (!parser_->keep_alive())
+        reusable_ = false;
+    return true;
+}
+
+asio::awaitable<bool> client_exchange::read_more(time_point deadline)
+{
+    co_return co_await advance(deadline);
+}
+
+asio::awaitable<bool> client_exchange::advance(time_point deadline)
+{
+    bool ok = true;
+    if (need_more_ || buffer_.size() == 0)
+        ok = co_await fill(deadline);
+    co_return ok&& parse();
+}
+
+bool client_exchange::parse()
+{
+    error_code ec;
+    buffer_.consume(parser_->put(buffer_.data(), ec));
+    need_more_ = ec == beast::http::error::need_more;
+    if (!ec)
+        return true;
+    if (need_more_ && buffer_.size() < buffer_.max_size())
+        return true;
+    if (ec == beast::http::error::body_limit)
+        return fail(errc::too_large, "body over " + std::to_string(limits_.body_bytes) + " bytes");
+    if (need_more_ || ec == beast::http::error::header_limit)
+        return fail(errc::too_large, "header over " + std::to_string(max_header_bytes) + " bytes");
+    return fail(errc::malformed, "malformed answer: " + ec.message());
+}
+
+asio::awaitable<bool> client_exchange::fill(time_point deadline)
+{
+    link_->expire_at(deadline_timer::at(deadline));
+    const auto room = buffer_.max_size() - buffer_.size();
+    const auto wanted = streamed_ || !parser_->is_header_done() ? read_bytes : body_read_bytes;
+    const auto size = std::min(room, std::max(wanted, buffer_.capacity() - buffer_.size()));
+    const auto [ec, n] = co_await link_->socket.async_read_some(buffer_.prepare(size), quiet);
+    buffer_.commit(n);
+    if (link_->timer.expired())
+        co_return fail(errc::timeout, "answer not received in time");
+    if (ec)
+        co_return fail_read(ec);
+    co_return true;
+}
+
+bool client_exchange::fail_read(const error_code& ec)
+{
+    if (ec != asio::error::eof)
+        return fail(code_of(ec), "answer not received: " + ec.message());
+    const bool begun = parser_->got_some() || buffer_.size() > 0;
+    return fail(errc::closed, begun ? "answer cut before its end" : "connection closed before the answer");
+}
+
+header_list client_exchange::headers() const
+{
+    header_list result;
+    for (const auto& it : parser_->get())
+        result.push_back({it.name_string(), it.value()});
+    return result;
+}
+
+void client_exchange::release()
+{
+    auto link = std::exchange(link_, nullptr);
+    if (reusable_ && buffer_.size() == 0 && !link->timer.expired())
+        pool_->give_back(std::move(link));
+    else
+        link->close();
+}
+
+using exchange_ptr = std::shared_ptr<client_exchange>;
+
+asio::awaitable<std::optional<response>> whole_answer(exchange_ptr it, std::string head, std::string body,
+                                                      time_point deadline)
+{
+    bool ok = co_await it->start(std::move(head), std::move(body), deadline);
+    while (ok && !it->done())
+        ok = co_await it->read_more(deadline);
+    if (!ok)
+        co_return std::nullopt;
+    response result{it->status(), it->headers(), std::move(it->body())};
+    it->release();
+    co_return result;
+}
+
+class stream_impl final : public event_stream {
+public:
+    stream_impl(exchange_ptr source, std::size_t max_bytes)
+        : exchange_(std::move(source)), strand_(exchange_->executor()), status_(exchange_->status()),
+          headers_(exchange_->headers()), events_(max_bytes), max_bytes_(max_bytes)
+    {
+    }
+
+    int status() const override { return status_; }
+    const header_list& headers() const override { return headers_; }
+    const call_error& error() const override { return exchange_->error; }
+    const std::string& event_name() const override { return event_name_; }
+    asio::awaitable<std::optional<std::string>> next(time_point deadline) override;
+    asio::awaitable<std::string> body(time_point deadline) override;
+
+private:
+    static asio::awaitable<void> read_event(stream_impl& self, time_point deadline);
+    static asio::awaitable<void> read_rest(stream_impl& self, time_point deadline);
+    bool failed() const { return exchange_->error.code != errc::none; }
+    bool take_body();
+    std::optional<std::string> pop();
+
+    exchange_ptr exchange_;
+    asio::any_io_executor strand_;
+    int status_;
+    header_list headers_;
+    event_parser events_;
+    std::size_t max_bytes_;
+    std::string event_name_;
+    bool ended_{false};
+};
+
+std::optional<std::string> stream_impl::pop()
+{
+    auto it = events_.next();
+    if (!it)
+        return std::nullopt;
+    event_name_ = std::move(it->name);
+    return std::move(it->data);
+}
+
+/// Gives the connection back as soon as the last byte of the answer was read, even while events still wait.
+bool stream_impl::take_body()
+{
+    if (status_ == 200) {
+        const bool fits = events_.feed(exchange_->body());
+        exchange_->body().clear();
+        if (!fits)
+            return exchange_->fail(errc::too_large, "event over " + std::to_string(max_bytes_) + " bytes");
+    }
+    if (exchange_->body().size() > max_bytes_)
+        return exchange_->fail(errc::too_large, "body over " + std::to_string(max_bytes_) + " bytes");
+    if (exchange_->done()) {
+        ended_ = true;
+        exchange_->release();
+    }
+    return true;
+}
+
+asio::awaitable<void> stream_impl::read_event(stream_impl& self, time_point deadline)
+{
+    if (self.status_ != 200) {
+        self.exchange_->fail(errc::malformed, "answer is not a stream");
+        co_return;
+    }
+    bool ok = true;
+    while (ok && self.take_body() && !self.ended_ && self.events_.empty())
+        ok = co_await self.exchange_->read_more(deadline);
+}
+
+asio::awaitable<void> stream_impl::read_rest(stream_impl& self, time_point deadline)
+{
+    bool ok = true;
+    while (ok && self.take_body() && !self.ended_)
+        ok = co_await self.exchange_->read_more(deadline);
+}
+
+asio::awaitable<std::optional<std::string>> stream_impl::next(time_point deadline)
+{
+    const bool readable = events_.empty() && !ended_ && !failed();
+    if (readable) {
+        try {
+            co_await asio::co_spawn(strand_, read_event(*this, deadline), asio::use_awaitable);
+        } catch (const boost::system::system_error& it) {
+            exchange_->abandon(it.code());
+        }
+    }
+    co_return pop();
+}
+
+asio::awaitable<std::string> stream_impl::body(time_point deadline)
+{
+    const bool readable = !ended_ && !failed();
+    if (readable) {
+        try {
+            co_await asio::co_spawn(strand_, read_rest(*this, deadline), asio::use_awaitable);
+        } catch (const boost::system::system_error& it) {
+            exchange_->abandon(it.code());
+        }
+    }
+    co_return std::move(exchange_->body());
+}
+
+} // namespace
+
+struct client::impl {
+    impl(asio::any_io_executor executor, client_limits bounds)
+        : limits(bounds), pool(std::make_shared<connection_pool>(std::move(executor), bounds))
+    {
+    }
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+    ~impl() { pool->shut(); }
+
+    exchange_ptr begin(const address& to, const request& message, time_point deadline, reuse policy,
+                       std::string& head, call_error& error) const;
+
+    const client_limits limits;
+    const std::shared_ptr<connection_pool> pool;
+};
+
+/// Chooses the connection; nullptr when the call fails before it needs one.
+exchange_ptr client::impl::begin(const address& to, const request& message, time_point deadline, reuse policy,
+                                 std::string& head, call_error& error) const
+{
+    error = {};
+    if (deadline <= boot_clock::now()) {
+        error = {errc::timeout, "deadline passed before the call", false};
+        return nullptr;
+    }
+    try {
+        head = head_of_request(message, to.host + ":" + std::to_string(to.port));
+    } catch (const std::invalid_argument& it) {
+        error = {errc::malformed, it.what(), false};
+        return nullptr;
+    }
+    auto link = policy == reuse::pooled ? pool->take(to) : nullptr;
+    if (!link)
+        link = pool->create(to);
+    return std::make_shared<client_exchange>(pool, std::move(link), limits);
+}
+
+client::client(asio::any_io_executor executor, client_limits limits)
+    : impl_(std::make_shared<impl>(std::move(executor), limits))
+{
+}
+
+client::~client() = default;
+
+asio::awaitable<std::optional<response>> client::call(address to, request message, time_point deadline,
+                                                      reuse policy, call_error& error)
+{
+    const auto self = impl_;
+    std::string head;
+    const auto it = self->begin(to, message, deadline, policy, head, error);
+    if (!it)
+        co_return std::nullopt;
+    std::optional<response> result;
+    try {
+        result = co_await asio::co_spawn(it->executor(),
+                                         whole_answer(it, std::move(head), std::move(message.body), deadline),
+                                         asio::use_awaitable);
+    } catch (const boost::system::system_error& failure) {
+        it->abandon(failure.code());
+    }
+    error = it->error;
+    co_return result;
+}
+
+asio::awaitable<std::unique_ptr<event_stream>> client::open(address to, request message, time_point deadline,
+                                                            reuse policy, call_error& error)
+{
+    const auto self = impl_;
+    std::string head;
+    const auto it = self->begin(to, message, deadline, policy, head, error);
+    if (!it)
+        co_return nullptr;
+    it->stream_body();
+    bool started = false;
+    try {
+        started = co_await asio::co_spawn(it->executor(),
+                                          it->start(std::move(head), std::move(message.body), deadline),
+                                          asio::use_awaitable);
+    } catch (const boost::system::system_error& failure) {
+        it->abandon(failure.code());
+    }
+    error = it->error;
+    if (!started)
+        co_return nullptr;
+    co_return std::make_unique<stream_impl>(it, self->limits.body_bytes);
+}
+
+} // namespace limpetlock::http
--- /dev/null
+++ b/lib/http/connection.cpp
@@ -0,0 +1,516 @@
+#include "connection.hpp"
+
+#include "deadline_timer.hpp"
+#include "message_text.hpp"
+#include "socket_state.hpp"
+
+#include <limpetlock/support/log.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <exception>
+#include <optional>
+#include <utility>
+
+namespace limpetlock::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr auto quiet = asio::as_tuple(asio::use_awaitable);
+
+/// First read of a request; larger messages grow the buffer. Bounds the memory of an idle connection.
+constexpr std::size_t first_read_bytes = 1024;
+
+/// Read size while a body arrives.
+constexpr std::size_t body_read_bytes = std::size_t{16} * 1024;
+
+/// Room for chunk headers beside a header of the largest size.
+constexpr std::size_t buffer_slack_bytes = std::size_t{4} * 1024;
+
+/// After an error answer the rest of the caller's bytes is read and dropped for this long, because closing a
+/// socket with unread bytes resets it and may destroy the answer before the caller reads it.
+constexpr std::chrono::milliseconds linger_time{1'000};
+constexpr std::size_t linger_bytes = std::size_t{4} * 1024 * 1024;
+
+/// How long a connection from the backlog may take for its first byte once the listener stops.
+constexpr duration stopping_idle_timeout{500};
+
+/// While bytes of a pipelined request wait unread, the socket stays readable; its state is polled instead.
+constexpr std::chrono::milliseconds pipelined_poll{50};
+
+constexpr std::string_view continue_text = "HTTP/1.1 100 Continue\r\n\r\n";
+
+// g++ 12 drops the body of a coroutine that awaits inside an if, loop or try and has no local variable in its
+// outermost block. Every coroutine of this library therefore declares one there.
+
+/// A request that the listener refuses without running it.
+struct refusal {
+    int status{0};
+    std::string_view code;
+    std::string reason;
+};
+
+class caller_connection final : public connection,
+                                public exchange,
+                                public std::enable_shared_from_this<caller_connection> {
+public:
+    caller_connection(tcp::socket socket, std::shared_ptr<server_core> core)
+        : socket_(std::move(socket)), timer_(socket_), core_(std::move(core)),
+          buffer_(core_->limits.header_bytes + buffer_slack_bytes)
+    {
+        ++core_->open;
+    }
+
+    caller_connection(const caller_connection&) = delete;
+    caller_connection& operator=(const caller_connection&) = delete;
+    ~caller_connection() override
+    {
+        core_->remove(this);
+        --core_->open;
+    }
+
+    void start() override;
+    void stop() override;
+    void close() override;
+
+    const request& message() const override { return request_; }
+    bool answered() const override { return answered_; }
+    asio::awaitable<bool> respond(response answer) override;
+    asio::awaitable<bool> begin_stream(int status, header_list headers) override;
+    asio::awaitable<bool> write(std::string_view chunk) override;
+    asio::awaitable<bool> finish() override;
+    asio::awaitable<void> closed() override;
+
+private:
+    using parser = beast::http::request_parser<beast::http::string_body>;
+
+    static asio::awaitable<void> run(std::shared_ptr<caller_connection> self);
+    asio::awaitable<bool> read_request();
+    asio::awaitable<bool> wait_for_request();
+    asio::awaitable<bool> read_header();
+    asio::awaitable<bool> read_body();
+    asio::awaitable<bool> advance();
+    asio::awaitable<bool> fill(std::size_t size);
+    asio::awaitable<void> serve();
+    asio::awaitable<void> refuse_request();
+    asio::awaitable<void> linger();
+    template <typename Buffers>
+    asio::awaitable<bool> send(Buffers buffers);
+
+    bool fail(error_code ec);
+    bool refuse_with(int status, std::string_view code, std::string reason);
+    bool check_header();
+    void take_header();
+    void expire_after(duration wait) { timer_.set(deadline_timer::after(wait), shared_from_this()); }
+    bool has_unread_bytes();
+    void close_socket();
+
+    tcp::socket socket_;
+    deadline_timer timer_;
+    std::shared_ptr<server_core> core_;
+    beast::flat_buffer buffer_;
+    std::optional<parser> parser_;
+    std::optional<refusal> refusal_;
+    request request_;
+    unsigned version_{11};
+    bool keep_alive_{false};
+    bool idle_{false};
+    bool answered_{false};  ///< an answer was begun
+    bool complete_{false};  ///< the answer was sent to its end
+    bool streaming_{false}; ///< between begin_stream() and finish()
+    bool chunked_{false};
+    bool broken_{false}; ///< a write failed or the connection was closed
+};
+
+void caller_connection::start()
+{
+    core_->add(shared_from_this());
+    asio::co_spawn(socket_.get_executor(), run(shared_from_this()), asio::detached);
+}
+
+void caller_connection::stop()
+{
+    asio::dispatch(socket_.get_executor(), [self = shared_from_this()] {
+        if (self->idle_ && look_at_peer(self->socket_) != peer_state::pending)
+            self->close_socket();
+    });
+}
+
+void caller_connection::close()
+{
+    asio::dispatch(socket_.get_executor(), [self = shared_from_this()] { self->close_socket(); });
+}
+
+void caller_connection::close_socket()
+{
+    broken_ = true;
+    timer_.stop();
+    error_code ec;
+    socket_.close(ec);
+}
+
+asio::awaitable<void> caller_connection::run(std::shared_ptr<caller_connection> self)
+{
+    bool next = true;
+    while (next && co_await self->read_request()) {
+        co_await self->serve();
+        next = self->complete_ && self->keep_alive_;
+    }
+    if (self->refusal_)
+        co_await self->refuse_request();
+    if (self->refusal_ || (self->complete_ && self->has_unread_bytes()))
+        co_await self->linger();
+    self->close_socket();
+}
+
+bool caller_connection::has_unread_bytes()
+{
+    return buffer_.size() > 0 || look_at_peer(socket_) == peer_state::pending;
+}
+
+asio::awaitable<bool> caller_connection::read_request()
+{
+    bool ok = co_await wait_for_request();
+    if (ok) {
+        expire_after(core_->limits.header_timeout);
+        ok = co_await read_header();
+    }
+    if (ok) {
+        expire_after(core_->limits.body_timeout);
+        ok = co_await read_body();
+    }
+    timer_.clear();
+    co_return ok;
+}
+
+/// Waits for the first byte of the next request; a connection that ends before it ends in silence.
+asio::awaitable<bool> caller_connection::wait_for_request()
+{
+    parser_.reset();
+    request_ = {};
+    answered_ = complete_ = streaming_ = false;
+    if (buffer_.size() > 0)
+        co_return true;
+    if (buffer_.capacity() > first_read_bytes)
+        buffer_ = beast::flat_buffer(buffer_.max_size());
+    idle_ = true;
+    expire_after(core_->stopping ? stopping_idle_timeout : core_->limits.idle_timeout);
+    const bool some = co_await fill(first_read_bytes);
+    idle_ = false;
+    refusal_.reset();
+    co_return some;
+}
+
+asio::awaitable<bool> caller_connection::read_header()
+{
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(core_->limits.header_bytes));
+    parser_->body_limit(core_->limits.body_bytes);
+    bool ok = true;
+    while (ok && !parser_->is_header_done())
+        ok = co_await advance();
+    if (!ok || !check_header())
+        co_return false;
+    take_header();
+    co_return true;
+}
+
+asio::awaitable<bool> caller_connection::read_body()
+{
+    bool ok = true;
+    if (!parser_->is_done()) {
+        const bool expected = find(request_.headers, "Expect").has_value() && version_ == 11;
+        if (expected && buffer_.size() == 0)
+            ok = co_await send(asio::buffer(continue_text));
+        buffer_.reserve(std::min(buffer_.max_size(), body_read_bytes));
+        expire_after(core_->limits.body_timeout);
+    }
+    while (ok && !parser_->is_done())
+        ok = co_await advance();
+    if (!ok)
+        co_return false;
+    request_.body = std::move(parser_->get().body());
+    parser_.reset();
+    co_return true;
+}
+
+/// Gives the parser what has arrived, and reads more when that is not enough.
+asio::awaitable<bool> caller_connection::advance()
+{
+    error_code ec = beast::http::error::need_more;
+    if (buffer_.size() > 0) {
+        ec = {};
+        buffer_.consume(parser_->put(buffer_.data(), ec));
+    }
+    if (!ec)
+        co_return true;
+    if (ec != beast::http::error::need_more)
+        co_return fail(ec);
+    if (buffer_.size() == buffer_.max_size())
+        co_return fail(beast::http::error::header_limit);
+    co_return co_await fill(first_read_bytes);
+}
+
+asio::awaitable<bool> caller_connection::fill(std::size_t size)
+{
+    if (timer_.expired() || broken_)
+        co_return fail(asio::error::timed_out);
+    const auto room = buffer_.max_size() - buffer_.size();
+    const auto n = std::min(room, std::max(size, buffer_.capacity() - buffer_.size()));
+    const auto [ec, count] = co_await socket_.async_read_some(buffer_.prepare(n), quiet);
+    buffer_.commit(count);
+    if (timer_.expired())
+        co_return fail(asio::error::timed_out);
+    if (ec)
+        co_return fail(ec);
+    co_return true;
+}
+
+bool caller_connection::refuse_with(int status, std::string_view code, std::string reason)
+{
+    if (!refusal_)
+        refusal_ = {status, code, std::move(reason)};
+    return false;
+}
+
+bool caller_connection::fail(error_code ec)
+{
+    if (ec == beast::http::error::header_limit)
+        return refuse_with(431, "too_large",
+                           "header over " + std::to_string(core_->limits.header_bytes) + " bytes");
+    if (ec == beast::http::error::body_limit)
+        return refuse_with(413, "too_large",
+                           "body over " + std::to_string(core_->limits.body_bytes) + " bytes");
+    if (ec == asio::error::timed_out && !broken_ && socket_.is_open())
+        return refuse_with(408, "bad_request", "request not received in time");
+    if (ec.category() == beast::http::make_error_code(beast::http::error::bad_method).category())
+        return refuse_with(400, "bad_request", "malformed request: " + ec.message());
+    broken_ = true;
+    return false;
+}
+
+/// Rules of HTTP/1.1 that the parser leaves to its user.
+bool caller_connection::check_header()
+{
+    const auto& it = parser_->get();
+    if (it.version() != 10 && it.version() != 11)
+        return refuse_with(400, "bad_request", "unsupported HTTP version");
+    if (it.version() == 11 && it.count(beast::http::field::host) != 1)
+        return refuse_with(400, "bad_request", "exactly one Host header is required");
+    if (it.count(beast::http::field::transfer_encoding) > 0 && !parser_->chunked())
+        return refuse_with(400, "bad_request", "unsupported transfer coding");
+    return true;
+}
+
+void caller_connection::take_header()
+{
+    const auto& it = parser_->get();
+    request_.method = it.method_string();
+    request_.target = it.target();
+    for (const auto& field : it)
+        request_.headers.push_back({field.name_string(), field.value()});
+    version_ = it.version();
+    keep_alive_ = it.keep_alive();
+}
+
+asio::awaitable<void> caller_connection::serve()
+{
+    ++core_->active;
+    std::string fault;
+    try {
+        co_await core_->handle(*this);
+        if (!answered_)
+            fault = "handler gave no answer";
+    } catch (const std::exception& it) {
+        fault = it.what();
+    } catch (...) {
+        fault = "unknown exception";
+    }
+    --core_->active;
+    if (fault.empty())
+        co_return;
+    log::error("handler_failed", {{"target", request_.target}, {"reason", fault}});
+    if (answered_)
+        co_return;
+    auto answer = json_response(500, error_body("internal", "internal error", "unknown"));
+    co_await respond(std::move(answer));
+}
+
+asio::awaitable<void> caller_connection::refuse_request()
+{
+    broken_ = false;
+    keep_alive_ = false;
+    answered_ = true;
+    const auto body = error_body(refusal_->code, refusal_->reason, "no");
+    const auto answer = json_response(refusal_->status, {});
+    const auto head = head_of_answer(answer.status, answer.headers, {11, false, false, body.size()});
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(head), asio::buffer(body)};
+    timer_.clear();
+    co_await asio::async_write(socket_, buffers, quiet);
+}
+
+asio::awaitable<void> caller_connection::linger()
+{
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    asio::steady_timer stop(socket_.get_executor(), linger_time);
+    stop.async_wait([self = shared_from_this()](error_code ec) {
+        if (!ec)
+            self->close_socket();
+    });
+    std::array<char, 4096> waste;
+    for (std::size_t total = 0; total < linger_bytes;) {
+        const auto [ec, n] = co_await socket_.async_read_some(asio::buffer(waste), quiet);
+        if (ec)
+            break;
+        total += n;
+    }
+    stop.cancel();
+}
+
+template <typename Buffers>
+asio::awaitable<bool> caller_connection::send(Buffers buffers)
+{
+    if (broken_ || timer_.expired())
+        co_return false;
+    expire_after(core_->limits.write_timeout);
+    const auto [ec, n] = co_await asio::async_write(socket_, buffers, quiet);
+    timer_.clear();
+    if (ec || timer_.expired())
+        broken_ = true;
+    co_return !broken_;
+}
+
+asio::awaitable<bool> caller_connection::respond(response answer)
+{
+    if (answered_)
+        co_return false;
+    keep_alive_ = keep_alive_ && !core_->stopping && !wants_close(answer.headers);
+    const auto head =
+        head_of_answer(answer.status, answer.headers, {version_, keep_alive_, false, answer.body.size()});
+    answered_ = true;
+    const bool bodiless = request_.method == "HEAD" || !status_has_body(answer.status);
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(head), bodiless ? asio::const_buffer()
+                                                                                 : asio::buffer(answer.body)};
+    complete_ = co_await send(buffers);
+    co_return complete_;
+}
+
+asio::awaitable<bool> caller_connection::begin_stream(int status, header_list headers)
+{
+    if (answered_)
+        co_return false;
+    chunked_ = version_ == 11;
+    keep_alive_ = keep_alive_ && chunked_ && !core_->stopping && !wants_close(headers);
+    const auto head = head_of_answer(status, headers, {version_, keep_alive_, chunked_, std::nullopt});
+    answered_ = true;
+    streaming_ = true;
+    co_return co_await send(asio::buffer(head));
+}
+
+asio::awaitable<bool> caller_connection::write(std::string_view chunk)
+{
+    const auto size = chunk_header(chunk.size());
+    if (!streaming_)
+        co_return false;
+    if (chunk.empty() || request_.method == "HEAD")
+        co_return !broken_;
+    if (!chunked_)
+        co_return co_await send(asio::buffer(chunk));
+    const std::array<asio::const_buffer, 3> buffers{asio::buffer(size), asio::buffer(chunk),
+                                                    asio::buffer("\r\n", 2)};
+    co_return co_await send(buffers);
+}
+
+asio::awaitable<bool> caller_connection::finish()
+{
+    if (!streaming_)
+        co_return false;
+    streaming_ = false;
+    bool ok = !broken_;
+    if (chunked_ && request_.method != "HEAD")
+        ok = co_await send(asio::buffer("0\r\n\r\n", 5));
+    complete_ = ok;
+    co_return ok;
+}
+
+asio::awaitable<void> caller_connection::closed()
+{
+    auto state = peer_state::quiet;
+    for (;;) {
+        state = broken_ ? peer_state::closed : look_at_peer(socket_);
+        if (state == peer_state::closed)
+            co_return;
+        if (state == peer_state::pending) {
+            asio::steady_timer timer(socket_.get_executor(), pipelined_poll);
+            co_await timer.async_wait(quiet);
+        } else {
+            co_await socket_.async_wait(tcp::socket::wait_read, quiet);
+        }
+        const auto cancelled = co_await asio::this_coro::cancellation_state;
+        if (cancelled.cancelled() != asio::cancellation_type::none)
+            co_return;
+    }
+}
+
+} // namespace
+
+std::shared_ptr<connection> make_connection(tcp::socket socket, std::shared_ptr<server_core> core)
+{
+    return std::make_shared<caller_connection>(std::move(socket), std::move(core));
+}
+
+std::string error_body(std::string_view code, std::string_view reason, std::string_view ran)
+{
+    const nlohmann::json body = {{"error", {{"code", code}, {"reason", reason}, {"ran", ran}}},
+                                 {"request_id", ""}};
+    return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+asio::awaitable<void> refuse(tcp::socket socket)
+{
+    const auto body = error_body("not_run", "too many connections", "no");
+    auto answer = json_response(503, {});
+    answer.headers.push_back({"Retry-After", "1"});
+    const auto head = head_of_answer(answer.status, answer.headers, {11, false, false, body.size()});
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(head), asio::buffer(body)};
+    co_await asio::async_write(socket, buffers, quiet);
+    error_code ignored;
+    socket.shutdown(tcp::socket::shutdown_send, ignored);
+    asio::steady_timer stop(socket.get_executor(), linger_time);
+    stop.async_wait([&socket](error_code ec) {
+        error_code failed;
+        if (!ec)
+            socket.cancel(failed);
+    });
+    std::array<char, 512> waste;
+    for (std::size_t total = 0; total < linger_bytes;) {
+        const auto [ec, n] = co_await socket.async_read_some(asio::buffer(waste), quiet);
+        if (ec)
+            break;
+        total += n;
+    }
+    stop.cancel();
+}
+
+} // namespace limpetlock::http
--- /dev/null
+++ b/lib/http/connection.hpp
@@ -0,0 +1,65 @@
+/// \file
+/// One accepted connection of the server: reads requests, runs the handler and writes answers.
+#pragma once
+
+#include <limpetlock/http/server.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <cstddef>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace limpetlock::http {
+
+/// Functions may be called from any thread.
+class connection {
+public:
+    connection() = default;
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+    virtual ~connection() = default;
+
+    virtual void start() = 0;
+
+    /// Closes the connection if it is idle; otherwise it closes after the answer in progress.
+    virtual void stop() = 0;
+
+    /// Closes the connection at once.
+    virtual void close() = 0;
+};
+
+/// What the listener and its connections share.
+struct server_core {
+    server_core(server_limits bounds, handler function) : limits(bounds), handle(std::move(function)) {}
+
+    void add(const std::shared_ptr<connection>& it);
+    void remove(connection* it);
+    std::vector<std::shared_ptr<connection>> all() const;
+
+    const server_limits limits;
+    const handler handle;
+    std::atomic<std::size_t> active{0};
+    std::atomic<std::size_t> open{0};
+    std::atomic<bool> stopping{false};
+
+private:
+    mutable std::mutex mutex_;
+    std::unordered_map<connection*, std::weak_ptr<connection>> connections_;
+};
+
+/// The socket's executor is the strand of the connection.
+std::shared_ptr<connection> make_connection(boost::asio::ip::tcp::socket socket,
+                                            std::shared_ptr<server_core> core);
+
+/// Answers 503 and closes, for a connection beyond the limit.
+boost::asio::awaitable<void> refuse(boost::asio::ip::tcp::socket socket);
+
+/// Body of an error that the listener itself answers.
+std::string error_body(std::string_view code, std::string_view reason, std::string_view ran);
+
+} // namespace limpetlock::http
--- /dev/null
+++ b/lib/http/pool.hpp
@@ -0,0 +1,78 @@
+/// \file
+/// Connections of the client and the pool of idle ones.
+#pragma once
+
+#include "deadline_timer.hpp"
+
+#include <limpetlock/http/client.hpp>
+#include <limpetlock/support/time.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace limpetlock::http {
+
+/// One connection to an endpoint. Its operations run on its own strand.
+struct endpoint_connection : std::enable_shared_from_this<endpoint_connection> {
+    endpoint_connection(const boost::asio::any_io_executor& executor, address target)
+        : peer(std::move(target)), socket(boost::asio::make_strand(executor)), timer(socket)
+    {
+    }
+
+    void expire_at(deadline_timer::clock::time_point deadline) { timer.set(deadline, shared_from_this()); }
+
+    /// On the strand.
+    void close_here();
+
+    /// From any thread, when no operation is pending.
+    void close();
+
+    const address peer;
+    boost::asio::ip::tcp::socket socket;
+    deadline_timer timer;
+    time_point idle_since{};
+};
+
+using connection_ptr = std::shared_ptr<endpoint_connection>;
+
+/// Safe for use from any thread.
+class connection_pool : public std::enable_shared_from_this<connection_pool> {
+public:
+    connection_pool(boost::asio::any_io_executor executor, client_limits limits);
+
+    /// An idle connection that the endpoint has neither closed nor written to, or nullptr.
+    connection_ptr take(const address& to);
+
+    connection_ptr create(const address& to) const;
+
+    /// Takes back a connection whose last answer was read to its end, or closes it when the pool is full. On
+    /// the connection's strand.
+    void give_back(connection_ptr it);
+
+    /// Closes the idle connections and every connection that is given back later.
+    void shut();
+
+    std::size_t idle() const;
+
+private:
+    void arm_sweep();
+    void sweep();
+
+    const boost::asio::any_io_executor executor_;
+    const client_limits limits_;
+    mutable std::mutex mutex_;
+    std::map<address, std::vector<connection_ptr>> idle_;
+    boost::asio::steady_timer sweep_timer_;
+    bool sweep_pending_{false};
+    bool shut_{false};
+};
+
+} // namespace limpetlock::http
--- /dev/null
+++ b/lib/http/server.cpp
@@ -0,0 +1,192 @@
+#include "connection.hpp"
+
+#include <limpetlock/http/server.hpp>
+#include <limpetlock/support/log.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <chrono>
+#include <stdexcept>
+#include <utility>
+
+namespace limpetlock::http {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto quiet = asio::as_tuple(asio::use_awaitable);
+
+/// Pause after an accept that failed for lack of descriptors or memory, so that the loop doesn't spin.
+constexpr std::chrono::milliseconds accept_pause{50};
+
+/// Connections beyond the limit that may wait for their 503 at the same time; further ones are just closed.
+constexpr std::size_t max_refusals = 64;
+
+bool is_shortage(const boost::system::error_code& ec)
+{
+    return ec == asio::error::no_descriptors || ec == asio::error::no_buffer_space ||
+           ec == asio::error::no_memory || ec == boost::system::errc::too_many_files_open_in_system;
+}
+
+} // namespace
+
+void server_core::add(const std::shared_ptr<connection>& it)
+{
+    const std::lock_guard lock(mutex_);
+    connections_.emplace(it.get(), it);
+}
+
+void server_core::remove(connection* it)
+{
+    const std::lock_guard lock(mutex_);
+    connections_.erase(it);
+}
+
+std::vector<std::shared_ptr<connection>> server_core::all() const
+{
+    std::vector<std::shared_ptr<connection>> result;
+    const std::lock_guard lock(mutex_);
+    for (const auto& [key, it] : connections_)
+        if (auto alive = it.lock())
+            result.push_back(std::move(alive));
+    return result;
+}
+
+struct server::impl : std::enable_shared_from_this<server::impl> {
+    impl(asio::any_io_executor context, server_limits limits, handler handle)
+        : executor(std::move(context)), acceptor(asio::make_strand(executor)),
+          core(std::make_shared<server_core>(limits, std::move(handle)))
+    {
+    }
+
+    void listen(const std::string& address, std::uint16_t number);
+    static asio::awaitable<void> accept_loop(std::shared_ptr<impl> self);
+    void accept_backlog();
+    void admit(tcp::socket socket);
+    void stop();
+
+    asio::any_io_executor executor;
+    tcp::acceptor acceptor;
+    std::shared_ptr<server_core> core;
+    std::shared_ptr<std::atomic<std::size_t>> refusals{std::make_shared<std::atomic<std::size_t>>(0)};
+    std::uint16_t port{0};
+};
+
+void server::impl::listen(const std::string& address, std::uint16_t number)
+{
+    try {
+        const tcp::endpoint endpoint(asio::ip::make_address(address), number);
+        acceptor.open(endpoint.protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        acceptor.bind(endpoint);
+        acceptor.listen();
+        acceptor.non_blocking(true);
+        port = acceptor.local_endpoint().port();
+    } catch (const boost::system::system_error& it) {
+        throw std::runtime_error("can't listen on " + address + " port " + std::to_string(number) + ": " +
+                                 it.code().message());
+    }
+}
+
+void server::impl::admit(tcp::socket socket)
+{
+    boost::system::error_code ec;
+    socket.set_option(tcp::no_delay(true), ec);
+    if (core->open.load() < core->limits.connections) {
+        make_connection(std::move(socket), core)->start();
+        return;
+    }
+    if (refusals->load() >= max_refusals)
+        return;
+    ++*refusals;
+    const auto strand = socket.get_executor();
+    asio::co_spawn(strand, refuse(std::move(socket)),
+                   [count = refusals](const std::exception_ptr&) { --*count; });
+}
+
+asio::awaitable<void> server::impl::accept_loop(std::shared_ptr<impl> self)
+{
+    asio::steady_timer timer(self->acceptor.get_executor());
+    while (!self->core->stopping) {
+        const asio::any_io_executor strand = asio::make_strand(self->executor);
+        auto [ec, socket] = co_await self->acceptor.async_accept(strand, quiet);
+        if (!ec) {
+            self->admit(std::move(socket));
+            continue;
+        }
+        if (!is_shortage(ec))
+            continue;
+        timer.expires_after(accept_pause);
+        co_await timer.async_wait(quiet);
+    }
+    self->accept_backlog();
+    boost::system::error_code ec;
+    self->acceptor.close(ec);
+}
+
+/// Takes the connections that the kernel completed before the listener closes; closing it would reset them.
+void server::impl::accept_backlog()
+{
+    for (;;) {
+        boost::system::error_code ec;
+        const asio::any_io_executor strand = asio::make_strand(executor);
+        auto socket = acceptor.accept(strand, ec);
+        if (ec)
+            return;
+        admit(std::move(socket));
+    }
+}
+
+void server::impl::stop()
+{
+    if (core->stopping.exchange(true))
+        return;
+    asio::dispatch(acceptor.get_executor(), [self = shared_from_this()] {
+        boost::system::error_code ec;
+        self->acceptor.cancel(ec);
+    });
+    for (const auto& it : core->all())
+        it->stop();
+}
+
+server::server(asio::any_io_executor executor, const std::string& address, std::uint16_t port,
+               server_limits limits, handler handle)
+    : impl_(std::make_shared<impl>(std::move(executor), limits, std::move(handle)))
+{
+    impl_->listen(address, port);
+    asio::co_spawn(impl_->acceptor.get_executor(), impl::accept_loop(impl_), asio::detached);
+}
+
+/// Requests still in progress are cut: their sockets close, so that closed() completes and writes fail.
+server::~server()
+{
+    impl_->stop();
+    for (const auto& it : impl_->core->all())
+        it->close();
+}
+
+std::uint16_t server::port() const
+{
+    return impl_->port;
+}
+
+std::size_t server::active() const
+{
+    return impl_->core->active.load();
+}
+
+void server::stop_accepting()
+{
+    impl_->stop();
+}
+
+} // namespace limpetlock::http
--- /dev/null
+++ b/lib/http/socket_state.cpp
@@ -0,0 +1,39 @@
+#include "socket_state.hpp"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace limpetlock::http {
+
+namespace {
+
+/// A FIN behind unread bytes is invisible to recv() but shows in the state of the connection.
+bool fin_behind_bytes(int fd)
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+        return false;
+    return info.tcpi_state != TCP_ESTABLISHED;
+}
+
+} // namespace
+
+peer_state look_at_peer(boost::asio::ip::tcp::socket& socket)
+{
+    if (!socket.is_open())
+        return peer_state::closed;
+    const int fd = socket.native_handle();
+    char byte = 0;
+    const auto n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (n == 0)
+        return peer_state::closed;
+    if (n < 0)
+        return errno == EAGAIN || errno == EINTR ? peer_state::quiet : peer_state::closed;
+    return fin_behind_bytes(fd) ? peer_state::closed : peer_state::pending;
+}
+
+} // namespace limpetlock::http
