Add scenarios, answer checks, deployments and tests of the stand-ins

A checker that lets a wrong answer pass proves nothing, so each fault of the stand-ins is fired once, and the checks are fed swapped, cut and doubled answers, double bookings, lost ones and false refusals. A cut stream was counted as cancelled by its caller; the counts are now apart.

--- /dev/null
+++ b/unittests/standin/checker_test.cpp
@@ -0,0 +1,196 @@
+#include "testkit/checker.hpp"
+#include "testkit/outputs.hpp"
+#include "testkit/report.hpp"
+#include "testkit/strict_json.hpp"
+
+#include <limpetlock/config/document.hpp>
+
+#include <criterion/criterion.h>
+
+#include <filesystem>
+
+using namespace limpetlock;
+using namespace limpetlock::testkit;
+using nlohmann::json;
+
+namespace {
+
+const std::string utils = LIMPETLOCK_UTILS_DIR;
+
+json steppe_ice()
+{
+    return read_json(utils + "/deployments/steppe-ice.json");
+}
+
+std::vector<arrival> small_arrivals()
+{
+    const auto deployment = steppe_ice();
+    const auto from = parse_scenario(read_json(utils + "/scenarios/small.json"), deployment);
+    return make_arrivals(from, deployment, "test", 1);
+}
+
+expected_answer expect(const std::string& input)
+{
+    return expect_pipeline(steppe_ice()["pipelines"]["stock-answer"], input, 8);
+}
+
+/// Feeds the tokens with these indices of the answer to `from` into the check of `own`.
+verdict feed(const expected_answer& own, const expected_answer& from,
+             const std::vector<std::int64_t>& indices)
+{
+    stream_check check(own);
+    for (const auto n : indices)
+        check.token(n, token_text(from.last_prompt, n));
+    return check.done(static_cast<std::int64_t>(indices.size()));
+}
+
+result booking(verdict end, const std::string& ran)
+{
+    for (const auto& it : small_arrivals()) {
+        if (it.what.name != "book")
+            continue;
+        result out;
+        out.request = it;
+        out.end = end;
+        attempt note;
+        note.ran = ran;
+        note.sent_ms = 1000;
+        note.answered_ms = 1100;
+        out.attempts = {note};
+        return out;
+    }
+    return {};
+}
+
+json run_of(const result& it, std::int64_t at_ms)
+{
+    return {{"call", it.request.what.call},
+            {"input", body_digest(service_body(it.request))},
+            {"done", true},
+            {"at_ms", at_ms},
+            {"ms", 10.0},
+            {"tokens", 1}};
+}
+
+account settle_one(const result& it, const std::vector<json>& runs)
+{
+    return settle({it}, steppe_ice(), runs, true, false);
+}
+
+} // namespace
+
+// Guards against a checker that takes any stream for the right one.
+Test(checker, judges_streams)
+{
+    const auto own = expect("mine");
+    const auto other = expect("theirs");
+    cr_assert_eq(own.tokens, 8);
+    cr_assert_eq(feed(own, own, {0, 1, 2, 3, 4, 5, 6, 7}), verdict::whole);
+    cr_assert_eq(feed(own, other, {0, 1, 2, 3, 4, 5, 6, 7}), verdict::wrong, "swapped");
+    cr_assert_eq(feed(own, own, {0, 1, 2, 2, 3, 4, 5, 6, 7}), verdict::doubled, "doubled");
+    cr_assert_eq(feed(own, own, {0, 1, 2, 4, 5, 6, 7}), verdict::shortened, "gap");
+    cr_assert_eq(feed(own, own, {0, 1, 2}), verdict::shortened, "cut but called done");
+    cr_assert_eq(feed(own, own, {0, 1, 2, 3, 4, 5, 6, 7, 8}), verdict::wrong, "longer than asked for");
+    stream_check broken(own);
+    broken.token(0, token_text(own.last_prompt, 0));
+    cr_assert_eq(broken.ended(verdict::cut), verdict::cut);
+    broken.token(0, token_text(own.last_prompt, 0));
+    cr_assert_eq(broken.ended(verdict::cut), verdict::doubled, "a fault before the cut stays");
+}
+
+// Guards against a checker that takes any text for the right one.
+Test(checker, judges_texts)
+{
+    const auto own = expect("mine");
+    cr_assert_eq(check_text(own.text, generation("rerank(retrieve(encode(mine)))", 8)), verdict::whole);
+    cr_assert_eq(check_text(own.text, expect("theirs").text), verdict::wrong);
+    cr_assert_eq(check_text(own.text, own.text.substr(0, 20)), verdict::shortened);
+    cr_assert_eq(check_text(own.text, own.text + own.text), verdict::wrong);
+}
+
+// Guards against a double booking, a lost one or a false "not run" that the accounts do not show.
+Test(checker, settles_bookings)
+{
+    const auto answered = booking(verdict::whole, "");
+    cr_assert(settle_one(answered, {run_of(answered, 1010)}).broken.empty());
+    cr_assert_eq(settle_one(answered, {run_of(answered, 1010), run_of(answered, 1050)}).counts["ran_twice"],
+                 1);
+    cr_assert_eq(settle_one(answered, {}).counts["lost"], 1);
+
+    const auto refused = booking(verdict::refused, "no");
+    cr_assert(settle_one(refused, {}).broken.empty());
+    cr_assert_eq(settle_one(refused, {run_of(refused, 1050)}).counts["false_not_run"], 1);
+    cr_assert_eq(settle_one(refused, {run_of(refused, 1500)}).counts["false_not_run"], 1,
+                 "ran after the answer");
+
+    auto retried = booking(verdict::whole, "no");
+    retried.attempts.push_back({"", 200, "", "", 1200, 1300});
+    cr_assert(settle_one(retried, {run_of(retried, 1250)}).broken.empty(), "the second attempt may run");
+    cr_assert_eq(settle_one(retried, {run_of(retried, 1050)}).counts["false_not_run"], 1);
+
+    const auto unknown = booking(verdict::failed, "unknown");
+    cr_assert(settle_one(unknown, {run_of(unknown, 1050)}).broken.empty());
+}
+
+// Guards against wasted endpoint time that is counted as useful.
+Test(checker, accounts_endpoint_time)
+{
+    const auto good = booking(verdict::whole, "");
+    auto sums = settle_one(good, {run_of(good, 1010), run_of(good, 1020)}).stages["book"];
+    cr_assert_float_eq(sums.useful_s, 0.010, 1e-9);
+    cr_assert_float_eq(sums.repeated_s, 0.010, 1e-9);
+    const auto bad = booking(verdict::failed, "unknown");
+    sums = settle_one(bad, {run_of(bad, 1010)}).stages["book"];
+    cr_assert_float_eq(sums.useful_s, 0, 1e-9);
+    cr_assert_float_eq(sums.abandoned_s, 0.010, 1e-9);
+}
+
+// Guards against quantiles of the wrong end or of part of the values.
+Test(report, quantiles_are_exact)
+{
+    std::vector<double> values;
+    for (int n = 1000; n > 0; --n)
+        values.push_back(n);
+    const auto it = quantiles(values);
+    cr_assert_float_eq(it["p50"].get<double>(), 500, 1.01);
+    cr_assert_float_eq(it["p95"].get<double>(), 950, 1.01);
+    cr_assert_float_eq(it["p99"].get<double>(), 990, 1.01);
+    cr_assert(quantiles({}).is_null());
+}
+
+// Guards against arrivals that a seed or a file does not reproduce.
+Test(scenario, arrivals_are_reproducible)
+{
+    const auto first = small_arrivals();
+    cr_assert_gt(first.size(), 100U);
+    cr_assert_eq(json(first), json(small_arrivals()));
+    cr_assert_eq(json(json(first).get<std::vector<arrival>>()), json(first));
+    const auto deployment = steppe_ice();
+    auto other = parse_scenario(read_json(utils + "/scenarios/small.json"), deployment);
+    ++other.seed;
+    cr_assert_neq(json(make_arrivals(other, deployment, "test", 1)), json(first));
+}
+
+// Guards against a misspelt key or name that silently changes the load.
+Test(scenario, rejects_unknown_names)
+{
+    const auto deployment = steppe_ice();
+    auto text = read_json(utils + "/scenarios/small.json");
+    text["phases"][0]["rates"]["no-such-class"] = 1;
+    cr_assert_throw(parse_scenario(text, deployment), std::invalid_argument);
+    text = read_json(utils + "/scenarios/small.json");
+    text["classes"][0]["straemed"] = 1;
+    cr_assert_throw(parse_scenario(text, deployment), std::invalid_argument);
+}
+
+// Guards against files that the system or the load tool would refuse.
+Test(scenario, files_are_valid)
+{
+    for (const std::string it : {"steppe-ice", "haneul"}) {
+        const auto deployment = read_json(utils + "/deployments/" + it + ".json");
+        error_slot<config::errc> last;
+        cr_assert(config::document::parse(deployment.dump(), last), "%s", last.last().reason.c_str());
+        for (const std::string name : {"-day.json", "-flood.json"})
+            parse_scenario(read_json(utils + "/scenarios/" + it + name), deployment);
+    }
+}
--- /dev/null
+++ b/utils/loadgen/driver.cpp
@@ -0,0 +1,395 @@
+#include "driver.hpp"
+
+#include "testkit/outputs.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace limpetlock::loadgen {
+
+namespace net = boost::asio;
+using nlohmann::json;
+using testkit::attempt;
+using testkit::result;
+using testkit::verdict;
+using steady = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::int64_t control_deadline_ms = 10'000;
+constexpr std::size_t idle_connections = 256;
+
+double ms_since(steady::time_point start)
+{
+    return std::chrono::duration<double, std::milli>(steady::now() - start).count();
+}
+
+std::int64_t now_ms()
+{
+    return to_ms(boot_clock::now());
+}
+
+const char* to_text(http::errc it)
+{
+    switch (it) {
+    case http::errc::none:
+        return "none";
+    case http::errc::refused:
+        return "connection_refused";
+    case http::errc::closed:
+        return "connection_closed";
+    case http::errc::timeout:
+        return "client_timeout";
+    case http::errc::malformed:
+        return "malformed";
+    case http::errc::too_large:
+        return "answer_too_large";
+    case http::errc::cancelled:
+        return "cancelled";
+    }
+    return "unknown_error";
+}
+
+/// Takes code and "ran" from the body of a refusal, as the system or an endpoint writes it.
+void note_refusal(attempt& note, const json& body)
+{
+    note.code = fmt::format("http_{}", note.status);
+    const auto error = body.is_object() ? body.value("error", json()) : json();
+    if (error.is_string())
+        note.code = error;
+    if (!error.is_object())
+        return;
+    note.code = error.value("code", note.code);
+    note.ran = error.value("ran", "");
+}
+
+verdict refusal(const attempt& note)
+{
+    return note.ran == "no" ? verdict::refused : verdict::failed;
+}
+
+/// Codes after which the same key may be sent again.
+bool may_retry(const attempt& note)
+{
+    static const std::set<std::string> final_codes{"bad_request", "unauthorized", "not_found", "key_reused",
+                                                   "too_large"};
+    return note.status != 200 && !final_codes.contains(note.code);
+}
+
+struct stream_event {
+    enum class kind { token, done, error, other } what{kind::other};
+    std::int64_t index{0};
+    std::string text;
+    json error;
+};
+
+/// Reads an event of the system (index and text, or tokens, or error) or of an engine (choices and position).
+stream_event parse_event(const std::string& text)
+{
+    using kind = stream_event::kind;
+    const auto data = json::parse(text, nullptr, false);
+    if (!data.is_object())
+        return {};
+    if (data.contains("error"))
+        return {kind::error, 0, "", data};
+    if (data.contains("choices"))
+        return {
+            kind::token, data.value("position", std::int64_t{-1}), data["choices"][0].value("text", ""), {}};
+    if (data.contains("index"))
+        return {kind::token, data.value("index", std::int64_t{-1}), data.value("text", ""), {}};
+    if (data.contains("tokens"))
+        return {kind::done, data.value("tokens", std::int64_t{-1}), "", {}};
+    return {};
+}
+
+} // namespace
+
+driver::driver(net::io_context& context, target where, json deployment)
+    : context_(context), where_(std::move(where)), deployment_(std::move(deployment)),
+      client_(context.get_executor(), {.idle_per_address = idle_connections}), random_(where_.seed)
+{
+    std::vector<double> weights;
+    for (std::size_t n = 0; n < where_.instances.size(); ++n)
+        weights.push_back(1 / std::pow(static_cast<double>(n + 1), where_.skew));
+    if (!weights.empty())
+        skewed_ = boost::random::discrete_distribution<std::size_t>(weights);
+}
+
+std::size_t driver::pick_instance()
+{
+    return where_.skew > 0 ? skewed_(random_) : turn_++ % where_.instances.size();
+}
+
+http::address driver::pick_endpoint(const std::string& pool)
+{
+    const auto& list = where_.pools.at(pool);
+    return list[boost::random::uniform_int_distribution<std::size_t>(0, list.size() - 1)(random_)];
+}
+
+net::awaitable<void> driver::run(std::vector<result>& results)
+{
+    const auto start = steady::now();
+    net::steady_timer timer(context_);
+    for (auto& it : results) {
+        timer.expires_at(start +
+                         std::chrono::microseconds(static_cast<std::int64_t>(it.request.at_ms * 1000)));
+        co_await timer.async_wait(net::use_awaitable);
+        ++open_;
+        net::co_spawn(context_, one(it), [this](const std::exception_ptr& failed) {
+            --open_;
+            if (failed)
+                std::rethrow_exception(failed);
+        });
+    }
+    while (open_ > 0) {
+        timer.expires_after(std::chrono::milliseconds(10));
+        co_await timer.async_wait(net::use_awaitable);
+    }
+}
+
+net::awaitable<void> driver::one(result& out)
+{
+    const auto start = steady::now();
+    if (!out.request.what.pipeline.empty())
+        co_await (where_.direct ? direct_pipeline(out) : pipeline(out));
+    else
+        co_await service(out);
+    out.latency_ms = ms_since(start);
+    out.attained =
+        out.end == verdict::whole && out.latency_ms <= static_cast<double>(out.request.what.deadline_ms);
+}
+
+http::request driver::to_entry(const testkit::arrival& from, const std::string& path, const json& body) const
+{
+    http::request out;
+    out.method = "POST";
+    out.target = path;
+    const std::string token = deployment_.at("teams").at(from.team).at("token");
+    out.headers.push_back({"Authorization", "Bearer " + token});
+    out.headers.push_back({"Content-Type", "application/json"});
+    out.body = body.dump();
+    return out;
+}
+
+net::awaitable<driver::answer> driver::exchange(http::address to, http::request message, time_point deadline,
+                                                attempt& note)
+{
+    http::call_error error;
+    answer out;
+    note.instance = fmt::format("{}:{}", to.host, to.port);
+    note.sent_ms = now_ms();
+    auto got = co_await client_.call(std::move(to), std::move(message), deadline, http::reuse::pooled, error);
+    note.answered_ms = now_ms();
+    if (!got) {
+        note.code = to_text(error.code);
+        co_return out;
+    }
+    note.status = out.status = got->status;
+    out.body = json::parse(got->body, nullptr, false);
+    if (note.status != 200)
+        note_refusal(note, out.body);
+    co_return out;
+}
+
+net::awaitable<verdict> driver::stream(http::address to, http::request message, time_point deadline,
+                                       result& out, const testkit::expected_answer& expected)
+{
+    const auto start = steady::now();
+    auto& note = out.attempts.emplace_back();
+    note.instance = fmt::format("{}:{}", to.host, to.port);
+    note.sent_ms = now_ms();
+    http::call_error error;
+    auto events =
+        co_await client_.open(std::move(to), std::move(message), deadline, http::reuse::pooled, error);
+    note.answered_ms = now_ms();
+    if (!events) {
+        note.code = to_text(error.code);
+        co_return verdict::failed;
+    }
+    note.status = events->status();
+    if (note.status != 200) {
+        const auto text = co_await events->body(deadline);
+        note_refusal(note, json::parse(text, nullptr, false));
+        co_return refusal(note);
+    }
+    testkit::stream_check check(expected);
+    bool ended = false;
+    auto end = verdict::cut;
+    std::int64_t tokens = 0;
+    double last_ms = 0;
+    for (;;) {
+        const auto text = co_await events->next(deadline);
+        if (!text)
+            break;
+        if (ended) {
+            end = verdict::doubled; // nothing may follow the end
+            break;
+        }
+        const auto event =
+            *text == "[DONE]" ? stream_event{stream_event::kind::done, tokens, "", {}} : parse_event(*text);
+        if (event.what == stream_event::kind::token) {
+            check.token(event.index, event.text);
+            ++tokens;
+            const double at_ms = ms_since(start);
+            if (out.first_token_ms < 0)
+                out.first_token_ms = at_ms;
+            else
+                out.gaps_ms.push_back(at_ms - last_ms);
+            last_ms = at_ms;
+        } else if (event.what == stream_event::kind::done) {
+            ended = true;
+            end = check.done(event.index);
+        } else if (event.what == stream_event::kind::error) {
+            ended = true;
+            note_refusal(note, event.error);
+            end = check.ended(refusal(note));
+        }
+    }
+    note.answered_ms = now_ms();
+    if (events->error().code != http::errc::none && note.code.empty()) {
+        note.code = to_text(events->error().code);
+        const bool late = events->error().code == http::errc::timeout;
+        // A stream that the load tool gave up on is late; one that broke off is cut.
+        end = check.ended(late ? verdict::failed : verdict::cut);
+    } else if (!ended) {
+        note.code = "no_end_event";
+        end = check.ended(verdict::cut);
+    }
+    co_return end;
+}
+
+net::awaitable<void> driver::pipeline(result& out)
+{
+    const auto& what = out.request.what;
+    const auto input = testkit::input_text(out.request);
+    const auto expected =
+        testkit::expect_pipeline(deployment_.at("pipelines").at(what.pipeline), input, what.max_tokens);
+    const auto deadline = boot_clock::now() + duration(what.deadline_ms + where_.grace_ms);
+    const auto to = where_.instances[pick_instance()];
+    json body = {{"input", input},
+                 {"rank", what.rank},
+                 {"deadline_ms", what.deadline_ms},
+                 {"stream", out.request.streamed},
+                 {"max_tokens", what.max_tokens}};
+    auto message = to_entry(out.request, "/v1/pipelines/" + what.pipeline, body);
+    if (out.request.streamed) {
+        out.end = co_await stream(to, std::move(message), deadline, out, expected);
+        co_return;
+    }
+    auto& note = out.attempts.emplace_back();
+    const auto got = co_await exchange(to, std::move(message), deadline, note);
+    if (got.status != 200) {
+        out.end = refusal(note);
+        co_return;
+    }
+    const bool text = got.body.is_object() && got.body.contains("answer") && got.body["answer"].is_string();
+    out.end = text ? testkit::check_text(expected.text, got.body["answer"]) : verdict::wrong;
+}
+
+net::awaitable<void> driver::direct_pipeline(result& out)
+{
+    const auto& what = out.request.what;
+    const auto& stages = deployment_.at("pipelines").at(what.pipeline).at("stages");
+    const auto deadline = boot_clock::now() + duration(what.deadline_ms + where_.grace_ms);
+    auto input = testkit::input_text(out.request);
+    const auto expected =
+        testkit::expect_pipeline(deployment_.at("pipelines").at(what.pipeline), input, what.max_tokens);
+    for (std::size_t n = 0; n < stages.size(); ++n) {
+        const auto& stage = stages[n];
+        const bool engine = stage.contains("model");
+        const bool streamed = engine && n + 1 == stages.size() && out.request.streamed;
+        const auto id = fmt::format("{}-{}", out.request.input_id, n);
+        json body = {
+            {"call_id", id}, {"stage", stage["name"]}, {"input", input}, {"deadline_ms", what.deadline_ms}};
+        if (engine)
+            body = {{"model", stage["model"]}, {"prompt", input}, {"max_tokens", what.max_tokens},
+                    {"stream", streamed},      {"user", id},      {"priority", 1}};
+        http::request message;
+        message.method = "POST";
+        message.target = engine ? "/v1/completions" : "/v1/stage";
+        message.body = body.dump();
+        const auto to = pick_endpoint(stage["pool"]);
+        if (streamed) {
+            out.end = co_await stream(to, std::move(message), deadline, out, expected);
+            co_return;
+        }
+        auto& note = out.attempts.emplace_back();
+        const auto got = co_await exchange(to, std::move(message), deadline, note);
+        if (got.status != 200)
+            co_return;
+        input = engine ? got.body["choices"][0].value("text", "") : got.body.value("output", "");
+    }
+    out.end = testkit::check_text(expected.text, input);
+}
+
+net::awaitable<bool> driver::service_attempt(result& out, std::size_t instance, int number)
+{
+    const auto& what = out.request.what;
+    const auto call_body = testkit::service_body(out.request);
+    const auto deadline = boot_clock::now() + duration(what.deadline_ms + where_.grace_ms);
+    const auto& call = deployment_.at("services").at(what.service);
+    http::address to;
+    http::request message;
+    if (where_.direct) {
+        to = pick_endpoint(call["pool"]);
+        message.method = "POST";
+        message.target = "/v1/call/" + what.call;
+        const json body = {
+            {"call_id", out.request.input_id}, {"key", out.request.input_id}, {"body", call_body}};
+        message.body = body.dump();
+    } else {
+        to = where_.instances[instance];
+        message =
+            to_entry(out.request, fmt::format("/v1/services/{}/{}", what.service, what.call), call_body);
+        if (!call["calls"][what.call]["repeatable"].get<bool>()) {
+            message.headers.push_back({"Idempotency-Key", "booking-" + out.request.input_id});
+            if (number > 1 || out.request.asserted)
+                message.headers.push_back({"Idempotency-Attempt", std::to_string(number)});
+        }
+    }
+    auto& note = out.attempts.emplace_back();
+    const auto got = co_await exchange(to, std::move(message), deadline, note);
+    if (got.status != 200) {
+        out.end = refusal(note);
+        co_return may_retry(note);
+    }
+    const bool own = got.body.is_object() &&
+                     got.body.value("result", json()) == testkit::service_result(what.call, call_body);
+    out.end = own ? verdict::whole : verdict::wrong;
+    co_return false;
+}
+
+net::awaitable<void> driver::service(result& out)
+{
+    auto instance = where_.direct ? 0 : pick_instance();
+    const int attempts = where_.direct ? 1 : out.request.what.attempts;
+    for (int n = 1; n <= attempts; ++n) {
+        const bool again = co_await service_attempt(out, instance, n);
+        if (!again)
+            co_return;
+        if (!where_.direct)
+            instance = (instance + 1) % where_.instances.size();
+    }
+}
+
+net::awaitable<json> driver::get(http::address from, std::string path)
+{
+    http::request message;
+    message.target = std::move(path);
+    attempt note;
+    const auto deadline = boot_clock::now() + duration(control_deadline_ms);
+    auto got = co_await exchange(std::move(from), std::move(message), deadline, note);
+    co_return got.status == 200 ? std::move(got.body) : json(json::value_t::discarded);
+}
+
+} // namespace limpetlock::loadgen
--- a/utils/standin/main.cpp
+++ b/utils/standin/main.cpp
@@ -3,6 +3,7 @@
 
 #include "testkit/endpoint.hpp"
 #include "testkit/platform.hpp"
+#include "testkit/strict_json.hpp"
 
 #include <limpetlock/support/log.hpp>
 
@@ -13,7 +14,6 @@
 
 #include <csignal>
 #include <cstdio>
-#include <fstream>
 #include <sstream>
 #include <stdexcept>
 
@@ -30,16 +30,11 @@
 
 using limpetlock::testkit::endpoint_host;
 using limpetlock::testkit::platform;
+using limpetlock::testkit::pool_settings;
+using limpetlock::testkit::read_json;
+using limpetlock::testkit::strict;
 using nlohmann::json;
 
-json read_json(const std::string& path)
-{
-    std::ifstream in(path);
-    if (!in)
-        throw std::runtime_error("can't read " + path);
-    return json::parse(in);
-}
-
 void say(const std::string& line)
 {
     std::fputs((line + "\n").c_str(), stdout);
@@ -74,7 +69,7 @@
         const auto colon = item.find(':');
         const auto pool = item.substr(0, colon);
         const int count = colon == std::string::npos ? 1 : std::stoi(item.substr(colon + 1));
-        const auto settings = limpetlock::testkit::parse_pool(pools.value(pool, json::object()));
+        const auto settings = strict<pool_settings>(pools.value(pool, json::object()));
         for (int n = 1; n <= count; ++n) {
             const auto& it = host.add(fmt::format("{}{}-{}", FLAGS_name_prefix, pool, n), pool, 0, settings);
             say(fmt::format("endpoint name={} pool={} port={}", it.name(), it.pool(), it.port()));
--- /dev/null
+++ b/utils/testkit/checker.cpp
@@ -0,0 +1,202 @@
+#include "testkit/checker.hpp"
+
+#include "testkit/outputs.hpp"
+
+#include <limpetlock/support/hash.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <unordered_map>
+
+namespace limpetlock::testkit {
+
+using nlohmann::json;
+
+const char* to_text(verdict it)
+{
+    static constexpr std::array names{"whole", "refused", "failed", "cut", "wrong", "doubled", "shortened"};
+    return names[static_cast<std::size_t>(it)];
+}
+
+std::string work_key(const std::string& call, const std::string& input_digest)
+{
+    return call + "/" + input_digest;
+}
+
+expected_answer expect_pipeline(const json& pipeline, const std::string& input, std::int64_t max_tokens)
+{
+    expected_answer out;
+    out.text = input;
+    for (const auto& stage : pipeline.at("stages")) {
+        const std::string name = stage.at("name");
+        const bool engine = stage.contains("model");
+        out.last_prompt = out.text;
+        out.tokens = engine ? generation_length(out.last_prompt, max_tokens) : 0;
+        out.text = engine ? generation(out.last_prompt, max_tokens) : stage_output(name, out.last_prompt);
+        out.work[work_key(engine ? "completion" : name, digest128(out.last_prompt))] =
+            engine ? out.tokens : 1;
+    }
+    return out;
+}
+
+verdict check_text(const std::string& expected, const std::string& got)
+{
+    if (got == expected)
+        return verdict::whole;
+    return expected.starts_with(got) ? verdict::shortened : verdict::wrong;
+}
+
+void stream_check::token(std::int64_t index, const std::string& text)
+{
+    if (fault_ != verdict::whole)
+        return;
+    if (index < next_)
+        fault_ = verdict::doubled;
+    else if (index > next_)
+        fault_ = verdict::shortened;
+    else if (index >= expected_.tokens || text != token_text(expected_.last_prompt, index))
+        fault_ = verdict::wrong;
+    ++next_;
+}
+
+verdict stream_check::done(std::int64_t tokens)
+{
+    if (fault_ == verdict::whole && (next_ != expected_.tokens || tokens != expected_.tokens))
+        fault_ = verdict::shortened;
+    return fault_;
+}
+
+json to_json_line(const result& it)
+{
+    json out = it.request;
+    out["end"] = to_text(it.end);
+    out["attained"] = it.attained;
+    out["latency_ms"] = it.latency_ms;
+    out["first_token_ms"] = it.first_token_ms;
+    out["attempts"] = it.attempts;
+    return out;
+}
+
+namespace {
+
+struct run_times {
+    std::int64_t done{0};
+    std::vector<std::int64_t> starts_ms;
+};
+
+using runs_by_work = std::unordered_map<std::string, run_times>;
+
+runs_by_work count_runs(const std::vector<json>& runs)
+{
+    runs_by_work out;
+    for (const auto& it : runs) {
+        if (!it.at("done").get<bool>())
+            continue;
+        auto& entry = out[work_key(it.at("call"), it.at("input"))];
+        ++entry.done;
+        entry.starts_ms.push_back(it.at("at_ms"));
+    }
+    return out;
+}
+
+/// True when an answer said "not run" although a run had begun before it, or began later without another
+/// attempt.
+bool false_not_run(const result& it, const run_times& ran)
+{
+    for (std::size_t n = 0; n < it.attempts.size(); ++n) {
+        if (it.attempts[n].ran != "no")
+            continue;
+        const bool last = n + 1 == it.attempts.size();
+        const auto until = it.attempts[n].answered_ms;
+        if (std::any_of(ran.starts_ms.begin(), ran.starts_ms.end(),
+                        [&](auto at) { return last || at < until; }))
+            return true;
+    }
+    return false;
+}
+
+void settle_service(const result& it, const json& deployment, const runs_by_work& runs, account& out)
+{
+    const auto& what = it.request.what;
+    const auto& call = deployment.at("services").at(what.service).at("calls").at(what.call);
+    const auto found = runs.find(work_key(what.call, body_digest(service_body(it.request))));
+    const run_times ran = found == runs.end() ? run_times{} : found->second;
+    const auto report = [&](const char* kind, const std::string& text) {
+        ++out.counts[kind];
+        out.broken.push_back(
+            fmt::format("{}: request {} ({}) {}", kind, it.request.input_id, what.name, text));
+    };
+    if (it.end == verdict::whole && ran.done == 0)
+        report("lost", "was answered but never ran");
+    if (call.at("repeatable").get<bool>())
+        return;
+    ++out.counts["bookings"];
+    if (ran.done > 1)
+        report("ran_twice", fmt::format("ran {} times", ran.done));
+    if (false_not_run(it, ran))
+        report("false_not_run", "was answered \"not run\" but ran");
+}
+
+/// Work units that a request needs, by work key.
+std::map<std::string, std::int64_t> needed_work(const result& it, const json& deployment)
+{
+    const auto& what = it.request.what;
+    if (what.pipeline.empty())
+        return {{work_key(what.call, body_digest(service_body(it.request))), 1}};
+    return expect_pipeline(deployment.at("pipelines").at(what.pipeline), input_text(it.request),
+                           what.max_tokens)
+        .work;
+}
+
+void settle_cost(const std::vector<result>& results, const json& deployment, const std::vector<json>& runs,
+                 account& out)
+{
+    struct use {
+        std::int64_t needed{0};
+        std::int64_t done{0};
+    };
+    std::unordered_map<std::string, use> uses;
+    for (const auto& it : results)
+        for (const auto& [key, units] : needed_work(it, deployment))
+            uses[key].needed = it.end == verdict::whole ? units : 0;
+    for (const auto& it : runs)
+        if (const auto at = uses.find(work_key(it.at("call"), it.at("input"))); at != uses.end())
+            at->second.done += std::max<std::int64_t>(1, it.at("tokens").get<std::int64_t>());
+    for (const auto& it : runs) {
+        const std::string call = it.at("call");
+        const auto at = uses.find(work_key(call, it.at("input")));
+        if (at == uses.end())
+            continue; // belongs to another load run
+        const double seconds = it.at("ms").get<double>() / 1000;
+        const auto& [needed, done] = at->second;
+        const double share = std::min(1.0, static_cast<double>(needed) / static_cast<double>(done));
+        auto& cost = out.stages[call];
+        cost.useful_s += seconds * share;
+        (needed > 0 ? cost.repeated_s : cost.abandoned_s) += seconds * (1 - share);
+    }
+}
+
+} // namespace
+
+account settle(const std::vector<result>& results, const json& deployment, const std::vector<json>& runs,
+               bool have_runs, bool strict_cuts)
+{
+    account out;
+    const auto by_work = count_runs(runs);
+    for (const auto& it : results) {
+        ++out.counts[to_text(it.end)];
+        const bool bad = it.end >= verdict::wrong || (strict_cuts && it.end == verdict::cut);
+        if (bad)
+            out.broken.push_back(fmt::format("{}: request {} ({})", to_text(it.end), it.request.input_id,
+                                             it.request.what.name));
+        if (have_runs && it.request.what.pipeline.empty())
+            settle_service(it, deployment, by_work, out);
+    }
+    if (have_runs)
+        settle_cost(results, deployment, runs, out);
+    return out;
+}
+
+} // namespace limpetlock::testkit
--- a/utils/testkit/endpoint.cpp
+++ b/utils/testkit/endpoint.cpp
@@ -296,7 +296,7 @@
         ++counts_["resumed"];
     const bool whole = co_await generate(it, record, body);
     record.done = whole;
-    if (!whole && it.closed())
+    if (!whole && it.cancelled())
         ++counts_["cancelled"];
     store(std::move(record), started);
     leave();
--- a/utils/testkit/endpoint.hpp
+++ b/utils/testkit/endpoint.hpp
@@ -27,8 +27,8 @@
     std::size_t queue{32};      ///< calls beyond this get 503 overloaded
 };
 
-/// Unknown keys throw std::invalid_argument.
-pool_settings parse_pool(const nlohmann::json& settings);
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(pool_settings, service_ms, sigma, token_ms, slope,
+                                                concurrency, queue)
 
 /// Faults of one endpoint. Shares are probabilities per call from 0 to 1; counts of tokens are off below 0.
 struct fault_settings {
@@ -47,6 +47,10 @@
     std::int64_t times{0}; ///< fire so often, then clear all faults; 0 is without end
 };
 
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(fault_settings, slow, down, refuse, fail, die_before,
+                                                die_after, wrong_id, cut_after, stall_after, close_idle,
+                                                leaving, load_lag_ms, times)
+
 /// Applies the keys of a control call; {"clear":true} starts from no fault. Unknown keys throw
 /// std::invalid_argument.
 fault_settings apply_fault(fault_settings now, const nlohmann::json& change);
--- a/utils/testkit/endpoint_host.cpp
+++ b/utils/testkit/endpoint_host.cpp
@@ -1,8 +1,9 @@
 #include "testkit/endpoint.hpp"
+#include "testkit/strict_json.hpp"
 
 #include <fmt/format.h>
 
-#include <set>
+#include <algorithm>
 #include <stdexcept>
 
 namespace limpetlock::testkit {
@@ -11,66 +12,16 @@
 using nlohmann::json;
 
 namespace {
-constexpr std::int64_t page_size = 10'000;
-
-/// Copies the keys that a structure has; any other key is an error.
-struct reader {
-    const json& from;
-    std::set<std::string> known;
-
-    template <typename T>
-    void get(const char* key, T& into)
-    {
-        known.insert(key);
-        if (from.contains(key))
-            from.at(key).get_to(into);
-    }
-
-    void check() const
-    {
-        for (const auto& it : from.items())
-            if (!known.contains(it.key()))
-                throw std::invalid_argument(fmt::format("unknown key \"{}\"", it.key()));
-    }
-};
+constexpr std::int64_t page_size = 5'000;
 } // namespace
 
-pool_settings parse_pool(const json& settings)
-{
-    pool_settings out;
-    reader r{settings, {}};
-    r.get("service_ms", out.service_ms);
-    r.get("sigma", out.sigma);
-    r.get("token_ms", out.token_ms);
-    r.get("slope", out.slope);
-    r.get("concurrency", out.concurrency);
-    r.get("queue", out.queue);
-    r.check();
-    return out;
-}
-
 fault_settings apply_fault(fault_settings now, const json& change)
 {
-    if (!change.is_object())
-        throw std::invalid_argument("a fault is a JSON object");
-    if (change.value("clear", false))
-        now = {};
-    reader r{change, {"clear", "endpoint", "pool", "all"}};
-    r.get("slow", now.slow);
-    r.get("down", now.down);
-    r.get("refuse", now.refuse);
-    r.get("fail", now.fail);
-    r.get("die_before", now.die_before);
-    r.get("die_after", now.die_after);
-    r.get("wrong_id", now.wrong_id);
-    r.get("cut_after", now.cut_after);
-    r.get("stall_after", now.stall_after);
-    r.get("close_idle", now.close_idle);
-    r.get("leaving", now.leaving);
-    r.get("load_lag_ms", now.load_lag_ms);
-    r.get("times", now.times);
-    r.check();
-    return now;
+    json merged = change.value("clear", false) ? fault_settings{} : now;
+    merged.update(change);
+    for (const auto* it : {"clear", "endpoint", "pool", "all"})
+        merged.erase(it);
+    return strict<fault_settings>(merged);
 }
 
 json runs_page(const host_state& host, std::int64_t after, const std::string& only)
@@ -100,6 +51,7 @@
             out["keys"][it.key] = host.by_key.at(it.key);
     }
     out["next"] = next;
+    out["newest"] = host.next_number - 1;
     out["dropped"] = oldest - 1;
     return out;
 }
--- /dev/null
+++ b/utils/testkit/report.cpp
@@ -0,0 +1,134 @@
+#include "testkit/report.hpp"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/tail_quantile.hpp>
+#include <fmt/format.h>
+
+#include <map>
+
+namespace limpetlock::testkit {
+
+namespace acc = boost::accumulators;
+using nlohmann::json;
+
+namespace {
+
+struct group {
+    std::int64_t sent{0};
+    std::int64_t attained{0};
+    std::vector<double> latency_ms;
+    std::vector<double> first_token_ms;
+    std::vector<double> gaps_ms;
+    std::map<std::string, std::int64_t> ends;
+    std::map<std::string, std::int64_t> codes;
+};
+
+void add(group& to, const result& it)
+{
+    ++to.sent;
+    to.attained += it.attained ? 1 : 0;
+    ++to.ends[to_text(it.end)];
+    if (it.end == verdict::whole)
+        to.latency_ms.push_back(it.latency_ms);
+    else if (!it.attempts.empty())
+        ++to.codes[it.attempts.back().code];
+    if (it.first_token_ms >= 0)
+        to.first_token_ms.push_back(it.first_token_ms);
+    to.gaps_ms.insert(to.gaps_ms.end(), it.gaps_ms.begin(), it.gaps_ms.end());
+}
+
+std::vector<std::string> groups_of(const result& it, const json& deployment)
+{
+    const auto& request = it.request;
+    const std::string team_class = deployment.at("teams").at(request.team).value("class", "none");
+    return {"all",
+            "rank " + request.what.rank,
+            "team class " + team_class,
+            "team " + request.team,
+            "request " + request.what.name,
+            "phase " + request.phase + (request.flood ? " (flood)" : "") + " / rank " + request.what.rank,
+            "phase " + request.phase + (request.flood ? " (flood)" : "") + " / team class " + team_class};
+}
+
+json to_json(const group& it, double seconds)
+{
+    const auto share = static_cast<double>(it.attained) / static_cast<double>(it.sent);
+    return {{"sent", it.sent},
+            {"attained", it.attained},
+            {"attainment", share},
+            {"goodput_per_s", static_cast<double>(it.attained) / seconds},
+            {"latency_ms", quantiles(it.latency_ms)},
+            {"first_token_ms", quantiles(it.first_token_ms)},
+            {"between_tokens_ms", quantiles(it.gaps_ms)},
+            {"ends", it.ends},
+            {"codes", it.codes}};
+}
+
+std::string quantile_text(const json& it)
+{
+    if (it.is_null())
+        return fmt::format("{:>22}", "-");
+    const auto text = fmt::format("{:.0f}/{:.0f}/{:.0f}", it["p50"].get<double>(), it["p95"].get<double>(),
+                                  it["p99"].get<double>());
+    return fmt::format("{:>22}", text);
+}
+
+} // namespace
+
+json quantiles(const std::vector<double>& values)
+{
+    if (values.empty())
+        return nullptr;
+    using right_tail = acc::stats<acc::tag::tail_quantile<acc::right>>;
+    // The cache holds every value, so the quantiles are exact.
+    acc::accumulator_set<double, right_tail> set(acc::tag::tail<acc::right>::cache_size = values.size());
+    for (const auto it : values)
+        set(it);
+    const auto at = [&](double p) { return acc::quantile(set, acc::quantile_probability = p); };
+    return {{"count", values.size()}, {"p50", at(0.5)}, {"p95", at(0.95)}, {"p99", at(0.99)}};
+}
+
+json summarize(const std::vector<result>& results, const account& settled, const json& deployment,
+               double seconds)
+{
+    std::map<std::string, group> groups;
+    std::map<std::string, std::int64_t> refusals;
+    for (const auto& it : results) {
+        for (const auto& name : groups_of(it, deployment))
+            add(groups[name], it);
+        for (const auto& each : it.attempts)
+            if (!each.code.empty())
+                ++refusals[each.code + (each.ran.empty() ? "" : " ran=" + each.ran)];
+    }
+    json out = {
+        {"seconds", seconds}, {"counts", settled.counts}, {"refusals", refusals}, {"broken", settled.broken}};
+    for (const auto& [name, it] : groups)
+        out["groups"][name] = to_json(it, seconds);
+    for (const auto& [name, it] : settled.stages)
+        out["stages"][name] = {
+            {"useful_s", it.useful_s}, {"repeated_s", it.repeated_s}, {"abandoned_s", it.abandoned_s}};
+    return out;
+}
+
+std::string to_table(const json& summary)
+{
+    std::string out = fmt::format("{:<44}{:>7}{:>9}{:>9}{:>22}{:>22}{:>22}\n", "group", "sent", "attained",
+                                  "good/s", "latency p50/95/99", "first token", "between tokens");
+    const auto groups = summary.value("groups", json::object());
+    for (const auto& it : groups.items()) {
+        const auto& row = it.value();
+        out += fmt::format("{:<44}{:>7}{:>8.2f}%{:>9.1f}{}{}{}\n", it.key(), row["sent"].get<std::int64_t>(),
+                           row["attainment"].get<double>() * 100, row["goodput_per_s"].get<double>(),
+                           quantile_text(row["latency_ms"]), quantile_text(row["first_token_ms"]),
+                           quantile_text(row["between_tokens_ms"]));
+    }
+    for (const auto* it : {"counts", "refusals", "stages"})
+        if (summary.contains(it) && !summary[it].empty())
+            out += fmt::format("{}: {}\n", it, summary[it].dump());
+    for (const auto& it : summary["broken"])
+        out += fmt::format("BROKEN {}\n", it.get<std::string>());
+    return out;
+}
+
+} // namespace limpetlock::testkit
--- a/utils/testkit/wire.cpp
+++ b/utils/testkit/wire.cpp
@@ -76,9 +76,7 @@
     answer.body() = body.dump();
     answer.prepare_payload();
     const auto [ec, n] = co_await bhttp::async_write(socket_, answer, as_tuple);
-    if (ec)
-        drop();
-    co_return !ec;
+    co_return check(ec);
 }
 
 net::awaitable<bool> connection::begin_stream()
@@ -89,32 +87,36 @@
     head.chunked(true);
     bhttp::response_serializer<bhttp::empty_body> serializer(head);
     const auto [ec, n] = co_await bhttp::async_write_header(socket_, serializer, as_tuple);
-    if (ec)
-        drop();
-    co_return !ec;
+    co_return check(ec);
 }
 
 net::awaitable<bool> connection::write(std::string text)
 {
     const auto [ec, n] = co_await net::async_write(socket_, bhttp::make_chunk(net::buffer(text)), as_tuple);
-    if (ec)
-        drop();
-    co_return !ec;
+    co_return check(ec);
 }
 
 net::awaitable<bool> connection::finish()
 {
     const auto [ec, n] = co_await net::async_write(socket_, bhttp::make_chunk_last(), as_tuple);
-    if (ec)
-        drop();
-    co_return !ec;
+    co_return check(ec);
 }
 
 void connection::drop()
 {
     boost::system::error_code ec;
     ec = socket_.close(ec);
+    dropped_ = dropped_ || !closed_;
+    closed_ = true;
+}
+
+bool connection::check(boost::system::error_code ec)
+{
+    if (!ec)
+        return true;
     closed_ = true;
+    drop();
+    return false;
 }
 
 net::awaitable<void> connection::sleep(double ms)
--- a/utils/testkit/wire.hpp
+++ b/utils/testkit/wire.hpp
@@ -45,11 +45,15 @@
     void watch();
     bool closed() const { return closed_; }
 
+    /// True when the caller closed, and not drop().
+    bool cancelled() const { return closed_ && !dropped_; }
+
 private:
     friend class listener;
 
     boost::asio::awaitable<bool> read_request();
     boost::asio::awaitable<void> watch_loop();
+    bool check(boost::system::error_code ec);
 
     boost::asio::ip::tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
@@ -57,6 +61,7 @@
     boost::asio::steady_timer timer_;
     bool watching_{false};
     bool closed_{false};
+    bool dropped_{false};
 };
 
 using connection_handler = std::function<boost::asio::awaitable<void>(connection&)>;
