--- a/include/limpetlock/server/settings.hpp
+++ b/include/limpetlock/server/settings.hpp
@@ -1,6 +1,6 @@
 /// \file
-/// Local settings of one instance. Everything that operators change at run time is in the platform's
-/// configuration instead.
+/// Local settings of one instance. Everything that operators change at run time is in the platform's configuration
+/// instead.
 #pragma once
 
 #include <limpetlock/support/time.hpp>
