Test admission, routing and membership

Each test names the failure it guards against: floods by rank, a large team beside small ones, deadline refusal, the herd onto the least reported load, a retry storm, leaving endpoints with a stale list, the timer gap and the ejection cap.

--- /dev/null
+++ b/unittests/admission/queue_test.cpp
@@ -0,0 +1,294 @@
+#include "../script_golden.hpp"
+
+#include <limpetlock/admission/gate.hpp>
+#include <limpetlock/admission/queue.hpp>
+
+#include <criterion/criterion.h>
+
+#include <map>
+
+using namespace limpetlock;
+using namespace limpetlock::admission;
+
+namespace {
+
+time_point at(std::int64_t ms)
+{
+    return time_point(duration(1'000'000 + ms));
+}
+
+// One server that takes the next request as soon as it has served the last one.
+class server {
+public:
+    explicit server(queue_options options = {}) : work(std::move(options), times) {}
+
+    bool offer(const std::string& team, rank priority, double cost, std::int64_t deadline = 1'000'000'000)
+    {
+        return work.offer({++last_id, team, priority, cost, at(deadline), nullptr}, at(now)).has_value();
+    }
+
+    std::optional<ticket> serve(double factor = 1)
+    {
+        const auto it = work.next(at(now));
+        if (!it)
+            return it;
+        const double actual = it->cost_ms * factor;
+        now += static_cast<std::int64_t>(actual);
+        by_team[it->team] += actual;
+        by_rank[it->priority] += actual;
+        work.complete(*it, actual);
+        return it;
+    }
+
+    estimator times;
+    queue work;
+    std::int64_t now{0};
+    std::uint64_t last_id{0};
+    std::map<std::string, double> by_team;
+    std::map<rank, double> by_rank;
+};
+
+} // namespace
+
+// Guards against a background flood that delays urgent work: an urgent request never waits for more than the
+// one request that the background rank takes by its share.
+Test(queue, background_flood_leaves_urgent_first)
+{
+    server it;
+    for (int n = 0; n < 300; ++n) {
+        for (int k = 0; k < 5; ++k)
+            it.offer("flood", rank::background, 100);
+        it.offer("plant", rank::urgent, 50);
+        int others = 0;
+        while (it.work.waiting(rank::urgent) > 0)
+            others += it.serve()->priority == rank::urgent ? 0 : 1;
+        cr_assert_leq(others, 1);
+        it.serve();
+    }
+    cr_assert_float_eq(it.by_rank[rank::urgent], 300 * 50, 1e-6);
+}
+
+// Guards against an urgent flood that starves the other ranks: each keeps its configured share of the served
+// cost.
+Test(queue, urgent_flood_leaves_each_rank_its_share)
+{
+    server it;
+    while (it.now < 100'000) {
+        for (int k = 0; k < 5; ++k)
+            it.offer("flood", rank::urgent, 100);
+        it.offer("plant", rank::standard, 150);
+        it.offer("lab", rank::background, 400);
+        it.serve();
+    }
+    const double total = it.by_rank[rank::urgent] + it.by_rank[rank::standard] + it.by_rank[rank::background];
+    cr_assert_geq(it.by_rank[rank::standard], 0.2 * total - 400);
+    cr_assert_geq(it.by_rank[rank::background], 0.1 * total - 800);
+    cr_assert_geq(it.by_rank[rank::urgent], 0.65 * total);
+}
+
+// Guards against a large team that takes the place of small ones by the number of its requests or by their
+// size.
+Test(queue, large_team_gets_no_more_than_small_ones)
+{
+    queue_options options;
+    options.weights["double"] = 2;
+    server it(options);
+    for (int n = 0; n < 400; ++n) {
+        for (int k = 0; k < 5; ++k)
+            it.offer("large", rank::standard, 200);
+        it.offer("small", rank::standard, 50);
+        it.offer("small", rank::standard, 50);
+        it.offer("double", rank::standard, 100);
+        it.offer("double", rank::standard, 100);
+        it.serve();
+    }
+    cr_assert_float_eq(it.by_team["large"], it.by_team["small"], 400);
+    cr_assert_float_eq(it.by_team["double"], 2 * it.by_team["small"], 800);
+}
+
+// Guards against a team that gains by requests whose real cost is far above the estimate.
+Test(queue, actual_cost_counts_and_not_the_estimate)
+{
+    server it;
+    for (int n = 0; n < 500; ++n) {
+        it.offer("honest", rank::standard, 100);
+        it.offer("heavy", rank::standard, 100);
+        const auto head = it.work.next(at(it.now));
+        const double actual = head->team == "heavy" ? 500 : 100;
+        it.by_team[head->team] += actual;
+        it.work.complete(*head, actual);
+    }
+    cr_assert_float_eq(it.by_team["heavy"], it.by_team["honest"], 1000);
+}
+
+// Guards against one team that fills the queue for the others, or its own urgent rank by its background work.
+Test(queue, bound_is_per_team_and_rank)
+{
+    server it;
+    for (int n = 0; n < 64; ++n)
+        cr_assert(it.offer("flood", rank::background, 10));
+    cr_assert_not(it.offer("flood", rank::background, 10));
+    cr_assert_eq(it.work.last_error().code, errc::queue_full);
+    cr_assert(it.offer("flood", rank::urgent, 10));
+    cr_assert(it.offer("small", rank::background, 10));
+}
+
+// Guards against work that is accepted although it can't be answered in time, and against an estimate learned
+// in an outage that refuses every request for ever.
+Test(queue, refuses_at_once_what_cannot_meet_its_deadline)
+{
+    estimator times;
+    const auto generate = times.declare("generate", 100);
+    const auto stages = std::make_shared<const std::vector<stage_id>>(1, generate);
+    queue work({}, times);
+    const auto offer = [&](std::uint64_t id, std::int64_t now, std::int64_t left) {
+        return work.offer({id, "plant", rank::urgent, 100, at(now + left), stages}, at(now)).has_value();
+    };
+    cr_assert(offer(1, 0, 500));
+    cr_assert_not(offer(2, 0, 90));
+    cr_assert_eq(work.last_error().code, errc::deadline);
+    for (int n = 0; n < 100; ++n)
+        times.record(generate, 2000, at(n * 10));
+    cr_assert_not(offer(3, 1000, 500));
+    cr_assert(offer(4, 1000, 10'000));
+    cr_assert_eq(work.expire(at(1000)), std::vector<std::uint64_t>{1});
+    cr_assert(offer(5, 20'000, 500));
+}
+
+// Guards against a request that is released after its caller has stopped waiting.
+Test(queue, expired_and_cancelled_work_is_never_released)
+{
+    server it;
+    it.offer("a", rank::urgent, 10, 100);
+    it.offer("a", rank::urgent, 10, 500);
+    it.offer("b", rank::urgent, 10, 500);
+    cr_assert(it.work.cancel(3, "b", rank::urgent));
+    cr_assert_not(it.work.cancel(3, "b", rank::urgent));
+    it.now = 200;
+    cr_assert_eq(it.serve()->id, 2U);
+    cr_assert_eq(it.work.waiting(), 0U);
+    cr_assert_eq(it.work.expire(at(200)), std::vector<std::uint64_t>{1});
+}
+
+// Guards against a request without room in its pool that holds up the work for other pools.
+Test(queue, passes_over_requests_that_do_not_fit)
+{
+    server it;
+    it.offer("a", rank::urgent, 10);
+    it.offer("b", rank::standard, 10);
+    const auto taken = it.work.next(at(0), [](std::uint64_t id) { return id != 1; });
+    cr_assert_eq(taken->id, 2U);
+    cr_assert_not(it.work.next(at(0), [](std::uint64_t id) { return id != 1; }));
+    cr_assert_eq(it.work.next(at(0))->id, 1U);
+}
+
+// Guards against a large team that is served its whole share on every instance: usage at peers puts it
+// behind, but not beyond the bound, and usage that all teams share changes nothing.
+Test(queue, peer_usage_puts_a_team_behind)
+{
+    server it;
+    const auto fill = [&] {
+        for (int n = 0; n < 64; ++n) {
+            it.offer("large", rank::standard, 100);
+            it.offer("small", rank::standard, 100);
+        }
+    };
+    fill();
+    it.work.add_peer_usage({{"large", rank::standard, 1000}, {"small", rank::standard, 0}});
+    for (int n = 0; n < 10; ++n)
+        cr_assert_str_eq(it.serve()->team.c_str(), "small");
+    fill();
+    it.work.add_peer_usage({{"large", rank::standard, 1000}, {"small", rank::standard, 1000}});
+    it.by_team.clear();
+    for (int n = 0; n < 10; ++n)
+        it.serve();
+    cr_assert_float_eq(it.by_team["large"], it.by_team["small"], 200);
+    fill();
+    it.work.add_peer_usage({{"large", rank::standard, 1e9}});
+    for (int n = 0; n < 45; ++n)
+        it.serve();
+    fill();
+    it.by_team.clear();
+    it.serve();
+    it.serve();
+    cr_assert_gt(it.by_team["large"], 0);
+}
+
+// Guards against usage that is reported twice or not at all.
+Test(queue, usage_is_taken_once)
+{
+    server it;
+    it.offer("a", rank::urgent, 10);
+    it.offer("b", rank::standard, 20);
+    it.serve(2);
+    it.serve();
+    const std::vector<team_usage> expected{{"a", rank::urgent, 20}, {"b", rank::standard, 20}};
+    cr_assert(it.work.take_usage() == expected);
+    cr_assert(it.work.take_usage().empty());
+}
+
+// Guards against a gate that lets more into a pool than its endpoints take, or that never opens for a small
+// capacity.
+Test(gate, bounds_each_pool)
+{
+    gate it;
+    const footprint answer{{"encoder", 0.1}, {"model", 0.9}};
+    cr_assert_not(it.has_room(answer));
+    it.set_capacity("encoder", 10);
+    it.set_capacity("model", 2);
+    it.enter(answer);
+    it.enter(answer);
+    cr_assert_not(it.has_room(answer));
+    cr_assert(it.has_room({{"encoder", 1}}));
+    it.leave(answer);
+    cr_assert(it.has_room(answer));
+    it.leave(answer);
+    it.set_capacity("model", 0.1);
+    cr_assert(it.has_room(answer));
+}
+
+// Golden session: mixed ranks and teams, a full queue, expiry and peer usage, with every decision in order.
+Test(queue, golden_session)
+{
+    queue_options options;
+    options.per_team = 3;
+    estimator times;
+    queue work(options, times);
+    const auto stage = times.declare("generate", 50);
+    const auto stages = std::make_shared<const std::vector<stage_id>>(1, stage);
+    std::map<std::string, ticket> taken;
+    const auto offer = [&](const test::words& w) {
+        const auto now = std::stoll(w[1]);
+        const auto it = work.offer(
+            {std::stoull(w[2]), w[3], *parse_rank(w[4]), std::stod(w[5]), at(now + std::stoll(w[6])), stages},
+            at(now));
+        return it ? "accepted, " + std::to_string(*it) + " before it"
+                  : "refused: " + work.last_error().reason;
+    };
+    const auto next = [&](const test::words& w) -> std::string {
+        const auto it = work.next(at(std::stoll(w[1])));
+        if (!it)
+            return "nothing";
+        taken[std::to_string(it->id)] = *it;
+        return std::to_string(it->id) + " " + it->team + " " + std::string(to_string(it->priority)) +
+               (it->by_share ? " by share" : "");
+    };
+    test::check_session("queue", [&](const test::words& w) -> std::string {
+        if (w[0] == "offer")
+            return offer(w);
+        if (w[0] == "next")
+            return next(w);
+        if (w[0] == "complete") {
+            work.complete(taken.at(w[1]), std::stod(w[2]));
+            return "ok";
+        }
+        if (w[0] == "peers") {
+            work.add_peer_usage({{w[1], *parse_rank(w[2]), std::stod(w[3])}});
+            return "ok";
+        }
+        std::string ids = "expired";
+        for (const auto id : work.expire(at(std::stoll(w[1]))))
+            ids += " " + std::to_string(id);
+        return ids;
+    });
+}
--- /dev/null
+++ b/unittests/membership/view_test.cpp
@@ -0,0 +1,240 @@
+#include "../script_golden.hpp"
+
+#include <limpetlock/membership/view.hpp>
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace limpetlock;
+using namespace limpetlock::membership;
+
+namespace {
+
+time_point at(std::int64_t ms)
+{
+    return time_point(duration(1'000'000 + ms));
+}
+
+listed_instance model(int n, const std::string& address = "10.0.0.1")
+{
+    return {"m" + std::to_string(n), "model", address, static_cast<std::uint16_t>(8000 + n), 0, "a", false};
+}
+
+instance_list models(std::int64_t version, int size)
+{
+    instance_list it{version, {}};
+    for (int n = 0; n < size; ++n)
+        it.instances.push_back(model(n));
+    return it;
+}
+
+std::uint64_t id_of(const view& it, const std::string& name)
+{
+    for (const auto& endpoint : it.current()->pool("model"))
+        if (endpoint.name == name)
+            return endpoint.id;
+    return 0;
+}
+
+void fail_often(view& it, std::uint64_t id, std::int64_t now)
+{
+    for (int n = 0; n < 3; ++n)
+        it.failed(id, failure::failed, at(now), at(now));
+}
+
+} // namespace
+
+// Guards against a list replica that is behind and would bring back instances that are gone.
+Test(view, lower_list_version_is_ignored)
+{
+    view it;
+    cr_assert(it.apply(models(5, 3), at(0)));
+    cr_assert_not(it.apply(models(4, 12), at(0)));
+    cr_assert_eq(it.current()->pool("model").size(), 3U);
+    cr_assert_eq(it.counts().lists_ignored, 1U);
+}
+
+// Guards against new work to a leaving endpoint while the list still shows it as live (P5).
+Test(view, leaving_endpoint_with_a_stale_list_gets_no_work)
+{
+    view it;
+    it.apply(models(5, 3), at(0));
+    const auto id = id_of(it, "m1");
+    const auto evidence = it.answered_leaving(id, at(100));
+    cr_assert_eq(evidence->list_version, 5);
+    cr_assert_not(it.answered_leaving(id, at(110)).has_value(), "known evidence must not be sent again");
+    it.apply(models(6, 3), at(200));
+    it.succeeded(id, at(50), at(300));
+    cr_assert_eq(id_of(it, "m1"), 0U);
+    for (int n = 2; n < 100; ++n)
+        it.tick(at(n * 200));
+    cr_assert_eq(it.status("model", "m1"), state::leaving);
+}
+
+// Guards against evidence about an old endpoint that stops a new one of the same name, and the other way
+// round.
+Test(view, evidence_counts_for_its_instance_only)
+{
+    view it;
+    it.apply(models(5, 3), at(0));
+    const auto old_id = id_of(it, "m1");
+    cr_assert(it.peer_reported({"model", "m1", 5}, at(10)));
+    cr_assert_not(it.peer_reported({"model", "m1", 5}, at(20)));
+    auto list = models(7, 3);
+    list.instances[1] = model(1, "10.0.0.9");
+    it.apply(list, at(100));
+    cr_assert_eq(it.status("model", "m1"), state::live);
+    cr_assert_neq(id_of(it, "m1"), old_id);
+    cr_assert_not(it.peer_reported({"model", "m1", 6}, at(110)));
+    fail_often(it, old_id, 120);
+    cr_assert_not(it.answered_leaving(old_id, at(130)).has_value());
+    cr_assert_eq(it.status("model", "m1"), state::live);
+    cr_assert(it.peer_reported({"model", "m1", 7}, at(140)));
+    cr_assert_eq(it.status("model", "m1"), state::leaving);
+}
+
+// Guards against evidence that is lost because it arrives before the list that it speaks of.
+Test(view, evidence_may_arrive_before_its_list)
+{
+    view it;
+    it.apply(models(5, 3), at(0));
+    it.peer_reported({"model", "m3", 8}, at(10));
+    it.apply(models(8, 4), at(20));
+    cr_assert_eq(it.status("model", "m3"), state::leaving);
+}
+
+// Guards against an outage that empties a pool: at most the configured share is ejected, the most suspect
+// first.
+Test(view, ejection_is_capped)
+{
+    view it;
+    it.apply(models(1, 5), at(0));
+    std::vector<std::uint64_t> ids;
+    for (const auto& endpoint : it.current()->pool("model"))
+        ids.push_back(endpoint.id);
+    for (const auto id : ids)
+        fail_often(it, id, 10);
+    cr_assert_eq(it.current()->pool("model").size(), 3U);
+    cr_assert_eq(it.counts().ejections, 2U);
+    cr_assert_gt(it.counts().ejections_capped, 0U);
+}
+
+// Guards against a paused process that takes its own silence for the failure of every endpoint.
+Test(view, timer_gap_does_not_empty_a_pool)
+{
+    view it;
+    it.apply(models(1, 4), at(0));
+    it.apply(
+        {2, {model(0), model(1), model(2), model(3), {"entry-a1", "entry", "10.0.1.1", 1, 2, "a", false}}},
+        at(0));
+    it.heard("entry-a1", 1, at(100));
+    const auto ids = it.current()->pool("model");
+    it.tick(at(200));
+    fail_often(it, ids[0].id, 210);
+    cr_assert_eq(it.status("model", "m0"), state::ejected);
+    cr_assert(it.tick(at(9000)));
+    cr_assert_eq(it.status("model", "m0"), state::live);
+    cr_assert_not(it.last_heartbeat("entry-a1").has_value());
+    for (const auto& endpoint : ids)
+        for (int n = 0; n < 3; ++n)
+            it.failed(endpoint.id, failure::failed, at(300), at(9001));
+    cr_assert_eq(it.current()->pool("model").size(), 4U, "calls from before the gap say nothing");
+    cr_assert_not(it.tick(at(9200)));
+    fail_often(it, ids[0].id, 9210);
+    cr_assert_eq(it.status("model", "m0"), state::ejected);
+}
+
+// Guards against an ejected endpoint that comes back without a successful probe, or never.
+Test(view, only_probes_bring_an_ejected_endpoint_back)
+{
+    view it;
+    it.apply(models(1, 4), at(0));
+    const auto id = id_of(it, "m2");
+    fail_often(it, id, 0);
+    it.succeeded(id, at(0), at(100));
+    it.apply(models(2, 4), at(150));
+    cr_assert_eq(it.status("model", "m2"), state::ejected);
+    for (int n = 1; n <= 5; ++n)
+        it.tick(at(n * 200));
+    cr_assert_eq(it.status("model", "m2"), state::probing);
+    it.failed(id, failure::refused, at(1000), at(1010));
+    cr_assert_eq(it.status("model", "m2"), state::ejected);
+    for (int n = 6; n <= 14; ++n)
+        it.tick(at(n * 200));
+    cr_assert_eq(it.status("model", "m2"), state::ejected, "the second ejection lasts twice as long");
+    it.tick(at(3010));
+    it.succeeded(id, at(3010), at(3020));
+    it.succeeded(id, at(3030), at(3040));
+    cr_assert_eq(it.status("model", "m2"), state::live);
+}
+
+// Guards against a frame of a former incarnation that is taken for the present one.
+Test(view, incarnations_are_ordered)
+{
+    view it;
+    it.apply({1, {{"entry-a1", "entry", "10.0.1.1", 1, 2, "a", false}}}, at(0));
+    cr_assert(it.heard("entry-a1", 1000, at(0)));
+    cr_assert(it.heard("entry-a1", 2000, at(10)));
+    cr_assert_not(it.heard("entry-a1", 1000, at(20)));
+    cr_assert_eq(it.last_heartbeat("entry-a1"), at(10));
+    cr_assert_eq(it.current()->entries.at(0).incarnation, 2000);
+}
+
+// Guards against a snapshot that changes under a reader.
+Test(view, snapshots_are_immutable)
+{
+    view it;
+    it.apply(models(1, 2), at(0));
+    const auto before = it.current();
+    cr_assert_eq(before, it.current());
+    it.answered_leaving(id_of(it, "m0"), at(10));
+    cr_assert_eq(before->pool("model").size(), 2U);
+    cr_assert_eq(it.current()->pool("model").size(), 1U);
+    cr_assert(it.current()->pool("unknown").empty());
+}
+
+// Golden session: the states of a pool of four through failures, leaving, relisting, a pause and probes.
+Test(view, golden_session)
+{
+    view it;
+    std::map<std::string, std::uint64_t> ids;
+    const auto states = [&] {
+        std::string text;
+        for (const auto* name : {"m0", "m1", "m2", "m3"}) {
+            const auto status = it.status("model", name);
+            text += std::string(text.empty() ? "" : " ") + name + "=" +
+                    (status ? std::string(to_string(*status)) : "-");
+        }
+        for (const auto& endpoint : it.current()->pool("model"))
+            ids[endpoint.name] = endpoint.id;
+        return text;
+    };
+    test::check_session("view", [&](const test::words& w) {
+        const auto now = at(std::stoll(w[1]));
+        if (w[0] == "list") {
+            instance_list list{std::stoll(w[2]), {}};
+            for (std::size_t n = 3; n < w.size(); ++n) {
+                const auto slash = w[n].find('/');
+                list.instances.push_back({w[n].substr(0, slash), "model", "10.0.0.1",
+                                          static_cast<std::uint16_t>(std::stoi(w[n].substr(slash + 1))), 0,
+                                          "a", w[n].ends_with("/leaving")});
+            }
+            it.apply(list, now);
+        }
+        if (w[0] == "fail")
+            it.failed(ids[w[2]], failure::failed, now, now);
+        if (w[0] == "refused")
+            it.failed(ids[w[2]], failure::refused, now, now);
+        if (w[0] == "ok")
+            it.succeeded(ids[w[2]], now, now);
+        if (w[0] == "leaving")
+            it.answered_leaving(ids[w[2]], now);
+        if (w[0] == "peer")
+            it.peer_reported({"model", w[2], std::stoll(w[3])}, now);
+        if (w[0] == "ticks")
+            for (auto t = std::stoll(w[1]); t <= std::stoll(w[2]); t += 200)
+                it.tick(at(t));
+        return states();
+    });
+}
--- /dev/null
+++ b/unittests/routing/routing_test.cpp
@@ -0,0 +1,267 @@
+#include "../script_golden.hpp"
+
+#include <limpetlock/routing/chooser.hpp>
+#include <limpetlock/routing/retry_budget.hpp>
+#include <limpetlock/support/hash.hpp>
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+
+using namespace limpetlock;
+using namespace limpetlock::routing;
+
+namespace {
+
+time_point at(std::int64_t ms)
+{
+    return time_point(duration(1'000'000 + ms));
+}
+
+struct pool {
+    explicit pool(std::size_t size, limit_options options = {}) : stats(size, endpoint_stats(options))
+    {
+        for (std::size_t n = 0; n < size; ++n)
+            all.push_back({hash64("endpoint-" + std::to_string(n)), static_cast<std::uint32_t>(n % 3), false,
+                           &stats[n]});
+    }
+
+    std::deque<endpoint_stats> stats;
+    std::vector<candidate> all;
+    random_engine random{42};
+};
+
+limit_options wide()
+{
+    limit_options it;
+    it.initial = it.maximum = 1000;
+    return it;
+}
+
+// Six instances send 600 calls between two reports; returns the highest count at one endpoint.
+std::size_t most_calls_between_reports(const std::string& strategy)
+{
+    constexpr std::size_t size = 12;
+    std::vector<std::size_t> calls(size);
+    for (int instance = 0; instance < 6; ++instance) {
+        pool it(size, wide());
+        it.random.seed(static_cast<unsigned>(instance));
+        for (std::size_t n = 0; n < size; ++n)
+            it.stats[n].reported({static_cast<std::uint32_t>(n == 3 ? 2 : 5), 0, duration(0)}, at(0));
+        const auto strategy_object = make_chooser(strategy);
+        for (int n = 0; n < 100; ++n) {
+            const auto chosen = strategy_object->choose(it.all, {}, it.random, at(n * 20));
+            it.stats[*chosen].started(at(n * 20));
+            ++calls[*chosen];
+        }
+    }
+    return *std::max_element(calls.begin(), calls.end());
+}
+
+} // namespace
+
+// Guards against the herd: all instances send all calls to the endpoint that the last report showed idle.
+Test(chooser, no_herd_onto_the_least_reported_load)
+{
+    cr_assert_eq(most_calls_between_reports("least_reported"), 600U);
+    cr_assert_leq(most_calls_between_reports("two_choices"), 2U * 600 / 12);
+}
+
+// Guards against a retry that goes back to an endpoint that has failed the call, or stays in its failure
+// domain.
+Test(chooser, retry_avoids_tried_endpoints_and_their_domain)
+{
+    for (const auto* name : {"two_choices", "prefix_affinity"}) {
+        pool it(6);
+        const auto strategy = make_chooser(name);
+        std::vector<std::uint64_t> tried{it.all[0].id};
+        for (int n = 0; n < 100; ++n) {
+            const auto chosen = strategy->choose(it.all, {77, tried, 0, true}, it.random, at(0));
+            cr_assert_neq(it.all[*chosen].failure_domain, 0U);
+        }
+        for (std::size_t n = 1; n < 6; ++n)
+            if (n != 3)
+                tried.push_back(it.all[n].id);
+        cr_assert_eq(*strategy->choose(it.all, {77, tried, 0, true}, it.random, at(0)), 3U);
+        tried.push_back(it.all[3].id);
+        cr_assert_not(strategy->choose(it.all, {77, tried, 0, true}, it.random, at(0)).has_value());
+    }
+}
+
+// Guards against a probe that takes more than one call, or one that may not be repeated.
+Test(chooser, probing_endpoint_takes_one_repeatable_call)
+{
+    pool it(1);
+    it.all[0].probing = true;
+    const auto strategy = make_two_choices();
+    cr_assert_not(strategy->choose(it.all, {0, {}, {}, false}, it.random, at(0)).has_value());
+    cr_assert(strategy->choose(it.all, {}, it.random, at(0)).has_value());
+    it.stats[0].started(at(0));
+    cr_assert_not(strategy->choose(it.all, {}, it.random, at(0)).has_value());
+}
+
+// Guards against prefixes that all move when one endpoint goes, and against a hot prefix that overloads its
+// endpoint.
+Test(chooser, prefix_affinity_is_stable_and_bounded)
+{
+    pool it(12, wide());
+    const auto strategy = make_prefix_affinity(1.25);
+    std::size_t moved = 0;
+    for (std::uint64_t prefix = 1; prefix <= 300; ++prefix) {
+        const auto key = hash64(std::to_string(prefix));
+        const auto before = *strategy->choose(it.all, {key, {}, {}, true}, it.random, at(0));
+        const auto less = std::span(it.all).first(11);
+        const auto after = *strategy->choose(less, {key, {}, {}, true}, it.random, at(0));
+        moved += before != 11 && before != after ? 1 : 0;
+    }
+    cr_assert_eq(moved, 0U);
+    for (int n = 0; n < 240; ++n)
+        it.stats[*strategy->choose(it.all, {99, {}, {}, true}, it.random, at(0))].started(at(0));
+    for (const auto& stats : it.stats)
+        cr_assert_leq(stats.in_flight(), 26U);
+}
+
+// Guards against calls that are counted twice (here and in the report) and against reports too old to mean
+// anything.
+Test(endpoint_stats, report_is_corrected_and_ages_out)
+{
+    endpoint_stats it;
+    it.started(at(0));
+    it.started(at(0));
+    it.reported({5, 0, duration(500)}, at(1000));
+    cr_assert_float_eq(it.load(at(1000)), 5, 1e-9);
+    it.started(at(1100));
+    cr_assert_float_eq(it.load(at(1100)), 6, 1e-9);
+    it.reported({9, 0, duration(2000)}, at(1200));
+    cr_assert_float_eq(it.load(at(1200)), 6, 1e-9, "an older report must not replace a newer one");
+    cr_assert_float_eq(it.load(at(1000 + 500 + 3000)), 3, 1e-9);
+}
+
+// Guards against a limit that stays up at an overloaded endpoint, falls once per refused call of one burst,
+// or stays down after the overload.
+Test(endpoint_stats, limit_falls_on_overload_and_recovers)
+{
+    endpoint_stats it;
+    const auto call = [&](std::int64_t now, outcome how, double took) {
+        it.started(at(now));
+        it.finished(at(now), how, took, 100);
+    };
+    for (int n = 0; n < 20; ++n)
+        call(0, outcome::overloaded, 1);
+    cr_assert_float_eq(it.limit(), 4 * 0.7, 1e-9);
+    for (int n = 1; n <= 40; ++n)
+        call(n * 1000, outcome::overloaded, 1);
+    cr_assert_float_eq(it.limit(), 0.25, 1e-9);
+    for (int n = 0; n < 100; ++n)
+        call(50'000 + n * 100, outcome::success, 100);
+    cr_assert_gt(it.limit(), 1.5);
+    for (int n = 0; n < 100; ++n)
+        call(60'000 + n * 100, outcome::success, 500);
+    cr_assert_lt(it.limit(), 0.6);
+}
+
+// Guards against a retry storm: in an outage of 20 s at the rates of the planned size, retries add at most
+// 10%. After it, the budget fills again.
+Test(retry_budget, outage_adds_at_most_a_tenth)
+{
+    retry_budget it;
+    for (int n = 0; n < 1000; ++n) {
+        it.first_attempt();
+        it.first_attempt_succeeded();
+    }
+    int calls = 0;
+    int extra = 0;
+    for (; calls < 4 * 20; ++calls) {
+        it.first_attempt();
+        extra += it.try_retry() ? 1 : 0;
+        extra += it.try_retry() ? 1 : 0;
+        extra += it.try_hedge() ? 1 : 0;
+    }
+    cr_assert_leq(extra * 10, calls);
+    cr_assert_not(it.try_retry());
+    for (int n = 0; n < 11; ++n)
+        it.first_attempt_succeeded();
+    cr_assert(it.try_retry());
+}
+
+// Guards against hedges beyond their share, and against hedges and retries that together pass the bound.
+Test(retry_budget, hedges_and_retries_share_tokens)
+{
+    retry_budget it;
+    int hedges = 0;
+    int retries = 0;
+    for (int n = 0; n < 10'000; ++n) {
+        it.first_attempt();
+        it.first_attempt_succeeded();
+        hedges += it.try_hedge() ? 1 : 0;
+        retries += n % 5 == 0 && it.try_retry() ? 1 : 0;
+    }
+    cr_assert_leq(hedges, 502);
+    cr_assert_leq(hedges + retries, 1002);
+    cr_assert_gt(hedges, 400);
+}
+
+// Guards against hedging on a few measurements, and against a delay that follows a change of speed too late.
+Test(hedge_delay, follows_the_quantile)
+{
+    hedge_delay it(0.95, duration(1000));
+    for (int n = 0; n < 29; ++n)
+        it.record(duration(100), at(n));
+    cr_assert_not(it.current(at(30)).has_value());
+    for (int n = 0; n < 1000; ++n)
+        it.record(duration(n % 100), at(n));
+    cr_assert_geq(it.current(at(1000))->count(), 90);
+    cr_assert_leq(it.current(at(1000))->count(), 101);
+    for (int n = 0; n < 3000; ++n)
+        it.record(duration(500), at(1000 + n));
+    cr_assert_geq(it.current(at(4000))->count(), 450);
+}
+
+// Golden session: choices with reports, limits, tried endpoints and domains.
+Test(chooser, golden_session)
+{
+    pool it(5);
+    std::map<std::string, std::unique_ptr<chooser>> strategies;
+    std::vector<std::uint64_t> tried;
+    const auto choose = [&](const test::words& w) -> std::string {
+        auto& strategy = strategies[w[2]];
+        if (!strategy)
+            strategy = make_chooser(w[2]);
+        choice_context context{std::stoull(w[3]), tried, {}, true};
+        if (w.size() > 4)
+            context.avoid_domain = static_cast<std::uint32_t>(std::stoul(w[4]));
+        const auto now = at(std::stoll(w[1]));
+        const auto chosen = strategy->choose(it.all, context, it.random, now);
+        if (!chosen)
+            return "none";
+        it.stats[*chosen].started(now);
+        return "endpoint " + std::to_string(*chosen);
+    };
+    test::check_session("chooser", [&](const test::words& w) -> std::string {
+        if (w[0] == "choose")
+            return choose(w);
+        if (w[0] == "forget") {
+            tried.clear();
+            return "ok";
+        }
+        const auto n = std::stoul(w[1]);
+        if (w[0] == "tried") {
+            tried.push_back(it.all[n].id);
+            return "ok";
+        }
+        const auto now = at(std::stoll(w[2]));
+        if (w[0] == "report")
+            it.stats[n].reported(
+                {static_cast<std::uint32_t>(std::stoul(w[3])), 0, duration(std::stoll(w[4]))}, now);
+        if (w[0] == "overloaded")
+            it.stats[n].finished(now, outcome::overloaded, 1, 100);
+        if (w[0] == "success")
+            it.stats[n].finished(now, outcome::success, std::stod(w[3]), 100);
+        char text[80];
+        std::snprintf(text, sizeof text, "load %.2f limit %.3f", it.stats[n].load(now), it.stats[n].limit());
+        return text;
+    });
+}
