--- /dev/null
+++ b/utils/bench-policy/driver.cpp
@@ -0,0 +1,405 @@
+#include "driver.hpp"
+
+#include <limpetlock/admission/gate.hpp>
+#include <limpetlock/membership/view.hpp>
+#include <limpetlock/routing/chooser.hpp>
+#include <limpetlock/routing/retry_budget.hpp>
+#include <limpetlock/support/hash.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+
+namespace limpetlock::bench {
+
+namespace {
+
+constexpr std::int64_t tick_ms = 200;
+constexpr std::int64_t report_ms = 400;
+constexpr std::int64_t usage_ms = 400;
+constexpr std::size_t endpoint_queue = 64; // waiting calls; the next one is answered "overloaded"
+constexpr int most_attempts = 3;
+const admission::footprint one_call{{"model", 1}};
+
+time_point at(std::int64_t ms)
+{
+    return time_point(duration(1'000'000 + ms));
+}
+
+struct call {
+    std::size_t request;
+    std::size_t endpoint;
+    std::int64_t sent_ms;
+    std::int64_t started_ms{-1}; // -1 while it waits at the endpoint
+    bool open{true};
+};
+
+// An engine with eight slots and a queue by priority.
+struct engine {
+    std::size_t running{0};
+    std::array<std::deque<std::size_t>, admission::rank_count> queued;
+    std::deque<std::size_t> load_history; // one entry per tick, newest first
+    bool down{false};
+
+    std::size_t waiting() const { return queued[0].size() + queued[1].size() + queued[2].size(); }
+};
+
+struct instance {
+    explicit instance(std::size_t number) : random(number + 1)
+    {
+        for (const auto* name : {"urgent", "standard", "background"})
+            stages.push_back(std::make_shared<const std::vector<admission::stage_id>>(
+                1, times.declare(name, classes.at(stages.size()).cost_ms)));
+        work = std::make_unique<admission::queue>(admission::queue_options{}, times);
+        stats.assign(endpoint_count,
+                     routing::endpoint_stats(routing::scaled_limits(endpoint_slots, instance_count)));
+    }
+
+    admission::estimator times;
+    std::vector<admission::stage_list> stages;
+    std::unique_ptr<admission::queue> work;
+    admission::gate gate;
+    membership::view view;
+    std::vector<routing::endpoint_stats> stats;
+    std::unique_ptr<routing::chooser> chooser;
+    routing::retry_budget budget;
+    routing::random_engine random;
+    std::map<std::size_t, admission::ticket> tickets;
+};
+
+class driver {
+public:
+    driver(const scenario& setting, const policy& how, const std::vector<arrival>& arrivals);
+    run_result run();
+
+private:
+    using event = std::pair<std::int64_t, std::size_t>; // time and call
+
+    instance& home(std::size_t request) { return *instances_[arrivals_[request].instance]; }
+    std::int64_t deadline(std::size_t request) const
+    {
+        const auto& it = arrivals_[request];
+        return it.at_ms + classes.at(static_cast<std::size_t>(it.priority)).deadline_ms;
+    }
+
+    void arrive(std::size_t request);
+    void pump(instance& it);
+    void send(std::size_t request);
+    void refresh(instance& it);
+    std::optional<std::size_t> choose(instance& it, std::size_t request);
+    void start_next(std::size_t endpoint);
+    void finish(std::size_t id, routing::outcome how);
+    void settle(std::size_t request, fate end);
+    void give_up(std::size_t request);
+    void tick();
+    void set_down(bool down);
+    void report_loads();
+    void exchange_usage();
+
+    const scenario& setting_;
+    const policy& how_;
+    const std::vector<arrival>& arrivals_;
+    std::vector<std::unique_ptr<instance>> instances_;
+    std::array<engine, endpoint_count> engines_;
+    std::vector<call> calls_;
+    std::vector<std::size_t> open_call_;            // by request; calls_.size() limit when none
+    std::vector<std::vector<std::uint64_t>> tried_; // by request
+    std::priority_queue<event, std::vector<event>, std::greater<>> ends_;
+    std::priority_queue<event, std::vector<event>, std::greater<>> deadlines_;
+    run_result result_;
+    std::int64_t now_{0};
+};
+
+constexpr std::size_t no_call = SIZE_MAX;
+
+driver::driver(const scenario& setting, const policy& how, const std::vector<arrival>& arrivals)
+    : setting_(setting), how_(how), arrivals_(arrivals), open_call_(arrivals.size(), no_call),
+      tried_(arrivals.size())
+{
+    membership::instance_list list{1, {}};
+    for (std::size_t n = 0; n < endpoint_count; ++n)
+        list.instances.push_back({"m" + std::to_string(10 + n), "model", "10.0.0.1",
+                                  static_cast<std::uint16_t>(n), 0, std::to_string(n % 3), false});
+    for (std::size_t n = 0; n < instance_count; ++n) {
+        instances_.push_back(std::make_unique<instance>(n));
+        instances_.back()->view.apply(list, at(0));
+        instances_.back()->chooser = routing::make_chooser(how.chooser);
+        refresh(*instances_.back());
+    }
+    result_.requests.resize(arrivals.size());
+}
+
+void driver::refresh(instance& it)
+{
+    double slots = 0;
+    for (const auto& endpoint : it.view.current()->pool("model"))
+        slots += endpoint.status == membership::state::probing ? 0 : it.stats[endpoint.port].limit();
+    it.gate.set_capacity("model", std::max(slots, 1.0));
+}
+
+void driver::arrive(std::size_t request)
+{
+    const auto& it = arrivals_[request];
+    auto& at_home = home(request);
+    deadlines_.emplace(deadline(request), request);
+    if (!how_.admission)
+        return send(request);
+    const auto n = static_cast<std::size_t>(it.priority);
+    const admission::request offered{request,
+                                     "team-" + std::to_string(it.team),
+                                     it.priority,
+                                     classes.at(n).cost_ms,
+                                     at(deadline(request)),
+                                     at_home.stages[n]};
+    if (!at_home.work->offer(offered, at(now_)))
+        return settle(request, fate::refused);
+    pump(at_home);
+}
+
+void driver::pump(instance& it)
+{
+    while (it.gate.has_room(one_call)) {
+        const auto taken = it.work->next(at(now_));
+        if (!taken)
+            return;
+        it.gate.enter(one_call);
+        it.tickets[taken->id] = *taken;
+        send(taken->id);
+    }
+}
+
+std::optional<std::size_t> driver::choose(instance& it, std::size_t request)
+{
+    std::vector<routing::candidate> all;
+    const auto snapshot = it.view.current();
+    for (const auto& endpoint : snapshot->pool("model"))
+        all.push_back({endpoint.id, static_cast<std::uint32_t>(endpoint.port % 3),
+                       endpoint.status == membership::state::probing, &it.stats[endpoint.port]});
+    routing::choice_context context{0, tried_[request], {}, true};
+    if (!tried_[request].empty())
+        context.avoid_domain = static_cast<std::uint32_t>(calls_[open_call_[request]].endpoint % 3);
+    const auto chosen = it.chooser->choose(all, context, it.random, at(now_));
+    if (!chosen)
+        return std::nullopt;
+    tried_[request].push_back(all[*chosen].id);
+    return snapshot->pool("model")[*chosen].port;
+}
+
+void driver::send(std::size_t request)
+{
+    auto& from = home(request);
+    const auto endpoint = choose(from, request);
+    if (!endpoint)
+        return settle(request, fate::failed);
+    const bool outage = now_ >= setting_.outage_from_ms && now_ < setting_.outage_to_ms;
+    const bool first = result_.requests[request].attempts++ == 0;
+    if (first)
+        from.budget.first_attempt();
+    if (outage)
+        ++(first ? result_.first_in_outage : result_.retries_in_outage);
+    from.stats[*endpoint].started(at(now_));
+    const auto id = calls_.size();
+    calls_.push_back({request, *endpoint, now_});
+    open_call_[request] = id;
+    auto& to = engines_.at(*endpoint);
+    if (to.down)
+        return finish(id, routing::outcome::failed);
+    if (to.running >= endpoint_slots && to.waiting() >= endpoint_queue)
+        return finish(id, routing::outcome::overloaded);
+    // The simple policy knows no ranks, so its calls have one priority.
+    const auto priority = how_.admission ? static_cast<std::size_t>(arrivals_[request].priority) : 0;
+    to.queued.at(priority).push_back(id);
+    start_next(*endpoint);
+}
+
+void driver::start_next(std::size_t endpoint)
+{
+    auto& it = engines_.at(endpoint);
+    const bool slow = endpoint == 3 && now_ >= setting_.measure_from_ms;
+    for (auto& line : it.queued) {
+        while (!line.empty() && it.running < endpoint_slots) {
+            const auto id = line.front();
+            line.pop_front();
+            calls_[id].started_ms = now_;
+            ++it.running;
+            const double cost = arrivals_[calls_[id].request].cost_ms * (slow ? setting_.slow_factor : 1);
+            ends_.emplace(now_ + static_cast<std::int64_t>(cost) + 1, id);
+        }
+    }
+}
+
+// Ends a call and decides what becomes of its request.
+void driver::finish(std::size_t id, routing::outcome how)
+{
+    auto& it = calls_[id];
+    it.open = false;
+    const auto request = it.request;
+    const auto endpoint = it.endpoint;
+    auto& from = home(request);
+    auto& to = engines_.at(endpoint);
+    const double used = it.started_ms < 0 ? 0 : static_cast<double>(now_ - it.started_ms);
+    if (it.started_ms >= 0)
+        --to.running;
+    const auto took = static_cast<double>(now_ - it.sent_ms);
+    const auto sent = at(it.sent_ms);
+    const auto rank = static_cast<std::size_t>(arrivals_[request].priority);
+    from.stats[endpoint].finished(at(now_), how, took, classes.at(rank).cost_ms);
+    if (how == routing::outcome::success) {
+        result_.useful_ms += used;
+        if (now_ >= setting_.measure_from_ms && now_ < setting_.measure_to_ms)
+            result_.useful_in_window.at(rank) += used;
+        from.times.record(from.stages[rank]->front(), took, at(now_));
+        if (result_.requests[request].attempts == 1)
+            from.budget.first_attempt_succeeded();
+        from.view.succeeded(tried_[request].back(), sent, at(now_));
+        settle(request, fate::answered);
+        return start_next(endpoint);
+    }
+    if (how == routing::outcome::cancelled) {
+        result_.abandoned_ms += used;
+        return start_next(endpoint);
+    }
+    result_.retried_ms += used;
+    if (how == routing::outcome::failed && how_.membership)
+        from.view.failed(tried_[request].back(), membership::failure::refused, sent, at(now_));
+    const bool again = result_.requests[request].attempts < most_attempts && now_ < deadline(request) &&
+                       (!how_.retry_budget || from.budget.try_retry());
+    again ? send(request) : settle(request, fate::failed);
+}
+
+void driver::settle(std::size_t request, fate end)
+{
+    auto& it = result_.requests[request];
+    it.end = end;
+    it.latency_ms = now_ - arrivals_[request].at_ms;
+    it.ended_ms = now_;
+    auto& from = home(request);
+    const auto ticket = from.tickets.find(request);
+    if (ticket == from.tickets.end())
+        return;
+    const auto& last = calls_[open_call_[request]];
+    from.work->complete(ticket->second, last.started_ms < 0 ? 0 : static_cast<double>(now_ - last.sent_ms));
+    from.tickets.erase(ticket);
+    from.gate.leave(one_call);
+    refresh(from);
+    pump(from);
+}
+
+void driver::give_up(std::size_t request)
+{
+    if (result_.requests[request].end != fate::waiting)
+        return;
+    const auto id = open_call_[request];
+    if (id == no_call) {
+        const auto& it = arrivals_[request];
+        home(request).work->cancel(request, "team-" + std::to_string(it.team), it.priority);
+        return settle(request, fate::expired);
+    }
+    for (auto& line : engines_.at(calls_[id].endpoint).queued)
+        std::erase(line, id);
+    finish(id, routing::outcome::cancelled);
+    settle(request, fate::abandoned);
+}
+
+void driver::tick()
+{
+    for (auto& it : instances_) {
+        if (how_.membership)
+            it->view.tick(at(now_));
+        for (const auto id : it->work->expire(at(now_)))
+            if (result_.requests[id].end == fate::waiting)
+                settle(id, fate::expired);
+        refresh(*it);
+        if (how_.admission)
+            pump(*it);
+    }
+    for (auto& it : engines_)
+        it.load_history.push_front(it.running + it.waiting());
+    if (now_ % report_ms == 0)
+        report_loads();
+    if (now_ % usage_ms == 0 && how_.usage_exchange)
+        exchange_usage();
+}
+
+void driver::report_loads()
+{
+    const auto lag = static_cast<std::size_t>(setting_.report_lag_ms / tick_ms);
+    for (std::size_t n = 0; n < endpoint_count; ++n) {
+        const auto& history = engines_.at(n).load_history;
+        if (engines_.at(n).down || history.size() <= lag)
+            continue;
+        for (auto& it : instances_)
+            it->stats[n].reported({static_cast<std::uint32_t>(history[lag]), 0, duration(lag * tick_ms)},
+                                  at(now_));
+    }
+}
+
+void driver::exchange_usage()
+{
+    std::vector<std::vector<admission::team_usage>> all;
+    for (auto& it : instances_)
+        all.push_back(it->work->take_usage());
+    for (std::size_t to = 0; to < instance_count; ++to) {
+        std::map<std::pair<admission::rank, std::string>, double> sums;
+        for (std::size_t from = 0; from < instance_count; ++from)
+            for (const auto& it : all[from])
+                if (from != to)
+                    sums[{it.priority, it.team}] += it.cost_ms;
+        std::vector<admission::team_usage> served;
+        for (const auto& [key, cost] : sums)
+            served.push_back({key.second, key.first, cost});
+        instances_[to]->work->add_peer_usage(served);
+    }
+}
+
+void driver::set_down(bool down)
+{
+    for (auto& it : engines_) {
+        it.down = down;
+        for (auto& line : it.queued)
+            line.clear();
+    }
+    const auto present = calls_.size();
+    for (std::size_t id = 0; down && id < present; ++id)
+        if (calls_[id].open)
+            finish(id, routing::outcome::failed);
+}
+
+run_result driver::run()
+{
+    std::size_t next = 0;
+    for (now_ = 0; now_ < setting_.end_ms; ++now_) {
+        if (setting_.outage_to_ms > 0 && now_ == setting_.outage_from_ms)
+            set_down(true);
+        if (setting_.outage_to_ms > 0 && now_ == setting_.outage_to_ms)
+            set_down(false);
+        while (!ends_.empty() && ends_.top().first <= now_) {
+            const auto id = ends_.top().second;
+            ends_.pop();
+            if (calls_[id].open)
+                finish(id, routing::outcome::success);
+        }
+        while (!deadlines_.empty() && deadlines_.top().first <= now_) {
+            const auto request = deadlines_.top().second;
+            deadlines_.pop();
+            give_up(request);
+        }
+        if (now_ % tick_ms == 0)
+            tick();
+        for (; next < arrivals_.size() && arrivals_[next].at_ms <= now_; ++next)
+            arrive(next);
+    }
+    return std::move(result_);
+}
+
+} // namespace
+
+run_result play(const scenario& setting, const policy& how, const std::vector<arrival>& arrivals)
+{
+    return driver(setting, how, arrivals).run();
+}
+
+} // namespace limpetlock::bench
--- /dev/null
+++ b/utils/bench-policy/scenario.hpp
@@ -0,0 +1,69 @@
+/// \file
+/// The scenarios of the policy comparison and their recorded arrivals, at the size of the first deployment.
+#pragma once
+
+#include <limpetlock/admission/queue.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace limpetlock::bench {
+
+inline constexpr std::size_t instance_count = 6;
+inline constexpr std::size_t endpoint_count = 12;
+inline constexpr std::size_t endpoint_slots = 8;
+inline constexpr double capacity_ms =
+    endpoint_count * endpoint_slots * 1000; ///< endpoint milliseconds per second
+inline constexpr std::size_t team_count = 5;
+inline constexpr std::size_t large_teams = 2; ///< the first ones
+
+/// One pipeline per rank.
+struct work_class {
+    double cost_ms;
+    std::int64_t deadline_ms;
+};
+inline constexpr std::array<work_class, admission::rank_count> classes{
+    {{100, 3000}, {400, 3000}, {400, 10'000}}};
+
+/// A stream of requests with a demand in parts of the fleet's capacity.
+struct stream {
+    std::size_t team;
+    admission::rank priority;
+    double demand;
+    std::int64_t from_ms;
+    std::int64_t to_ms;
+};
+
+/// How the platform's balancer spreads requests over the instances.
+enum class balancing : std::uint8_t { even, small_teams_on_one_instance, half_on_the_first };
+
+struct scenario {
+    std::string name;
+    std::vector<stream> streams;
+    balancing spread{balancing::even};
+    std::int64_t report_lag_ms{500};
+    double slow_factor{1};          ///< of endpoint 3, from measure_from_ms on
+    std::int64_t outage_from_ms{0}; ///< all endpoints refuse connections
+    std::int64_t outage_to_ms{0};
+    std::int64_t measure_from_ms{10'000};
+    std::int64_t measure_to_ms{40'000};
+    std::int64_t end_ms{52'000}; ///< later than the last deadline
+};
+
+struct arrival {
+    std::int64_t at_ms;
+    std::size_t instance;
+    std::size_t team;
+    admission::rank priority;
+    double cost_ms; ///< what it really needs; the class has the expectation
+};
+
+std::vector<scenario> all_scenarios();
+
+/// The same arrivals for the same scenario and seed.
+std::vector<arrival> record_arrivals(const scenario& it, std::uint64_t seed);
+
+} // namespace limpetlock::bench
