Lower an endpoint's limit when its report shows waiting calls

Limits let calls queue at the endpoints, which serve them by priority, so ranks lost their shares. A report with more than a quarter of the running calls waiting now lowers the limit by a tenth.

--- a/include/limpetlock/routing/endpoint_stats.hpp
+++ b/include/limpetlock/routing/endpoint_stats.hpp
@@ -21,10 +21,11 @@
     double increase{0.25};           ///< added to the limit in the time of one round of calls
     double latency_decrease{0.9};    ///< factor when latency is above tolerance
     double overload_decrease{0.7};   ///< factor on an overload answer
+    double queued_decrease{0.9};     ///< factor on a report with more waiting calls than queued_tolerance
+    double queued_tolerance{0.25};   ///< waiting calls at an endpoint in relation to its running ones
     double tolerance{2};             ///< latency may be this many times its slow-moving minimum
     duration decrease_interval{200}; ///< one decrease for the answers of one burst
-    double minimum_drift{
-        0.01}; ///< growth per second of the latency minimum, so that it follows a slower endpoint
+    double minimum_drift{0.01};      ///< growth of the latency minimum per second, to follow a slower endpoint
 
     friend bool operator==(const limit_options&, const limit_options&) = default;
 };
--- a/utils/bench-policy/cost.cpp
+++ b/utils/bench-policy/cost.cpp
@@ -72,6 +72,7 @@
             work.complete(it, 110);
     });
     std::vector<admission::team_usage> served;
+    served.reserve(teams);
     for (const auto& it : names)
         served.push_back({it, admission::rank::standard, 1000});
     const double exchanged = microseconds(teams, [&] { work.add_peer_usage(served); });
--- a/utils/bench-policy/driver.cpp
+++ b/utils/bench-policy/driver.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 constexpr std::int64_t tick_ms = 200;
-constexpr std::int64_t report_ms = 400;
+constexpr std::int64_t report_ms = 400; // interval between two reports of an endpoint
 constexpr std::int64_t usage_ms = 400;
 constexpr std::size_t endpoint_queue = 64; // waiting calls; the next one is answered "overloaded"
 constexpr int most_attempts = 3;
@@ -41,7 +41,7 @@
 struct engine {
     std::size_t running{0};
     std::array<std::deque<std::size_t>, admission::rank_count> queued;
-    std::deque<std::size_t> load_history; // one entry per tick, newest first
+    std::deque<routing::load_report> load_history; // one entry per tick, newest first
     bool down{false};
 
     std::size_t waiting() const { return queued[0].size() + queued[1].size() + queued[2].size(); }
@@ -317,7 +317,8 @@
             pump(*it);
     }
     for (auto& it : engines_)
-        it.load_history.push_front(it.running + it.waiting());
+        it.load_history.push_front(
+            {static_cast<std::uint32_t>(it.running), static_cast<std::uint32_t>(it.waiting()), duration(0)});
     if (now_ % report_ms == 0)
         report_loads();
     if (now_ % usage_ms == 0 && how_.usage_exchange)
@@ -331,9 +332,10 @@
         const auto& history = engines_.at(n).load_history;
         if (engines_.at(n).down || history.size() <= lag)
             continue;
+        auto report = history[lag];
+        report.age = duration(setting_.report_lag_ms);
         for (auto& it : instances_)
-            it->stats[n].reported({static_cast<std::uint32_t>(history[lag]), 0, duration(lag * tick_ms)},
-                                  at(now_));
+            it->stats[n].reported(report, at(now_));
     }
 }
 
@@ -349,6 +351,7 @@
                 if (from != to)
                     sums[{it.priority, it.team}] += it.cost_ms;
         std::vector<admission::team_usage> served;
+        served.reserve(sums.size());
         for (const auto& [key, cost] : sums)
             served.push_back({key.second, key.first, cost});
         instances_[to]->work->add_peer_usage(served);
--- a/utils/bench-policy/main.cpp
+++ b/utils/bench-policy/main.cpp
@@ -15,6 +15,7 @@
 
 DEFINE_string(json, "", "file for the results as JSON lines");
 DEFINE_string(only, "", "name of the only scenario to run, or \"cost\"");
+DEFINE_string(policy, "", "name of the only policy to run");
 DEFINE_uint64(seed, 1, "seed of the arrivals");
 
 namespace {
@@ -162,6 +163,8 @@
             continue;
         const auto arrivals = record_arrivals(in, FLAGS_seed);
         for (const auto& how : all_policies()) {
+            if (!FLAGS_policy.empty() && FLAGS_policy != how.name)
+                continue;
             const auto row = describe(in, how, arrivals, play(in, how, arrivals));
             lines << row.dump() << "\n";
             print(row);
