Count corrections of the served cost for every rank's share

A rank earned its share on the estimated cost of the others, but was charged the measured cost of its own work. The correction at completion now goes into the earnings too.

--- a/lib/admission/queue.cpp
+++ b/lib/admission/queue.cpp
@@ -63,7 +63,7 @@
 
     bool can_meet(const request& it, time_point now) const;
     std::optional<choice> choose(const lane::test& viable, const lane::test& fits);
-    void settle_credits(rank taken, double cost, bool by_share);
+    void earn(double cost);
 
     const estimator& times_;
     std::array<lane, rank_count> lanes_;
@@ -111,7 +111,7 @@
 // Every rank with waiting work earns its share of the cost that is served. What a rank takes beyond its share
 // is not held against it. The credit of a rank that waits for nothing ends, and a rank that can't be served
 // (no room in its pools) keeps at most the credit of two requests.
-void queue::impl::settle_credits(rank taken, double cost, bool by_share)
+void queue::impl::earn(double cost)
 {
     for (std::size_t n = 1; n < rank_count; ++n) {
         auto& lane = lanes_.at(n);
@@ -120,8 +120,6 @@
             continue;
         }
         lane.credit += options.min_share.at(n) * cost;
-        if (by_share && n == index(taken))
-            lane.credit -= cost;
         lane.credit = std::min(lane.credit, 2 * lane.largest_cost());
     }
 }
@@ -133,7 +131,9 @@
     if (!picked)
         return std::nullopt;
     const auto cost = picked->head->cost_ms;
-    settle_credits(picked->priority, cost, picked->by_share);
+    earn(cost);
+    if (picked->by_share)
+        of(picked->priority).credit -= cost;
     request it = of(picked->priority).pop(*picked->head);
     served_by_rank.at(index(it.priority)) += cost;
     usage_.at(index(it.priority))[it.team] += cost;
@@ -154,6 +154,7 @@
     const double off = actual_cost_ms - it.cost_ms;
     auto& lane = of(it.priority);
     lane.charge(it.team, off);
+    earn(off);
     if (it.by_share)
         lane.credit -= off;
     served_by_rank.at(index(it.priority)) += off;
