--- a/include/limpetlock/routing/endpoint_stats.hpp
+++ b/include/limpetlock/routing/endpoint_stats.hpp
@@ -25,7 +25,7 @@
     double queued_tolerance{0.25};   ///< waiting calls at an endpoint in relation to its running ones
     double tolerance{2};             ///< latency may be this many times its slow-moving minimum
     duration decrease_interval{200}; ///< one decrease for the answers of one burst
-    double minimum_drift{0.01};      ///< growth of the latency minimum per second, to follow a slower endpoint
+    double minimum_drift{0.01}; ///< growth of the latency minimum per second, to follow a slower endpoint
 
     friend bool operator==(const limit_options&, const limit_options&) = default;
 };
--- a/lib/routing/endpoint_stats.cpp
+++ b/lib/routing/endpoint_stats.cpp
@@ -98,7 +98,8 @@
     measured_ = measured;
     reported_ = static_cast<double>(report.running) + report.queued;
     others_ = std::max(0.0, reported_ - in_flight_at(measured));
-    // The endpoint serves its own queue by priority, and a share of a rank holds only for work that waits here.
+    // The endpoint serves its own queue by priority, and a share of a rank holds only for work that waits
+    // here.
     if (report.queued > options_.queued_tolerance * report.running && report.age <= report_lifetime)
         decrease(now, options_.queued_decrease);
 }
