--- a/include/limpetlock/admission/estimator.hpp
+++ b/include/limpetlock/admission/estimator.hpp
@@ -19,7 +19,7 @@
     double smoothing{0.05};  ///< lowest weight of a new measurement
     duration stale_after{
         2000};            ///< without measurements, the estimate goes back to the prior with this half-life
-    double deviations{1}; ///< standard deviations added to the mean by remaining_ms
+    double deviations{2}; ///< standard deviations added to the mean by remaining_ms
 
     friend bool operator==(const estimator_options&, const estimator_options&) = default;
 };
