Let peer usage put a team up to 16 s of cost behind

At six instances a large team uses about that much at its peers between two exchanges, so a bound of 4 s cut the differences off.

--- a/include/limpetlock/admission/queue.hpp
+++ b/include/limpetlock/admission/queue.hpp
@@ -65,7 +65,7 @@
     std::map<std::string, double> weights;                   ///< by team; 1 when absent
     std::size_t per_team{64};                                ///< waiting requests of a team in one rank
     std::size_t total{4096};                                 ///< waiting requests of all teams in one rank
-    double peer_lead_ms{4000}; ///< bound on how far usage at peers puts a team behind the others here
+    double peer_lead_ms{16000}; ///< bound on how far usage at peers puts a team behind the others here
 
     friend bool operator==(const queue_options&, const queue_options&) = default;
 };
