Smooth the load that other instances cause at an endpoint

A single report is older than most of the calls it counts, and two random choices followed its noise. The part of others is now a weighted mean (0.1 per report).

--- a/lib/routing/endpoint_stats.cpp
+++ b/lib/routing/endpoint_stats.cpp
@@ -8,6 +8,11 @@
 namespace {
 // Weight of one latency sample: single calls vary by several times at the same load.
 constexpr double ratio_weight = 0.1;
+
+// Weight of one load report. A report is older than most of the calls that it counts, so a single one says
+// little about the present; a mean over some seconds shows endpoints that others load more, or that are
+// slower.
+constexpr double report_weight = 0.1;
 } // namespace
 
 limit_options scaled_limits(double endpoint_concurrency, std::size_t instances)
@@ -95,9 +100,11 @@
     const auto measured = now - report.age;
     if (reported_ >= 0 && measured < measured_)
         return;
+    const bool first = reported_ < 0 || now - measured_ > report_lifetime;
     measured_ = measured;
     reported_ = static_cast<double>(report.running) + report.queued;
-    others_ = std::max(0.0, reported_ - in_flight_at(measured));
+    const double others = std::max(0.0, reported_ - in_flight_at(measured));
+    others_ = first ? others : others_ + report_weight * (others - others_);
     // The endpoint serves its own queue by priority, and a share of a rank holds only for work that waits
     // here.
     if (report.queued > options_.queued_tolerance * report.running && report.age <= report_lifetime)
--- a/unittests/admission/queue_test.cpp
+++ b/unittests/admission/queue_test.cpp
@@ -186,7 +186,9 @@
 // behind, but not beyond the bound, and usage that all teams share changes nothing.
 Test(queue, peer_usage_puts_a_team_behind)
 {
-    server it;
+    queue_options options;
+    options.peer_lead_ms = 4000;
+    server it(options);
     const auto fill = [&] {
         for (int n = 0; n < 64; ++n) {
             it.offer("large", rank::standard, 100);
