--- a/utils/bench-policy/scenario.cpp
+++ b/utils/bench-policy/scenario.cpp
@@ -47,6 +47,17 @@
     return it;
 }
 
+scenario with_outage(scenario it)
+{
+    it.outage_from_ms = 20'000;
+    it.outage_to_ms = 40'000;
+    it.measure_to_ms = 70'000;
+    it.end_ms = 82'000;
+    for (auto& stream : it.streams)
+        stream.to_ms = it.measure_to_ms;
+    return it;
+}
+
 scenario team_skew(std::string name, balancing spread)
 {
     scenario it;
@@ -81,14 +92,8 @@
     all.push_back(team_skew("skew-balancing", balancing::half_on_the_first));
     all.push_back(steady("slow-endpoint", 0.6));
     all.back().slow_factor = 5;
-    all.push_back(steady("outage", 0.6));
-    auto& outage = all.back();
-    outage.outage_from_ms = 20'000;
-    outage.outage_to_ms = 40'000;
-    outage.measure_to_ms = 70'000;
-    outage.end_ms = 82'000;
-    for (auto& it : outage.streams)
-        it.to_ms = outage.measure_to_ms;
+    all.push_back(with_outage(steady("outage", 0.6)));
+    all.push_back(with_outage(steady("outage-busy", 0.9)));
     all.push_back(steady("report-lag", 0.85));
     all.back().report_lag_ms = 2000;
     return all;
