Hold queued work while a pool does not answer

In an outage, released requests failed at once, also those whose deadline was after its end. The gate now lets one request per 200 ms through to a pool whose last eight calls failed, and the rest stays queued until its deadline can't be met. has_room() takes the time for that.

--- a/include/limpetlock/admission/gate.hpp
+++ b/include/limpetlock/admission/gate.hpp
@@ -2,6 +2,8 @@
 /// Bounds the work that this instance has released to each pool.
 #pragma once
 
+#include <limpetlock/support/time.hpp>
+
 #include <map>
 #include <string>
 #include <vector>
@@ -27,7 +29,15 @@
 
     /// Whether every pool of the footprint has room. A pool that has no capacity yet has none; an idle pool
     /// with any capacity takes one request.
-    bool has_room(const footprint& work) const;
+    /// A pool whose last calls all failed takes one request per hold_interval: the others stay in the queue,
+    /// where they may outlast the outage, instead of failing at once.
+    bool has_room(const footprint& work, time_point now) const;
+
+    /// Result of a call to a pool: whether an endpoint answered it.
+    void record(const std::string& pool, bool answered, time_point now);
+
+    static constexpr int hold_after = 8; ///< failures in a row; one dead endpoint of several causes fewer
+    static constexpr duration hold_interval{200};
 
     void enter(const footprint& work);
     void leave(const footprint& work);
@@ -39,6 +49,8 @@
     struct usage {
         double capacity{0};
         double occupied{0};
+        int failures{0};
+        time_point held_until{};
     };
 
     std::map<std::string, usage> pools_;
--- a/lib/admission/gate.cpp
+++ b/lib/admission/gate.cpp
@@ -13,17 +13,27 @@
     pools_[pool].capacity = std::max(0.0, slots);
 }
 
-bool gate::has_room(const footprint& work) const
+bool gate::has_room(const footprint& work, time_point now) const
 {
     return std::all_of(work.begin(), work.end(), [&](const pool_share& it) {
         const auto found = pools_.find(it.pool);
         if (found == pools_.end() || found->second.capacity <= 0)
             return false;
         const auto& level = found->second;
+        if (level.failures >= hold_after && now < level.held_until)
+            return false;
         return level.occupied <= rounding || level.occupied + it.share <= level.capacity + rounding;
     });
 }
 
+void gate::record(const std::string& pool, bool answered, time_point now)
+{
+    auto& level = pools_[pool];
+    level.failures = answered ? 0 : std::min(level.failures + 1, hold_after);
+    if (level.failures >= hold_after)
+        level.held_until = now + hold_interval;
+}
+
 void gate::enter(const footprint& work)
 {
     for (const auto& it : work)
--- a/utils/bench-policy/driver.cpp
+++ b/utils/bench-policy/driver.cpp
@@ -161,7 +161,7 @@
 
 void driver::pump(instance& it)
 {
-    while (it.gate.has_room(one_call)) {
+    while (it.gate.has_room(one_call, at(now_))) {
         const auto taken = it.work->next(at(now_));
         if (!taken)
             return;
@@ -257,6 +257,7 @@
         from.times.record(from.stages[rank]->front(), took, at(now_));
         if (result_.requests[request].attempts == 1)
             from.budget.first_attempt_succeeded();
+        from.gate.record("model", true, at(now_));
         from.view.succeeded(tried_[request].back(), sent, at(now_));
         settle(request, fate::answered);
         return start_next(endpoint);
@@ -266,6 +267,8 @@
         return start_next(endpoint);
     }
     result_.retried_ms += used;
+    if (how == routing::outcome::failed)
+        from.gate.record("model", false, at(now_));
     if (how == routing::outcome::failed && how_.membership)
         from.view.failed(tried_[request].back(), membership::failure::refused, sent, at(now_));
     const bool again = result_.requests[request].attempts < most_attempts && now_ < deadline(request) &&
