Test the configuration library with golden sessions; fix what they showed

The library had no tests. They showed four faults: a document with number 0 could come into force, a pull that was overtaken by a read counted as a failure, a refused deadline caused a second misleading problem, and the longest back-off let a hung watch exceed 18 s. The class sync is renamed to synchronizer, since its name clashed with sync(2).

--- a/include/limpetlock/config/sync.hpp
+++ b/include/limpetlock/config/sync.hpp
@@ -29,10 +29,10 @@
     duration read_floor{250};
     /// Time beyond the wait after which a read without an answer counts as failed.
     duration read_timeout{2000};
-    /// First and longest delay after a failed read. The longest delay is part of the time that a change takes
-    /// after an outage, so it stays well under the 18 s of promise P7.
+    /// First and longest delay after a failed read or pull. A watch that hangs at a dead or stale replica of
+    /// the service costs watch_wait + read_timeout + back_off_last, which stays under the 18 s of promise P7.
     duration back_off_first{500};
-    duration back_off_last{8000};
+    duration back_off_last{4000};
     /// The first read of an instance comes within this time of its start, so that a restarted fleet spreads
     /// its reads.
     duration start_spread{500};
@@ -125,10 +125,10 @@
     friend bool operator==(const sync_counters&, const sync_counters&) = default;
 };
 
-class sync {
+class synchronizer {
 public:
     /// `seed` makes the jitter of instances differ; the incarnation is a good value.
-    sync(const sync_settings& settings, std::string self, std::uint64_t seed, time_point now);
+    synchronizer(const sync_settings& settings, std::string self, std::uint64_t seed, time_point now);
 
     /// The entry instances of a new instance list. While the list is empty, the instance watches the service.
     void set_instances(const std::vector<instance>& it);
@@ -144,8 +144,10 @@
 
     /// A heartbeat or its acknowledgement told a peer's number and digest.
     void peer_reported(std::string_view peer, std::int64_t number, std::string_view digest, time_point now);
-    /// A pull brought a version, whatever the fold made of it.
-    void pull_answered(std::int64_t id, bool adopted, time_point now);
+    /// A pull brought a version. Call it after the fold has tried to adopt it and set_position was called: a
+    /// version that left this instance behind the peer counts as a failure, so that it is not pulled again
+    /// and again.
+    void pull_answered(std::int64_t id, time_point now);
     void pull_failed(std::int64_t id, time_point now);
 
     decision next(time_point now);
--- a/lib/config/document_reader.cpp
+++ b/lib/config/document_reader.cpp
@@ -131,11 +131,14 @@
 {
     object_reader from(&value, path, problems);
     pipeline it;
+    const std::size_t problems_before = problems.size();
     it.work_rank = read_rank(from, "rank");
     it.deadline = duration(from.integer("deadline_ms", deadline_range));
     it.stages = read_stages(from, problems);
     it.callers = read_callers(from);
-    if (it.deadline.count() > 0 && it.cost_ms() > static_cast<double>(it.deadline.count()))
+    // Comparing with a value that was refused would only add a second, misleading problem.
+    const bool is_sound = problems.size() == problems_before;
+    if (is_sound && it.cost_ms() > static_cast<double>(it.deadline.count()))
         from.report("deadline_ms", fmt::format("is less than the {} ms that the stages cost", it.cost_ms()));
     from.finish();
     return it;
@@ -203,12 +206,13 @@
 claim_settings read_claims(object_reader& top, problem_list& problems)
 {
     object_reader from(top.object("claims", true), top.path_of("claims"), problems);
+    const std::size_t problems_before = problems.size();
     claim_settings it;
     it.owners = from.names("owners", owners_range, true);
     it.key_lifetime = duration(from.integer("key_lifetime_ms", lifetime_range, it.key_lifetime.count()));
     it.max_claims = from.integer("max_claims", claims_range, it.max_claims);
     it.lease = duration(from.integer("lease_ms", lease_range, it.lease.count()));
-    if (it.key_lifetime < it.lease)
+    if (problems.size() == problems_before && it.key_lifetime < it.lease)
         from.report("key_lifetime_ms",
                     fmt::format("must be at least lease_ms, which is {}", it.lease.count()));
     from.finish();
--- a/lib/config/fold.cpp
+++ b/lib/config/fold.cpp
@@ -78,8 +78,10 @@
     const std::int64_t current = number();
     error_slot<errc> last;
     auto content = document::parse(it.body, last);
-    if (current != 0 && it.number == current) {
-        if (content && *content == in_force_->document)
+    if (it.number < 1 || it.number > largest_number)
+        return conclude(it, verdict::invalid, fmt::format("number must be from 1 to {}", largest_number));
+    if (content && it.number == current) {
+        if (*content == in_force_->document)
             return conclude(it, verdict::ignored, "the same content is in force under this number");
         return conclude(it, verdict::conflict,
                         fmt::format("other content is in force under number {}", current));
@@ -88,8 +90,6 @@
         return conclude(it, verdict::stale_base, stale_reason(it.base, current));
     if (it.number < current)
         return conclude(it, verdict::stale_base, fmt::format("number {} is below {}", it.number, current));
-    if (it.number > largest_number)
-        return conclude(it, verdict::invalid, fmt::format("number must be at most {}", largest_number));
     if (!content)
         return conclude(it, verdict::invalid, last.last().reason);
     return accept(it, it.number, std::move(*content));
--- a/lib/config/sync.cpp
+++ b/lib/config/sync.cpp
@@ -18,7 +18,8 @@
 
 } // namespace
 
-sync::sync(const sync_settings& settings, std::string self, std::uint64_t seed, time_point now)
+synchronizer::synchronizer(const sync_settings& settings, std::string self, std::uint64_t seed,
+                           time_point now)
     : settings_(settings), self_(std::move(self)),
       random_(static_cast<std::uint32_t>(hash64(self_, seed) >> 33)), started_(now), last_wake_(now),
       earliest_read_(now + between({}, settings_.start_spread)), earliest_pull_(now),
@@ -27,7 +28,7 @@
 {
 }
 
-void sync::set_instances(const std::vector<instance>& it)
+void synchronizer::set_instances(const std::vector<instance>& it)
 {
     instances_ = it;
     watchers_ = watcher_set(instances_, settings_.watchers_per_domain);
@@ -37,7 +38,7 @@
         domains_.emplace(n.name, n.failure_domain);
 }
 
-void sync::set_position(const position& it, time_point now)
+void synchronizer::set_position(const position& it, time_point now)
 {
     if (it.number > position_.number) {
         quiet_due_ = now + shortened(settings_.quiet_read);
@@ -48,7 +49,7 @@
     known_revision_ = std::max(known_revision_, it.revision);
 }
 
-void sync::read_answered(std::int64_t id, std::int64_t revision, std::size_t entries, time_point now)
+void synchronizer::read_answered(std::int64_t id, std::int64_t revision, std::size_t entries, time_point now)
 {
     if (!read_ || read_->order.id != id)
         return;
@@ -68,7 +69,7 @@
     read_back_off_ = {};
 }
 
-void sync::read_failed(std::int64_t id, time_point now)
+void synchronizer::read_failed(std::int64_t id, time_point now)
 {
     if (!read_ || read_->order.id != id)
         return;
@@ -77,7 +78,8 @@
     earliest_read_ = now + next_back_off(read_back_off_);
 }
 
-void sync::peer_reported(std::string_view peer, std::int64_t number, std::string_view digest, time_point now)
+void synchronizer::peer_reported(std::string_view peer, std::int64_t number, std::string_view digest,
+                                 time_point now)
 {
     if (peer == self_)
         return;
@@ -92,19 +94,19 @@
         watcher_due_ = now + shortened(settings_.watcher_silence);
 }
 
-void sync::pull_answered(std::int64_t id, bool adopted, time_point now)
+void synchronizer::pull_answered(std::int64_t id, time_point now)
 {
     if (pull_ && pull_->order.id == id)
-        end_pull(adopted, now);
+        end_pull(position_.number > pull_->order.after_number, now);
 }
 
-void sync::pull_failed(std::int64_t id, time_point now)
+void synchronizer::pull_failed(std::int64_t id, time_point now)
 {
     if (pull_ && pull_->order.id == id)
         end_pull(false, now);
 }
 
-decision sync::next(time_point now)
+decision synchronizer::next(time_point now)
 {
     notice_pause(now);
     drop_overdue(now);
@@ -124,7 +126,7 @@
     return it;
 }
 
-bool sync::diverged(time_point now) const
+bool synchronizer::diverged(time_point now) const
 {
     return std::any_of(reports_.begin(), reports_.end(), [&](const auto& it) {
         const report& r = it.second;
@@ -132,47 +134,47 @@
     });
 }
 
-duration sync::between(duration least, duration most)
+duration synchronizer::between(duration least, duration most)
 {
     boost::random::uniform_int_distribution<std::int64_t> pick(least.count(), most.count());
     return duration(pick(random_));
 }
 
-bool sync::is_watcher(std::string_view peer) const
+bool synchronizer::is_watcher(std::string_view peer) const
 {
     return std::binary_search(watchers_.begin(), watchers_.end(), peer);
 }
 
-bool sync::is_listed_alone() const
+bool synchronizer::is_listed_alone() const
 {
     return instances_.size() == 1 && instances_.front().name == self_;
 }
 
-bool sync::is_peer_ahead(time_point now) const
+bool synchronizer::is_peer_ahead(time_point now) const
 {
     return std::any_of(reports_.begin(), reports_.end(), [&](const auto& it) {
         return fresh(it.second, now) && it.second.number > position_.number;
     });
 }
 
-bool sync::heard_version(time_point now) const
+bool synchronizer::heard_version(time_point now) const
 {
     return std::any_of(reports_.begin(), reports_.end(),
                        [&](const auto& it) { return fresh(it.second, now) && it.second.number > 0; });
 }
 
-bool sync::may_pull(const report& it, time_point now) const
+bool synchronizer::may_pull(const report& it, time_point now) const
 {
     return fresh(it, now) && it.number > position_.number && now >= it.avoid_until;
 }
 
-duration sync::next_back_off(duration& former)
+duration synchronizer::next_back_off(duration& former)
 {
     former = former == duration{} ? settings_.back_off_first : std::min(former * 2, settings_.back_off_last);
     return between(former / 2, former);
 }
 
-void sync::notice_pause(time_point now)
+void synchronizer::notice_pause(time_point now)
 {
     if (now <= last_wake_ + settings_.pause)
         return;
@@ -187,7 +189,7 @@
     earliest_pull_ = now;
 }
 
-void sync::drop_overdue(time_point now)
+void synchronizer::drop_overdue(time_point now)
 {
     if (read_ && now - read_->started >= read_->order.wait + settings_.read_timeout)
         read_failed(read_->order.id, now);
@@ -195,13 +197,13 @@
         end_pull(false, now);
 }
 
-void sync::drop_old_reports(time_point now)
+void synchronizer::drop_old_reports(time_point now)
 {
     for (auto it = reports_.begin(); it != reports_.end();)
         it = fresh(it->second, now) ? std::next(it) : reports_.erase(it);
 }
 
-void sync::end_pull(bool success, time_point now)
+void synchronizer::end_pull(bool success, time_point now)
 {
     const running_pull done = *std::exchange(pull_, std::nullopt);
     if (success) {
@@ -215,7 +217,7 @@
         it->second.avoid_until = now + settings_.pull_timeout;
 }
 
-time_point sync::next_read_time() const
+time_point synchronizer::next_read_time() const
 {
     if (watches_)
         return earliest_read_;
@@ -224,7 +226,7 @@
     return std::max(earliest_read_, std::min(watcher_due_, quiet_due_));
 }
 
-std::optional<read_order> sync::decide_read(time_point now)
+std::optional<read_order> synchronizer::decide_read(time_point now)
 {
     if (read_ || now < next_read_time())
         return std::nullopt;
@@ -242,7 +244,7 @@
     return read_->order;
 }
 
-std::optional<pull_order> sync::decide_pull(time_point now)
+std::optional<pull_order> synchronizer::decide_pull(time_point now)
 {
     if (pull_ || now < earliest_pull_ || !ahead_since_)
         return std::nullopt;
@@ -272,7 +274,7 @@
     return pull_->order;
 }
 
-std::optional<divergence> sync::decide_divergence(time_point now)
+std::optional<divergence> synchronizer::decide_divergence(time_point now)
 {
     if (position_.number == 0)
         return std::nullopt;
@@ -287,7 +289,7 @@
     return std::nullopt;
 }
 
-void sync::decide_ready(time_point now)
+void synchronizer::decide_ready(time_point now)
 {
     if (ready_ || position_.number == 0 || is_peer_ahead(now))
         return;
@@ -296,7 +298,7 @@
     ready_ = heard_version(now) || is_listed_alone() || now >= started_ + settings_.settle;
 }
 
-time_point sync::wake_time(time_point now) const
+time_point synchronizer::wake_time(time_point now) const
 {
     time_point it = now + longest_sleep;
     const auto at_most = [&](time_point t) { it = std::min(it, t); };
--- /dev/null
+++ b/unittests/config/sync_test.cpp
@@ -0,0 +1,200 @@
+#include <limpetlock/config/sync.hpp>
+#include <limpetlock/config/watchers.hpp>
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+using namespace limpetlock;
+using namespace limpetlock::config;
+
+namespace {
+
+time_point at(std::int64_t ms)
+{
+    return time_point(duration(ms));
+}
+
+std::vector<instance> fleet(std::size_t domains, std::size_t per_domain)
+{
+    std::vector<instance> found;
+    for (std::size_t d = 0; d < domains; ++d)
+        for (std::size_t n = 0; n < per_domain; ++n)
+            found.push_back({fmt::format("i{}-{}", d, n), fmt::format("d{}", d), false});
+    return found;
+}
+
+/// Runs next() at every wake up to `end` and calls `each` with the decision.
+template <typename Each>
+time_point drive(synchronizer& it, time_point now, time_point end, Each each)
+{
+    while (now < end) {
+        const decision made = it.next(now);
+        each(made, now);
+        now = std::min(made.wake, end);
+    }
+    return now;
+}
+
+} // namespace
+
+// Guards against a service that is asked faster than the floor, whatever it answers, and against calls that a
+// waiting watch adds.
+Test(sync, keeps_the_floor_between_reads)
+{
+    const sync_settings settings;
+    synchronizer it(settings, "a1", 1, at(0));
+    it.set_position({1, "x", 1}, at(0));
+    time_point former = at(-1000);
+    std::int64_t revision = 1;
+    drive(it, at(0), at(20'000), [&](const decision& made, time_point now) {
+        if (!made.read)
+            return;
+        cr_assert_geq((now - former).count(), settings.read_floor.count());
+        former = now;
+        it.set_position({++revision, "x", revision}, now);
+        it.read_answered(made.read->id, revision, 1, now);
+    });
+    cr_assert_leq(it.counters().reads, 80);
+
+    synchronizer idle(settings, "a1", 1, at(0));
+    idle.set_position({1, "x", 1}, at(0));
+    std::optional<read_order> open;
+    time_point answer{};
+    drive(idle, at(0), at(100'000), [&](const decision& made, time_point now) {
+        if (open && now >= answer) {
+            idle.read_answered(open->id, 1, 0, now);
+            open.reset();
+        }
+        if (!made.read)
+            return;
+        open = made.read;
+        answer = now + made.read->wait;
+    });
+    cr_assert_leq(idle.counters().reads, 11);
+}
+
+// Guards against a service that is flooded in an outage, or that answers every watch at once, and against a
+// back-off longer than the time in which a change must be in force.
+Test(sync, backs_off_within_its_limit)
+{
+    const sync_settings settings;
+    cr_assert_lt((settings.watch_wait + settings.read_timeout + settings.back_off_last).count(), 18'000);
+    for (const bool fails : {true, false}) {
+        synchronizer it(settings, "a1", 1, at(0));
+        it.set_position({1, "x", 5}, at(0));
+        time_point former = at(0);
+        drive(it, at(0), at(60'000), [&](const decision& made, time_point now) {
+            if (!made.read)
+                return;
+            cr_assert_leq((now - former).count(), settings.back_off_last.count());
+            former = now;
+            if (fails)
+                it.read_failed(made.read->id, now);
+            else
+                it.read_answered(made.read->id, 5, 0, now);
+        });
+        cr_assert_leq(it.counters().reads, 35);
+        cr_assert_geq(it.counters().reads, 15);
+    }
+}
+
+// Guards against a hung read or pull that stops all reading, and against its late answer being taken for a
+// new one's.
+Test(sync, gives_up_hung_calls)
+{
+    synchronizer it({}, "a1", 1, at(0));
+    it.set_position({1, "x", 1}, at(0));
+    std::int64_t reads = 0;
+    std::int64_t first = 0;
+    drive(it, at(0), at(30'000), [&](const decision& made, time_point) {
+        if (made.read && ++reads == 1)
+            first = made.read->id;
+    });
+    cr_assert_geq(reads, 2);
+    it.read_answered(first, 9, 1, at(30'000));
+    cr_assert_eq(it.counters().stale_revisions, 0);
+    cr_assert_eq(it.counters().read_failures, reads - 1);
+}
+
+// Guards against a peer whose version can't be adopted here being pulled without pause.
+Test(sync, backs_off_from_peers_without_use)
+{
+    synchronizer it({}, "a1", 1, at(0));
+    it.set_position({1, "x", 1}, at(0));
+    drive(it, at(0), at(60'000), [&](const decision& made, time_point now) {
+        for (const char* peer : {"b1", "b2", "b3"})
+            it.peer_reported(peer, 2, "y", now);
+        if (made.pull)
+            it.pull_answered(made.pull->id, now);
+    });
+    cr_assert_leq(it.counters().pulls, 30);
+    cr_assert_geq(it.counters().pulls, 10);
+    cr_assert_eq(it.counters().pull_failures, it.counters().pulls);
+}
+
+// Guards against an instance that serves an old prefix from a stale replica before it has heard its peers.
+Test(sync, is_not_ready_behind_its_peers)
+{
+    synchronizer it({}, "a1", 1, at(0));
+    it.set_instances(fleet(1, 3));
+    cr_assert(!it.next(at(100)).ready);
+    it.set_position({1, "x", 1}, at(200));
+    cr_assert(!it.next(at(200)).ready);
+    it.peer_reported("i0-1", 4, "z", at(300));
+    const decision behind = it.next(at(300));
+    cr_assert(!behind.ready);
+    cr_assert(behind.pull.has_value());
+    cr_assert(behind.pull->peer == "i0-1");
+    it.set_position({4, "z", 9}, at(310));
+    it.pull_answered(behind.pull->id, at(310));
+    cr_assert(it.next(at(310)).ready);
+    it.peer_reported("i0-1", 5, "z", at(400));
+    cr_assert(it.next(at(400)).ready, "an instance that was ready goes on with what it has");
+}
+
+// Guards against an instance that acts after a pause on what peers told it before.
+Test(sync, forgets_reports_after_a_pause)
+{
+    synchronizer it({}, "a1", 1, at(0));
+    it.set_position({2, "x", 2}, at(0));
+    it.peer_reported("b1", 2, "y", at(100));
+    cr_assert(it.next(at(100)).raised.has_value());
+    cr_assert(it.diverged(at(100)));
+    const decision woken = it.next(at(3900));
+    cr_assert_eq(it.counters().pauses, 1);
+    cr_assert(!it.diverged(at(3900)));
+    cr_assert(!woken.pull.has_value());
+    it.peer_reported("b1", 2, "y", at(4000));
+    cr_assert(!it.next(at(4000)).raised.has_value(), "a divergence is raised once");
+    cr_assert_eq(it.counters().divergences, 1);
+}
+
+// Guards against watcher sets that differ between instances with the same list, leave a domain out, or change
+// widely when one instance comes or goes.
+Test(watchers, are_a_stable_function_of_the_list)
+{
+    auto list = fleet(16, 23);
+    const auto chosen = watcher_set(list, 2);
+    cr_assert_eq(chosen.size(), 32U);
+    cr_assert(std::is_sorted(chosen.begin(), chosen.end()));
+    std::reverse(list.begin(), list.end());
+    cr_assert(watcher_set(list, 2) == chosen);
+
+    list.erase(
+        std::find_if(list.begin(), list.end(), [&](const instance& it) { return it.name == chosen[0]; }));
+    const auto after = watcher_set(list, 2);
+    std::vector<std::string> kept;
+    std::set_intersection(chosen.begin(), chosen.end(), after.begin(), after.end(), std::back_inserter(kept));
+    cr_assert_eq(kept.size(), 31U);
+    cr_assert_eq(after.size(), 32U);
+}
+
+// Guards against watchers that are about to leave while others could watch.
+Test(watchers, prefer_instances_that_stay)
+{
+    std::vector<instance> list{{"a1", "a", true}, {"a2", "a", false}, {"b1", "b", true}};
+    cr_assert(watcher_set(list, 1) == std::vector<std::string>({"a2", "b1"}));
+    cr_assert(watcher_set({}, 2).empty());
+}
--- /dev/null
+++ b/utils/bench-config/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/utils/bench-config/scripted_fleet.cpp
@@ -0,0 +1,225 @@
+#include "scripted_fleet.hpp"
+
+#include <limpetlock/support/hash.hpp>
+
+#include <boost/random/uniform_int_distribution.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace limpetlock::config {
+
+namespace {
+
+constexpr duration step_length{10};
+constexpr const char* service_name = "service";
+
+} // namespace
+
+scripted_fleet::scripted_fleet(const fleet_settings& settings, observer observe)
+    : settings_(settings), observe_(std::move(observe))
+{
+}
+
+void scripted_fleet::list(const std::vector<instance>& it)
+{
+    instances_ = it;
+    for (auto& [name, n] : replicas_)
+        n->decisions.set_instances(instances_);
+}
+
+void scripted_fleet::start(const std::string& name)
+{
+    const auto seed = static_cast<std::uint64_t>(++starts_);
+    auto it = std::make_unique<replica>(
+        replica{name, {}, synchronizer(settings_.sync, name, seed, now_), now_, {}, {}, {}, {}});
+    it->next_heartbeat = now_ + duration(static_cast<std::int64_t>(
+                                    hash64(name) % static_cast<std::uint64_t>(settings_.heartbeat.count())));
+    it->decisions.set_instances(instances_);
+    replicas_[name] = std::move(it);
+}
+
+void scripted_fleet::stop(const std::string& name)
+{
+    replicas_.erase(name);
+}
+
+void scripted_fleet::set_service(service_mode mode, std::int64_t stale_revision)
+{
+    mode_ = mode;
+    stale_revision_ = stale_revision;
+}
+
+void scripted_fleet::publish(entry it)
+{
+    it.revision = ++revision_;
+    entries_.push_back({std::move(it), ""});
+}
+
+void scripted_fleet::publish_to(const std::string& reader, entry it)
+{
+    revision_ = std::max(revision_, it.revision);
+    entries_.push_back({std::move(it), reader});
+}
+
+void scripted_fleet::cut(const std::string& a, const std::string& b)
+{
+    cuts_.insert(std::minmax(a, b));
+}
+
+void scripted_fleet::run(duration length)
+{
+    for (const time_point end = now_ + length; now_ < end; now_ += step_length)
+        for (auto& [name, it] : replicas_)
+            step(*it);
+}
+
+std::vector<std::string> scripted_fleet::running() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, it] : replicas_)
+        names.push_back(name);
+    return names;
+}
+
+bool scripted_fleet::all_reached(std::int64_t number) const
+{
+    return std::all_of(replicas_.begin(), replicas_.end(),
+                       [&](const auto& it) { return it.second->store.number() >= number; });
+}
+
+bool scripted_fleet::reaches(const std::string& a, const std::string& b) const
+{
+    return cuts_.count(std::minmax(a, b)) == 0;
+}
+
+std::int64_t scripted_fleet::shown_revision() const
+{
+    return mode_ == service_mode::stale ? std::min(stale_revision_, revision_) : revision_;
+}
+
+void scripted_fleet::note(const replica& it, const std::string& what)
+{
+    if (observe_)
+        observe_(now_, it.name, what);
+}
+
+void scripted_fleet::note_outcome(const replica& it, const outcome& made)
+{
+    note(it, fmt::format("{} revision={} author={} base={} number={}{}{}", to_string(made.result),
+                         made.revision, made.author, made.base, made.number,
+                         made.reason.empty() ? "" : " reason=", made.reason));
+}
+
+void scripted_fleet::moved(replica& it)
+{
+    const auto version = it.store.in_force();
+    it.decisions.set_position({it.store.number(), version ? version->digest() : "", it.store.revision()},
+                              now_);
+}
+
+void scripted_fleet::step(replica& it)
+{
+    bool changed = answer_read(it);
+    changed = answer_pull(it) || changed;
+    if (now_ >= it.next_heartbeat)
+        send_heartbeat(it);
+    if (changed || now_ >= it.wake)
+        decide(it);
+}
+
+bool scripted_fleet::answer_read(replica& it)
+{
+    if (!it.read || now_ < it.read->second + settings_.latency)
+        return false;
+    const auto [order, started] = *it.read;
+    if (mode_ == service_mode::down || !reaches(it.name, service_name)) {
+        it.read.reset();
+        note(it, "read failed");
+        it.decisions.read_failed(order.id, now_);
+        return true;
+    }
+    service_reply reply{shown_revision(), {}};
+    for (const published& n : entries_)
+        if (n.it.revision > order.after && n.it.revision <= reply.revision &&
+            (n.only_reader.empty() || n.only_reader == it.name))
+            reply.entries.push_back(n.it);
+    if (reply.entries.empty() && now_ < started + order.wait)
+        return false;
+    it.read.reset();
+    note(it, fmt::format("reply revision={} entries={}", reply.revision, reply.entries.size()));
+    for (const outcome& made : it.store.apply(reply))
+        note_outcome(it, made);
+    moved(it);
+    it.decisions.read_answered(order.id, reply.revision, reply.entries.size(), now_);
+    return true;
+}
+
+bool scripted_fleet::answer_pull(replica& it)
+{
+    if (!it.pull || now_ < it.pull->second + settings_.latency)
+        return false;
+    const pull_order order = it.pull->first;
+    it.pull.reset();
+    const auto peer = replicas_.find(order.peer);
+    const auto version = peer == replicas_.end() ? nullptr : peer->second->store.in_force();
+    if (!version || !reaches(it.name, order.peer)) {
+        note(it, fmt::format("pull failed peer={}", order.peer));
+        it.decisions.pull_failed(order.id, now_);
+        return true;
+    }
+    const auto made = it.store.adopt(to_peer_version(*version), order.peer);
+    totals_.pulled_bytes += static_cast<std::int64_t>(version->document.text().size());
+    note_outcome(it, made);
+    moved(it);
+    it.decisions.pull_answered(order.id, now_);
+    return true;
+}
+
+void scripted_fleet::send_heartbeat(replica& it)
+{
+    it.next_heartbeat += settings_.heartbeat;
+    const auto version = it.store.in_force();
+    const std::string digest = version ? version->digest() : "";
+    const auto tell = [&](replica& peer) {
+        if (peer.name == it.name || !reaches(it.name, peer.name))
+            return;
+        ++totals_.heartbeats;
+        peer.decisions.peer_reported(it.name, it.store.number(), digest, now_);
+        peer.wake = now_;
+    };
+    if (settings_.partners == 0) {
+        for (auto& [name, peer] : replicas_)
+            tell(*peer);
+        return;
+    }
+    boost::random::uniform_int_distribution<std::size_t> pick(0, instances_.size() - 1);
+    for (std::size_t n = 0; n < settings_.partners; ++n) {
+        const auto peer = replicas_.find(instances_[pick(random_)].name);
+        if (peer != replicas_.end())
+            tell(*peer->second);
+    }
+}
+
+void scripted_fleet::decide(replica& it)
+{
+    const decision made = it.decisions.next(now_);
+    it.wake = made.wake;
+    if (made.raised)
+        note(it, fmt::format("divergence number={} peer={}", made.raised->number, made.raised->peer));
+    if (made.read) {
+        note(it, fmt::format("read after={} wait={}", made.read->after, made.read->wait.count()));
+        ++totals_.service_calls;
+        it.read.emplace(*made.read, now_);
+    }
+    if (made.pull) {
+        note(it, fmt::format("pull peer={} after={}", made.pull->peer, made.pull->after_number));
+        ++totals_.pulls;
+        it.pull.emplace(*made.pull, now_);
+    }
+    if (made.ready && !it.ready)
+        note(it, "ready");
+    it.ready = made.ready;
+}
+
+} // namespace limpetlock::config
--- /dev/null
+++ b/utils/bench-config/scripted_fleet.hpp
@@ -0,0 +1,115 @@
+/// \file
+/// Drives the fold and sync modules of several instances with a scripted clock and a stand-in of the
+/// configuration service, without threads or sockets. Golden sessions and the measurement program use it.
+#pragma once
+
+#include <limpetlock/config/fold.hpp>
+#include <limpetlock/config/sync.hpp>
+
+#include <boost/random/linear_congruential.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace limpetlock::config {
+
+enum class service_mode { ok, down, stale };
+
+struct fleet_settings {
+    sync_settings sync;
+    /// Time between two heartbeats of an instance.
+    duration heartbeat{500};
+    /// How many random peers a heartbeat goes to; 0 for all.
+    std::size_t partners{};
+    /// Time until the service or a peer answers.
+    duration latency{10};
+};
+
+struct fleet_totals {
+    std::int64_t service_calls{};
+    std::int64_t pulls{};
+    std::int64_t pulled_bytes{};
+    std::int64_t heartbeats{};
+};
+
+class scripted_fleet {
+public:
+    /// Called with each thing that an instance decided or learned.
+    using observer = std::function<void(time_point, const std::string& instance, const std::string& what)>;
+
+    scripted_fleet(const fleet_settings& settings, observer observe);
+
+    void list(const std::vector<instance>& it);
+    void start(const std::string& name);
+    void stop(const std::string& name);
+    /// In mode stale the service shows no entry above `stale_revision`.
+    void set_service(service_mode mode, std::int64_t stale_revision = 0);
+    /// Publishes with the next revision, or with a given one that only one reader sees.
+    void publish(entry it);
+    void publish_to(const std::string& reader, entry it);
+    /// Cuts the contact between two instances, or between an instance and "service".
+    void cut(const std::string& a, const std::string& b);
+    void heal() { cuts_.clear(); }
+    void run(duration length);
+
+    time_point now() const { return now_; }
+    std::int64_t revision() const { return revision_; }
+    const fleet_totals& totals() const { return totals_; }
+    /// Names of the running instances.
+    std::vector<std::string> running() const;
+    const fold& fold_of(const std::string& name) const { return replicas_.at(name)->store; }
+    const synchronizer& sync_of(const std::string& name) const { return replicas_.at(name)->decisions; }
+    /// Whether every running instance has this number or a larger one in force.
+    bool all_reached(std::int64_t number) const;
+
+private:
+    struct replica {
+        std::string name;
+        fold store;
+        synchronizer decisions;
+        time_point wake{};
+        time_point next_heartbeat{};
+        bool ready{};
+        std::optional<std::pair<read_order, time_point>> read;
+        std::optional<std::pair<pull_order, time_point>> pull;
+    };
+
+    struct published {
+        entry it;
+        std::string only_reader;
+    };
+
+    bool reaches(const std::string& a, const std::string& b) const;
+    std::int64_t shown_revision() const;
+    void note(const replica& it, const std::string& what);
+    void note_outcome(const replica& it, const outcome& made);
+    void moved(replica& it);
+    void step(replica& it);
+    bool answer_read(replica& it);
+    bool answer_pull(replica& it);
+    void send_heartbeat(replica& it);
+    void decide(replica& it);
+
+    fleet_settings settings_;
+    observer observe_;
+    boost::random::minstd_rand random_{1};
+    time_point now_{};
+    std::int64_t starts_{};
+    service_mode mode_{service_mode::ok};
+    std::int64_t stale_revision_{};
+    std::int64_t revision_{};
+    std::vector<published> entries_;
+    std::vector<instance> instances_;
+    std::map<std::string, std::unique_ptr<replica>> replicas_;
+    std::set<std::pair<std::string, std::string>> cuts_;
+    fleet_totals totals_;
+};
+
+} // namespace limpetlock::config
