Add bench-config and bound the fallback reads per failure domain

No figure showed what folding costs and how many calls the fleet makes. bench-config measures both, the second by driving the sync decisions with a scripted clock.

--- a/include/limpetlock/config/sync.hpp
+++ b/include/limpetlock/config/sync.hpp
@@ -43,9 +43,10 @@
     /// An instance that does not watch reads the service itself when no watcher has reported for this long.
     /// With a read it stays under the 18 s of promise P7.
     duration watcher_silence{10'000};
-    /// An instance that does not watch also reads the service when nothing has changed for this long, in case
-    /// the watchers are alive but do not reach the service.
-    duration quiet_read{60'000};
+    /// In a failure domain where nothing has changed for this long, one of the instances that don't watch
+    /// reads the service too, on average once in this time, in case the watchers are alive but do not reach
+    /// the service. The rate is per domain, so that it does not grow with the fleet.
+    duration quiet_read{10'000};
     /// Time after which a pull without an answer counts as failed, and how long a peer whose pull failed is
     /// avoided.
     duration pull_timeout{2000};
@@ -131,7 +132,7 @@
     synchronizer(const sync_settings& settings, std::string self, std::uint64_t seed, time_point now);
 
     /// The entry instances of a new instance list. While the list is empty, the instance watches the service.
-    void set_instances(const std::vector<instance>& it);
+    void set_instances(const std::vector<instance>& it, time_point now);
 
     /// The fold moved, by a reply or by a version from a peer.
     void set_position(const position& it, time_point now);
@@ -187,6 +188,7 @@
     bool heard_version(time_point now) const;
     bool may_pull(const report& it, time_point now) const;
     duration next_back_off(duration& former);
+    duration quiet_interval();
     void notice_pause(time_point now);
     void drop_overdue(time_point now);
     void drop_old_reports(time_point now);
@@ -204,6 +206,8 @@
     position position_;
     std::vector<instance> instances_;
     std::vector<std::string> watchers_;
+    /// Instances of the own failure domain that don't watch, this one included.
+    std::int64_t readers_in_domain_{1};
     std::map<std::string, std::string, std::less<>> domains_;
     std::map<std::string, report, std::less<>> reports_;
     std::optional<running_read> read_;
--- a/lib/config/sync.cpp
+++ b/lib/config/sync.cpp
@@ -23,12 +23,11 @@
     : settings_(settings), self_(std::move(self)),
       random_(static_cast<std::uint32_t>(hash64(self_, seed) >> 33)), started_(now), last_wake_(now),
       earliest_read_(now + between({}, settings_.start_spread)), earliest_pull_(now),
-      watcher_due_(now + shortened(settings_.watcher_silence)),
-      quiet_due_(now + shortened(settings_.quiet_read))
+      watcher_due_(now + shortened(settings_.watcher_silence)), quiet_due_(now + quiet_interval())
 {
 }
 
-void synchronizer::set_instances(const std::vector<instance>& it)
+void synchronizer::set_instances(const std::vector<instance>& it, time_point now)
 {
     instances_ = it;
     watchers_ = watcher_set(instances_, settings_.watchers_per_domain);
@@ -36,12 +35,20 @@
     domains_.clear();
     for (const instance& n : instances_)
         domains_.emplace(n.name, n.failure_domain);
+    const auto own = domains_.find(self_);
+    const std::int64_t former = std::exchange(readers_in_domain_, 1);
+    if (own != domains_.end() && !watches_)
+        readers_in_domain_ = std::count_if(domains_.begin(), domains_.end(), [&](const auto& n) {
+            return n.second == own->second && !is_watcher(n.first);
+        });
+    if (readers_in_domain_ != former)
+        quiet_due_ = now + quiet_interval();
 }
 
 void synchronizer::set_position(const position& it, time_point now)
 {
     if (it.number > position_.number) {
-        quiet_due_ = now + shortened(settings_.quiet_read);
+        quiet_due_ = now + quiet_interval();
         raised_.clear();
     }
     position_ = it;
@@ -174,6 +181,12 @@
     return between(former / 2, former);
 }
 
+duration synchronizer::quiet_interval()
+{
+    const duration mean = settings_.quiet_read * readers_in_domain_;
+    return between(mean / 2, mean + mean / 2);
+}
+
 void synchronizer::notice_pause(time_point now)
 {
     if (now <= last_wake_ + settings_.pause)
@@ -237,7 +250,7 @@
     read_ = running_read{{++last_id_, position_.revision, waits ? settings_.watch_wait : duration{}}, now};
     earliest_read_ = now + settings_.read_floor + between({}, settings_.read_floor / 2);
     watcher_due_ = now + shortened(settings_.watcher_silence);
-    quiet_due_ = now + shortened(settings_.quiet_read);
+    quiet_due_ = now + quiet_interval();
     ++counters_.reads;
     if (!watches_)
         ++counters_.fallback_reads;
--- a/unittests/config/sync_test.cpp
+++ b/unittests/config/sync_test.cpp
@@ -138,7 +138,7 @@
 Test(sync, is_not_ready_behind_its_peers)
 {
     synchronizer it({}, "a1", 1, at(0));
-    it.set_instances(fleet(1, 3));
+    it.set_instances(fleet(1, 3), at(0));
     cr_assert(!it.next(at(100)).ready);
     it.set_position({1, "x", 1}, at(200));
     cr_assert(!it.next(at(200)).ready);
--- /dev/null
+++ b/utils/bench-config/measure_fleet.cpp
@@ -0,0 +1,118 @@
+#include "measurements.hpp"
+#include "sample_document.hpp"
+#include "scripted_fleet.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace limpetlock::config {
+
+namespace {
+
+constexpr duration settling{30'000};
+constexpr duration idle_time{120'000};
+constexpr duration outage_time{60'000};
+/// 5,400 changes a day are one in 16 s.
+constexpr duration change_interval{16'000};
+constexpr std::size_t change_count = 10;
+constexpr duration burst_time{5000};
+constexpr duration sampling{20};
+
+std::vector<instance> list_of(const fleet_size& size)
+{
+    std::vector<instance> found;
+    for (std::size_t n = 0; n < size.instances; ++n)
+        found.push_back(
+            {fmt::format("entry-{:03}", n), fmt::format("domain-{:02}", n % size.domains), false});
+    return found;
+}
+
+double seconds(duration it)
+{
+    return static_cast<double>(it.count()) / 1000;
+}
+
+struct change {
+    /// Time until it was in force everywhere.
+    duration spread{};
+    std::int64_t burst_calls{};
+};
+
+/// Publishes a change and runs until the next is due.
+change change_once(scripted_fleet& fleet, std::int64_t base)
+{
+    entry it;
+    it.kind = entry_kind::patch;
+    it.author = "bench";
+    it.base = base;
+    it.body = fmt::format(R"({{"teams":{{"{}":{{"weight":{}}}}}}})", sample_team(0), base + 1);
+    const time_point start = fleet.now();
+    const std::int64_t calls = fleet.totals().service_calls;
+    fleet.publish(it);
+    change made{change_interval, 0};
+    while (fleet.now() - start < change_interval) {
+        fleet.run(sampling);
+        const duration passed = fleet.now() - start;
+        if (fleet.all_reached(base + 1))
+            made.spread = std::min(made.spread, passed);
+        if (passed <= burst_time)
+            made.burst_calls = fleet.totals().service_calls - calls;
+    }
+    return made;
+}
+
+} // namespace
+
+fleet_row measure_fleet(const fleet_size& size, std::size_t watchers_per_domain, std::size_t teams)
+{
+    fleet_settings settings;
+    settings.partners = size.partners;
+    settings.sync.watchers_per_domain = watchers_per_domain;
+    scripted_fleet fleet(settings, {});
+    fleet.list(list_of(size));
+    fleet.publish(entry{0, "bench", entry_kind::document, 0, 1, sample_document(teams)});
+    for (const instance& it : list_of(size))
+        fleet.start(it.name);
+
+    fleet_row row;
+    row.instances = size.instances;
+    row.domains = size.domains;
+    row.partners = size.partners;
+    const bool all = watchers_per_domain >= size.instances;
+    row.watchers = all ? "all" : fmt::format("{} per domain", watchers_per_domain);
+    fleet.run(settling);
+    row.start_calls = fleet.totals().service_calls;
+
+    fleet_totals before = fleet.totals();
+    fleet.run(idle_time);
+    row.idle_calls_per_s =
+        static_cast<double>(fleet.totals().service_calls - before.service_calls) / seconds(idle_time);
+
+    before = fleet.totals();
+    std::vector<duration> spreads;
+    for (std::size_t n = 0; n < change_count; ++n) {
+        const change made = change_once(fleet, static_cast<std::int64_t>(n) + 1);
+        spreads.push_back(made.spread);
+        row.burst_calls_per_change += static_cast<double>(made.burst_calls) / change_count;
+    }
+    row.changing_calls_per_s = static_cast<double>(fleet.totals().service_calls - before.service_calls) /
+                               seconds(change_interval * change_count);
+    row.pulls_per_change = static_cast<double>(fleet.totals().pulls - before.pulls) / change_count;
+    row.pulled_bytes_per_change_and_instance =
+        static_cast<double>(fleet.totals().pulled_bytes - before.pulled_bytes) /
+        static_cast<double>(change_count * size.instances);
+    std::sort(spreads.begin(), spreads.end());
+    row.median_spread_ms = static_cast<double>(spreads[spreads.size() / 2].count());
+    row.longest_spread_ms = static_cast<double>(spreads.back().count());
+
+    before = fleet.totals();
+    fleet.set_service(service_mode::down);
+    fleet.run(outage_time);
+    row.outage_calls_per_s =
+        static_cast<double>(fleet.totals().service_calls - before.service_calls) / seconds(outage_time);
+    return row;
+}
+
+} // namespace limpetlock::config
--- a/utils/bench-config/scripted_fleet.cpp
+++ b/utils/bench-config/scripted_fleet.cpp
@@ -25,7 +25,7 @@
 {
     instances_ = it;
     for (auto& [name, n] : replicas_)
-        n->decisions.set_instances(instances_);
+        n->decisions.set_instances(instances_, now_);
 }
 
 void scripted_fleet::start(const std::string& name)
@@ -35,7 +35,7 @@
         replica{name, {}, synchronizer(settings_.sync, name, seed, now_), now_, {}, {}, {}, {}});
     it->next_heartbeat = now_ + duration(static_cast<std::int64_t>(
                                     hash64(name) % static_cast<std::uint64_t>(settings_.heartbeat.count())));
-    it->decisions.set_instances(instances_);
+    it->decisions.set_instances(instances_, now_);
     replicas_[name] = std::move(it);
 }
 
