Serve a request from end to end

The admission gate and the configuration decisions changed their interfaces; the controllers follow. The first start aborted with 'free(): invalid pointer': GCC 12 destroys a braced temporary in the argument list of a co_await expression twice. Such arguments are named locals now.

--- a/lib/server/admission_controller.cpp
+++ b/lib/server/admission_controller.cpp
@@ -199,7 +199,9 @@
 
 void admission_controller::pump_queue_locked(admission::queue& queue, time_point now)
 {
-    const auto fits = [this](std::uint64_t id) { return gate_.has_room(waiting_.at(id).profile->footprint); };
+    const auto fits = [&](std::uint64_t id) {
+        return gate_.has_room(waiting_.at(id).profile->footprint, now);
+    };
     while (const auto ticket = queue.next(now, fits)) {
         auto& it = waiting_.at(ticket->id);
         gate_.enter(it.profile->footprint);
@@ -242,6 +244,12 @@
     }
 }
 
+void admission_controller::record_call(const std::string& pool, bool answered)
+{
+    const std::lock_guard lock(mutex_);
+    gate_.record(pool, answered, boot_clock::now());
+}
+
 void admission_controller::record_stage(admission::stage_id stage, double took_ms)
 {
     const std::lock_guard lock(mutex_);
--- a/lib/server/admission_controller.hpp
+++ b/lib/server/admission_controller.hpp
@@ -63,6 +63,11 @@
     admission_permit& operator=(const admission_permit&) = delete;
     ~admission_permit();
 
+    /// Priority at the engines, 0 the highest. Work that was released by the minimum share of its rank gets
+    /// the highest one: behind the urgent work at a busy engine it would lose the share that it was released
+    /// for.
+    int engine_priority() const { return ticket_.by_share ? 0 : static_cast<int>(ticket_.priority); }
+
     /// Adds endpoint time that the work took.
     void add_cost(double milliseconds) { used_ms_ += milliseconds; }
 
@@ -100,6 +105,10 @@
                                                                   time_point deadline, request_error& error);
 
     void record_stage(admission::stage_id stage, double took_ms);
+
+    /// Whether an endpoint of the pool answered a call; holds back queued work while a pool is out.
+    void record_call(const std::string& pool, bool answered);
+
     double expected_ms(admission::stage_id stage) const;
 
     std::vector<pool_usage> take_usage();
--- a/lib/server/components.cpp
+++ b/lib/server/components.cpp
@@ -24,7 +24,7 @@
       peers(io.get_executor(), settings, incarnation),
       configuration(io.get_executor(), settings, incarnation, client, peers, in_force),
       claims(io.get_executor(), settings, incarnation, peers), admission(io.get_executor(), table),
-      runner(client, table, membership, costs), stop(to_stop_settings(settings))
+      runner(client, table, membership, admission, costs), stop(to_stop_settings(settings))
 {
 }
 
--- a/lib/server/config_controller.cpp
+++ b/lib/server/config_controller.cpp
@@ -65,10 +65,10 @@
 awaitable<void> config_controller::read(config::read_order order)
 {
     const http::request request{"GET", config::service_target(order.after, order.wait), {}, {}};
+    const http::address platform{settings_.platform.host, settings_.platform.port};
     http::call_error transport;
-    const auto reply =
-        co_await client_.call({settings_.platform.host, settings_.platform.port}, request,
-                              boot_clock::now() + order.wait + read_grace, http::reuse::pooled, transport);
+    const auto reply = co_await client_.call(platform, request, boot_clock::now() + order.wait + read_grace,
+                                             http::reuse::pooled, transport);
     error_slot<config::errc> last;
     std::optional<config::service_reply> parsed;
     if (reply && reply->status == 200)
@@ -107,7 +107,7 @@
             const auto held = fold_.in_force();
             sync_.set_position({fold_.number(), held ? held->digest() : std::string(), fold_.revision()},
                                now);
-            sync_.pull_answered(order.id, outcome.result == config::verdict::accepted, now);
+            sync_.pull_answered(order.id, now);
         } else {
             sync_.pull_failed(order.id, now);
         }
@@ -159,7 +159,7 @@
         instances.push_back({it.name, it.failure_domain, it.leaving});
     boost::asio::post(strand_, [this, instances = std::move(instances)] {
         const std::lock_guard lock(mutex_);
-        sync_.set_instances(instances);
+        sync_.set_instances(instances, boot_clock::now());
         wake();
     });
 }
--- a/lib/server/config_controller.hpp
+++ b/lib/server/config_controller.hpp
@@ -69,7 +69,7 @@
     /// Guards fold_ and sync_ against readers of the admin API; all changes happen on the strand.
     mutable std::mutex mutex_;
     config::fold fold_;
-    config::sync sync_;
+    config::synchronizer sync_;
     std::atomic<bool> ready_{false};
     std::atomic<bool> stopped_{false};
 };
--- a/lib/server/membership_controller.cpp
+++ b/lib/server/membership_controller.cpp
@@ -175,11 +175,11 @@
 awaitable<bool> membership_controller::read_list()
 {
     const std::int64_t version = list_version();
+    const http::address platform{settings_.platform.host, settings_.platform.port};
     http::call_error error;
     const http::request request{"GET", instance_list_target(version, list_wait), {}, {}};
-    const auto reply =
-        co_await client_.call({settings_.platform.host, settings_.platform.port}, request,
-                              boot_clock::now() + list_wait + list_timeout, http::reuse::pooled, error);
+    const auto reply = co_await client_.call(platform, request, boot_clock::now() + list_wait + list_timeout,
+                                             http::reuse::pooled, error);
     std::string reason = error.reason;
     std::optional<membership::instance_list> list;
     if (reply && reply->status == 200)
@@ -238,9 +238,10 @@
 awaitable<void> membership_controller::poll_load(membership::endpoint it)
 {
     ++load_polls_;
+    const http::address to{it.address, it.port};
     http::call_error error;
-    const auto reply = co_await client_.call({it.address, it.port}, load_request(),
-                                             boot_clock::now() + load_timeout, http::reuse::pooled, error);
+    const auto reply = co_await client_.call(to, load_request(), boot_clock::now() + load_timeout,
+                                             http::reuse::pooled, error);
     if (!reply)
         co_return;
     if (const auto report = read_load(*reply))
--- a/lib/server/peer_controller.cpp
+++ b/lib/server/peer_controller.cpp
@@ -177,8 +177,9 @@
     const auto reply = co_await impl_->call(std::move(to), std::move(it), deadline);
     if (!reply || !reply->__isset.heartbeat_ack)
         co_return std::nullopt;
-    co_return peer_reply<claims::heartbeat_ack>{{reply->sender, reply->incarnation},
-                                                from_wire(reply->heartbeat_ack)};
+    peer_reply<claims::heartbeat_ack> out{{reply->sender, reply->incarnation},
+                                          from_wire(reply->heartbeat_ack)};
+    co_return out;
 }
 
 awaitable<std::optional<claims::claim_reply>>
--- a/lib/server/pipeline_handler.cpp
+++ b/lib/server/pipeline_handler.cpp
@@ -136,7 +136,8 @@
         for (std::size_t n = 0; n < it.pipeline->stages.size(); ++n) {
             const auto& stage = it.pipeline->stages[n];
             const bool last = n + 1 == it.pipeline->stages.size();
-            const auto work = work_of(it, stage, (*profile.stages)[n], std::move(value));
+            const auto work =
+                work_of(it, stage, (*profile.stages)[n], permit.engine_priority(), std::move(value));
             request_error error;
             const time_point started = boot_clock::now();
             auto output = co_await run_stage(it, stage, work, last && it.stream ? &answer : nullptr, error);
@@ -155,7 +156,7 @@
     }
 
     stage_work work_of(const request_context& it, const config::stage& stage, admission::stage_id id,
-                       std::string input) const
+                       int priority, std::string input) const
     {
         stage_work out;
         out.label = fmt::format("{}/{}", it.name, stage.name);
@@ -165,7 +166,7 @@
         out.model = stage.model;
         out.input = std::move(input);
         out.max_tokens = it.max_tokens;
-        out.priority = static_cast<int>(it.priority);
+        out.priority = priority;
         out.expected_ms = admission_.expected_ms(id);
         out.timeout = stage.timeout;
         out.deadline = it.deadline;
--- a/lib/server/request_filters.cpp
+++ b/lib/server/request_filters.cpp
@@ -25,9 +25,14 @@
 /// take.
 constexpr duration dispatch_deadline = claims::longest_deadline;
 
+request_error refusal(errc code, std::string reason)
+{
+    return {code, std::move(reason), execution::no};
+}
+
 request_error bad_request(std::string reason)
 {
-    return {errc::bad_request, std::move(reason), execution::no};
+    return refusal(errc::bad_request, std::move(reason));
 }
 
 /// Refuses with the rule for keyed requests, whose key has not been claimed yet.
@@ -61,9 +66,9 @@
     {
         it.version = in_force_.load();
         if (!it.version)
-            co_return co_await reject(it, {errc::not_run, "no configuration is in force yet", execution::no});
+            co_return co_await reject(it, refusal(errc::not_run, "no configuration is in force yet"));
         if (!accepts_work_())
-            co_return co_await reject(it, {errc::not_run, "the instance is stopping", execution::no});
+            co_return co_await reject(it, refusal(errc::not_run, "the instance is stopping"));
         co_return true;
     }
 
@@ -80,10 +85,10 @@
     {
         const auto header = http::find(it.io.message().headers, "Authorization");
         if (!header || !header->starts_with(bearer_prefix))
-            co_return co_await reject(it, {errc::unauthorized, "a bearer token is required", execution::no});
+            co_return co_await reject(it, refusal(errc::unauthorized, "a bearer token is required"));
         const auto* team = it.version->document.team_of_token(header->substr(bearer_prefix.size()));
         if (team == nullptr)
-            co_return co_await reject(it, {errc::unauthorized, "no team has this token", execution::no});
+            co_return co_await reject(it, refusal(errc::unauthorized, "no team has this token"));
         it.team = *team;
         co_return true;
     }
@@ -177,13 +182,13 @@
         const std::string_view target = message.target;
         std::optional<request_error> error;
         if (message.method != "POST")
-            error = request_error{errc::not_found, "only POST is served here", execution::no};
+            error = refusal(errc::not_found, "only POST is served here");
         else if (target.starts_with(pipelines_prefix))
             error = resolve_pipeline(it, target.substr(pipelines_prefix.size()));
         else if (target.starts_with(services_prefix))
             error = resolve_service(it, target.substr(services_prefix.size()));
         else
-            error = request_error{errc::not_found, "no such path", execution::no};
+            error = refusal(errc::not_found, "no such path");
         if (error)
             co_return co_await reject(it, std::move(*error));
         co_return true;
@@ -195,9 +200,9 @@
         const auto& pipelines = it.version->document.pipelines();
         const auto found = pipelines.find(name);
         if (found == pipelines.end())
-            return request_error{errc::not_found, fmt::format("no pipeline '{}'", name), execution::no};
+            return refusal(errc::not_found, fmt::format("no pipeline '{}'", name));
         if (!found->second.allows(it.team))
-            return request_error{errc::unauthorized, "the team may not use this pipeline", execution::no};
+            return refusal(errc::unauthorized, "the team may not use this pipeline");
         it.pipeline = &found->second;
         it.name = found->first;
         const auto body = json::parse(it.io.message().body, nullptr, false);
@@ -237,15 +242,14 @@
         const auto& services = it.version->document.services();
         const auto service = services.find(service_name);
         if (service == services.end())
-            return request_error{errc::not_found, fmt::format("no service '{}'", service_name),
-                                 execution::no};
+            return refusal(errc::not_found, fmt::format("no service '{}'", service_name));
         const auto call = service->second.calls.find(call_name);
         if (call == service->second.calls.end())
             return request_error{errc::not_found,
                                  fmt::format("no call '{}' of service '{}'", call_name, service_name),
                                  execution::no};
         if (!service->second.allows(it.team))
-            return request_error{errc::unauthorized, "the team may not use this service", execution::no};
+            return refusal(errc::unauthorized, "the team may not use this service");
         it.service = &service->second;
         it.call = &call->second;
         it.call_name = call->first;
--- a/lib/server/service_handler.cpp
+++ b/lib/server/service_handler.cpp
@@ -203,10 +203,11 @@
     {
         const std::string call_id = fmt::format("{}-{}", own.work.call_base, number);
         http::call_error transport;
-        const auto reply = co_await client_.call(
-            {slot.endpoint().address, slot.endpoint().port},
-            to_request(service_call{call_id, own.work.stage, own.key, own.work.input}),
-            boot_clock::now() + own.work.timeout + late_answer_patience, http::reuse::fresh, transport);
+        const http::address to{slot.endpoint().address, slot.endpoint().port};
+        const service_call call{call_id, own.work.stage, own.key, own.work.input};
+        const time_point give_up = boot_clock::now() + own.work.timeout + late_answer_patience;
+        const auto reply =
+            co_await client_.call(to, to_request(call), give_up, http::reuse::fresh, transport);
         endpoint_answer answer;
         if (reply)
             answer = read_service_answer(*reply, call_id);
--- a/lib/server/stage_runner.cpp
+++ b/lib/server/stage_runner.cpp
@@ -36,6 +36,11 @@
     return {it.address, it.port};
 }
 
+endpoint_answer answer_of(answer_kind kind, std::string reason = {})
+{
+    return {kind, {}, std::move(reason)};
+}
+
 request_error error_of(const endpoint_answer& answer, const http::call_error& transport, time_point deadline,
                        time_point now)
 {
@@ -84,6 +89,7 @@
     costs_.add(work.label, cost, static_cast<double>(took.count()));
     if (kind == answer_kind::ok || kind == answer_kind::refused_input) {
         observer_.succeeded(id, started);
+        admission_.record_call(work.pool, true);
         slot.finish(routing::outcome::success, work.expected_ms, now);
         return;
     }
@@ -105,6 +111,7 @@
         slot.finish(routing::outcome::cancelled, work.expected_ms, now);
         return;
     }
+    admission_.record_call(work.pool, false);
     const bool refused = transport.code == http::errc::refused;
     observer_.failed(id, refused ? membership::failure::refused : membership::failure::failed, started);
     slot.finish(routing::outcome::failed, work.expected_ms, now);
@@ -190,15 +197,14 @@
     auto stream = co_await client_.open(address_of(slot.endpoint()), to_request(call), token_deadline(),
                                         http::reuse::pooled, transport);
     if (!stream)
-        co_return endpoint_answer{answer_kind::failed, {}, transport.reason};
+        co_return answer_of(answer_kind::failed, transport.reason);
     if (stream->status() != 200)
         co_return read_refusal(stream->status(), co_await stream->body(token_deadline()));
     while (auto data = co_await stream->next(token_deadline())) {
         const generation_event event = read_generation_event(*data, call_id);
         if (event.what == kind::end)
-            co_return done.last_seen
-                ? endpoint_answer{answer_kind::ok, {}, {}}
-                : endpoint_answer{answer_kind::malformed, {}, "no last token before the end"};
+            co_return done.last_seen ? answer_of(answer_kind::ok)
+                                     : answer_of(answer_kind::malformed, "no last token before the end");
         auto checked = check_token(event, done.position);
         if (checked.kind != answer_kind::ok)
             co_return checked;
@@ -208,11 +214,11 @@
             continue;
         }
         if (!co_await sink(done.position, event.text))
-            co_return endpoint_answer{answer_kind::cancelled, {}, "the caller is gone"};
+            co_return answer_of(answer_kind::cancelled, "the caller is gone");
         ++done.position;
     }
     transport = stream->error();
-    co_return endpoint_answer{answer_kind::failed, {}, "the stream ended before its last token"};
+    co_return answer_of(answer_kind::failed, "the stream ended before its last token");
 }
 
 awaitable<std::optional<std::int64_t>> stage_runner::generate(const stage_work& work, const token_sink& sink,
--- a/lib/server/stage_runner.hpp
+++ b/lib/server/stage_runner.hpp
@@ -3,6 +3,7 @@
 /// deadline. This is the only layer that retries.
 #pragma once
 
+#include "admission_controller.hpp"
 #include "endpoint_observer.hpp"
 #include "endpoint_protocol.hpp"
 #include "endpoint_table.hpp"
@@ -52,8 +53,9 @@
 
 class stage_runner {
 public:
-    stage_runner(http::client& client, endpoint_table& table, endpoint_observer& observer, stage_costs& costs)
-        : client_(client), table_(table), observer_(observer), costs_(costs)
+    stage_runner(http::client& client, endpoint_table& table, endpoint_observer& observer,
+                 admission_controller& admission, stage_costs& costs)
+        : client_(client), table_(table), observer_(observer), admission_(admission), costs_(costs)
     {
     }
 
@@ -93,6 +95,7 @@
     http::client& client_;
     endpoint_table& table_;
     endpoint_observer& observer_;
+    admission_controller& admission_;
     stage_costs& costs_;
     answer_counters counters_;
 };
