Name every argument of co_await expressions

Cause: temporaries and string literals in co_await expressions, which GCC 12 destroys on paths that never made them. Ruled out: a second resume of the frame (the crash moved with the temporaries, not with the order of events). All such arguments are named locals now.

--- a/lib/server/admin.cpp
+++ b/lib/server/admin.cpp
@@ -245,7 +245,8 @@
 
 awaitable<void> serve_admin(components& parts, http::exchange& io)
 {
-    co_await io.respond(answer_to(parts, io.message()));
+    http::response answer = answer_to(parts, io.message());
+    co_await io.respond(std::move(answer));
 }
 
 } // namespace limpetlock::server
--- a/lib/server/claim_controller.cpp
+++ b/lib/server/claim_controller.cpp
@@ -307,7 +307,8 @@
     while (boot_clock::now() < deadline) {
         // A repeated ask of one attempt is safe: the owner grants an attempt once, and its holder dispatches
         // once.
-        auto reply = co_await ask_once(owner_of(ask.team, ask.key), ask, deadline);
+        std::string owner = owner_of(ask.team, ask.key);
+        auto reply = co_await ask_once(std::move(owner), ask, deadline);
         if (reply)
             last = reply;
         if (reply && reply->verdict != claims::claim_verdict::in_progress)
--- a/lib/server/membership_controller.cpp
+++ b/lib/server/membership_controller.cpp
@@ -240,8 +240,9 @@
     ++load_polls_;
     const http::address to{it.address, it.port};
     http::call_error error;
-    const auto reply = co_await client_.call(to, load_request(), boot_clock::now() + load_timeout,
-                                             http::reuse::pooled, error);
+    const http::request request = load_request();
+    const auto reply =
+        co_await client_.call(to, request, boot_clock::now() + load_timeout, http::reuse::pooled, error);
     if (!reply)
         co_return;
     if (const auto report = read_load(*reply))
--- a/lib/server/pipeline_handler.cpp
+++ b/lib/server/pipeline_handler.cpp
@@ -26,8 +26,8 @@
     return fmt::format("event: {}\ndata: {}\n\n", name, data);
 }
 
-// The JSON texts are made outside the coroutines: GCC 12 can't compile initializer lists that stand in a
-// co_await expression.
+// Arguments of co_await expressions are named locals throughout: GCC 12 destroys temporaries in them twice,
+// or not at all, and can't compile initializer lists there.
 
 std::string token_data(std::int64_t position, const std::string& text)
 {
@@ -63,21 +63,24 @@
         ++it_.tokens;
         if (!co_await begin())
             co_return false;
-        co_return co_await it_.io.write(event("token", token_data(position, text)));
+        const std::string bytes = event("token", token_data(position, text));
+        co_return co_await it_.io.write(bytes);
     }
 
     awaitable<void> done()
     {
         if (!co_await begin())
             co_return;
-        if (co_await it_.io.write(event("done", done_data(it_))))
+        const std::string bytes = event("done", done_data(it_));
+        if (co_await it_.io.write(bytes))
             co_await it_.io.finish();
     }
 
     awaitable<void> failed(request_error error)
     {
         it_.refused = error.code;
-        if (co_await it_.io.write(event("error", to_json(error, it_.request_id))))
+        const std::string bytes = event("error", to_json(error, it_.request_id));
+        if (co_await it_.io.write(bytes))
             co_await it_.io.finish();
     }
 
@@ -89,7 +92,8 @@
         if (begun_)
             co_return true;
         begun_ = true;
-        co_return co_await it_.io.begin_stream(200, stream_headers());
+        http::header_list headers = stream_headers();
+        co_return co_await it_.io.begin_stream(200, std::move(headers));
     }
 
     request_context& it_;
@@ -140,7 +144,8 @@
                 work_of(it, stage, (*profile.stages)[n], permit.engine_priority(), std::move(value));
             request_error error;
             const time_point started = boot_clock::now();
-            auto output = co_await run_stage(it, stage, work, last && it.stream ? &answer : nullptr, error);
+            answer_stream* const stream = last && it.stream ? &answer : nullptr;
+            auto output = co_await run_stage(it, stage, work, stream, error);
             const auto took = static_cast<double>((boot_clock::now() - started).count());
             permit.add_cost(took);
             if (!output) {
@@ -206,7 +211,8 @@
                 co_await answer.done();
             co_return;
         }
-        co_await it.io.respond(whole_answer(it, value));
+        http::response whole = whole_answer(it, value);
+        co_await it.io.respond(std::move(whole));
     }
 
     static awaitable<void> fail(request_context& it, answer_stream& answer, request_error error)
--- a/lib/server/request_context.cpp
+++ b/lib/server/request_context.cpp
@@ -7,7 +7,8 @@
 boost::asio::awaitable<void> refuse(request_context& it, request_error error)
 {
     it.refused = error.code;
-    co_await it.io.respond(to_response(error, it.request_id));
+    http::response answer = to_response(error, it.request_id);
+    co_await it.io.respond(std::move(answer));
 }
 
 request_error speaking_for_booking(request_error error, bool keyed, bool first_attempt)
--- a/lib/server/request_filters.cpp
+++ b/lib/server/request_filters.cpp
@@ -46,7 +46,8 @@
         const bool keyed = http::find(headers, "Idempotency-Key").has_value();
         const bool asserted = http::find(headers, "Idempotency-Attempt") == "1";
         const bool first = claims_.first_attempt_counts(asserted, it.arrival, boot_clock::now());
-        co_await refuse(it, speaking_for_booking(std::move(error), keyed, first));
+        request_error spoken = speaking_for_booking(std::move(error), keyed, first);
+        co_await refuse(it, std::move(spoken));
         co_return false;
     }
 
@@ -64,11 +65,14 @@
 
     awaitable<bool> apply(request_context& it) override
     {
+        std::optional<request_error> error;
         it.version = in_force_.load();
         if (!it.version)
-            co_return co_await reject(it, refusal(errc::not_run, "no configuration is in force yet"));
-        if (!accepts_work_())
-            co_return co_await reject(it, refusal(errc::not_run, "the instance is stopping"));
+            error = refusal(errc::not_run, "no configuration is in force yet");
+        else if (!accepts_work_())
+            error = refusal(errc::not_run, "the instance is stopping");
+        if (error)
+            co_return co_await reject(it, std::move(*error));
         co_return true;
     }
 
@@ -82,15 +86,24 @@
     explicit authenticate_filter(const claim_controller& claims) : early_filter(claims) {}
 
     awaitable<bool> apply(request_context& it) override
+    {
+        std::optional<request_error> error = find_team(it);
+        if (error)
+            co_return co_await reject(it, std::move(*error));
+        co_return true;
+    }
+
+private:
+    static std::optional<request_error> find_team(request_context& it)
     {
         const auto header = http::find(it.io.message().headers, "Authorization");
         if (!header || !header->starts_with(bearer_prefix))
-            co_return co_await reject(it, refusal(errc::unauthorized, "a bearer token is required"));
+            return refusal(errc::unauthorized, "a bearer token is required");
         const auto* team = it.version->document.team_of_token(header->substr(bearer_prefix.size()));
         if (team == nullptr)
-            co_return co_await reject(it, refusal(errc::unauthorized, "no team has this token"));
+            return refusal(errc::unauthorized, "no team has this token");
         it.team = *team;
-        co_return true;
+        return std::nullopt;
     }
 };
 
--- a/lib/server/service_handler.cpp
+++ b/lib/server/service_handler.cpp
@@ -121,12 +121,15 @@
             co_return;
         }
         const time_point started = boot_clock::now();
-        const auto result = co_await runner_.run_service(work_of(it, *profile), error);
+        const stage_work work = work_of(it, *profile);
+        const auto result = co_await runner_.run_service(work, error);
         record(*permit, *profile, started, result.has_value());
-        if (result)
-            co_await it.io.respond(to_answer(it.request_id, *result));
-        else
+        if (!result) {
             co_await refuse(it, std::move(error));
+            co_return;
+        }
+        http::response answer = to_answer(it.request_id, *result);
+        co_await it.io.respond(std::move(answer));
     }
 
     void record(admission_permit& permit, const work_profile& profile, time_point started, bool ok)
@@ -150,16 +153,21 @@
         const auto executor = co_await boost::asio::this_coro::executor;
         const auto own = std::make_shared<booking>(make_ask(it, asked_at), asked_at,
                                                    std::make_shared<notification>(executor));
-        if (const auto reply = co_await claims_.ask(own->holder.ask(), it.deadline))
+        claims::claim_request ask = own->holder.ask();
+        const auto reply = co_await claims_.ask(std::move(ask), it.deadline);
+        if (reply)
             own->holder.note_reply(*reply);
         if (own->holder.may_dispatch(boot_clock::now()))
             co_await dispatch(it, own);
         const auto decision = own->holder.finish();
         settle(own);
-        if (decision.what == claims::tell::answer)
-            co_await it.io.respond(to_answer(it.request_id, decision.answer));
-        else
-            co_await refuse(it, to_error(decision));
+        if (decision.what != claims::tell::answer) {
+            request_error error = to_error(decision);
+            co_await refuse(it, std::move(error));
+            co_return;
+        }
+        http::response answer = to_answer(it.request_id, decision.answer);
+        co_await it.io.respond(std::move(answer));
     }
 
     /// Runs the call in a coroutine of its own and waits for it until the call's timeout.
@@ -205,9 +213,9 @@
         http::call_error transport;
         const http::address to{slot.endpoint().address, slot.endpoint().port};
         const service_call call{call_id, own.work.stage, own.key, own.work.input};
+        const http::request message = to_request(call);
         const time_point give_up = boot_clock::now() + own.work.timeout + late_answer_patience;
-        const auto reply =
-            co_await client_.call(to, to_request(call), give_up, http::reuse::fresh, transport);
+        const auto reply = co_await client_.call(to, message, give_up, http::reuse::fresh, transport);
         endpoint_answer answer;
         if (reply)
             answer = read_service_answer(*reply, call_id);
--- a/lib/server/stage_runner.cpp
+++ b/lib/server/stage_runner.cpp
@@ -41,6 +41,12 @@
     return {kind, {}, std::move(reason)};
 }
 
+endpoint_answer end_of_stream(bool last_seen)
+{
+    return last_seen ? answer_of(answer_kind::ok)
+                     : answer_of(answer_kind::malformed, "no last token before the end");
+}
+
 request_error error_of(const endpoint_answer& answer, const http::call_error& transport, time_point deadline,
                        time_point now)
 {
@@ -137,9 +143,10 @@
         const std::string call_id = tries.next_call_id(work);
         const time_point now = boot_clock::now();
         http::call_error transport;
-        const auto reply = co_await client_.call(address_of(slot->endpoint()), make(work, call_id, now),
-                                                 std::min(work.deadline, now + work.timeout),
-                                                 http::reuse::pooled, transport);
+        const http::address to = address_of(slot->endpoint());
+        const http::request message = make(work, call_id, now);
+        const time_point give_up = std::min(work.deadline, now + work.timeout);
+        const auto reply = co_await client_.call(to, message, give_up, http::reuse::pooled, transport);
         endpoint_answer answer;
         if (reply)
             answer = read(*reply, call_id);
@@ -194,17 +201,19 @@
     const generation_call call{call_id,         work.model,    work.input,
                                work.max_tokens, work.priority, done.position};
     const auto token_deadline = [&] { return std::min(work.deadline, boot_clock::now() + work.timeout); };
-    auto stream = co_await client_.open(address_of(slot.endpoint()), to_request(call), token_deadline(),
-                                        http::reuse::pooled, transport);
+    const http::address to = address_of(slot.endpoint());
+    const http::request message = to_request(call);
+    auto stream = co_await client_.open(to, message, token_deadline(), http::reuse::pooled, transport);
     if (!stream)
         co_return answer_of(answer_kind::failed, transport.reason);
-    if (stream->status() != 200)
-        co_return read_refusal(stream->status(), co_await stream->body(token_deadline()));
+    if (stream->status() != 200) {
+        const std::string body = co_await stream->body(token_deadline());
+        co_return read_refusal(stream->status(), body);
+    }
     while (auto data = co_await stream->next(token_deadline())) {
         const generation_event event = read_generation_event(*data, call_id);
         if (event.what == kind::end)
-            co_return done.last_seen ? answer_of(answer_kind::ok)
-                                     : answer_of(answer_kind::malformed, "no last token before the end");
+            co_return end_of_stream(done.last_seen);
         auto checked = check_token(event, done.position);
         if (checked.kind != answer_kind::ok)
             co_return checked;
