--- a/include/limpetlock/claims/witness.hpp
+++ b/include/limpetlock/claims/witness.hpp
@@ -23,6 +23,8 @@
 
     /// Whether an acknowledgement of this heartbeat may say that it vouches; last_refusal() has the reason if
     /// not.
+    /// A heartbeat of an incarnation below the highest seen must not be acknowledged at all: the sender takes
+    /// any acknowledgement as proof that this process knows of no newer incarnation.
     bool vouch(std::string_view name, std::int64_t incarnation, std::int64_t claims_number, time_point now);
 
     /// Notes the lease of this process itself. Call it after each acknowledgement, vouching or not.
