--- /dev/null
+++ b/test/fleet/fleet.cpp
@@ -0,0 +1,579 @@
+#include "fleet.hpp"
+
+#include "peer_relay.hpp"
+
+#include <limpetlock/http/client.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_future.hpp>
+#include <fmt/format.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <testkit/endpoint.hpp>
+#include <testkit/platform.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+namespace limpetlock::test {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+namespace {
+
+constexpr duration poll_interval{20};
+constexpr duration control_patience{10'000};
+constexpr const char* team_token = "token-plant-01";
+
+/// Runs an Asio context on threads of its own.
+class runner {
+public:
+    explicit runner(int threads) : work_(context.get_executor())
+    {
+        for (int n = 0; n < threads; ++n)
+            threads_.emplace_back([this] { context.run(); });
+    }
+    runner(const runner&) = delete;
+    runner& operator=(const runner&) = delete;
+    ~runner()
+    {
+        context.stop();
+        for (auto& it : threads_)
+            it.join();
+    }
+
+    asio::io_context context;
+
+private:
+    asio::executor_work_guard<asio::io_context::executor_type> work_;
+    std::vector<std::thread> threads_;
+};
+
+/// A port that was free a moment ago.
+std::uint16_t free_port()
+{
+    asio::io_context context;
+    const asio::ip::tcp::acceptor it(context, {asio::ip::address_v4::loopback(), 0});
+    return it.local_endpoint().port();
+}
+
+struct process {
+    std::string name;
+    std::string failure_domain;
+    std::uint16_t caller{0};
+    std::uint16_t admin{0};
+    std::uint16_t peer{0};
+    std::uint16_t listed_peer{0};
+    std::filesystem::path settings;
+    pid_t pid{-1};
+};
+
+asio::awaitable<answer> exchange(http::client& client, std::uint16_t port, http::request message,
+                                 duration patience)
+{
+    http::call_error error;
+    const http::address to{"127.0.0.1", port};
+    const auto reply =
+        co_await client.call(to, message, boot_clock::now() + patience, http::reuse::fresh, error);
+    answer out;
+    if (reply) {
+        out.status = reply->status;
+        out.body = reply->body;
+    } else {
+        out.failure = error.reason;
+    }
+    co_return out;
+}
+
+void note_event(streamed_answer& out, const std::string& data)
+{
+    const auto it = json::parse(data, nullptr, false);
+    if (it.contains("index")) {
+        out.positions.push_back(it["index"].get<std::int64_t>());
+        out.tokens.push_back(it["text"].get<std::string>());
+    } else if (it.contains("error")) {
+        out.error = it["error"]["code"].get<std::string>();
+    } else if (it.contains("tokens")) {
+        out.done = true;
+    }
+}
+
+asio::awaitable<streamed_answer> read_stream(http::client& client, std::uint16_t port, http::request message)
+{
+    constexpr duration patience{60'000};
+    streamed_answer out;
+    http::call_error error;
+    const http::address to{"127.0.0.1", port};
+    const time_point deadline = boot_clock::now() + patience;
+    auto stream = co_await client.open(to, message, deadline, http::reuse::fresh, error);
+    if (!stream) {
+        out.failure = error.reason;
+        co_return out;
+    }
+    out.status = stream->status();
+    if (out.status != 200) {
+        const std::string body = co_await stream->body(deadline);
+        note_event(out, body);
+        co_return out;
+    }
+    while (auto data = co_await stream->next(deadline))
+        note_event(out, *data);
+    if (stream->error().code != http::errc::none)
+        out.failure = stream->error().reason;
+    co_return out;
+}
+
+} // namespace
+
+std::string answer::code() const
+{
+    const auto it = json();
+    return it.is_object() && it.contains("error") ? it["error"].value("code", "") : "";
+}
+
+std::string answer::ran() const
+{
+    const auto it = json();
+    return it.is_object() && it.contains("error") ? it["error"].value("ran", "") : "";
+}
+
+struct fleet::impl {
+    explicit impl(fleet_options its_options)
+        : options(std::move(its_options)), platform(stand_ins.context, 0), endpoints(stand_ins.context, 0, 1),
+          relay(network.context), client(callers.context.get_executor(), {}), stand_in_thread(start_later)
+    {
+        char pattern[] = "/tmp/limpetlock-test-XXXXXX";
+        if (mkdtemp(pattern) == nullptr)
+            throw std::runtime_error("no temporary directory");
+        directory = pattern;
+        make_endpoints();
+        make_processes();
+        platform.publish({{"kind", "document"}, {"base", 0}, {"number", 1}, {"document", make_document()}});
+        platform.change_instances({{"instances", listed}});
+        run_stand_ins();
+    }
+
+    ~impl()
+    {
+        for (const auto& it : all_pids)
+            ::kill(it, SIGKILL);
+        for (const auto& it : all_pids)
+            ::waitpid(it, nullptr, 0);
+        stand_ins.context.stop();
+        if (thread.joinable())
+            thread.join();
+        std::error_code ec;
+        std::filesystem::remove_all(directory, ec);
+    }
+
+    void run_stand_ins()
+    {
+        thread = std::thread([this] { stand_ins.context.run(); });
+    }
+
+    void make_endpoints()
+    {
+        int n = 0;
+        for (const auto& [pool, count] : options.endpoints)
+            for (int number = 1; number <= count; ++number) {
+                testkit::pool_settings settings;
+                settings.service_ms = 5;
+                settings.token_ms = 10;
+                const std::string name = fmt::format("{}-{}", pool, number);
+                const auto& it = endpoints.add(name, pool, 0, settings);
+                listed.push_back({{"name", name},
+                                  {"pool", pool},
+                                  {"address", "127.0.0.1"},
+                                  {"port", it.port()},
+                                  {"peer_port", 0},
+                                  {"failure_domain", std::string(1, "abc"[n++ % 3])},
+                                  {"state", "live"}});
+                names_by_pool[pool].push_back(name);
+            }
+    }
+
+    void make_processes()
+    {
+        for (std::size_t n = 0; n < options.instances; ++n) {
+            process it;
+            it.failure_domain = std::string(1, "abc"[n % 3]);
+            it.name = fmt::format("entry-{}{}", it.failure_domain, n / 3 + 1);
+            take_address(it);
+            listed.push_back(entry_of(it));
+            processes.push_back(std::move(it));
+        }
+    }
+
+    void take_address(process& it)
+    {
+        it.caller = free_port();
+        it.admin = free_port();
+        it.peer = free_port();
+        it.listed_peer = relay.add(it.name, it.peer);
+        it.settings = directory / fmt::format("{}-{}.ini", it.name, it.caller);
+        std::ofstream out(it.settings);
+        out << fmt::format(
+            "[instance]\nname = {}\nfailure_domain = {}\n\n[caller]\nlisten = 127.0.0.1:{}\n\n"
+            "[admin]\nlisten = 127.0.0.1:{}\n\n[peer]\nlisten = 127.0.0.1:{}\n\n"
+            "[platform]\naddress = 127.0.0.1:{}\n\n[stop]\nbalancer_lag_ms = {}\nlimit_ms = {}\n",
+            it.name, it.failure_domain, it.caller, it.admin, it.peer, platform.port(),
+            options.balancer_lag_ms, options.stop_limit_ms);
+    }
+
+    static json entry_of(const process& it)
+    {
+        return {{"name", it.name},
+                {"pool", "entry"},
+                {"address", "127.0.0.1"},
+                {"port", it.caller},
+                {"peer_port", it.listed_peer},
+                {"failure_domain", it.failure_domain},
+                {"state", "live"}};
+    }
+
+    json make_document() const
+    {
+        json owners = json::array();
+        for (const auto& it : processes)
+            owners.push_back(it.name);
+        const auto stage = [](const char* name, const char* pool) -> json {
+            return {{"name", name}, {"pool", pool}, {"cost_ms", 5}, {"timeout_ms", 500}};
+        };
+        const json generate{{"name", "generate"}, {"pool", "model"}, {"cost_ms", 50},
+                            {"timeout_ms", 1500}, {"model", "m1"},   {"streamed", true}};
+        json out;
+        out["teams"] = {{"plant-01", {{"token", team_token}}}, {"plant-02", {{"token", "token-plant-02"}}}};
+        out["ranks"] = {{"urgent", {{"min_share", 0.5}}},
+                        {"standard", {{"min_share", 0.2}}},
+                        {"background", {{"min_share", 0.1}}}};
+        out["pipelines"] = {{"stock-answer",
+                             {{"rank", "urgent"},
+                              {"deadline_ms", options.pipeline_deadline_ms},
+                              {"stages",
+                               {stage("encode", "encoder"), stage("retrieve", "retriever"),
+                                stage("rerank", "reranker"), generate}}}}};
+        out["services"] = {
+            {"dispatch",
+             {{"pool", "dispatch"},
+              {"calls",
+               {{"book", {{"repeatable", false}, {"rank", "urgent"}, {"timeout_ms", 1000}}},
+                {"lookup", {{"repeatable", true}, {"rank", "standard"}, {"timeout_ms", 1000}}}}}}},
+            {"plant-feed",
+             {{"pool", "plant-feed"},
+              {"calls", {{"stock", {{"repeatable", true}, {"rank", "urgent"}, {"timeout_ms", 1000}}}}}}}};
+        out["limits"] = {{"endpoint_concurrency", 16}};
+        out["claims"] = {{"owners", owners},
+                         {"key_lifetime_ms", options.key_lifetime_ms},
+                         {"max_claims", 20'000},
+                         {"lease_ms", options.lease_ms}};
+        return out;
+    }
+
+    void start(process& it)
+    {
+        const std::string settings = "--settings=" + it.settings.string();
+        const std::string log = (directory / (it.name + ".log")).string();
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        posix_spawn_file_actions_addopen(&actions, 2, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+        std::vector<std::string> words{LIMPETLOCK_BINARY, "serve", settings};
+        std::vector<char*> argv;
+        for (auto& word : words)
+            argv.push_back(word.data());
+        argv.push_back(nullptr);
+        const int failed = posix_spawn(&it.pid, LIMPETLOCK_BINARY, &actions, nullptr, argv.data(), environ);
+        posix_spawn_file_actions_destroy(&actions);
+        if (failed != 0)
+            throw std::runtime_error("the binary can't be started");
+        all_pids.push_back(it.pid);
+    }
+
+    void signal(std::size_t instance, int number) { ::kill(processes.at(instance).pid, number); }
+
+    std::optional<int> reap(process& it, int options_of_wait)
+    {
+        int status = 0;
+        if (it.pid < 0 || ::waitpid(it.pid, &status, options_of_wait) != it.pid)
+            return std::nullopt;
+        std::erase(all_pids, it.pid);
+        it.pid = -1;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    }
+
+    answer call(std::uint16_t port, http::request message, duration patience)
+    {
+        return asio::co_spawn(callers.context, exchange(client, port, std::move(message), patience),
+                              asio::use_future)
+            .get();
+    }
+
+    json control(std::uint16_t port, const std::string& target, const json& body)
+    {
+        const auto out =
+            call(port, {body.is_null() ? "GET" : "POST", target, {}, body.is_null() ? "" : body.dump()},
+                 control_patience);
+        if (out.status != 200)
+            throw std::runtime_error(fmt::format("{}: {} {}", target, out.status, out.body + out.failure));
+        return out.json();
+    }
+
+    static http::request caller_request(const std::string& target, const json& body, const headers& more)
+    {
+        http::request out{
+            "POST", target, {{"Authorization", std::string("Bearer ") + team_token}}, body.dump()};
+        for (const auto& [name, value] : more)
+            out.headers.push_back({name, value});
+        return out;
+    }
+
+    static constexpr int start_later = 0;
+
+    fleet_options options;
+    struct {
+        asio::io_context context{1};
+    } stand_ins;
+    testkit::platform platform;
+    testkit::endpoint_host endpoints;
+    runner network{2};
+    peer_relay relay;
+    runner callers{2};
+    http::client client;
+    int stand_in_thread;
+    std::thread thread;
+    std::filesystem::path directory;
+    json listed = json::array();
+    std::map<std::string, std::vector<std::string>> names_by_pool;
+    std::vector<process> processes;
+    std::vector<pid_t> all_pids;
+};
+
+fleet::fleet(fleet_options options) : impl_(std::make_unique<impl>(std::move(options)))
+{
+    for (std::size_t n = 0; n < size(); ++n)
+        start(n);
+}
+
+fleet::~fleet() = default;
+
+std::size_t fleet::size() const
+{
+    return impl_->processes.size();
+}
+
+std::string fleet::name(std::size_t instance) const
+{
+    return impl_->processes.at(instance).name;
+}
+
+void fleet::start(std::size_t instance)
+{
+    impl_->start(impl_->processes.at(instance));
+}
+
+void fleet::kill(std::size_t instance)
+{
+    impl_->signal(instance, SIGKILL);
+    impl_->reap(impl_->processes.at(instance), 0);
+}
+
+void fleet::freeze(std::size_t instance)
+{
+    impl_->signal(instance, SIGSTOP);
+}
+
+void fleet::thaw(std::size_t instance)
+{
+    impl_->signal(instance, SIGCONT);
+}
+
+void fleet::terminate(std::size_t instance)
+{
+    impl_->signal(instance, SIGTERM);
+}
+
+std::optional<int> fleet::wait_exit(std::size_t instance, duration patience)
+{
+    std::optional<int> out;
+    wait_until(
+        [&] {
+            out = impl_->reap(impl_->processes.at(instance), WNOHANG);
+            return out.has_value();
+        },
+        patience);
+    return out;
+}
+
+void fleet::replace_elsewhere(std::size_t instance)
+{
+    auto& it = impl_->processes.at(instance);
+    impl_->take_address(it);
+    impl_->start(it);
+    change_instances({{"update", json::array({impl::entry_of(it)})}});
+}
+
+answer fleet::post(std::size_t instance, const std::string& target, const json& body, const headers& more,
+                   duration patience) const
+{
+    return impl_->call(impl_->processes.at(instance).caller, impl::caller_request(target, body, more),
+                       patience);
+}
+
+std::future<answer> fleet::post_async(std::size_t instance, std::string target, json body, headers more,
+                                      duration patience) const
+{
+    return asio::co_spawn(impl_->callers.context,
+                          exchange(impl_->client, impl_->processes.at(instance).caller,
+                                   impl::caller_request(target, body, more), patience),
+                          asio::use_future);
+}
+
+std::future<streamed_answer> fleet::stream_async(std::size_t instance, std::string pipeline,
+                                                 std::string input, std::int64_t max_tokens) const
+{
+    const json body{{"input", input}, {"max_tokens", max_tokens}, {"stream", true}};
+    return asio::co_spawn(impl_->callers.context,
+                          read_stream(impl_->client, impl_->processes.at(instance).caller,
+                                      impl::caller_request("/v1/pipelines/" + pipeline, body, {})),
+                          asio::use_future);
+}
+
+answer fleet::book(std::size_t instance, const std::string& key, int attempt, const json& body,
+                   duration patience) const
+{
+    headers more{{"Idempotency-Key", key}};
+    if (attempt > 0)
+        more.emplace_back("Idempotency-Attempt", std::to_string(attempt));
+    return post(instance, "/v1/services/dispatch/book", body, more, patience);
+}
+
+std::future<answer> fleet::book_async(std::size_t instance, const std::string& key, int attempt) const
+{
+    headers more{{"Idempotency-Key", key}};
+    if (attempt > 0)
+        more.emplace_back("Idempotency-Attempt", std::to_string(attempt));
+    return post_async(instance, "/v1/services/dispatch/book", {{"truck", 1}}, std::move(more));
+}
+
+answer fleet::admin(std::size_t instance, const std::string& method, const std::string& target,
+                    const std::string& body) const
+{
+    constexpr duration patience{2'000};
+    return impl_->call(impl_->processes.at(instance).admin, {method, target, {}, body}, patience);
+}
+
+json fleet::state(std::size_t instance) const
+{
+    return admin(instance, "GET", "/admin/v1/state").json();
+}
+
+bool fleet::ready(std::size_t instance) const
+{
+    return admin(instance, "GET", "/readyz").status == 200;
+}
+
+std::int64_t fleet::publish(const json& entry) const
+{
+    return impl_->control(impl_->platform.port(), "/control/publish", entry)["revision"].get<std::int64_t>();
+}
+
+void fleet::change_instances(const json& change) const
+{
+    impl_->control(impl_->platform.port(), "/control/instances", change);
+}
+
+void fleet::platform_fault(const json& fault) const
+{
+    impl_->control(impl_->platform.port(), "/control/fault", fault);
+}
+
+void fleet::endpoint_fault(const json& fault) const
+{
+    impl_->control(impl_->endpoints.control_port(), "/control/fault", fault);
+}
+
+json fleet::document() const
+{
+    return impl_->make_document();
+}
+
+json fleet::runs() const
+{
+    return impl_->control(impl_->endpoints.control_port(), "/control/runs?after=0", nullptr);
+}
+
+std::int64_t fleet::executions(const std::string& key) const
+{
+    std::int64_t n = 0;
+    for (const auto& it : runs()["runs"])
+        n += it.value("key", "") == key && it.value("done", false) ? 1 : 0;
+    return n;
+}
+
+std::vector<std::string> fleet::endpoint_names(const std::string& pool) const
+{
+    return impl_->names_by_pool.at(pool);
+}
+
+void fleet::cut(const std::vector<std::size_t>& side, const std::vector<std::size_t>& other)
+{
+    std::vector<std::string> one;
+    std::vector<std::string> two;
+    for (const auto n : side)
+        one.push_back(name(n));
+    for (const auto n : other)
+        two.push_back(name(n));
+    impl_->relay.cut(one, two);
+}
+
+void fleet::heal()
+{
+    impl_->relay.heal();
+}
+
+bool fleet::wait_until(const std::function<bool()>& condition, duration patience) const
+{
+    const time_point deadline = boot_clock::now() + patience;
+    while (!condition()) {
+        if (boot_clock::now() >= deadline)
+            return false;
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return true;
+}
+
+bool fleet::wait_ready(duration patience) const
+{
+    for (std::size_t n = 0; n < size(); ++n)
+        if (!wait_until([&] { return ready(n); }, patience))
+            return false;
+    return true;
+}
+
+bool fleet::wait_claims(bool all_attempts) const
+{
+    constexpr std::int64_t first_attempt_extra_ms = 3'000;
+    const std::int64_t needed =
+        all_attempts ? impl_->options.key_lifetime_ms : impl_->options.lease_ms + first_attempt_extra_ms;
+    const duration patience{needed + 30'000};
+    for (std::size_t n = 0; n < size(); ++n) {
+        const bool held = wait_until(
+            [&] {
+                const auto it = state(n);
+                return it.is_object() && it["claims"].value("held_ms", std::int64_t{0}) >= needed;
+            },
+            patience);
+        if (!held)
+            return false;
+    }
+    return true;
+}
+
+} // namespace limpetlock::test
--- /dev/null
+++ b/test/fleet/peer_relay.cpp
@@ -0,0 +1,154 @@
+#include "peer_relay.hpp"
+
+#include <limpetlock/peer/codec.hpp>
+#include <limpetlock/peer/generated/peer_types.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace limpetlock::test {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+
+struct link {
+    link(tcp::socket one, tcp::socket two) : caller(std::move(one)), target(std::move(two)) {}
+
+    void close()
+    {
+        boost::system::error_code ec;
+        caller.close(ec);
+        target.close(ec);
+    }
+
+    tcp::socket caller;
+    tcp::socket target;
+    std::string caller_name; ///< known from the first frame
+};
+
+} // namespace
+
+struct peer_relay::impl : std::enable_shared_from_this<impl> {
+    explicit impl(asio::io_context& it) : context(it) {}
+
+    bool is_cut(const std::string& one, const std::string& two)
+    {
+        const std::lock_guard lock(mutex);
+        return cuts.contains({one, two}) || cuts.contains({two, one});
+    }
+
+    awaitable<void> accept_loop(std::shared_ptr<impl> self, std::shared_ptr<tcp::acceptor> acceptor,
+                                std::string target, std::uint16_t port)
+    {
+        while (true) {
+            const auto strand = asio::make_strand(context);
+            auto [ec, socket] = co_await acceptor->async_accept(strand, use_tuple);
+            if (ec)
+                co_return;
+            asio::co_spawn(strand, serve(self, std::move(socket), target, port), asio::detached);
+        }
+    }
+
+    awaitable<void> serve(std::shared_ptr<impl> self, tcp::socket socket, std::string target,
+                          std::uint16_t port)
+    {
+        tcp::socket onward(socket.get_executor());
+        const tcp::endpoint to(asio::ip::address_v4::loopback(), port);
+        auto [ec] = co_await onward.async_connect(to, use_tuple);
+        if (ec)
+            co_return;
+        auto it = std::make_shared<link>(std::move(socket), std::move(onward));
+        asio::co_spawn(it->caller.get_executor(), pump(self, it, target, false), asio::detached);
+        co_await pump(self, it, target, true);
+    }
+
+    /// Passes frames in one direction until the link is cut or closed.
+    awaitable<void> pump(std::shared_ptr<impl> self, std::shared_ptr<link> it, std::string target,
+                         bool onward)
+    {
+        tcp::socket& from = onward ? it->caller : it->target;
+        tcp::socket& to = onward ? it->target : it->caller;
+        while (true) {
+            std::array<unsigned char, peer::length_prefix_bytes> prefix{};
+            auto [head_ec, head_n] = co_await asio::async_read(from, asio::buffer(prefix), use_tuple);
+            const auto n = head_ec ? std::nullopt : peer::frame_length(prefix);
+            if (!n)
+                break;
+            std::string bytes(prefix.begin(), prefix.end());
+            bytes.resize(prefix.size() + *n);
+            auto [ec, got] =
+                co_await asio::async_read(from, asio::buffer(bytes.data() + prefix.size(), *n), use_tuple);
+            if (ec)
+                break;
+            if (onward && it->caller_name.empty())
+                it->caller_name = sender_of(bytes);
+            if (is_cut(it->caller_name, target))
+                break;
+            auto [write_ec, written] = co_await asio::async_write(to, asio::buffer(bytes), use_tuple);
+            if (write_ec)
+                break;
+        }
+        it->close();
+    }
+
+    static std::string sender_of(const std::string& bytes)
+    {
+        peer::codec_error error;
+        const auto frame = peer::decode(std::string_view(bytes).substr(peer::length_prefix_bytes), error);
+        return frame ? frame->sender : std::string("?");
+    }
+
+    asio::io_context& context;
+    std::mutex mutex;
+    std::set<std::pair<std::string, std::string>> cuts;
+    std::vector<std::shared_ptr<tcp::acceptor>> acceptors;
+};
+
+peer_relay::peer_relay(asio::io_context& context) : impl_(std::make_shared<impl>(context)) {}
+
+peer_relay::~peer_relay() = default;
+
+std::uint16_t peer_relay::add(const std::string& target, std::uint16_t target_port)
+{
+    auto acceptor = std::make_shared<tcp::acceptor>(asio::make_strand(impl_->context),
+                                                    tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    impl_->acceptors.push_back(acceptor);
+    const std::uint16_t port = acceptor->local_endpoint().port();
+    asio::co_spawn(acceptor->get_executor(), impl_->accept_loop(impl_, acceptor, target, target_port),
+                   asio::detached);
+    return port;
+}
+
+void peer_relay::cut(const std::vector<std::string>& side, const std::vector<std::string>& other)
+{
+    const std::lock_guard lock(impl_->mutex);
+    for (const auto& one : side)
+        for (const auto& two : other)
+            impl_->cuts.emplace(one, two);
+}
+
+void peer_relay::heal()
+{
+    const std::lock_guard lock(impl_->mutex);
+    impl_->cuts.clear();
+}
+
+} // namespace limpetlock::test
--- /dev/null
+++ b/test/fleet/peer_relay.hpp
@@ -0,0 +1,32 @@
+/// \file
+/// Stand-in for the network between instances: passes frames on and drops the links that a test cuts.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace limpetlock::test {
+
+class peer_relay {
+public:
+    explicit peer_relay(boost::asio::io_context& context);
+    ~peer_relay();
+    peer_relay(const peer_relay&) = delete;
+    peer_relay& operator=(const peer_relay&) = delete;
+
+    /// Opens a port that leads to the peer listener of an instance.
+    std::uint16_t add(const std::string& target, std::uint16_t target_port);
+
+    void cut(const std::vector<std::string>& side, const std::vector<std::string>& other);
+    void heal();
+
+private:
+    struct impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace limpetlock::test
