Raise a low limit by reports without waiting calls

At the planned size an instance sends an endpoint a few calls an hour, so its own answers would take many minutes to raise a limit that reports had lowered. A fresh report without waiting calls now raises it by one step, up to the instance's part of the endpoint.

--- a/lib/routing/endpoint_stats.cpp
+++ b/lib/routing/endpoint_stats.cpp
@@ -107,8 +107,14 @@
     others_ = first ? others : others_ + report_weight * (others - others_);
     // The endpoint serves its own queue by priority, and a share of a rank holds only for work that waits
     // here.
-    if (report.queued > options_.queued_tolerance * report.running && report.age <= report_lifetime)
-        decrease(now, options_.queued_decrease);
+    if (report.age > report_lifetime)
+        return;
+    if (report.queued > options_.queued_tolerance * report.running)
+        return decrease(now, options_.queued_decrease);
+    // With hundreds of instances, each has too few calls to an endpoint to raise a low limit by their
+    // answers.
+    if (report.queued == 0)
+        limit_ = std::max(limit_, std::min(options_.initial, limit_ + options_.increase));
 }
 
 double endpoint_stats::load(time_point now) const
--- a/unittests/routing/routing_test.cpp
+++ b/unittests/routing/routing_test.cpp
@@ -163,6 +163,23 @@
     cr_assert_lt(it.limit(), 0.6);
 }
 
+// Guards against an instance of hundreds that keeps a low limit for ever: its own answers are too few to
+// raise it, so reports without waiting calls do, up to its part of the endpoint. Reports with waiting calls
+// lower it.
+Test(endpoint_stats, reports_move_the_limit)
+{
+    const auto options = scaled_limits(8, 370);
+    endpoint_stats it(options);
+    for (int n = 0; n < 30; ++n)
+        it.reported({8, 20, duration(0)}, at(n * 1000));
+    cr_assert_float_eq(it.limit(), options.minimum, 1e-9);
+    it.reported({2, 0, duration(4000)}, at(31'000));
+    cr_assert_float_eq(it.limit(), options.minimum, 1e-9, "a report that is too old moves nothing");
+    for (int n = 31; n < 40; ++n)
+        it.reported({2, 0, duration(0)}, at(n * 1000));
+    cr_assert_float_eq(it.limit(), options.initial, 1e-9);
+}
+
 // Guards against a retry storm: in an outage of 20 s at the rates of the planned size, retries add at most
 // 10%. After it, the budget fills again.
 Test(retry_budget, outage_adds_at_most_a_tenth)
