--- a/include/limpetlock/routing/retry_budget.hpp
+++ b/include/limpetlock/routing/retry_budget.hpp
@@ -43,9 +43,11 @@
 };
 
 /// Latency quantile over the last one to two windows, for the hedge delay of a stage.
+/// Hedge only while the queue in front of the pool is empty: else the second call takes the place of the
+/// first call of another request.
 class hedge_delay {
 public:
-    explicit hedge_delay(double quantile = 0.95, duration window = duration(10000));
+    explicit hedge_delay(double quantile = 0.99, duration window = duration(10000));
     hedge_delay(const hedge_delay&) = delete;
     hedge_delay& operator=(const hedge_delay&) = delete;
     ~hedge_delay();
--- a/utils/bench-policy/driver.cpp
+++ b/utils/bench-policy/driver.cpp
@@ -32,6 +32,7 @@
 struct call {
     std::size_t request;
     std::size_t endpoint;
+    std::uint64_t endpoint_id; // in the view of the sending instance
     std::int64_t sent_ms;
     std::int64_t started_ms{-1}; // -1 while it waits at the endpoint
     bool open{true};
@@ -66,6 +67,7 @@
     std::vector<routing::endpoint_stats> stats;
     std::unique_ptr<routing::chooser> chooser;
     routing::retry_budget budget;
+    std::array<routing::hedge_delay, admission::rank_count> hedge_after;
     routing::random_engine random;
     std::map<std::size_t, admission::ticket> tickets;
 };
@@ -88,6 +90,9 @@
     void arrive(std::size_t request);
     void pump(instance& it);
     void send(std::size_t request);
+    bool dispatch(std::size_t request);
+    void hedge(std::size_t id);
+    void cut(std::size_t id, double& used_for);
     void refresh(instance& it);
     std::optional<std::size_t> choose(instance& it, std::size_t request);
     void start_next(std::size_t endpoint);
@@ -105,10 +110,12 @@
     std::vector<std::unique_ptr<instance>> instances_;
     std::array<engine, endpoint_count> engines_;
     std::vector<call> calls_;
-    std::vector<std::size_t> open_call_;            // by request; calls_.size() limit when none
+    std::vector<std::size_t> open_call_;            // by request: its last call, or no_call
+    std::vector<std::size_t> hedged_call_;          // by request: the call that it hedges, or no_call
     std::vector<std::vector<std::uint64_t>> tried_; // by request
     std::priority_queue<event, std::vector<event>, std::greater<>> ends_;
     std::priority_queue<event, std::vector<event>, std::greater<>> deadlines_;
+    std::priority_queue<event, std::vector<event>, std::greater<>> hedges_;
     run_result result_;
     std::int64_t now_{0};
 };
@@ -117,7 +124,7 @@
 
 driver::driver(const scenario& setting, const policy& how, const std::vector<arrival>& arrivals)
     : setting_(setting), how_(how), arrivals_(arrivals), open_call_(arrivals.size(), no_call),
-      tried_(arrivals.size())
+      hedged_call_(arrivals.size(), no_call), tried_(arrivals.size())
 {
     membership::instance_list list{1, {}};
     for (std::size_t n = 0; n < endpoint_count; ++n)
@@ -189,11 +196,46 @@
 }
 
 void driver::send(std::size_t request)
+{
+    if (!dispatch(request))
+        return settle(request, fate::failed);
+    const auto id = open_call_[request];
+    const auto rank = static_cast<std::size_t>(arrivals_[request].priority);
+    const auto delay = home(request).hedge_after.at(rank).current();
+    if (how_.hedging && delay && calls_[id].open)
+        hedges_.emplace(now_ + delay->count(), id);
+}
+
+// Sends a second call for a request whose first one is late.
+void driver::hedge(std::size_t id)
+{
+    const auto request = calls_[id].request;
+    auto& from = home(request);
+    // While work waits here, a second call would take the place of another request's first one.
+    if (!calls_[id].open || open_call_[request] != id || from.work->waiting() > 0 || !from.budget.try_hedge())
+        return;
+    ++result_.hedges;
+    hedged_call_[request] = id;
+    if (!dispatch(request))
+        hedged_call_[request] = no_call;
+}
+
+// Cuts a call whose answer is no longer wanted.
+void driver::cut(std::size_t id, double& used_for)
+{
+    auto& it = calls_[id];
+    for (auto& line : engines_.at(it.endpoint).queued)
+        std::erase(line, id);
+    used_for += it.started_ms < 0 ? 0 : static_cast<double>(now_ - it.started_ms);
+    finish(id, routing::outcome::cancelled);
+}
+
+bool driver::dispatch(std::size_t request)
 {
     auto& from = home(request);
     const auto endpoint = choose(from, request);
     if (!endpoint)
-        return settle(request, fate::failed);
+        return false;
     const bool outage = now_ >= setting_.outage_from_ms && now_ < setting_.outage_to_ms;
     const bool first = result_.requests[request].attempts++ == 0;
     if (first)
@@ -202,13 +244,14 @@
         ++(first ? result_.first_in_outage : result_.retries_in_outage);
     from.stats[*endpoint].started(at(now_));
     const auto id = calls_.size();
-    calls_.push_back({request, *endpoint, now_});
+    calls_.push_back({request, *endpoint, tried_[request].back(), now_});
     open_call_[request] = id;
     auto& to = engines_.at(*endpoint);
-    if (to.down)
-        return finish(id, routing::outcome::failed);
-    if (to.running >= endpoint_slots && to.waiting() >= endpoint_queue)
-        return finish(id, routing::outcome::overloaded);
+    const bool full = to.running >= endpoint_slots && to.waiting() >= endpoint_queue;
+    if (to.down || full) {
+        finish(id, to.down ? routing::outcome::failed : routing::outcome::overloaded);
+        return true;
+    }
     // Work that a rank's share entitles to service now must not wait behind a higher rank at the engine. The
     // simple policy knows no ranks, so its calls have one priority.
     const auto ticket = from.tickets.find(request);
@@ -216,6 +259,7 @@
     const auto priority = first_class ? 0 : static_cast<std::size_t>(arrivals_[request].priority);
     to.queued.at(priority).push_back(id);
     start_next(*endpoint);
+    return true;
 }
 
 void driver::start_next(std::size_t endpoint)
@@ -247,7 +291,12 @@
     if (it.started_ms >= 0)
         --to.running;
     const auto took = static_cast<double>(now_ - it.sent_ms);
-    const auto sent = at(it.sent_ms);
+    const auto sent_ms = it.sent_ms;
+    const auto sent = at(sent_ms);
+    const auto endpoint_id = it.endpoint_id;
+    const bool last = open_call_[request] == id;
+    const auto twin = last ? hedged_call_[request] : open_call_[request];
+    const bool twin_open = twin != no_call && calls_[twin].open;
     const auto rank = static_cast<std::size_t>(arrivals_[request].priority);
     from.stats[endpoint].finished(at(now_), how, took, classes.at(rank).cost_ms);
     if (how == routing::outcome::success) {
@@ -258,19 +307,22 @@
         if (result_.requests[request].attempts == 1)
             from.budget.first_attempt_succeeded();
         from.gate.record("model", true, at(now_));
-        from.view.succeeded(tried_[request].back(), sent, at(now_));
+        from.view.succeeded(endpoint_id, sent, at(now_));
+        from.hedge_after.at(rank).record(duration(now_ - sent_ms), at(now_));
+        if (twin_open)
+            cut(twin, result_.hedged_ms);
         settle(request, fate::answered);
         return start_next(endpoint);
     }
-    if (how == routing::outcome::cancelled) {
-        result_.abandoned_ms += used;
+    if (how == routing::outcome::cancelled)
         return start_next(endpoint);
-    }
     result_.retried_ms += used;
     if (how == routing::outcome::failed)
         from.gate.record("model", false, at(now_));
     if (how == routing::outcome::failed && how_.membership)
-        from.view.failed(tried_[request].back(), membership::failure::refused, sent, at(now_));
+        from.view.failed(endpoint_id, membership::failure::refused, sent, at(now_));
+    if (twin_open)
+        return;
     const bool again = result_.requests[request].attempts < most_attempts && now_ < deadline(request) &&
                        (!how_.retry_budget || from.budget.try_retry());
     again ? send(request) : settle(request, fate::failed);
@@ -286,8 +338,9 @@
     const auto ticket = from.tickets.find(request);
     if (ticket == from.tickets.end())
         return;
-    const auto& last = calls_[open_call_[request]];
-    from.work->complete(ticket->second, last.started_ms < 0 ? 0 : static_cast<double>(now_ - last.sent_ms));
+    const auto id = open_call_[request];
+    const bool ran = id != no_call && calls_[id].started_ms >= 0;
+    from.work->complete(ticket->second, ran ? static_cast<double>(now_ - calls_[id].sent_ms) : 0);
     from.tickets.erase(ticket);
     from.gate.leave(one_call);
     refresh(from);
@@ -304,9 +357,11 @@
         home(request).work->cancel(request, "team-" + std::to_string(it.team), it.priority);
         return settle(request, fate::expired);
     }
-    for (auto& line : engines_.at(calls_[id].endpoint).queued)
-        std::erase(line, id);
-    finish(id, routing::outcome::cancelled);
+    const auto first = hedged_call_[request];
+    if (first != no_call && calls_[first].open)
+        cut(first, result_.abandoned_ms);
+    if (calls_[id].open)
+        cut(id, result_.abandoned_ms);
     settle(request, fate::abandoned);
 }
 
@@ -391,6 +446,11 @@
             if (calls_[id].open)
                 finish(id, routing::outcome::success);
         }
+        while (!hedges_.empty() && hedges_.top().first <= now_) {
+            const auto id = hedges_.top().second;
+            hedges_.pop();
+            hedge(id);
+        }
         while (!deadlines_.empty() && deadlines_.top().first <= now_) {
             const auto request = deadlines_.top().second;
             deadlines_.pop();
--- a/utils/bench-policy/driver.hpp
+++ b/utils/bench-policy/driver.hpp
@@ -16,6 +16,7 @@
     bool retry_budget{true}; ///< without it, every failed call is sent up to three times
     bool membership{true};   ///< ejection of failing endpoints
     std::string chooser{"two_choices"};
+    bool hedging{true}; ///< a second call once the first takes longer than the 99% quantile
 };
 
 enum class fate : std::uint8_t { waiting, answered, refused, expired, abandoned, failed };
@@ -32,6 +33,8 @@
     double useful_ms{0};                  ///< endpoint milliseconds of answers in time
     double retried_ms{0};                 ///< of calls that ended by a failure
     double abandoned_ms{0};               ///< of calls that were cut at the deadline
+    double hedged_ms{0};                  ///< of calls that were cut because their twin answered
+    std::size_t hedges{0};
     std::array<double, admission::rank_count> useful_in_window{};
     std::size_t first_in_outage{0}; ///< first attempts and retries sent during the outage
     std::size_t retries_in_outage{0};
--- a/utils/bench-policy/main.cpp
+++ b/utils/bench-policy/main.cpp
@@ -26,10 +26,11 @@
 
 std::vector<policy> all_policies()
 {
-    return {{"chosen", true, true, true, true, "two_choices"},
-            {"local-fairness", true, false, true, true, "two_choices"},
-            {"least-reported", true, true, true, true, "least_reported"},
-            {"round-robin-fifo", false, false, false, false, "round_robin"}};
+    return {{"chosen", true, true, true, true, "two_choices", true},
+            {"no-hedging", true, true, true, true, "two_choices", false},
+            {"local-fairness", true, false, true, true, "two_choices", true},
+            {"least-reported", true, true, true, true, "least_reported", true},
+            {"round-robin-fifo", false, false, false, false, "round_robin", false}};
 }
 
 std::int64_t quantile(std::vector<std::int64_t> values, double q)
@@ -117,6 +118,7 @@
     row["jain_attainment"] = jain(teams);
     row["endpoint_s"] = {{"useful", run.useful_ms / 1000},
                          {"retried", run.retried_ms / 1000},
+                         {"hedged", run.hedged_ms / 1000},
                          {"abandoned", run.abandoned_ms / 1000}};
     if (in.outage_to_ms > 0) {
         row["recovery_s"] = recovery_s(in, run);
@@ -134,13 +136,13 @@
                            it["p50_ms"].get<int>(), it["p95_ms"].get<int>(), it["p99_ms"].get<int>(),
                            100 * it["share_kept"].get<double>());
     };
-    fmt::print("{:16} {:16} |{} |{} |{} |{:6.2f} {:5} {:6.2f} {:5} {:.3f} |{:6.0f} {:5.0f} {:5.0f}",
+    fmt::print("{:16} {:16} |{} |{} |{} |{:6.2f} {:5} {:6.2f} {:5} {:.3f} |{:6.0f} {:5.0f} {:5.0f} {:5.0f}",
                row["scenario"].get<std::string>(), row["policy"].get<std::string>(), rank("urgent"),
                rank("standard"), rank("background"), 100 * row["small"]["attainment"].get<double>(),
                row["small"]["p95_ms"].get<int>(), 100 * row["large"]["attainment"].get<double>(),
                row["large"]["p95_ms"].get<int>(), row["jain_attainment"].get<double>(),
                row["endpoint_s"]["useful"].get<double>(), row["endpoint_s"]["retried"].get<double>(),
-               row["endpoint_s"]["abandoned"].get<double>());
+               row["endpoint_s"]["hedged"].get<double>(), row["endpoint_s"]["abandoned"].get<double>());
     if (row.contains("recovery_s"))
         fmt::print(" | back after {} s, retries added {:.1f}%", row["recovery_s"].get<double>(),
                    100 * row["retries_added"].get<double>());
@@ -156,7 +158,7 @@
     if (FLAGS_only != "cost")
         fmt::print("{:33} | urgent: att% p50/p95/p99 share% | standard | background | small att% p95, large "
                    "att% p95, "
-                   "Jain | endpoint s: useful retried abandoned\n",
+                   "Jain | endpoint s: useful retried hedged abandoned\n",
                    "scenario, policy");
     for (const auto& in : all_scenarios()) {
         if (!FLAGS_only.empty() && FLAGS_only != in.name)
