--- a/utils/bench-policy/main.cpp
+++ b/utils/bench-policy/main.cpp
@@ -4,6 +4,7 @@
 
 #include "cost.hpp"
 #include "driver.hpp"
+#include "targets.hpp"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
@@ -16,6 +17,9 @@
 DEFINE_string(json, "", "file for the results as JSON lines");
 DEFINE_string(only, "", "name of the only scenario to run, or \"cost\"");
 DEFINE_string(policy, "", "name of the only policy to run");
+DEFINE_bool(
+    check, false,
+    "compare the chosen policy with the targets and the simplest policy, and fail when one is missed");
 DEFINE_uint64(seed, 1, "seed of the arrivals");
 
 namespace {
@@ -149,11 +153,36 @@
     fmt::print("\n");
 }
 
+json measure(const scenario& in, const policy& how, const std::vector<arrival>& arrivals)
+{
+    auto row = describe(in, how, arrivals, play(in, how, arrivals));
+    print(row);
+    return row;
+}
+
+int check_targets()
+{
+    const auto policies = all_policies();
+    std::size_t missed = 0;
+    for (const auto& in : all_scenarios()) {
+        const auto arrivals = record_arrivals(in, FLAGS_seed);
+        const auto chosen = measure(in, policies.front(), arrivals);
+        for (const auto& it : missed_targets(chosen, measure(in, policies.back(), arrivals))) {
+            fmt::print("missed: {}\n", it);
+            ++missed;
+        }
+    }
+    fmt::print("{} targets missed\n", missed);
+    return missed == 0 ? 0 : 1;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_check)
+        return check_targets();
     std::ofstream lines(FLAGS_json.empty() ? "/dev/null" : FLAGS_json);
     if (FLAGS_only != "cost")
         fmt::print("{:33} | urgent: att% p50/p95/p99 share% | standard | background | small att% p95, large "
@@ -167,9 +196,7 @@
         for (const auto& how : all_policies()) {
             if (!FLAGS_policy.empty() && FLAGS_policy != how.name)
                 continue;
-            const auto row = describe(in, how, arrivals, play(in, how, arrivals));
-            lines << row.dump() << "\n";
-            print(row);
+            lines << measure(in, how, arrivals).dump() << "\n";
         }
     }
     if (!FLAGS_only.empty() && FLAGS_only != "cost")
