Probe ejected endpoints at once when a pool-wide failure ends

After an outage each instance used only the half of the pool that the cap had kept in service, until the ejection times of the others ended. The first answer of an endpoint that should have been ejected now brings the probes of its pool forward.

--- a/lib/membership/view.cpp
+++ b/lib/membership/view.cpp
@@ -56,6 +56,7 @@
     void list_entry(const listed_instance& it);
     bool may_eject(const std::string& pool) const;
     void eject(record& it, time_point now);
+    void probe_ejected(const std::string& pool, time_point now);
     void eject_suspects(const std::string& pool, time_point now);
     void return_to_service(record& it);
     void set_leaving(record& it, time_point now);
@@ -156,9 +157,22 @@
     // A call that was sent before the ejection or the leaving answer and ends well does not undo them.
     if (it.ejected || it.leaving_by_evidence || it.score == 0)
         return;
+    if (it.score >= options.ejection_score)
+        probe_ejected(it.listed.pool, now);
     it.score = 0;
     snapshot_.reset();
-    static_cast<void>(now);
+}
+
+// An endpoint that only the cap kept in service has answered: what failed the whole pool is over, and the
+// others need not wait for the end of their ejection time.
+void view::impl::probe_ejected(const std::string& pool, time_point now)
+{
+    for (auto it = endpoints.lower_bound({pool, ""}); it != endpoints.end() && it->first.first == pool;
+         ++it) {
+        auto& known = it->second;
+        if (known.ejected && !known.probing)
+            known.probe_at = std::min(known.probe_at, now);
+    }
 }
 
 void view::impl::failed(record& it, failure how, time_point now)
--- a/unittests/membership/view_test.cpp
+++ b/unittests/membership/view_test.cpp
@@ -169,6 +169,24 @@
     cr_assert_eq(it.status("model", "m2"), state::live);
 }
 
+// Guards against half a pool that stays out for the rest of its ejection time after an outage of the whole
+// pool: the first answer of an endpoint that only the cap kept in service brings probes forward.
+Test(view, first_answer_after_an_outage_starts_probes)
+{
+    view it;
+    it.apply(models(1, 4), at(0));
+    std::vector<std::uint64_t> ids;
+    for (const auto& endpoint : it.current()->pool("model"))
+        ids.push_back(endpoint.id);
+    for (const auto id : ids)
+        fail_often(it, id, 10);
+    it.tick(at(200));
+    cr_assert_eq(it.current()->pool("model").size(), 2U);
+    it.succeeded(it.current()->pool("model")[0].id, at(210), at(250));
+    it.tick(at(400));
+    cr_assert_eq(it.current()->pool("model").size(), 4U);
+}
+
 // Guards against a frame of a former incarnation that is taken for the present one.
 Test(view, incarnations_are_ordered)
 {
