Bound how long work is held for a pool that does not answer

Work held to the end of its time was served after the outage in place of new work. While the gate holds a pool, expire() now drops what has waited for half of its time.

--- a/include/limpetlock/admission/gate.hpp
+++ b/include/limpetlock/admission/gate.hpp
@@ -42,6 +42,9 @@
     void enter(const footprint& work);
     void leave(const footprint& work);
 
+    /// Whether the last calls to the pool all failed, and work is held back.
+    bool held(const std::string& pool) const;
+
     double capacity(const std::string& pool) const;
     double occupied(const std::string& pool) const;
 
--- a/include/limpetlock/admission/queue.hpp
+++ b/include/limpetlock/admission/queue.hpp
@@ -37,7 +37,8 @@
     rank priority{rank::standard};
     double cost_ms{1}; ///< expected endpoint milliseconds
     time_point deadline{};
-    stage_list stages; ///< what is still to run, for the deadline check; null means no check by estimate
+    stage_list stages;    ///< what is still to run, for the deadline check; null means no check by estimate
+    time_point offered{}; ///< set by offer()
 };
 
 /// A request that was taken from the queue; complete() wants it back.
@@ -92,7 +93,9 @@
 
     /// Drops the requests whose deadline has passed or can't be met, and returns their ids. This includes the
     /// ones that next() found since the last call.
-    std::vector<std::uint64_t> expire(time_point now);
+    /// While the pool does not answer (`held`, see gate::held), work that has waited for half of its time
+    /// goes too: what is kept longer takes the place of new work once the pool is back.
+    std::vector<std::uint64_t> expire(time_point now, bool held = false);
 
     /// Drops a request whose caller has gone; false when it does not wait here.
     bool cancel(std::uint64_t id, const std::string& team, rank priority);
--- a/lib/admission/gate.cpp
+++ b/lib/admission/gate.cpp
@@ -34,6 +34,12 @@
         level.held_until = now + hold_interval;
 }
 
+bool gate::held(const std::string& pool) const
+{
+    const auto it = pools_.find(pool);
+    return it != pools_.end() && it->second.failures >= hold_after;
+}
+
 void gate::enter(const footprint& work)
 {
     for (const auto& it : work)
--- a/lib/admission/queue.cpp
+++ b/lib/admission/queue.cpp
@@ -19,6 +19,11 @@
     return static_cast<std::size_t>(it);
 }
 
+bool past_half(const request& it, time_point now)
+{
+    return now - it.offered > (it.deadline - it.offered) / 2;
+}
+
 } // namespace
 
 std::string_view to_string(rank it)
@@ -43,7 +48,7 @@
 
     std::optional<std::size_t> offer(request it, time_point now);
     std::optional<ticket> next(time_point now, const predicate& fits);
-    std::vector<std::uint64_t> expire(time_point now);
+    std::vector<std::uint64_t> expire(time_point now, bool held);
     void complete(const ticket& it, double actual_cost_ms);
     std::vector<team_usage> take_usage();
     void add_peer_usage(const std::vector<team_usage>& served);
@@ -89,6 +94,7 @@
     if (lane.waiting() >= options.total)
         return last.fail(errc::queue_full, fmt::format("{} requests of this rank wait", lane.waiting()));
     it.cost_ms = std::max(1.0, it.cost_ms);
+    it.offered = now;
     lane.push(std::move(it));
     return before;
 }
@@ -140,10 +146,11 @@
     return ticket{it.id, std::move(it.team), it.priority, cost, picked->by_share};
 }
 
-std::vector<std::uint64_t> queue::impl::expire(time_point now)
+std::vector<std::uint64_t> queue::impl::expire(time_point now, bool held)
 {
     for (auto& lane : lanes_) {
-        lane.drop_if([&](const request& it) { return !can_meet(it, now); }, dropped_);
+        lane.drop_if([&](const request& it) { return !can_meet(it, now) || (held && past_half(it, now)); },
+                     dropped_);
         lane.forget_idle();
     }
     return std::exchange(dropped_, {});
@@ -208,9 +215,9 @@
     return impl_->next(now, fits);
 }
 
-std::vector<std::uint64_t> queue::expire(time_point now)
+std::vector<std::uint64_t> queue::expire(time_point now, bool held)
 {
-    return impl_->expire(now);
+    return impl_->expire(now, held);
 }
 
 bool queue::cancel(std::uint64_t id, const std::string& team, rank priority)
--- a/unittests/admission/queue_test.cpp
+++ b/unittests/admission/queue_test.cpp
@@ -170,6 +170,18 @@
     cr_assert_eq(it.work.expire(at(200)), std::vector<std::uint64_t>{1});
 }
 
+// Guards against old work that is kept through an outage and displaces new work after it.
+Test(queue, work_held_in_an_outage_is_dropped_at_half_its_time)
+{
+    server it;
+    it.offer("a", rank::urgent, 10, 3000);
+    it.offer("a", rank::background, 10, 10'000);
+    cr_assert(it.work.expire(at(1600)).empty());
+    cr_assert_eq(it.work.expire(at(1600), true), std::vector<std::uint64_t>{1});
+    cr_assert(it.work.expire(at(4900), true).empty());
+    cr_assert_eq(it.work.waiting(rank::background), 1U);
+}
+
 // Guards against a request without room in its pool that holds up the work for other pools.
 Test(queue, passes_over_requests_that_do_not_fit)
 {
