Remember incarnations of entry instances that left the list

The view forgot the highest incarnation with the listing, so that a frozen process could be believed after its replacement was removed from the list.

--- a/lib/membership/view.cpp
+++ b/lib/membership/view.cpp
@@ -12,8 +12,11 @@
 namespace limpetlock::membership {
 
 namespace {
+// Names of former entry instances that are remembered; the planned size has 370 nodes.
+constexpr std::size_t most_incarnations = 4096;
+
 constexpr std::array<std::string_view, 5> state_names{"live", "leaving", "suspect", "ejected", "probing"};
-}
+} // namespace
 
 std::string_view to_string(state it)
 {
@@ -64,6 +67,8 @@
 
     std::unordered_map<std::uint64_t, name_key> names_;
     std::map<std::string, entry_instance> entries_;
+    // Outlives the listing of a name: a frozen process may wake after its replacement was listed and removed.
+    std::map<std::string, std::int64_t> incarnations_;
     std::map<name_key, std::int64_t> leaving_versions_;
     std::uint64_t next_id_{1};
     std::optional<time_point> last_tick_;
@@ -103,6 +108,8 @@
 void view::impl::list_entry(const listed_instance& it)
 {
     auto& known = entries_[it.name];
+    const auto heard_before = incarnations_.find(it.name);
+    known.incarnation = heard_before == incarnations_.end() ? 0 : heard_before->second;
     known.name = it.name;
     known.address = it.address;
     known.port = it.port;
@@ -132,6 +139,8 @@
     std::erase_if(entries_, [&](const auto& it) {
         return !listed.contains({std::string(entry_pool), it.first});
     });
+    if (incarnations_.size() > most_incarnations)
+        std::erase_if(incarnations_, [&](const auto& it) { return !entries_.contains(it.first); });
     std::erase_if(heartbeats, [&](const auto& it) { return !entries_.contains(it.first); });
     std::erase_if(leaving_versions_,
                   [&](const auto& it) { return !listed.contains(it.first) && it.second < version; });
@@ -280,19 +289,19 @@
 
 bool view::impl::heard(const std::string& name, std::int64_t incarnation, time_point now)
 {
-    const auto it = entries_.find(name);
-    if (it == entries_.end())
-        return true;
-    auto& known = it->second;
-    if (incarnation < known.incarnation) {
+    auto& highest = incarnations_.try_emplace(name, incarnation).first->second;
+    if (incarnation < highest) {
         ++counts.stale_frames;
         return false;
     }
-    const bool newer = incarnation > known.incarnation;
-    known.incarnation = incarnation;
+    highest = incarnation;
+    const auto it = entries_.find(name);
+    if (it == entries_.end())
+        return true;
     heartbeats[name] = now;
-    if (newer)
+    if (it->second.incarnation != incarnation)
         snapshot_.reset();
+    it->second.incarnation = incarnation;
     return true;
 }
 
--- a/unittests/membership/view_test.cpp
+++ b/unittests/membership/view_test.cpp
@@ -197,6 +197,10 @@
     cr_assert_not(it.heard("entry-a1", 1000, at(20)));
     cr_assert_eq(it.last_heartbeat("entry-a1"), at(10));
     cr_assert_eq(it.current()->entries.at(0).incarnation, 2000);
+    it.apply({2, {}}, at(30));
+    cr_assert_not(it.heard("entry-a1", 1000, at(40)), "a former process of a name that is no longer listed");
+    it.apply({3, {{"entry-a1", "entry", "10.0.1.2", 1, 2, "a", false}}}, at(50));
+    cr_assert_eq(it.current()->entries.at(0).incarnation, 2000);
 }
 
 // Guards against a snapshot that changes under a reader.
