--- a/include/limpetlock/routing/retry_budget.hpp
+++ b/include/limpetlock/routing/retry_budget.hpp
@@ -43,9 +43,11 @@
 };
 
 /// Latency quantile over the last one to two windows, for the hedge delay of a stage.
+/// Hedge only while the queue in front of the pool is empty: else the second call takes the place of the
+/// first call of another request.
 class hedge_delay {
 public:
-    explicit hedge_delay(double quantile = 0.95, duration window = duration(10000));
+    explicit hedge_delay(double quantile = 0.99, duration window = duration(10000));
     hedge_delay(const hedge_delay&) = delete;
     hedge_delay& operator=(const hedge_delay&) = delete;
     ~hedge_delay();
@@ -53,7 +55,7 @@
     void record(duration took, time_point now);
 
     /// nullopt while there are too few measurements for a quantile; then nothing is hedged.
-    std::optional<duration> current(time_point now) const;
+    std::optional<duration> current() const;
 
     static constexpr std::size_t least_samples = 30;
 
--- a/unittests/membership/view_test.cpp
+++ b/unittests/membership/view_test.cpp
@@ -169,6 +169,24 @@
     cr_assert_eq(it.status("model", "m2"), state::live);
 }
 
+// Guards against half a pool that stays out for the rest of its ejection time after an outage of the whole
+// pool: the first answer of an endpoint that only the cap kept in service brings probes forward.
+Test(view, first_answer_after_an_outage_starts_probes)
+{
+    view it;
+    it.apply(models(1, 4), at(0));
+    std::vector<std::uint64_t> ids;
+    for (const auto& endpoint : it.current()->pool("model"))
+        ids.push_back(endpoint.id);
+    for (const auto id : ids)
+        fail_often(it, id, 10);
+    it.tick(at(200));
+    cr_assert_eq(it.current()->pool("model").size(), 2U);
+    it.succeeded(it.current()->pool("model")[0].id, at(210), at(250));
+    it.tick(at(400));
+    cr_assert_eq(it.current()->pool("model").size(), 4U);
+}
+
 // Guards against a frame of a former incarnation that is taken for the present one.
 Test(view, incarnations_are_ordered)
 {
@@ -179,6 +197,10 @@
     cr_assert_not(it.heard("entry-a1", 1000, at(20)));
     cr_assert_eq(it.last_heartbeat("entry-a1"), at(10));
     cr_assert_eq(it.current()->entries.at(0).incarnation, 2000);
+    it.apply({2, {}}, at(30));
+    cr_assert_not(it.heard("entry-a1", 1000, at(40)), "a former process of a name that is no longer listed");
+    it.apply({3, {{"entry-a1", "entry", "10.0.1.2", 1, 2, "a", false}}}, at(50));
+    cr_assert_eq(it.current()->entries.at(0).incarnation, 2000);
 }
 
 // Guards against a snapshot that changes under a reader.
