Measure lost watchers and replaced fleets; retry fallback reads with back-off

An instance without watchers waited a whole period after a failed fallback read. It now retries with the back-off of other reads. Documents are limited to 1 MiB of canonical text, so that a version always fits one frame, and a reply whose revision is below its last entry is read as being at that entry.

--- a/include/limpetlock/config/document.hpp
+++ b/include/limpetlock/config/document.hpp
@@ -33,6 +33,10 @@
 /// so a longer timeout would let a call start that a former owner granted.
 inline constexpr duration longest_call_timeout{3000};
 
+/// Largest canonical text of a document: what one value of the platform's service holds. A version then fits
+/// one frame between instances, which is at most 2 MiB.
+inline constexpr std::size_t largest_document = 1'048'576;
+
 /// A keyed section of the document; lookups take a string_view.
 template <typename T>
 using section = std::map<std::string, T, std::less<>>;
--- a/lib/config/document.cpp
+++ b/lib/config/document.cpp
@@ -94,6 +94,12 @@
         return nullptr;
     }
     it->text = value.dump();
+    if (it->text.size() > largest_document) {
+        last.fail(errc::invalid,
+                  fmt::format("the document must have at most {} bytes as canonical text, has {}",
+                              largest_document, it->text.size()));
+        return nullptr;
+    }
     it->digest = digest128(it->text);
     for (const auto& [name, team] : it->typed.teams)
         it->team_by_token.emplace(team.token, name);
--- a/lib/config/entry.cpp
+++ b/lib/config/entry.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -115,6 +116,8 @@
         const entry read = to_entry(it, *own);
         reply.entries.push_back(wrong.empty() ? read : unreadable(read, join_problems(wrong)));
     }
+    // A service may note its revision before it collects the entries.
+    reply.revision = std::max(reply.revision, former);
     return reply;
 }
 
--- a/lib/config/sync.cpp
+++ b/lib/config/sync.cpp
@@ -74,6 +74,7 @@
         return;
     }
     read_back_off_ = {};
+    watcher_due_ = std::max(watcher_due_, now + shortened(settings_.watcher_silence));
 }
 
 void synchronizer::read_failed(std::int64_t id, time_point now)
@@ -249,7 +250,6 @@
     const bool waits = watches_ || position_.number == 0;
     read_ = running_read{{++last_id_, position_.revision, waits ? settings_.watch_wait : duration{}}, now};
     earliest_read_ = now + settings_.read_floor + between({}, settings_.read_floor / 2);
-    watcher_due_ = now + shortened(settings_.watcher_silence);
     quiet_due_ = now + quiet_interval();
     ++counters_.reads;
     if (!watches_)
--- a/unittests/config/document_test.cpp
+++ b/unittests/config/document_test.cpp
@@ -168,6 +168,10 @@
     const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
     cr_assert(!document::parse(R"({"teams":)" + deep + "}", last));
     cr_assert_neq(last.last().reason.find("is nested too deeply"), std::string::npos);
+    std::string nested = "1";
+    for (int n = 0; n < 40; ++n)
+        nested = R"({"a":)" + nested + R"(,"a":[{"a":2}]})";
+    cr_assert(!document::parse(nested, last));
     cr_assert(!document::parse(R"({"teams":{"a":{"token":"x","token":"y"}}})", last));
     cr_assert(last.last().reason == "teams.a.token: appears more than once");
     cr_assert_eq(last.last().code, errc::malformed);
@@ -175,6 +179,19 @@
         cr_assert(!document::parse(text, last), "accepted: %s", text);
 }
 
+// Guards against a document that grows by patches until a peer can't send it in one frame.
+Test(document, is_bounded)
+{
+    const document it = must_parse(base_text());
+    std::string patch = R"({"teams":{)";
+    for (int n = 0; n < 4000; ++n)
+        patch += (n == 0 ? "\"" : ",\"") + std::to_string(n) + R"(":{"token":")" + std::string(240, 'x') +
+                 std::to_string(n) + R"("})";
+    error_slot<errc> last;
+    cr_assert(!it.merge(patch + "}}", last));
+    cr_assert_neq(last.last().reason.find("at most 1048576 bytes"), std::string::npos);
+}
+
 // Guards against an example that operators can't use.
 Test(document, parses_the_example)
 {
--- a/unittests/config/fold_test.cpp
+++ b/unittests/config/fold_test.cpp
@@ -47,6 +47,7 @@
                                           last);
     cr_assert(reply.has_value(), "%s", last.last().reason.c_str());
     cr_assert_eq(reply->revision, 9);
+    cr_assert_eq(read_service_reply(R"({"revision":1,"entries":[{"revision":4}]})", last)->revision, 4);
     const std::vector<entry> expected{
         {3, "ann", entry_kind::document, 0, 1, R"({"a":2,"b":1})"},
         {5, "bob", entry_kind::patch, 1, 0, R"({"a":null})"},
@@ -72,6 +73,32 @@
     cr_assert(service_target(7, duration(50)) == "/v1/config?after=7&wait_ms=50");
 }
 
+// Guards against damaged text that crashes the reader or brings something invalid into force.
+Test(entry, survives_damaged_replies)
+{
+    const std::string text =
+        R"({"revision":2,"entries":[{"revision":1,"author":"a","kind":"document","base":0,"number":1,"document":)" +
+        base_text() + R"(},{"revision":2,"author":"b","kind":"patch","base":1,"patch":)" + weight_patch(2) +
+        "}]}";
+    boost::random::mt19937 random(7);
+    int read = 0;
+    for (int n = 0; n < 3000; ++n) {
+        std::string damaged = text;
+        for (unsigned changes = 1 + random() % 3; changes > 0; --changes)
+            damaged[random() % damaged.size()] = R"({}[]",:0-9ae)"[random() % 13];
+        error_slot<errc> last;
+        const auto reply = read_service_reply(damaged, last);
+        if (!reply)
+            continue;
+        ++read;
+        fold it;
+        it.apply(*reply);
+        if (it.in_force())
+            cr_assert(document::parse(it.in_force()->document.text(), last) == it.in_force()->document);
+    }
+    cr_assert_gt(read, 100);
+}
+
 // Guards against a version from a peer that lowers the number, has other content than its digest says, or
 // breaks the format.
 Test(fold, adopts_only_whole_and_newer_versions)
--- a/unittests/config/sync_test.cpp
+++ b/unittests/config/sync_test.cpp
@@ -118,6 +118,42 @@
     cr_assert_eq(it.counters().read_failures, reads - 1);
 }
 
+// Guards against instances without watchers that wait a whole period after a failed fallback read, and
+// against fallback reads that grow with the size of a failure domain.
+Test(sync, falls_back_without_watchers)
+{
+    const auto list = fleet(1, 20);
+    const auto chosen = watcher_set(list, 2);
+    std::int64_t quiet_reads = 0;
+    for (const instance& one : list) {
+        if (std::binary_search(chosen.begin(), chosen.end(), one.name))
+            continue;
+        synchronizer silent({}, one.name, 1, at(0));
+        silent.set_instances(list, at(0));
+        silent.set_position({1, "x", 1}, at(0));
+        drive(silent, at(0), at(30'000), [&](const decision& made, time_point now) {
+            if (made.read && now < at(20'000))
+                silent.read_failed(made.read->id, now);
+            else if (made.read)
+                silent.read_answered(made.read->id, 1, 0, now);
+        });
+        cr_assert_geq(silent.counters().fallback_reads, 5);
+
+        synchronizer quiet({}, one.name, 1, at(0));
+        quiet.set_instances(list, at(0));
+        quiet.set_position({1, "x", 1}, at(0));
+        drive(quiet, at(0), at(1'000'000), [&](const decision& made, time_point now) {
+            quiet.peer_reported(chosen[0], 1, "x", now);
+            if (made.read)
+                quiet.read_answered(made.read->id, 1, 0, now);
+        });
+        quiet_reads += quiet.counters().fallback_reads;
+    }
+    // One read in 10 s over the domain, give or take the jitter.
+    cr_assert_geq(quiet_reads, 80);
+    cr_assert_leq(quiet_reads, 120);
+}
+
 // Guards against a peer whose version can't be adopted here being pulled without pause.
 Test(sync, backs_off_from_peers_without_use)
 {
--- a/utils/bench-config/measurements.hpp
+++ b/utils/bench-config/measurements.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,14 @@
     /// Time from publication until a change is in force in every instance.
     double median_spread_ms{};
     double longest_spread_ms{};
+    /// Most pulls that one instance answered for one change.
+    std::int64_t most_served{};
+    /// Time until a change is in force everywhere that is published when all watchers die; none when all
+    /// watch.
+    std::optional<double> watchers_lost_ms;
+    /// Time until every instance has the configuration when all but one are replaced in an outage of the
+    /// service.
+    double replaced_ms{};
 };
 
 struct fleet_size {
--- a/utils/bench-config/scripted_fleet.cpp
+++ b/utils/bench-config/scripted_fleet.cpp
@@ -88,6 +88,15 @@
                        [&](const auto& it) { return it.second->store.number() >= number; });
 }
 
+std::int64_t scripted_fleet::take_most_served()
+{
+    std::int64_t most = 0;
+    for (const auto& [name, n] : served_)
+        most = std::max(most, n);
+    served_.clear();
+    return most;
+}
+
 bool scripted_fleet::reaches(const std::string& a, const std::string& b) const
 {
     return cuts_.count(std::minmax(a, b)) == 0;
@@ -168,6 +177,7 @@
         it.decisions.pull_failed(order.id, now_);
         return true;
     }
+    ++served_[order.peer];
     const auto made = it.store.adopt(to_peer_version(*version), order.peer);
     totals_.pulled_bytes += static_cast<std::int64_t>(version->document.text().size());
     note_outcome(it, made);
--- a/utils/bench-config/scripted_fleet.hpp
+++ b/utils/bench-config/scripted_fleet.hpp
@@ -62,6 +62,9 @@
     time_point now() const { return now_; }
     std::int64_t revision() const { return revision_; }
     const fleet_totals& totals() const { return totals_; }
+    /// Most pulls that one instance answered since the last call of this function.
+    std::int64_t take_most_served();
+    bool is_running(const std::string& name) const { return replicas_.count(name) != 0; }
     /// Names of the running instances.
     std::vector<std::string> running() const;
     const fold& fold_of(const std::string& name) const { return replicas_.at(name)->store; }
@@ -110,6 +113,7 @@
     std::map<std::string, std::unique_ptr<replica>> replicas_;
     std::set<std::pair<std::string, std::string>> cuts_;
     fleet_totals totals_;
+    std::map<std::string, std::int64_t> served_;
 };
 
 } // namespace limpetlock::config
