--- a/include/limpetlock/config/sync.hpp
+++ b/include/limpetlock/config/sync.hpp
@@ -4,6 +4,7 @@
 /// what happened.
 #pragma once
 
+#include <limpetlock/config/fold.hpp>
 #include <limpetlock/config/watchers.hpp>
 #include <limpetlock/support/time.hpp>
 
@@ -70,6 +71,8 @@
     friend bool operator==(const position&, const position&) = default;
 };
 
+position position_of(const fold& it);
+
 /// A call to the service: entries after `after`, waiting up to `wait`.
 struct read_order {
     std::int64_t id{};
@@ -126,6 +129,9 @@
     friend bool operator==(const sync_counters&, const sync_counters&) = default;
 };
 
+/// A controller calls next() at the wake time of the former decision and after every event, and carries out
+/// what it returns. A read or pull that it ordered is running until its answer or failure is reported, or
+/// until it is overdue; a report with the id of an earlier one changes nothing.
 class synchronizer {
 public:
     /// `seed` makes the jitter of instances differ; the incarnation is a good value.
--- a/lib/config/sync.cpp
+++ b/lib/config/sync.cpp
@@ -18,6 +18,12 @@
 
 } // namespace
 
+position position_of(const fold& it)
+{
+    const auto version = it.in_force();
+    return {it.number(), version ? version->digest() : std::string(), it.revision()};
+}
+
 synchronizer::synchronizer(const sync_settings& settings, std::string self, std::uint64_t seed,
                            time_point now)
     : settings_(settings), self_(std::move(self)),
--- a/unittests/config/fold_test.cpp
+++ b/unittests/config/fold_test.cpp
@@ -172,6 +172,7 @@
     cr_assert_eq(it.outcomes().size(), fold::kept_outcomes);
     cr_assert_eq(it.outcomes().back().revision, 300);
     cr_assert_eq(it.count(verdict::stale_base), 299);
+    cr_assert_eq(it.apply(patch_entry(300, 1, "{}")).result, verdict::ignored);
     const auto before = it.in_force();
     const auto tried = it.check(1, R"({"teams":{"plant-01":{"weight":3},"new":{"token":"n"}}})");
     cr_assert_eq(tried.result, verdict::accepted);
--- a/unittests/config/sync_test.cpp
+++ b/unittests/config/sync_test.cpp
@@ -170,6 +170,30 @@
     cr_assert_eq(it.counters().pull_failures, it.counters().pulls);
 }
 
+// Guards against a pull of the whole document while the watch is about to bring the patch, and against a dead
+// peer that is asked again while another one could answer.
+Test(sync, pulls_late_and_from_another_peer)
+{
+    const sync_settings settings;
+    synchronizer it(settings, "a1", 1, at(0));
+    it.set_position({1, "x", 1}, at(0));
+    cr_assert(it.next(at(900)).read.has_value());
+    it.peer_reported("b1", 2, "y", at(1000));
+    it.peer_reported("b2", 2, "y", at(1000));
+    cr_assert(!it.next(at(1000)).pull.has_value());
+    cr_assert(!it.next(at(1000) + settings.watch_grace - duration(1)).pull.has_value());
+    const decision first = it.next(at(1000) + settings.watch_grace);
+    cr_assert(first.pull.has_value());
+    it.pull_failed(first.pull->id, at(1510));
+    std::optional<pull_order> second;
+    drive(it, at(1510), at(1510) + settings.pull_timeout, [&](const decision& made, time_point) {
+        if (made.pull && !second)
+            second = made.pull;
+    });
+    cr_assert(second.has_value());
+    cr_assert_neq(second->peer, first.pull->peer);
+}
+
 // Guards against an instance that serves an old prefix from a stale replica before it has heard its peers.
 Test(sync, is_not_ready_behind_its_peers)
 {
@@ -233,4 +257,12 @@
     std::vector<instance> list{{"a1", "a", true}, {"a2", "a", false}, {"b1", "b", true}};
     cr_assert(watcher_set(list, 1) == std::vector<std::string>({"a2", "b1"}));
     cr_assert(watcher_set({}, 2).empty());
+    std::vector<std::string> staying;
+    list.clear();
+    for (int n = 0; n < 20; ++n) {
+        list.push_back({fmt::format("i{:02}", n), "a", n % 2 == 0});
+        if (n % 2 != 0)
+            staying.push_back(list.back().name);
+    }
+    cr_assert(watcher_set(list, staying.size()) == staying);
 }
--- a/utils/bench-config/scripted_fleet.cpp
+++ b/utils/bench-config/scripted_fleet.cpp
@@ -122,9 +122,7 @@
 
 void scripted_fleet::moved(replica& it)
 {
-    const auto version = it.store.in_force();
-    it.decisions.set_position({it.store.number(), version ? version->digest() : "", it.store.revision()},
-                              now_);
+    it.decisions.set_position(position_of(it.store), now_);
 }
 
 void scripted_fleet::step(replica& it)
@@ -189,13 +187,12 @@
 void scripted_fleet::send_heartbeat(replica& it)
 {
     it.next_heartbeat += settings_.heartbeat;
-    const auto version = it.store.in_force();
-    const std::string digest = version ? version->digest() : "";
+    const position own = position_of(it.store);
     const auto tell = [&](replica& peer) {
         if (peer.name == it.name || !reaches(it.name, peer.name))
             return;
         ++totals_.heartbeats;
-        peer.decisions.peer_reported(it.name, it.store.number(), digest, now_);
+        peer.decisions.peer_reported(it.name, own.number, own.digest, now_);
         peer.wake = now_;
     };
     if (settings_.partners == 0) {
