--- a/utils/bench-config/scripted_fleet.cpp
+++ b/utils/bench-config/scripted_fleet.cpp
@@ -88,6 +88,15 @@
                        [&](const auto& it) { return it.second->store.number() >= number; });
 }
 
+std::int64_t scripted_fleet::take_most_served()
+{
+    std::int64_t most = 0;
+    for (const auto& [name, n] : served_)
+        most = std::max(most, n);
+    served_.clear();
+    return most;
+}
+
 bool scripted_fleet::reaches(const std::string& a, const std::string& b) const
 {
     return cuts_.count(std::minmax(a, b)) == 0;
@@ -113,9 +122,7 @@
 
 void scripted_fleet::moved(replica& it)
 {
-    const auto version = it.store.in_force();
-    it.decisions.set_position({it.store.number(), version ? version->digest() : "", it.store.revision()},
-                              now_);
+    it.decisions.set_position(position_of(it.store), now_);
 }
 
 void scripted_fleet::step(replica& it)
@@ -168,6 +175,7 @@
         it.decisions.pull_failed(order.id, now_);
         return true;
     }
+    ++served_[order.peer];
     const auto made = it.store.adopt(to_peer_version(*version), order.peer);
     totals_.pulled_bytes += static_cast<std::int64_t>(version->document.text().size());
     note_outcome(it, made);
@@ -179,13 +187,12 @@
 void scripted_fleet::send_heartbeat(replica& it)
 {
     it.next_heartbeat += settings_.heartbeat;
-    const auto version = it.store.in_force();
-    const std::string digest = version ? version->digest() : "";
+    const position own = position_of(it.store);
     const auto tell = [&](replica& peer) {
         if (peer.name == it.name || !reaches(it.name, peer.name))
             return;
         ++totals_.heartbeats;
-        peer.decisions.peer_reported(it.name, it.store.number(), digest, now_);
+        peer.decisions.peer_reported(it.name, own.number, own.digest, now_);
         peer.wake = now_;
     };
     if (settings_.partners == 0) {
