--- a/lib/claims/table.cpp
+++ b/lib/claims/table.cpp
@@ -96,6 +96,8 @@
     auto& ids() { return records_.get<by_id>(); }
 
     duration coverage(const lease_state& own, time_point now) const;
+    const char* why_no_record_means_nothing(const claim_request& ask, const lease_state& own,
+                                            time_point now) const;
     const char* why_not_owner(const claim_request& ask, const lease_state& own, time_point now) const;
     claim_reply decide(const claim_request& ask, const lease_state& own, time_point now);
     claim_reply on_record(record_iterator it, const claim_request& ask, const lease_state& own,
@@ -115,6 +117,7 @@
     bool sealed_ = false;
     bool sealed_with_lease_ = false;
     duration sealed_coverage_{0};
+    std::int64_t sealed_number_ = 0;
     std::optional<time_point> import_hold_;
     duration inherited_{0};
     std::optional<time_point> complete_since_;
@@ -184,17 +187,9 @@
         ++counters_.refused_lease;
         return {denied, reason, {}, 0};
     }
-    const auto needed =
-        ask.first_attempt ? first_attempt_hold(map_.section().lease) : map_.section().key_lifetime;
-    if (coverage(own, now) < needed) {
-        ++counters_.refused_lease;
-        return {denied, "the lease is not held for long enough", {}, 0};
-    }
-    // A majority of replaced owners that are cut off together still vouch for each other, while a newer
-    // incarnation grants first attempts elsewhere. A missing owner shows that this may be the case.
-    if (!ask.first_attempt && !own.unanimous(now)) {
+    if (const char* reason = why_no_record_means_nothing(ask, own, now)) {
         ++counters_.refused_lease;
-        return {denied, "an owner does not vouch, so records may exist elsewhere", {}, 0};
+        return {denied, reason, {}, 0};
     }
     if (records_.size() >= map_.section().max_claims) {
         ++counters_.refused_full;
@@ -222,6 +217,23 @@
     return nullptr;
 }
 
+const char* table::implementation::why_no_record_means_nothing(const claim_request& ask,
+                                                               const lease_state& own, time_point now) const
+{
+    const auto& section = map_.section();
+    const auto needed =
+        ask.first_attempt ? first_attempt_hold(section.lease) : retry_hold(section.key_lifetime);
+    if (coverage(own, now) < needed)
+        return "the lease is not held for long enough";
+    // A majority of replaced owners that are cut off together still vouch for each other, while a newer
+    // incarnation grants elsewhere. A missing owner shows that this may be the case.
+    if (!ask.first_attempt && !own.unanimous(now))
+        return "an owner does not vouch, so records may exist elsewhere";
+    if (now - own.unanimous_at >= missing_owner_limit(section.key_lifetime))
+        return "an owner has been missing for too long";
+    return nullptr;
+}
+
 duration table::implementation::coverage(const lease_state& own, time_point now) const
 {
     auto covered = own.held_for(now);
@@ -305,11 +317,13 @@
     sealed_ = true;
     sealed_with_lease_ = own.held(now);
     sealed_coverage_ = coverage(own, now);
+    sealed_number_ = map_.section().number;
 }
 
 handover table::implementation::export_records(time_point now) const
 {
-    handover it{name_, incarnation_, sealed_ && sealed_with_lease_, sealed_coverage_.count(), {}};
+    handover it{name_, incarnation_,  sealed_ && sealed_with_lease_, sealed_coverage_.count(),
+                {},    sealed_number_};
     it.records.reserve(records_.size());
     for (const auto& from : records_.get<by_due>())
         it.records.push_back({team_of(from), key_of(from), from.body_digest, from.attempt_id, from.state,
@@ -326,6 +340,8 @@
         return error_.fail(table_errc::other_owner, "the handover is of another owner");
     if (from.incarnation >= incarnation_)
         return error_.fail(table_errc::not_predecessor, "the handover is not of a former incarnation");
+    if (from.claims_number != map_.section().number)
+        return error_.fail(table_errc::other_section, "the handover is of another claims section");
     if (import_hold_)
         return error_.fail(table_errc::already_imported, "a handover is already imported");
     if (!own.held(now) || sealed_)
--- a/utils/bench-claims/main.cpp
+++ b/utils/bench-claims/main.cpp
@@ -6,14 +6,15 @@
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
+#include <malloc.h>
 #include <nlohmann/json.hpp>
 
 #include <chrono>
 #include <cstdio>
-#include <malloc.h>
 
 DEFINE_uint64(seeds, 50, "Seeds per policy and fault");
 DEFINE_uint64(first_seed, 1, "First seed");
+DEFINE_bool(one_fault, false, "One fault per run instead of one about every eight seconds");
 DEFINE_bool(json, true, "Print JSON lines before the tables");
 DEFINE_bool(records, true, "Measure time and memory per record too");
 
@@ -31,7 +32,7 @@
 {
     totals sum;
     for (std::uint64_t n = 0; n < FLAGS_seeds; ++n)
-        sum.add(bench::world(rule, mix, FLAGS_first_seed + n).run());
+        sum.add(bench::world(rule, mix, FLAGS_first_seed + n, !FLAGS_one_fault).run());
     return sum;
 }
 
@@ -40,6 +41,7 @@
     const nlohmann::ordered_json line{{"policy", bench::to_string(rule)},
                                       {"fault", bench::to_string(mix)},
                                       {"seeds", FLAGS_seeds},
+                                      {"one_fault", FLAGS_one_fault},
                                       {"keys", it.keys},
                                       {"max_executions", it.max_executions},
                                       {"doubled_keys", it.doubled_keys},
@@ -64,8 +66,9 @@
 
 std::string compare_policies()
 {
-    auto text = fmt::format("{:24} {:13} {:>4} {:>7} {:>9} {:>9} {:>8} {:>8} {:>8} {:>6}\n", "fault", "policy",
-                            "max", "doubled", "false n-r", "answered", "not run", "unknown", "messages", "trips");
+    auto text =
+        fmt::format("{:24} {:13} {:>4} {:>7} {:>9} {:>9} {:>8} {:>8} {:>8} {:>6}\n", "fault", "policy", "max",
+                    "doubled", "false n-r", "answered", "not run", "unknown", "messages", "trips");
     for (int m = 0; m < bench::fault_mixes; ++m) {
         for (int r = 0; r < bench::policies; ++r) {
             const auto mix = static_cast<bench::fault_mix>(m);
@@ -97,7 +100,7 @@
     claims::table table("a", 1, section);
     const time_point now{std::chrono::hours(2)};
     const auto end = now + std::chrono::hours(1);
-    const claims::lease_state own{time_point{}, end, end, end};
+    const claims::lease_state own{time_point{}, end, end, now, end};
     std::vector<claims::claim_request> asks;
     for (std::size_t n = 0; n < records; ++n)
         asks.push_back(make_ask(n));
@@ -123,8 +126,8 @@
                                                   {"repeat_us", repeated_us},
                                                   {"bytes_per_record", bytes}}
                                .dump());
-    return fmt::format("{:8} {:9.2f} {:9.2f} {:9.2f} {:12.0f}\n", records, granted_us, settled_us, repeated_us,
-                       bytes);
+    return fmt::format("{:8} {:9.2f} {:9.2f} {:9.2f} {:12.0f}\n", records, granted_us, settled_us,
+                       repeated_us, bytes);
 }
 
 std::string measure_witness()
@@ -137,7 +140,7 @@
     claims::witness witness(section, begin);
     const auto end = begin + std::chrono::minutes(1);
     for (int s = 0; s < 20; ++s)
-        witness.note_own_lease({std::nullopt, {}, {}, end}, begin + std::chrono::seconds(s));
+        witness.note_own_lease({std::nullopt, {}, {}, {}, end}, begin + std::chrono::seconds(s));
     const auto now = begin + std::chrono::seconds(20);
     const auto before = mallinfo2().uordblks;
     const auto start = std::chrono::steady_clock::now();
@@ -147,17 +150,18 @@
     const auto us = elapsed_us(start) / static_cast<double>(names);
     const auto bytes = static_cast<double>(mallinfo2().uordblks - before) / static_cast<double>(names);
     if (FLAGS_json)
-        fmt::print("{}\n", nlohmann::ordered_json{{"witness_entries", vouched},
-                                                  {"vouch_us", us},
-                                                  {"bytes_per_entry", bytes}}
-                               .dump());
-    return fmt::format("witness: {} entries, {:.2f} us per vouch, {:.0f} bytes per entry\n", vouched, us, bytes);
+        fmt::print(
+            "{}\n",
+            nlohmann::ordered_json{{"witness_entries", vouched}, {"vouch_us", us}, {"bytes_per_entry", bytes}}
+                .dump());
+    return fmt::format("witness: {} entries, {:.2f} us per vouch, {:.0f} bytes per entry\n", vouched, us,
+                       bytes);
 }
 
 std::string measure_records()
 {
-    auto text = fmt::format("{:>8} {:>9} {:>9} {:>9} {:>12}\n", "records", "grant us", "settle us", "repeat us",
-                            "bytes/record");
+    auto text = fmt::format("{:>8} {:>9} {:>9} {:>9} {:>12}\n", "records", "grant us", "settle us",
+                            "repeat us", "bytes/record");
     for (const std::size_t records : {1'000U, 10'000U, 100'000U})
         text += measure_table(records);
     return text + measure_witness();
--- a/utils/bench-claims/world.cpp
+++ b/utils/bench-claims/world.cpp
@@ -14,23 +14,33 @@
 
 constexpr duration heartbeat_interval = 250ms;
 constexpr duration list_interval = 1000ms;
-constexpr duration run_length = 90s;
-constexpr duration warm_up = 30s;
+constexpr duration run_length = 80s;
+constexpr duration warm_up = 40s;
 constexpr duration request_interval = 150ms;
 
 } // namespace
 
 std::string_view to_string(policy it)
 {
-    static constexpr std::array<std::string_view, policies> names{"plain_owner", "owner_lease", "majority_vote"};
+    static constexpr std::array<std::string_view, policies> names{"plain_owner", "owner_lease",
+                                                                  "majority_vote"};
     return names[static_cast<std::size_t>(it)];
 }
 
 std::string_view to_string(fault_mix it)
 {
-    static constexpr std::array<std::string_view, fault_mixes> names{
-        "none",       "freeze",           "freeze_and_replace",       "kill",         "cut_off", "majority_cut_off", "planned_stop",
-        "map_change", "witness_replaced", "pair_frozen_and_replaced", "all_replaced", "mixed"};
+    static constexpr std::array<std::string_view, fault_mixes> names{"none",
+                                                                     "freeze",
+                                                                     "freeze_and_replace",
+                                                                     "kill",
+                                                                     "cut_off",
+                                                                     "majority_cut_off",
+                                                                     "planned_stop",
+                                                                     "map_change",
+                                                                     "witness_replaced",
+                                                                     "pair_frozen_and_replaced",
+                                                                     "all_replaced",
+                                                                     "mixed"};
     return names[static_cast<std::size_t>(it)];
 }
 
@@ -49,10 +59,11 @@
     heartbeat_messages += it.heartbeat_messages;
 }
 
-world::world(policy rule, fault_mix mix, std::uint64_t seed)
-    : rule_(rule), mix_(mix), random_(seed), fault_random_(seed ^ 0x9e3779b97f4a7c15U), now_(duration{1'000'000})
+world::world(policy rule, fault_mix mix, std::uint64_t seed, bool repeat)
+    : rule_(rule), mix_(mix), repeat_(repeat), random_(seed), fault_random_(seed ^ 0x9e3779b97f4a7c15U),
+      now_(duration{1'000'000})
 {
-    section_ = {1, {"a", "b", "c"}, 20s, 1000ms, 5000};
+    section_ = {1, {"a", "b", "c"}, 16s, 1000ms, 5000};
     for (const char* name : {"a", "b", "c", "d", "e"})
         start_process(name, 0);
 }
@@ -129,10 +140,21 @@
     auto voter = section_;
     if (rule_ == policy::majority_vote)
         voter.owners = {name};
-    processes_.push_back(std::make_unique<process>(
-        process{name, incarnation, side, true, {}, section_, claims::lease(name, incarnation, section_),
-                claims::witness(section_, now_), claims::table(name, incarnation, voter), {},
-                claims::wake_watch(now_), {}, {}, now_, std::nullopt}));
+    processes_.push_back(std::make_unique<process>(process{name,
+                                                           incarnation,
+                                                           side,
+                                                           true,
+                                                           {},
+                                                           section_,
+                                                           claims::lease(name, incarnation, section_),
+                                                           claims::witness(section_, now_),
+                                                           claims::table(name, incarnation, voter),
+                                                           {},
+                                                           claims::wake_watch(now_),
+                                                           {},
+                                                           {},
+                                                           now_,
+                                                           std::nullopt}));
     list_[name] = p;
     auto& it = *processes_.back();
     it.view = list_;
@@ -253,9 +275,9 @@
     const auto& it = *processes_[static_cast<std::size_t>(p)];
     switch (rule_) {
     case policy::plain_owner:
-        return {time_point{}, now_ + 1ms, now_ + 1ms, now_ + 1ms};
+        return {time_point{}, now_ + 1ms, now_ + 1ms, now_, now_ + 1ms};
     case policy::majority_vote:
-        return {it.start, now_ + 1ms, now_ + 1ms, now_ + 1ms};
+        return {it.start, now_ + 1ms, now_ + 1ms, now_, now_ + 1ms};
     case policy::owner_lease:
         break;
     }
--- a/utils/bench-claims/world.hpp
+++ b/utils/bench-claims/world.hpp
@@ -1,7 +1,7 @@
 /// \file
-/// A single-threaded driver that interleaves callers, faults and the claim objects of a few processes. It checks
-/// what the protocol promises: at most one execution per key and no false "not run". The objects are the real
-/// ones; links are closures in one event queue, so it measures decisions and not performance.
+/// A single-threaded driver that interleaves callers, faults and the claim objects of a few processes. It
+/// checks what the protocol promises: at most one execution per key and no false "not run". The objects are
+/// the real ones; links are closures in one event queue, so it measures decisions and not performance.
 #pragma once
 
 #include <limpetlock/claims/handover.hpp>
@@ -62,7 +62,10 @@
 /// One run of one policy under one mix of faults. Equal seeds give equal faults and callers to every policy.
 class world {
 public:
-    world(policy rule, fault_mix mix, std::uint64_t seed);
+    /// `repeat` false gives one fault per run.
+    world(policy rule, fault_mix mix, std::uint64_t seed, bool repeat = true);
+    world(const world&) = delete;
+    world& operator=(const world&) = delete;
     ~world();
 
     totals run();
@@ -150,6 +153,7 @@
 
     policy rule_;
     fault_mix mix_;
+    bool repeat_;
     std::mt19937_64 random_;
     std::mt19937_64 fault_random_;
     time_point now_{};
