Test the HTTP edges and fix the loop that kept closed connections open

A connection that should close after an answer stayed open: g++ 12 compiles 'while (flag && co_await ...)' so that a false flag does not leave the loop. The loop awaits in its body now.

--- a/lib/http/connection.cpp
+++ b/lib/http/connection.cpp
@@ -123,6 +123,7 @@
     void take_header();
     void expire_after(duration wait) { timer_.set(deadline_timer::after(wait), shared_from_this()); }
     bool has_unread_bytes();
+    void reset_on_close();
     void close_socket();
 
     tcp::socket socket_;
@@ -171,18 +172,29 @@
 
 asio::awaitable<void> caller_connection::run(std::shared_ptr<caller_connection> self)
 {
-    bool next = true;
-    while (next && co_await self->read_request()) {
+    bool next = co_await self->read_request();
+    while (next) {
         co_await self->serve();
         next = self->complete_ && self->keep_alive_;
+        if (next)
+            next = co_await self->read_request();
     }
     if (self->refusal_)
         co_await self->refuse_request();
     if (self->refusal_ || (self->complete_ && self->has_unread_bytes()))
         co_await self->linger();
+    if (self->streaming_ && !self->chunked_)
+        self->reset_on_close();
     self->close_socket();
 }
 
+/// A stream to an HTTP/1.0 caller ends with its connection; only a reset shows that it was cut.
+void caller_connection::reset_on_close()
+{
+    error_code ec;
+    socket_.set_option(asio::socket_base::linger(true, 0), ec);
+}
+
 bool caller_connection::has_unread_bytes()
 {
     return buffer_.size() > 0 || look_at_peer(socket_) == peer_state::pending;
@@ -239,8 +251,7 @@
 {
     bool ok = true;
     if (!parser_->is_done()) {
-        const bool expected = find(request_.headers, "Expect").has_value() && version_ == 11;
-        if (expected && buffer_.size() == 0)
+        if (version_ == 11 && expects_continue(request_.headers) && buffer_.size() == 0)
             ok = co_await send(asio::buffer(continue_text));
         buffer_.reserve(std::min(buffer_.max_size(), body_read_bytes));
         expire_after(core_->limits.body_timeout);
@@ -365,8 +376,9 @@
     const auto answer = json_response(refusal_->status, {});
     const auto head = head_of_answer(answer.status, answer.headers, {11, false, false, body.size()});
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(head), asio::buffer(body)};
-    timer_.clear();
+    expire_after(core_->limits.write_timeout);
     co_await asio::async_write(socket_, buffers, quiet);
+    timer_.clear();
 }
 
 asio::awaitable<void> caller_connection::linger()
--- a/lib/http/message_text.cpp
+++ b/lib/http/message_text.cpp
@@ -113,6 +113,12 @@
     return it && iequals(*it, "close");
 }
 
+bool expects_continue(const header_list& headers)
+{
+    const auto it = find(headers, "Expect");
+    return it && iequals(*it, "100-continue");
+}
+
 bool status_has_body(int status)
 {
     return status >= 200 && status != 204 && status != 304;
--- a/lib/http/message_text.hpp
+++ b/lib/http/message_text.hpp
@@ -29,6 +29,8 @@
 
 bool wants_close(const header_list& headers);
 
+bool expects_continue(const header_list& headers);
+
 /// False for the statuses that end after their header (1xx, 204, 304).
 bool status_has_body(int status);
 
--- /dev/null
+++ b/unittests/http/client_test.cpp
@@ -0,0 +1,362 @@
+#include "fixture.hpp"
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/post.hpp>
+
+#include <array>
+#include <atomic>
+#include <future>
+#include <memory>
+#include <optional>
+
+using namespace limpetlock;
+using namespace limpetlock::http;
+using namespace limpetlock::http::testing;
+
+namespace {
+
+struct outcome {
+    std::optional<response> answer;
+    call_error error;
+};
+
+struct fixture {
+    explicit fixture(client_limits limits = {}) : caller(threads.executor(), limits) {}
+
+    outcome call(const address& to, request message = {}, reuse policy = reuse::pooled,
+                 time_point deadline = soon())
+    {
+        outcome it;
+        it.answer = threads.run(caller.call(to, std::move(message), deadline, policy, it.error));
+        return it;
+    }
+
+    std::unique_ptr<event_stream> open(const address& to, call_error& error)
+    {
+        return threads.run(caller.open(to, {}, soon(), reuse::pooled, error));
+    }
+
+    runtime threads;
+    client caller;
+};
+
+bool failed(const outcome& it, errc code, bool sent)
+{
+    return !it.answer && it.error.code == code && it.error.sent == sent && !it.error.reason.empty();
+}
+
+/// Answers one request with fixed bytes and closes the connection.
+std::function<void(tcp::acceptor&)> answer_once(std::string bytes)
+{
+    return [text = std::move(bytes)](tcp::acceptor& acceptor) {
+        raw_peer peer(acceptor);
+        peer.read_until("\r\n\r\n");
+        peer.send(text);
+    };
+}
+
+/// A listening port that nobody accepts from, with its backlog full, so that connecting takes for ever.
+struct full_backlog {
+    full_backlog() : acceptor(context)
+    {
+        acceptor.open(tcp::v4());
+        acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
+        acceptor.listen(0);
+        const auto where = acceptor.local_endpoint();
+        for (auto& it : fillers) {
+            it.open(tcp::v4());
+            it.native_non_blocking(true);
+            ::connect(it.native_handle(), where.data(), where.size());
+        }
+    }
+    asio::io_context context;
+    tcp::acceptor acceptor;
+    std::array<tcp::socket, 4> fillers{tcp::socket(context), tcp::socket(context), tcp::socket(context),
+                                       tcp::socket(context)};
+};
+
+std::uint16_t unused_port()
+{
+    asio::io_context context;
+    const tcp::acceptor it(context, {asio::ip::make_address("127.0.0.1"), 0});
+    return it.local_endpoint().port();
+}
+
+constexpr std::string_view kept = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+// Guards against a dead endpoint taken for a slow one, and "sent" for a request that never left.
+Test(client, refused_and_timed_out_connects_differ)
+{
+    client_limits limits;
+    limits.connect_timeout = duration(50);
+    fixture it(limits);
+    cr_assert(failed(it.call({"127.0.0.1", unused_port()}), errc::refused, false));
+    const full_backlog deaf;
+    const address to{"127.0.0.1", deaf.acceptor.local_endpoint().port()};
+    cr_assert(failed(it.call(to), errc::timeout, false));
+    cr_assert(failed(it.call({"not an address", 1}), errc::malformed, false));
+}
+
+// Guards against a request that leaves after its deadline, or that breaks the message apart.
+Test(client, hopeless_calls_send_nothing)
+{
+    std::atomic<int> requests{0};
+    fixture it;
+    server host(it.threads.executor(), "127.0.0.1", 0, {}, [&requests](exchange& call) {
+        ++requests;
+        return echo(call);
+    });
+    const address to{"127.0.0.1", host.port()};
+    cr_assert(failed(it.call(to, {}, reuse::pooled, boot_clock::now() - duration(1)), errc::timeout, false));
+    cr_assert(failed(it.call(to, {"GET", "/a b", {}, {}}), errc::malformed, false));
+    cr_assert(failed(it.call(to, {"GET", "/", {{"A", "x\r\nB: y"}}, {}}), errc::malformed, false));
+    cr_assert_eq(requests.load(), 0);
+}
+
+// Guards against an answer that is cut, has no end of its own, or is no HTTP, taken for a whole one.
+Test(client, incomplete_answers_are_errors)
+{
+    const std::pair<std::string, errc> cases[] = {
+        {"", errc::closed},
+        {"HTTP/1.1 200 OK\r\nContent-Le", errc::closed},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", errc::closed},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", errc::closed},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n", errc::closed},
+        {"HTTP/1.1 200 OK\r\n\r\nabc", errc::malformed},
+        {"nonsense\r\n\r\n", errc::malformed},
+        {"HTTP/1.1 101 Switching Protocols\r\n\r\n", errc::malformed},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n", errc::too_large},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n200\r\n" + std::string(512, 'x') + "\r\n",
+         errc::too_large},
+        {"HTTP/1.1 200 OK\r\nX: " + std::string(99999, 'x') + "\r\n\r\n", errc::too_large},
+    };
+    client_limits limits;
+    limits.body_bytes = 256;
+    fixture it(limits);
+    for (const auto& [bytes, code] : cases) {
+        const scripted_endpoint endpoint(answer_once(bytes));
+        cr_assert(failed(it.call(endpoint.where()), code, true), "%.60s", bytes.c_str());
+    }
+}
+
+// Guards against interim answers taken for the final one, and a body expected where none comes.
+Test(client, interim_and_bodiless_answers)
+{
+    fixture it;
+    const scripted_endpoint interim(
+        answer_once("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + std::string(kept)));
+    const auto first = it.call(interim.where());
+    cr_assert(first.answer && first.answer->status == 200 && first.answer->body == "ok");
+    const scripted_endpoint head(answer_once("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n"));
+    const auto second = it.call(head.where(), {"HEAD", "/", {}, {}});
+    cr_assert(second.answer && second.answer->body.empty());
+    const scripted_endpoint empty(answer_once("HTTP/1.1 204 No Content\r\n\r\n"));
+    cr_assert(it.call(empty.where()).answer.has_value());
+}
+
+// Guards against a late answer that is reported as not sent, or awaited without end.
+Test(client, deadline_while_waiting)
+{
+    fixture it;
+    const scripted_endpoint endpoint([](tcp::acceptor& acceptor) {
+        raw_peer peer(acceptor);
+        peer.read_until("\r\n\r\n");
+        peer.read_all();
+    });
+    cr_assert(failed(it.call(endpoint.where(), {}, reuse::pooled, soon(duration(50))), errc::timeout, true));
+}
+
+// Guards against reuse of a connection that the endpoint closed or wrote stray bytes to; both requests would
+// fail or get an answer that isn't theirs.
+Test(client, unusable_idle_connections_are_not_reused)
+{
+    fixture it;
+    std::promise<void> go;
+    const scripted_endpoint endpoint([&go](tcp::acceptor& acceptor) {
+        raw_peer closing(acceptor);
+        closing.read_until("\r\n\r\n");
+        closing.send(kept);
+        closing.close();
+        go.set_value();
+        raw_peer stray(acceptor);
+        stray.read_until("\r\n\r\n");
+        stray.send(std::string(kept) + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nalien");
+        raw_peer last(acceptor);
+        last.read_until("\r\n\r\n");
+        last.send(kept);
+        cr_assert_eq(stray.read_all().find("GET"), std::string::npos);
+    });
+    cr_assert(it.call(endpoint.where()).answer.has_value());
+    go.get_future().wait();
+    for (int n = 0; n < 2; ++n) {
+        const auto next = it.call(endpoint.where());
+        cr_assert(next.answer && next.answer->body == "ok", "%s", next.error.reason.c_str());
+    }
+}
+
+// Guards against a fresh call over a pooled connection, and a pooled one over a needless new connection.
+Test(client, reuse_policy)
+{
+    std::atomic<int> connections{0};
+    fixture it;
+    const scripted_endpoint endpoint([&connections](tcp::acceptor& acceptor) {
+        raw_peer first(acceptor);
+        ++connections;
+        for (int n = 0; n < 2; ++n) {
+            first.read_until("\r\n\r\n");
+            first.send(kept);
+        }
+        raw_peer second(acceptor);
+        ++connections;
+        second.read_until("\r\n\r\n");
+        second.send("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok");
+    });
+    cr_assert(it.call(endpoint.where()).answer.has_value());
+    cr_assert(it.call(endpoint.where()).answer.has_value());
+    cr_assert_eq(connections.load(), 1);
+    cr_assert(it.call(endpoint.where(), {}, reuse::fresh).answer.has_value());
+    cr_assert_eq(connections.load(), 2);
+}
+
+// Guards against a request on a pooled connection that dies unanswered being retried or reported as not sent.
+Test(client, lost_answer_on_pooled_connection_is_not_retried)
+{
+    std::atomic<int> requests{0};
+    fixture it;
+    const scripted_endpoint endpoint([&requests](tcp::acceptor& acceptor) {
+        raw_peer peer(acceptor);
+        peer.read_until("\r\n\r\n");
+        peer.send(kept);
+        peer.read_until("\r\n\r\n");
+        ++requests;
+        peer.reset();
+    });
+    cr_assert(it.call(endpoint.where()).answer.has_value());
+    cr_assert(failed(it.call(endpoint.where()), errc::closed, true));
+    cr_assert_eq(requests.load(), 1);
+}
+
+// Guards against more idle connections than the bound after a burst.
+Test(client, idle_connections_are_bounded)
+{
+    constexpr int calls = 8;
+    client_limits limits;
+    limits.idle_per_address = 2;
+    fixture it(limits);
+    const scripted_endpoint endpoint([](tcp::acceptor& acceptor) {
+        std::vector<std::unique_ptr<raw_peer>> peers;
+        for (int n = 0; n < calls; ++n)
+            peers.push_back(std::make_unique<raw_peer>(acceptor));
+        for (auto& peer : peers) {
+            peer->read_until("\r\n\r\n");
+            peer->send(kept);
+        }
+        const auto open_peers = [&peers] {
+            std::size_t n = 0;
+            for (auto& peer : peers) {
+                char byte = 0;
+                n += recv(peer->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 ? 1 : 0;
+            }
+            return n;
+        };
+        cr_assert(eventually([&] { return open_peers() == 2; }));
+    });
+    std::vector<std::future<std::optional<response>>> results;
+    std::array<call_error, calls> errors;
+    for (auto& error : errors)
+        results.push_back(asio::co_spawn(asio::make_strand(it.threads.executor()),
+                                         it.caller.call(endpoint.where(), {}, soon(), reuse::pooled, error),
+                                         asio::use_future));
+    for (auto& result : results)
+        cr_assert(result.get().has_value());
+}
+
+// Guards against an endpoint that goes on working for a call that was cancelled.
+Test(client, cancellation_closes_the_connection)
+{
+    fixture it;
+    std::promise<void> arrived;
+    std::atomic<bool> closed{false};
+    const scripted_endpoint endpoint([&](tcp::acceptor& acceptor) {
+        raw_peer peer(acceptor);
+        peer.read_until("\r\n\r\n");
+        arrived.set_value();
+        closed = peer.read_all().empty();
+    });
+    asio::cancellation_signal signal;
+    const auto strand = asio::make_strand(it.threads.executor());
+    call_error error;
+    auto result = asio::co_spawn(strand, it.caller.call(endpoint.where(), {}, soon(), reuse::pooled, error),
+                                 asio::bind_cancellation_slot(signal.slot(), asio::use_future));
+    arrived.get_future().wait();
+    asio::post(strand, [&signal] { signal.emit(asio::cancellation_type::terminal); });
+    cr_assert(result.wait_for(patience) == std::future_status::ready);
+    cr_assert_not(result.get().has_value());
+    cr_assert(error.code == errc::cancelled && error.sent);
+    cr_assert(eventually([&] { return closed.load(); }));
+}
+
+// Guards against a stream whose cut looks like its end, in each framing.
+Test(client, cut_streams_are_errors)
+{
+    fixture it;
+    const std::string event = "data: 1\n\n";
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n" + event + "\r\n";
+    const std::string sized = "HTTP/1.1 200 OK\r\nContent-Length: ";
+    const std::pair<std::string, bool> cases[] = {{chunked, false},
+                                                  {chunked + "0\r\n\r\n", true},
+                                                  {chunked + "9\r\ndata", false},
+                                                  {sized + "9\r\n\r\n" + event, true},
+                                                  {sized + "10\r\n\r\n" + event, false}};
+    for (const auto& [bytes, whole] : cases) {
+        const scripted_endpoint endpoint(answer_once(bytes));
+        call_error error;
+        const auto stream = it.open(endpoint.where(), error);
+        cr_assert_not_null(stream.get());
+        cr_assert_eq(it.threads.run(stream->next(soon())).value_or("none"), "1");
+        cr_assert_not(it.threads.run(stream->next(soon())).has_value());
+        cr_assert_eq(stream->error().code == errc::none, whole, "%s", bytes.c_str());
+    }
+}
+
+// Guards against an error answer to a stream request whose body is lost, and against an event without a
+// bound.
+Test(client, streams_without_events)
+{
+    client_limits limits;
+    limits.body_bytes = 100;
+    fixture it(limits);
+    call_error error;
+    const scripted_endpoint busy(answer_once("HTTP/1.1 503 Busy\r\nContent-Length: 7\r\n\r\nleaving"));
+    auto stream = it.open(busy.where(), error);
+    cr_assert_eq(stream->status(), 503);
+    cr_assert_eq(it.threads.run(stream->body(soon())), "leaving");
+    const scripted_endpoint huge(
+        answer_once("HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\ndata: " + std::string(194, 'x')));
+    stream = it.open(huge.where(), error);
+    cr_assert_not(it.threads.run(stream->next(soon())).has_value());
+    cr_assert(stream->error().code == errc::too_large);
+}
+
+// Guards against a stream that is dropped half-way and goes on at the endpoint, or returns to the pool.
+Test(client, dropped_stream_closes_the_connection)
+{
+    fixture it;
+    std::atomic<bool> closed{false};
+    const scripted_endpoint endpoint([&closed](tcp::acceptor& acceptor) {
+        raw_peer peer(acceptor);
+        peer.read_until("\r\n\r\n");
+        peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n");
+        closed = peer.read_all().empty();
+    });
+    call_error error;
+    auto stream = it.open(endpoint.where(), error);
+    cr_assert_eq(it.threads.run(stream->next(soon())).value_or("none"), "1");
+    cr_assert_not(it.threads.run(stream->next(soon(duration(20)))).has_value());
+    cr_assert(stream->error().code == errc::timeout);
+    stream.reset();
+    cr_assert(eventually([&] { return closed.load(); }));
+}
--- a/unittests/http/fixture.hpp
+++ b/unittests/http/fixture.hpp
@@ -104,7 +104,11 @@
         asio::write(socket_, asio::buffer(bytes), ec);
         return !ec;
     }
-    void half_close() { socket_.shutdown(tcp::socket::shutdown_send); }
+    void half_close()
+    {
+        boost::system::error_code ec;
+        socket_.shutdown(tcp::socket::shutdown_send, ec);
+    }
     void close()
     {
         boost::system::error_code ec;
--- /dev/null
+++ b/unittests/http/server_test.cpp
@@ -0,0 +1,393 @@
+#include "fixture.hpp"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <atomic>
+#include <cstring>
+#include <memory>
+#include <stdexcept>
+
+using namespace limpetlock;
+using namespace limpetlock::http;
+using namespace limpetlock::http::testing;
+using namespace boost::asio::experimental::awaitable_operators;
+
+// g++ 12 gives coroutine lambdas inside a Criterion test clashing symbols, so handlers stand outside. It also
+// frees the members of an aggregate that is written as an argument inside co_await twice, so answers are
+// variables.
+namespace {
+
+struct fixture {
+    explicit fixture(handler handle = echo, server_limits limits = small_limits())
+        : host(threads.executor(), "127.0.0.1", 0, limits, std::move(handle))
+    {
+    }
+
+    /// Sends bytes on a new connection and reads to its end.
+    std::string ask(std::string_view bytes)
+    {
+        raw_peer peer(host.port());
+        peer.send(bytes);
+        return peer.read_all();
+    }
+
+    runtime threads;
+    server host;
+};
+
+bool refused(const std::string& answer, int status, std::string_view code)
+{
+    return answer.starts_with("HTTP/1.1 " + std::to_string(status)) &&
+           answer.find("\"code\":\"" + std::string(code) + "\"") != std::string::npos &&
+           answer.find("\"ran\":\"no\"") != std::string::npos &&
+           answer.find("Connection: close") != std::string::npos && answer.ends_with("}");
+}
+
+std::size_t count(const std::string& text, std::string_view part)
+{
+    std::size_t n = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        ++n;
+    return n;
+}
+
+std::atomic<int> closed_seen{0};
+std::atomic<int> released{0};
+std::atomic<bool> write_failed{false};
+std::atomic<std::size_t> written{0};
+
+asio::awaitable<void> until_closed(exchange& it)
+{
+    response answer{200, {}, "late"};
+    co_await it.closed();
+    ++closed_seen;
+    co_await it.respond(answer);
+}
+
+/// Waits for the caller to leave or for the test, and answers which came first.
+asio::awaitable<void> closed_or_released(exchange& it)
+{
+    response answer{200, {}, "released"};
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (released == 0) {
+        timer.expires_after(1ms);
+        const auto first = co_await (it.closed() || timer.async_wait(asio::use_awaitable));
+        if (first.index() == 0) {
+            ++closed_seen;
+            co_return;
+        }
+    }
+    co_await it.respond(answer);
+}
+
+asio::awaitable<void> throwing(exchange& it)
+{
+    const auto target = it.message().target;
+    if (target == "/stream") {
+        header_list headers;
+        co_await it.begin_stream(200, headers);
+        co_await it.write("partial");
+    }
+    if (target == "/throw" || target == "/stream")
+        throw std::runtime_error("broken handler");
+    if (target == "/header") {
+        response answer{200, {{"X-Bad", "a\r\nInjected: yes"}}, "body"};
+        co_await it.respond(answer);
+    }
+    if (target == "/fine")
+        co_await it.respond(json_response(200, "{}"));
+}
+
+asio::awaitable<void> three_chunks(exchange& it)
+{
+    header_list headers{{"Content-Type", "text/plain"}};
+    co_await it.begin_stream(200, headers);
+    co_await it.write("one");
+    co_await it.write("");
+    co_await it.write("two");
+    if (it.message().target != "/cut")
+        co_await it.finish();
+}
+
+asio::awaitable<void> endless(exchange& it)
+{
+    const std::string block(64 * 1024, 'x');
+    header_list headers;
+    bool ok = co_await it.begin_stream(200, headers);
+    while (ok) {
+        ok = co_await it.write(block);
+        if (ok)
+            written += block.size();
+    }
+    write_failed = true;
+}
+
+} // namespace
+
+// Guards against memory that a caller's header can claim without a bound.
+Test(server, header_over_limit_is_431)
+{
+    fixture it;
+    cr_assert(refused(it.ask("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(5000, 'x') + "\r\n\r\n"), 431,
+                      "too_large"));
+    cr_assert(refused(it.ask("GET /" + std::string(60000, 'x')), 431, "too_large"));
+}
+
+// Guards against bodies beyond the bound, announced or chunked, and against an answer that the reset of a
+// connection with unread bytes destroys.
+Test(server, body_over_limit_is_413)
+{
+    fixture it;
+    cr_assert(refused(
+        it.ask("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 500000\r\n\r\n" + std::string(500000, 'x')),
+        413, "too_large"));
+    std::string chunked = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (int n = 0; n < 30; ++n)
+        chunked += "64\r\n" + std::string(100, 'x') + "\r\n";
+    cr_assert(refused(it.ask(chunked), 413, "too_large"));
+    cr_assert(refused(it.ask("POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+                             "Content-Length: 5000\r\n\r\n"),
+                      413, "too_large"));
+}
+
+// Guards against requests that two parties could read in two ways.
+Test(server, malformed_is_400)
+{
+    fixture it;
+    const std::string cases[] = {
+        "nonsense\r\n\r\n",
+        "GET / HTTP/1.1\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+        "GET / HTTP/3.7\r\nHost: a\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc",
+        "GET / HTTP/1.1\r\nHost : a\r\n\r\n",
+    };
+    for (const auto& bytes : cases)
+        cr_assert(refused(it.ask(bytes), 400, "bad_request"), "%s", bytes.c_str());
+}
+
+// Guards against callers that hold a connection with a request that never ends.
+Test(server, slow_sender_is_408)
+{
+    auto limits = small_limits();
+    limits.header_timeout = limits.body_timeout = duration(50);
+    fixture it(echo, limits);
+    cr_assert(refused(it.ask("GET / HTT"), 408, "bad_request"));
+    cr_assert(
+        refused(it.ask("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nabc"), 408, "bad_request"));
+}
+
+// Guards against idle connections that stay for ever, and against a 408 that answers no request.
+Test(server, idle_connection_closes_in_silence)
+{
+    auto limits = small_limits();
+    limits.idle_timeout = duration(50);
+    fixture it(echo, limits);
+    cr_assert_eq(it.ask(""), "");
+    const auto answer = it.ask("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(answer.ends_with("GET / "), "%s", answer.c_str());
+}
+
+// Guards against pipelined requests that are lost, merged or answered out of order.
+Test(server, pipelined_requests_are_answered_in_order)
+{
+    fixture it;
+    const auto answer = it.ask("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                               "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+                               "POST /3 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                               "3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nTrailer: t\r\n\r\n"
+                               "GET /4 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+                               "GET /5 HTTP/1.1\r\nHost: a\r\n\r\n");
+    const auto second = answer.find("POST /2 abc");
+    const auto third = answer.find("POST /3 abcde");
+    const auto last = answer.find("GET /4 ");
+    cr_assert(answer.find("GET /1 ") < second && second < third && third < last && last != std::string::npos);
+    cr_assert_eq(count(answer, "HTTP/1.1 200 OK"), 4U);
+    cr_assert(answer.ends_with("GET /4 "));
+}
+
+// Guards against callers that wait for 100 Continue, and against sending it to those that don't.
+Test(server, expect_continue)
+{
+    fixture it;
+    raw_peer peer(it.host.port());
+    peer.send("POST /x HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n");
+    cr_assert_eq(peer.read_until("\r\n\r\n"), "HTTP/1.1 100 Continue\r\n\r\n");
+    peer.send("abc");
+    cr_assert(peer.read_until("POST /x abc").starts_with("HTTP/1.1 200"));
+    peer.send("POST /y HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\nabc");
+    cr_assert(peer.read_until("POST /y abc").starts_with("HTTP/1.1 200"));
+}
+
+// Guards against keep-alive where the caller's version or header rules it out, or the reverse.
+Test(server, connection_persistence)
+{
+    fixture it;
+    cr_assert(it.ask("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").ends_with("GET / "));
+    const auto old = it.ask("GET / HTTP/1.0\r\n\r\n");
+    cr_assert(old.starts_with("HTTP/1.0 200") && old.ends_with("GET / "));
+    raw_peer peer(it.host.port());
+    for (int n = 0; n < 3; ++n) {
+        peer.send("GET /k HTTP/1.0\r\nConnection: keep-alive\r\n\r\n");
+        cr_assert(peer.read_until("GET /k ").find("Connection: keep-alive") != std::string::npos);
+    }
+}
+
+// Guards against a body after the answer to HEAD, which the caller would take for the next answer.
+Test(server, head_has_no_body)
+{
+    fixture it(three_chunks);
+    const auto answer = it.ask("HEAD / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    cr_assert(answer.starts_with("HTTP/1.1 200") && answer.ends_with("\r\n\r\n"));
+    cr_assert_eq(answer.find("one"), std::string::npos);
+}
+
+// Guards against chunks that the caller can't decode, and a cut stream that looks whole.
+Test(server, streams)
+{
+    fixture it(three_chunks);
+    const std::string tail = " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    cr_assert(it.ask("GET /" + tail).ends_with("\r\n\r\n3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n"));
+    cr_assert(it.ask("GET /cut" + tail).ends_with("3\r\ntwo\r\n"));
+    cr_assert(it.ask("GET / HTTP/1.0\r\n\r\n").ends_with("\r\n\r\nonetwo"));
+    cr_assert(it.ask("GET /cut HTTP/1.0\r\n\r\n").ends_with("(reset)"));
+}
+
+// Guards against a handler's fault that ends the process, claims that nothing ran, or breaks the header
+// apart.
+Test(server, throwing_handler_is_500)
+{
+    fixture it(throwing);
+    raw_peer peer(it.host.port());
+    for (const std::string target : {"/throw", "/header", "/silent"}) {
+        peer.send("GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n");
+        const auto answer = peer.read_until("\"request_id\":\"\"}");
+        cr_assert(answer.starts_with("HTTP/1.1 500"), "%s", answer.c_str());
+        cr_assert(answer.find("\"code\":\"internal\"") != std::string::npos);
+        cr_assert(answer.find("\"ran\":\"unknown\"") != std::string::npos);
+        cr_assert_eq(answer.find("Injected"), std::string::npos);
+    }
+    cr_assert(it.ask("GET /stream HTTP/1.1\r\nHost: a\r\n\r\n").ends_with("7\r\npartial\r\n"));
+    const auto fine = it.ask("GET /fine HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    cr_assert(fine.ends_with("{}"), "%s", fine.c_str());
+    cr_assert(eventually([&] { return it.host.active() == 0; }));
+}
+
+// Guards against work that goes on for a caller that left, in each way to leave.
+Test(server, closed_notices_each_way_to_leave)
+{
+    fixture it(until_closed);
+    raw_peer gone(it.host.port());
+    raw_peer half(it.host.port());
+    raw_peer reset(it.host.port());
+    raw_peer pipelined(it.host.port());
+    const std::string message = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    for (auto* peer : {&gone, &half, &reset})
+        peer->send(message);
+    pipelined.send(message + message);
+    cr_assert(eventually([&] { return it.host.active() == 4; }));
+    cr_assert_eq(closed_seen.load(), 0);
+    gone.close();
+    reset.reset();
+    half.half_close();
+    pipelined.half_close();
+    cr_assert(eventually([] { return closed_seen >= 4; }));
+    cr_assert(half.read_all().ends_with("late"));
+}
+
+// Guards against closed() taking bytes of a pipelined request, and against a wait that survives cancelling.
+Test(server, closed_leaves_pipelined_bytes)
+{
+    fixture it(closed_or_released);
+    raw_peer peer(it.host.port());
+    peer.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(eventually([&] { return it.host.active() == 1; }));
+    peer.send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\nGET /3 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    released = 1;
+    cr_assert_eq(count(peer.read_all(), "released"), 3U);
+    cr_assert_eq(closed_seen.load(), 0);
+}
+
+// Guards against a producer that runs ahead of a caller that doesn't read, and one that never ends.
+Test(server, slow_reader_holds_the_producer)
+{
+    auto limits = small_limits();
+    limits.write_timeout = duration(300);
+    fixture it(endless, limits);
+    raw_peer peer(it.host.port());
+    peer.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(eventually([] { return write_failed.load(); }));
+    cr_assert_lt(written.load(), std::size_t{32} * 1024 * 1024);
+    cr_assert(eventually([&] { return it.host.active() == 0; }));
+}
+
+// Guards against connections without a bound, and a refused one that looks like a crash.
+Test(server, too_many_connections_are_503)
+{
+    auto limits = small_limits();
+    limits.connections = 1;
+    fixture it(echo, limits);
+    auto first = std::make_unique<raw_peer>(it.host.port());
+    first->send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(first->read_until("GET /1 ").starts_with("HTTP/1.1 200"));
+    const auto answer = it.ask("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(refused(answer, 503, "not_run") && answer.find("Retry-After: ") != std::string::npos);
+    first.reset();
+    const std::string last = "GET /3 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    cr_assert(eventually([&] { return it.ask(last).ends_with("GET /3 "); }));
+}
+
+// Guards against a planned stop that cuts an answer or keeps idle connections.
+Test(server, stop_accepting_finishes_what_runs)
+{
+    fixture it(closed_or_released);
+    raw_peer idle(it.host.port());
+    raw_peer busy(it.host.port());
+    busy.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(eventually([&] { return it.host.active() == 1; }));
+    it.host.stop_accepting();
+    cr_assert_eq(idle.read_all(), "");
+    cr_assert_eq(it.host.active(), 1U);
+    released = 1;
+    const auto answer = busy.read_all();
+    cr_assert(answer.ends_with("released") && answer.find("Connection: close") != std::string::npos);
+    cr_assert(eventually([&] {
+        try {
+            raw_peer late(it.host.port());
+            return false;
+        } catch (const boost::system::system_error&) {
+            return true;
+        }
+    }));
+}
+
+// Guards against an address fault that is found only at the first request, or that names nothing.
+Test(server, address_in_use_throws)
+{
+    fixture it;
+    try {
+        server second(it.threads.executor(), "127.0.0.1", it.host.port(), small_limits(), echo);
+        cr_assert_fail("no exception");
+    } catch (const std::runtime_error& fault) {
+        cr_assert_not_null(std::strstr(fault.what(), std::to_string(it.host.port()).c_str()));
+    }
+}
+
+// Guards against a destroyed server whose handlers wait for ever.
+Test(server, destruction_ends_requests)
+{
+    runtime threads;
+    auto host = std::make_unique<server>(threads.executor(), "127.0.0.1", 0, small_limits(), until_closed);
+    raw_peer peer(host->port());
+    peer.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(eventually([&] { return host->active() == 1; }));
+    host.reset();
+    cr_assert(eventually([] { return closed_seen == 1; }));
+    cr_assert_eq(peer.read_all(), "");
+}
