Add bench-http and accept handlers that leave a gone caller unanswered

A handler that returned without an answer because its caller had left was logged as a fault; it is none. bench-http measures the library on loopback.

--- a/lib/http/connection.cpp
+++ b/lib/http/connection.cpp
@@ -122,6 +122,7 @@
     bool check_header();
     void take_header();
     void expire_after(duration wait) { timer_.set(deadline_timer::after(wait), shared_from_this()); }
+    bool gone();
     bool has_unread_bytes();
     void reset_on_close();
     void close_socket();
@@ -195,6 +196,11 @@
     socket_.set_option(asio::socket_base::linger(true, 0), ec);
 }
 
+bool caller_connection::gone()
+{
+    return broken_ || look_at_peer(socket_) == peer_state::closed;
+}
+
 bool caller_connection::has_unread_bytes()
 {
     return buffer_.size() > 0 || look_at_peer(socket_) == peer_state::pending;
@@ -350,7 +356,7 @@
     std::string fault;
     try {
         co_await core_->handle(*this);
-        if (!answered_)
+        if (!answered_ && !gone())
             fault = "handler gave no answer";
     } catch (const std::exception& it) {
         fault = it.what();
--- /dev/null
+++ b/utils/bench-http/bench-http.cpp
@@ -0,0 +1,279 @@
+/// \file
+/// Measures the http library on loopback: requests per core-second, the cost of a streamed chunk, the cost of
+/// a client call, and the memory of an idle connection. One line per figure.
+
+#include <limpetlock/http/client.hpp>
+#include <limpetlock/http/server.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <malloc.h>
+#include <pthread.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <exception>
+#include <fstream>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+DEFINE_int32(requests, 50'000, "requests of each measurement");
+DEFINE_int32(chunks, 50'000, "chunks of the streamed answer");
+DEFINE_int32(chunk_bytes, 80, "bytes of a chunk");
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = limpetlock::http;
+using asio::ip::tcp;
+using namespace asio::experimental::awaitable_operators;
+using clock_type = std::chrono::steady_clock;
+
+constexpr std::string_view get_request =
+    "GET /x HTTP/1.1\r\nHost: bench\r\nAuthorization: Bearer token\r\n\r\n";
+constexpr std::string_view watched_request = "GET /watched HTTP/1.1\r\nHost: bench\r\n\r\n";
+constexpr std::string_view stream_request =
+    "GET /stream HTTP/1.1\r\nHost: bench\r\nConnection: close\r\n\r\n";
+
+/// One thread that runs a context, with its CPU time.
+class worker {
+public:
+    worker() : thread_([this] { context_.run(); })
+    {
+        pthread_getcpuclockid(thread_.native_handle(), &clock_);
+    }
+    worker(const worker&) = delete;
+    worker& operator=(const worker&) = delete;
+    ~worker()
+    {
+        context_.stop();
+        thread_.join();
+    }
+
+    asio::io_context& context() { return context_; }
+
+    double cpu_seconds() const
+    {
+        timespec ts{};
+        clock_gettime(clock_, &ts);
+        return static_cast<double>(ts.tv_sec) + static_cast<double>(ts.tv_nsec) * 1e-9;
+    }
+
+private:
+    asio::io_context context_{1};
+    asio::executor_work_guard<asio::io_context::executor_type> work_{context_.get_executor()};
+    clockid_t clock_{};
+    std::thread thread_;
+};
+
+asio::awaitable<void> answer(http::exchange& it)
+{
+    const auto& target = it.message().target;
+    if (target == "/watched") {
+        asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::milliseconds(0));
+        co_await (it.closed() || timer.async_wait(asio::use_awaitable));
+    }
+    if (target != "/stream") {
+        auto whole = http::json_response(200, R"({"request_id":"1","answer":"text","tokens":1})");
+        co_await it.respond(std::move(whole));
+        co_return;
+    }
+    const std::string chunk(static_cast<std::size_t>(FLAGS_chunk_bytes), 'x');
+    http::header_list headers{{"Content-Type", "text/event-stream"}};
+    co_await it.begin_stream(200, std::move(headers));
+    for (int n = 0; n < FLAGS_chunks; ++n)
+        co_await it.write(chunk);
+    co_await it.finish();
+}
+
+/// A blocking caller with keep-alive.
+class caller {
+public:
+    explicit caller(std::uint16_t port) : socket_(context_)
+    {
+        socket_.connect({asio::ip::make_address("127.0.0.1"), port});
+        socket_.set_option(tcp::no_delay(true));
+    }
+
+    void send(std::string_view text) { asio::write(socket_, asio::buffer(text)); }
+
+    /// Reads one answer of the trivial handler.
+    void read_answer()
+    {
+        std::size_t size = 0;
+        while (size == 0 || buffer_[size - 1] != '}')
+            size += socket_.read_some(asio::buffer(buffer_.data() + size, buffer_.size() - size));
+    }
+
+    std::size_t read_all()
+    {
+        std::size_t size = 0;
+        boost::system::error_code ec;
+        while (!ec)
+            size += socket_.read_some(asio::buffer(buffer_), ec);
+        return size;
+    }
+
+private:
+    asio::io_context context_;
+    tcp::socket socket_;
+    std::vector<char> buffer_ = std::vector<char>(64 * std::size_t{1024});
+};
+
+double seconds_since(clock_type::time_point start)
+{
+    return std::chrono::duration<double>(clock_type::now() - start).count();
+}
+
+void measure_requests(worker& host, std::uint16_t port, std::string_view message, int callers)
+{
+    const int each = FLAGS_requests / callers;
+    const auto start = clock_type::now();
+    const double cpu = host.cpu_seconds();
+    std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(callers));
+    for (int n = 0; n < callers; ++n)
+        threads.emplace_back([port, each, message] {
+            caller it(port);
+            for (int k = 0; k < each; ++k) {
+                it.send(message);
+                it.read_answer();
+            }
+        });
+    for (auto& it : threads)
+        it.join();
+    const int total = each * callers;
+    const double wall = seconds_since(start);
+    const double used = host.cpu_seconds() - cpu;
+    fmt::print("server requests handler={} callers={} per_core_second={:.0f} cpu_us={:.2f} wall_us={:.2f}\n",
+               message == watched_request ? "watching" : "trivial", callers, total / used, used * 1e6 / total,
+               wall * 1e6 / total);
+}
+
+void measure_chunks(worker& host, std::uint16_t port)
+{
+    caller it(port);
+    const double cpu = host.cpu_seconds();
+    const auto start = clock_type::now();
+    it.send(stream_request);
+    const auto bytes = it.read_all();
+    const double wall = seconds_since(start);
+    const double used = host.cpu_seconds() - cpu;
+    fmt::print("server chunks payload_bytes={} cpu_us={:.2f} wall_us={:.2f} wire_bytes={:.2f}\n",
+               FLAGS_chunk_bytes, used * 1e6 / FLAGS_chunks, wall * 1e6 / FLAGS_chunks,
+               static_cast<double>(bytes) / FLAGS_chunks);
+}
+
+asio::awaitable<void> call_many(http::client& client, http::address to)
+{
+    http::call_error error;
+    for (int n = 0; n < FLAGS_requests; ++n) {
+        http::request message;
+        const auto deadline = limpetlock::boot_clock::now() + limpetlock::duration(3'000);
+        const auto result = co_await client.call(to, message, deadline, http::reuse::pooled, error);
+        if (!result)
+            throw std::runtime_error(error.reason);
+    }
+}
+
+void measure_client(std::uint16_t port)
+{
+    worker own;
+    http::client client(own.context().get_executor(), {});
+    const http::address to{"127.0.0.1", port};
+    const auto start = clock_type::now();
+    const double cpu = own.cpu_seconds();
+    const auto strand = asio::make_strand(own.context());
+    asio::co_spawn(strand, call_many(client, to), asio::use_future).get();
+    const double used = own.cpu_seconds() - cpu;
+    fmt::print("client calls cpu_us={:.2f} wall_us={:.2f}\n", used * 1e6 / FLAGS_requests,
+               seconds_since(start) * 1e6 / FLAGS_requests);
+}
+
+long resident_bytes()
+{
+    long total = 0;
+    long resident = 0;
+    std::ifstream("/proc/self/statm") >> total >> resident;
+    return resident * sysconf(_SC_PAGESIZE);
+}
+
+/// Every connection carries one request before it idles. The callers' sockets have no buffers in this
+/// process.
+void measure_idle(const std::string& address, int connections)
+{
+    worker host;
+    const http::server listener(host.context().get_executor(), address, 0, {}, answer);
+    asio::io_context context;
+    std::vector<tcp::socket> sockets;
+    sockets.reserve(static_cast<std::size_t>(connections));
+    const auto heap = mallinfo2().uordblks;
+    const auto resident = resident_bytes();
+    char buf[1024];
+    for (int n = 0; n < connections; ++n) {
+        auto& it = sockets.emplace_back(context);
+        it.connect({asio::ip::make_address(address), listener.port()});
+        asio::write(it, asio::buffer(get_request));
+        while (buf[it.read_some(asio::buffer(buf)) - 1] != '}')
+            continue;
+    }
+    const auto n = static_cast<std::size_t>(connections);
+    fmt::print("server idle connections={} heap_bytes={} resident_bytes={}\n", connections,
+               (mallinfo2().uordblks - heap) / n, (resident_bytes() - resident) / connections);
+}
+
+void raise_descriptor_limit()
+{
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+void measure_all()
+{
+    const std::string address = "127.0.0.1";
+    for (const int connections : {100, 500, 1000})
+        measure_idle(address, connections);
+    worker host;
+    const http::server listener(host.context().get_executor(), address, 0, {}, answer);
+    for (const int callers : {1, 4, 16})
+        measure_requests(host, listener.port(), get_request, callers);
+    measure_requests(host, listener.port(), watched_request, 4);
+    measure_chunks(host, listener.port());
+    measure_client(listener.port());
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    raise_descriptor_limit();
+    try {
+        measure_all();
+    } catch (const std::exception& it) {
+        fmt::print(stderr, "bench-http: {}\n", it.what());
+        return 1;
+    }
+    return 0;
+}
