--- a/unittests/standin/checker_test.cpp
+++ b/unittests/standin/checker_test.cpp
@@ -156,6 +156,10 @@
     cr_assert_float_eq(it["p95"].get<double>(), 950, 1.01);
     cr_assert_float_eq(it["p99"].get<double>(), 990, 1.01);
     cr_assert(quantiles({}).is_null());
+    for (const auto* name : {"p50", "p95", "p99"}) {
+        cr_assert_eq(quantiles({7})[name], 7.0);
+        cr_assert(quantiles({7, 8})[name].get<double>() >= 7.0);
+    }
 }
 
 // Guards against arrivals that a seed or a file does not reproduce.
--- a/utils/loadgen/driver.cpp
+++ b/utils/loadgen/driver.cpp
@@ -160,10 +160,12 @@
 net::awaitable<void> driver::one(result& out)
 {
     const auto start = steady::now();
-    if (!out.request.what.pipeline.empty())
-        co_await (where_.direct ? direct_pipeline(out) : pipeline(out));
-    else
+    if (out.request.what.pipeline.empty())
         co_await service(out);
+    else if (where_.direct)
+        co_await direct_pipeline(out);
+    else
+        co_await pipeline(out);
     out.latency_ms = ms_since(start);
     out.attained =
         out.end == verdict::whole && out.latency_ms <= static_cast<double>(out.request.what.deadline_ms);
--- a/utils/testkit/report.cpp
+++ b/utils/testkit/report.cpp
@@ -80,6 +80,8 @@
 {
     if (values.empty())
         return nullptr;
+    if (values.size() == 1) // below the smallest size that the accumulator can rank
+        return {{"count", 1}, {"p50", values[0]}, {"p95", values[0]}, {"p99", values[0]}};
     using right_tail = acc::stats<acc::tag::tail_quantile<acc::right>>;
     // The cache holds every value, so the quantiles are exact.
     acc::accumulator_set<double, right_tail> set(acc::tag::tail<acc::right>::cache_size = values.size());
