--- a/lib/config/sync.cpp
+++ b/lib/config/sync.cpp
@@ -18,6 +18,12 @@
 
 } // namespace
 
+position position_of(const fold& it)
+{
+    const auto version = it.in_force();
+    return {it.number(), version ? version->digest() : std::string(), it.revision()};
+}
+
 synchronizer::synchronizer(const sync_settings& settings, std::string self, std::uint64_t seed,
                            time_point now)
     : settings_(settings), self_(std::move(self)),
@@ -74,6 +80,7 @@
         return;
     }
     read_back_off_ = {};
+    watcher_due_ = std::max(watcher_due_, now + shortened(settings_.watcher_silence));
 }
 
 void synchronizer::read_failed(std::int64_t id, time_point now)
@@ -249,7 +256,6 @@
     const bool waits = watches_ || position_.number == 0;
     read_ = running_read{{++last_id_, position_.revision, waits ? settings_.watch_wait : duration{}}, now};
     earliest_read_ = now + settings_.read_floor + between({}, settings_.read_floor / 2);
-    watcher_due_ = now + shortened(settings_.watcher_silence);
     quiet_due_ = now + quiet_interval();
     ++counters_.reads;
     if (!watches_)
--- a/lib/membership/view.cpp
+++ b/lib/membership/view.cpp
@@ -12,8 +12,11 @@
 namespace limpetlock::membership {
 
 namespace {
+// Names of former entry instances that are remembered; the planned size has 370 nodes.
+constexpr std::size_t most_incarnations = 4096;
+
 constexpr std::array<std::string_view, 5> state_names{"live", "leaving", "suspect", "ejected", "probing"};
-}
+} // namespace
 
 std::string_view to_string(state it)
 {
@@ -56,6 +59,7 @@
     void list_entry(const listed_instance& it);
     bool may_eject(const std::string& pool) const;
     void eject(record& it, time_point now);
+    void probe_ejected(const std::string& pool, time_point now);
     void eject_suspects(const std::string& pool, time_point now);
     void return_to_service(record& it);
     void set_leaving(record& it, time_point now);
@@ -63,6 +67,8 @@
 
     std::unordered_map<std::uint64_t, name_key> names_;
     std::map<std::string, entry_instance> entries_;
+    // Outlives the listing of a name: a frozen process may wake after its replacement was listed and removed.
+    std::map<std::string, std::int64_t> incarnations_;
     std::map<name_key, std::int64_t> leaving_versions_;
     std::uint64_t next_id_{1};
     std::optional<time_point> last_tick_;
@@ -102,6 +108,8 @@
 void view::impl::list_entry(const listed_instance& it)
 {
     auto& known = entries_[it.name];
+    const auto heard_before = incarnations_.find(it.name);
+    known.incarnation = heard_before == incarnations_.end() ? 0 : heard_before->second;
     known.name = it.name;
     known.address = it.address;
     known.port = it.port;
@@ -131,6 +139,8 @@
     std::erase_if(entries_, [&](const auto& it) {
         return !listed.contains({std::string(entry_pool), it.first});
     });
+    if (incarnations_.size() > most_incarnations)
+        std::erase_if(incarnations_, [&](const auto& it) { return !entries_.contains(it.first); });
     std::erase_if(heartbeats, [&](const auto& it) { return !entries_.contains(it.first); });
     std::erase_if(leaving_versions_,
                   [&](const auto& it) { return !listed.contains(it.first) && it.second < version; });
@@ -156,20 +166,36 @@
     // A call that was sent before the ejection or the leaving answer and ends well does not undo them.
     if (it.ejected || it.leaving_by_evidence || it.score == 0)
         return;
+    if (it.score >= options.ejection_score)
+        probe_ejected(it.listed.pool, now);
     it.score = 0;
     snapshot_.reset();
-    static_cast<void>(now);
+}
+
+// An endpoint that only the cap kept in service has answered: what failed the whole pool is over, and the
+// others need not wait for the end of their ejection time.
+void view::impl::probe_ejected(const std::string& pool, time_point now)
+{
+    for (auto it = endpoints.lower_bound({pool, ""}); it != endpoints.end() && it->first.first == pool;
+         ++it) {
+        auto& known = it->second;
+        if (known.ejected && !known.probing)
+            known.probe_at = std::min(known.probe_at, now);
+    }
 }
 
 void view::impl::failed(record& it, failure how, time_point now)
 {
+    const bool was_live = it.score == 0;
     it.score += how == failure::refused ? options.refused_score : 1;
     if (it.probing)
         return it.leaving_by_evidence ? set_leaving(it, now) : eject(it, now);
     if (it.ejected || it.leaving_by_evidence)
         return;
-    snapshot_.reset();
-    eject_suspects(it.listed.pool, now);
+    if (was_live)
+        snapshot_.reset();
+    if (it.score >= options.ejection_score)
+        eject_suspects(it.listed.pool, now);
 }
 
 // Leaving endpoints are no part of the pool for the cap: they are out for another reason.
@@ -263,19 +289,19 @@
 
 bool view::impl::heard(const std::string& name, std::int64_t incarnation, time_point now)
 {
-    const auto it = entries_.find(name);
-    if (it == entries_.end())
-        return true;
-    auto& known = it->second;
-    if (incarnation < known.incarnation) {
+    auto& highest = incarnations_.try_emplace(name, incarnation).first->second;
+    if (incarnation < highest) {
         ++counts.stale_frames;
         return false;
     }
-    const bool newer = incarnation > known.incarnation;
-    known.incarnation = incarnation;
+    highest = incarnation;
+    const auto it = entries_.find(name);
+    if (it == entries_.end())
+        return true;
     heartbeats[name] = now;
-    if (newer)
+    if (it->second.incarnation != incarnation)
         snapshot_.reset();
+    it->second.incarnation = incarnation;
     return true;
 }
 
--- a/unittests/config/sync_test.cpp
+++ b/unittests/config/sync_test.cpp
@@ -118,6 +118,42 @@
     cr_assert_eq(it.counters().read_failures, reads - 1);
 }
 
+// Guards against instances without watchers that wait a whole period after a failed fallback read, and
+// against fallback reads that grow with the size of a failure domain.
+Test(sync, falls_back_without_watchers)
+{
+    const auto list = fleet(1, 20);
+    const auto chosen = watcher_set(list, 2);
+    std::int64_t quiet_reads = 0;
+    for (const instance& one : list) {
+        if (std::binary_search(chosen.begin(), chosen.end(), one.name))
+            continue;
+        synchronizer silent({}, one.name, 1, at(0));
+        silent.set_instances(list, at(0));
+        silent.set_position({1, "x", 1}, at(0));
+        drive(silent, at(0), at(30'000), [&](const decision& made, time_point now) {
+            if (made.read && now < at(20'000))
+                silent.read_failed(made.read->id, now);
+            else if (made.read)
+                silent.read_answered(made.read->id, 1, 0, now);
+        });
+        cr_assert_geq(silent.counters().fallback_reads, 5);
+
+        synchronizer quiet({}, one.name, 1, at(0));
+        quiet.set_instances(list, at(0));
+        quiet.set_position({1, "x", 1}, at(0));
+        drive(quiet, at(0), at(1'000'000), [&](const decision& made, time_point now) {
+            quiet.peer_reported(chosen[0], 1, "x", now);
+            if (made.read)
+                quiet.read_answered(made.read->id, 1, 0, now);
+        });
+        quiet_reads += quiet.counters().fallback_reads;
+    }
+    // One read in 10 s over the domain, give or take the jitter.
+    cr_assert_geq(quiet_reads, 80);
+    cr_assert_leq(quiet_reads, 120);
+}
+
 // Guards against a peer whose version can't be adopted here being pulled without pause.
 Test(sync, backs_off_from_peers_without_use)
 {
@@ -134,6 +170,30 @@
     cr_assert_eq(it.counters().pull_failures, it.counters().pulls);
 }
 
+// Guards against a pull of the whole document while the watch is about to bring the patch, and against a dead
+// peer that is asked again while another one could answer.
+Test(sync, pulls_late_and_from_another_peer)
+{
+    const sync_settings settings;
+    synchronizer it(settings, "a1", 1, at(0));
+    it.set_position({1, "x", 1}, at(0));
+    cr_assert(it.next(at(900)).read.has_value());
+    it.peer_reported("b1", 2, "y", at(1000));
+    it.peer_reported("b2", 2, "y", at(1000));
+    cr_assert(!it.next(at(1000)).pull.has_value());
+    cr_assert(!it.next(at(1000) + settings.watch_grace - duration(1)).pull.has_value());
+    const decision first = it.next(at(1000) + settings.watch_grace);
+    cr_assert(first.pull.has_value());
+    it.pull_failed(first.pull->id, at(1510));
+    std::optional<pull_order> second;
+    drive(it, at(1510), at(1510) + settings.pull_timeout, [&](const decision& made, time_point) {
+        if (made.pull && !second)
+            second = made.pull;
+    });
+    cr_assert(second.has_value());
+    cr_assert_neq(second->peer, first.pull->peer);
+}
+
 // Guards against an instance that serves an old prefix from a stale replica before it has heard its peers.
 Test(sync, is_not_ready_behind_its_peers)
 {
@@ -197,4 +257,12 @@
     std::vector<instance> list{{"a1", "a", true}, {"a2", "a", false}, {"b1", "b", true}};
     cr_assert(watcher_set(list, 1) == std::vector<std::string>({"a2", "b1"}));
     cr_assert(watcher_set({}, 2).empty());
+    std::vector<std::string> staying;
+    list.clear();
+    for (int n = 0; n < 20; ++n) {
+        list.push_back({fmt::format("i{:02}", n), "a", n % 2 == 0});
+        if (n % 2 != 0)
+            staying.push_back(list.back().name);
+    }
+    cr_assert(watcher_set(list, staying.size()) == staying);
 }
