Write straight to the caller's socket before waiting for it

Each write went through the scheduler even when the socket had room: a posted completion and an extra poll of the reactor. The first try is a plain non-blocking write now; every 17th write still takes the turn, so that a producer that never waits can't hold the thread.

--- a/lib/http/connection.cpp
+++ b/lib/http/connection.cpp
@@ -15,6 +15,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -55,6 +56,10 @@
 /// How long a connection from the backlog may take for its first byte once the listener stops.
 constexpr duration stopping_idle_timeout{500};
 
+/// A write first goes straight to the socket, which saves a turn through the scheduler. After this many the
+/// next one takes the turn, so that a producer that never waits leaves the thread to others.
+constexpr int max_direct_writes = 16;
+
 /// While bytes of a pipelined request wait unread, the socket stays readable; its state is polled instead.
 constexpr std::chrono::milliseconds pipelined_poll{50};
 
@@ -134,6 +139,7 @@
     std::optional<parser> parser_;
     std::optional<refusal> refusal_;
     request request_;
+    int direct_writes_{0};
     unsigned version_{11};
     bool keep_alive_{false};
     bool idle_{false};
@@ -146,6 +152,8 @@
 
 void caller_connection::start()
 {
+    error_code ec;
+    socket_.non_blocking(true, ec);
     core_->add(shared_from_this());
     asio::co_spawn(socket_.get_executor(), run(shared_from_this()), asio::detached);
 }
@@ -411,8 +419,18 @@
 {
     if (broken_ || timer_.expired())
         co_return false;
+    beast::buffers_suffix<Buffers> rest(buffers);
+    if (direct_writes_++ < max_direct_writes) {
+        error_code ec;
+        rest.consume(socket_.write_some(buffers, ec));
+        broken_ = ec && ec != asio::error::would_block;
+    } else {
+        direct_writes_ = 0;
+    }
+    if (broken_ || beast::buffer_bytes(rest) == 0)
+        co_return !broken_;
     expire_after(core_->limits.write_timeout);
-    const auto [ec, n] = co_await asio::async_write(socket_, buffers, quiet);
+    const auto [ec, n] = co_await asio::async_write(socket_, rest, quiet);
     timer_.clear();
     if (ec || timer_.expired())
         broken_ = true;
