Record the faults of g++ 12 in coroutines and close three gaps

A reduced case shows what happens: f() is awaited although the flag is false. The Host header of an IPv6 endpoint has brackets. Tests cover the end of idle connections.

--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -39,6 +39,12 @@
 /// Interim answers (1xx) that one exchange accepts before its final answer.
 constexpr int max_interim_answers = 8;
 
+std::string host_header(const address& to)
+{
+    const bool v6 = to.host.find(':') != std::string::npos;
+    return (v6 ? '[' + to.host + ']' : to.host) + ':' + std::to_string(to.port);
+}
+
 errc code_of(const error_code& ec)
 {
     if (ec == asio::error::operation_aborted)
@@ -48,8 +54,10 @@
     return errc::closed;
 }
 
-// g++ 12 drops the body of a coroutine that awaits inside an if, loop or try and has no local variable in its
-// outermost block. Every coroutine of this library therefore declares one there.
+// Two faults of g++ 12 shape the coroutines here. It drops the body of a coroutine that awaits inside an if,
+// loop or try and has no local variable in its outermost block, so each declares one there. It evaluates the
+// co_await of a loop condition such as `ok && co_await f()` even when ok is false, so loops await in their
+// bodies.
 
 /// One request on one connection, and its answer. A connection leaves an exchange only through release(),
 /// after an answer that was read to its end; otherwise the exchange closes it.
@@ -436,7 +444,7 @@
         return nullptr;
     }
     try {
-        head = head_of_request(message, to.host + ":" + std::to_string(to.port));
+        head = head_of_request(message, host_header(to));
     } catch (const std::invalid_argument& it) {
         error = {errc::malformed, it.what(), false};
         return nullptr;
--- a/lib/http/connection.cpp
+++ b/lib/http/connection.cpp
@@ -65,8 +65,10 @@
 
 constexpr std::string_view continue_text = "HTTP/1.1 100 Continue\r\n\r\n";
 
-// g++ 12 drops the body of a coroutine that awaits inside an if, loop or try and has no local variable in its
-// outermost block. Every coroutine of this library therefore declares one there.
+// Two faults of g++ 12 shape the coroutines here. It drops the body of a coroutine that awaits inside an if,
+// loop or try and has no local variable in its outermost block, so each declares one there. It evaluates the
+// co_await of a loop condition such as `ok && co_await f()` even when ok is false, so loops await in their
+// bodies.
 
 /// A request that the listener refuses without running it.
 struct refusal {
@@ -494,7 +496,7 @@
 {
     auto state = peer_state::quiet;
     for (;;) {
-        state = broken_ ? peer_state::closed : look_at_peer(socket_);
+        state = broken_ || timer_.expired() ? peer_state::closed : look_at_peer(socket_);
         if (state == peer_state::closed)
             co_return;
         if (state == peer_state::pending) {
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -274,6 +274,40 @@
         cr_assert(result.get().has_value());
 }
 
+// Guards against sockets that stay open after the traffic to an endpoint ended, or after the client is gone.
+Test(client, idle_connections_end)
+{
+    client_limits limits;
+    limits.idle_timeout = duration(50);
+    std::atomic<int> closed{0};
+    const auto keep = [&closed](tcp::acceptor& acceptor) {
+        raw_peer peer(acceptor);
+        peer.read_until("\r\n\r\n");
+        peer.send(kept);
+        closed += peer.read_all().empty() ? 1 : 0;
+    };
+    fixture it(limits);
+    const scripted_endpoint quiet(keep);
+    cr_assert(it.call(quiet.where()).answer.has_value());
+    cr_assert(eventually([&] { return closed == 1; }));
+    const scripted_endpoint last(keep);
+    call_error error;
+    auto short_lived = std::make_unique<client>(it.threads.executor(), client_limits{});
+    const auto answer = it.threads.run(short_lived->call(last.where(), {}, soon(), reuse::pooled, error));
+    cr_assert(answer.has_value());
+    cr_assert_eq(closed.load(), 1);
+    short_lived.reset();
+    cr_assert(eventually([&] { return closed == 2; }));
+}
+
+// Guards against an IPv6 address that breaks the Host header.
+Test(client, ipv6_endpoint)
+{
+    fixture it;
+    server host(it.threads.executor(), "::1", 0, {}, [](exchange& call) { return echo(call); });
+    cr_assert(it.call({"::1", host.port()}).answer.has_value());
+}
+
 // Guards against an endpoint that goes on working for a call that was cancelled.
 Test(client, cancellation_closes_the_connection)
 {
