--- a/unittests/standin/checker_test.cpp
+++ b/unittests/standin/checker_test.cpp
@@ -162,6 +162,23 @@
     }
 }
 
+// Guards against a summary that counts an answer which is wrong or late as attained, or in the wrong group.
+Test(report, summary_counts_attainment)
+{
+    auto good = booking(verdict::whole, "");
+    good.attained = true;
+    good.request.at_ms = 1500;
+    auto late = good;
+    late.attained = false;
+    const auto it =
+        summarize({good, late}, settle({good, late}, steppe_ice(), {}, false, false), steppe_ice(), 2);
+    cr_assert_eq(it["groups"]["rank urgent"]["attainment"], 0.5);
+    cr_assert_eq(it["groups"]["request book"]["goodput_per_s"], 0.5);
+    cr_assert_eq(it["series"]["urgent"]["sent"], json({0, 2}));
+    cr_assert_eq(it["series"]["urgent"]["attained"], json({0, 1}));
+    cr_assert_neq(to_table(it).find("send_delay_ms"), std::string::npos);
+}
+
 // Guards against arrivals that a seed or a file does not reproduce.
 Test(scenario, arrivals_are_reproducible)
 {
--- a/utils/loadgen/driver.cpp
+++ b/utils/loadgen/driver.cpp
@@ -28,6 +28,7 @@
 
 constexpr std::int64_t control_deadline_ms = 10'000;
 constexpr std::size_t idle_connections = 256;
+constexpr std::chrono::milliseconds retry_pause{100};
 
 double ms_since(steady::time_point start)
 {
@@ -145,6 +146,7 @@
                          std::chrono::microseconds(static_cast<std::int64_t>(it.request.at_ms * 1000)));
         co_await timer.async_wait(net::use_awaitable);
         ++open_;
+        it.send_delay_ms = ms_since(start) - it.request.at_ms;
         net::co_spawn(context_, one(it), [this](const std::exception_ptr& failed) {
             --open_;
             if (failed)
@@ -334,7 +336,8 @@
     out.end = testkit::check_text(expected.text, input);
 }
 
-net::awaitable<bool> driver::service_attempt(result& out, std::size_t instance, int number)
+net::awaitable<bool> driver::service_attempt(result& out, std::size_t instance, int number,
+                                             const std::string& key)
 {
     const auto& what = out.request.what;
     const auto call_body = testkit::service_body(out.request);
@@ -346,15 +349,14 @@
         to = pick_endpoint(call["pool"]);
         message.method = "POST";
         message.target = "/v1/call/" + what.call;
-        const json body = {
-            {"call_id", out.request.input_id}, {"key", out.request.input_id}, {"body", call_body}};
+        const json body = {{"call_id", out.request.input_id}, {"key", key}, {"body", call_body}};
         message.body = body.dump();
     } else {
         to = where_.instances[instance];
         message =
             to_entry(out.request, fmt::format("/v1/services/{}/{}", what.service, what.call), call_body);
         if (!call["calls"][what.call]["repeatable"].get<bool>()) {
-            message.headers.push_back({"Idempotency-Key", "booking-" + out.request.input_id});
+            message.headers.push_back({"Idempotency-Key", key});
             if (number > 1 || out.request.asserted)
                 message.headers.push_back({"Idempotency-Attempt", std::to_string(number)});
         }
@@ -375,12 +377,21 @@
 {
     auto instance = where_.direct ? 0 : pick_instance();
     const int attempts = where_.direct ? 1 : out.request.what.attempts;
+    auto key = "booking-" + out.request.input_id;
+    int number = 1; // of the attempt with this key
+    net::steady_timer timer(context_);
     for (int n = 1; n <= attempts; ++n) {
-        const bool again = co_await service_attempt(out, instance, n);
-        if (!again)
+        const bool again = co_await service_attempt(out, instance, number, key);
+        if (!again || n == attempts)
             co_return;
-        if (!where_.direct)
-            instance = (instance + 1) % where_.instances.size();
+        ++number;
+        if (out.request.new_key && out.attempts.back().ran == "no") {
+            key += "-again";
+            number = 1;
+        }
+        timer.expires_after(retry_pause);
+        co_await timer.async_wait(net::use_awaitable);
+        instance = (instance + 1) % where_.instances.size();
     }
 }
 
--- a/utils/loadgen/driver.hpp
+++ b/utils/loadgen/driver.hpp
@@ -47,7 +47,8 @@
     boost::asio::awaitable<void> one(testkit::result& out);
     boost::asio::awaitable<void> pipeline(testkit::result& out);
     boost::asio::awaitable<void> service(testkit::result& out);
-    boost::asio::awaitable<bool> service_attempt(testkit::result& out, std::size_t instance, int number);
+    boost::asio::awaitable<bool> service_attempt(testkit::result& out, std::size_t instance, int number,
+                                                 const std::string& key);
     boost::asio::awaitable<void> direct_pipeline(testkit::result& out);
     boost::asio::awaitable<answer> exchange(http::address to, http::request message, time_point deadline,
                                             testkit::attempt& note);
--- a/utils/testkit/checker.cpp
+++ b/utils/testkit/checker.cpp
@@ -73,6 +73,7 @@
     json out = it.request;
     out["end"] = to_text(it.end);
     out["attained"] = it.attained;
+    out["send_delay_ms"] = it.send_delay_ms;
     out["latency_ms"] = it.latency_ms;
     out["first_token_ms"] = it.first_token_ms;
     out["attempts"] = it.attempts;
--- a/utils/testkit/report.cpp
+++ b/utils/testkit/report.cpp
@@ -5,6 +5,7 @@
 #include <boost/accumulators/statistics/tail_quantile.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <map>
 
 namespace limpetlock::testkit {
@@ -14,9 +15,13 @@
 
 namespace {
 
+const std::string phase_prefix = "phase ";
+
 struct group {
     std::int64_t sent{0};
     std::int64_t attained{0};
+    double first_ms{0}; ///< of its arrivals
+    double last_ms{0};
     std::vector<double> latency_ms;
     std::vector<double> first_token_ms;
     std::vector<double> gaps_ms;
@@ -26,7 +31,9 @@
 
 void add(group& to, const result& it)
 {
-    ++to.sent;
+    if (to.sent++ == 0)
+        to.first_ms = it.request.at_ms;
+    to.last_ms = it.request.at_ms;
     to.attained += it.attained ? 1 : 0;
     ++to.ends[to_text(it.end)];
     if (it.end == verdict::whole)
@@ -47,12 +54,15 @@
             "team class " + team_class,
             "team " + request.team,
             "request " + request.what.name,
-            "phase " + request.phase + (request.flood ? " (flood)" : "") + " / rank " + request.what.rank,
-            "phase " + request.phase + (request.flood ? " (flood)" : "") + " / team class " + team_class};
+            phase_prefix + request.phase + (request.flood ? " (flood)" : "") + " / rank " + request.what.rank,
+            phase_prefix + request.phase + (request.flood ? " (flood)" : "") + " / team class " + team_class};
 }
 
-json to_json(const group& it, double seconds)
+/// A phase's rates are per second of the phase, all others per second of the run.
+json to_json(const std::string& name, const group& it, double run_seconds)
 {
+    const bool is_phase = name.starts_with(phase_prefix);
+    const double seconds = is_phase ? std::max(1.0, (it.last_ms - it.first_ms) / 1000) : run_seconds;
     const auto share = static_cast<double>(it.attained) / static_cast<double>(it.sent);
     return {{"sent", it.sent},
             {"attained", it.attained},
@@ -65,6 +75,19 @@
             {"codes", it.codes}};
 }
 
+/// Requests sent and attained by second of arrival: {"sent":[...],"attained":[...]}.
+void add_to_series(json& series, const result& it)
+{
+    const auto second = static_cast<std::size_t>(it.request.at_ms / 1000);
+    for (const auto* name : {"sent", "attained"}) {
+        auto& counts = series[name];
+        while (counts.size() <= second)
+            counts.push_back(0);
+    }
+    series["sent"][second] = series["sent"][second].get<int>() + 1;
+    series["attained"][second] = series["attained"][second].get<int>() + (it.attained ? 1 : 0);
+}
+
 std::string quantile_text(const json& it)
 {
     if (it.is_null())
@@ -96,17 +119,22 @@
 {
     std::map<std::string, group> groups;
     std::map<std::string, std::int64_t> refusals;
+    std::vector<double> delays_ms;
+    json series = json::object();
     for (const auto& it : results) {
+        delays_ms.push_back(it.send_delay_ms);
+        add_to_series(series[it.request.what.rank], it);
         for (const auto& name : groups_of(it, deployment))
             add(groups[name], it);
         for (const auto& each : it.attempts)
             if (!each.code.empty())
                 ++refusals[each.code + (each.ran.empty() ? "" : " ran=" + each.ran)];
     }
-    json out = {
-        {"seconds", seconds}, {"counts", settled.counts}, {"refusals", refusals}, {"broken", settled.broken}};
+    json out = {{"seconds", seconds},   {"send_delay_ms", quantiles(delays_ms)},
+                {"series", series},     {"counts", settled.counts},
+                {"refusals", refusals}, {"broken", settled.broken}};
     for (const auto& [name, it] : groups)
-        out["groups"][name] = to_json(it, seconds);
+        out["groups"][name] = to_json(name, it, seconds);
     for (const auto& [name, it] : settled.stages)
         out["stages"][name] = {
             {"useful_s", it.useful_s}, {"repeated_s", it.repeated_s}, {"abandoned_s", it.abandoned_s}};
@@ -125,7 +153,7 @@
                            quantile_text(row["latency_ms"]), quantile_text(row["first_token_ms"]),
                            quantile_text(row["between_tokens_ms"]));
     }
-    for (const auto* it : {"counts", "refusals", "stages"})
+    for (const auto* it : {"send_delay_ms", "counts", "refusals", "stages"})
         if (summary.contains(it) && !summary[it].empty())
             out += fmt::format("{}: {}\n", it, summary[it].dump());
     for (const auto& it : summary["broken"])
--- a/utils/testkit/scenario.cpp
+++ b/utils/testkit/scenario.cpp
@@ -148,10 +148,14 @@
             const auto what = resolved(each, deployment);
             team_choice team(weights_of(from, in, what, deployment));
             for (const auto at : times_of(in, what, scale, random)) {
-                const bool streamed = boost::random::bernoulli_distribution<double>(what.streamed)(random);
-                const bool asserted = boost::random::bernoulli_distribution<double>(what.asserted)(random);
-                out.push_back(
-                    {0, start_ms + at, in.name, in.flood, team(random), streamed, asserted, "", what});
+                const auto draw = [&](double share) {
+                    return boost::random::bernoulli_distribution<double>(share)(random);
+                };
+                const bool streamed = draw(what.streamed);
+                const bool asserted = draw(what.asserted);
+                const bool new_key = draw(what.new_key);
+                out.push_back({0, start_ms + at, in.name, in.flood, team(random), streamed, asserted, new_key,
+                               "", what});
             }
         }
         start_ms += in.seconds * 1000;
--- a/utils/testkit/scenario.hpp
+++ b/utils/testkit/scenario.hpp
@@ -27,10 +27,13 @@
     std::size_t input_bytes{200};
     int attempts{1}; ///< calls with an idempotency key: tries on other instances after a failure or timeout
     double asserted{1}; ///< share of first attempts that say so (Idempotency-Attempt: 1)
+    double new_key{
+        0}; ///< share that takes a new key after "not run", which promises that the old one is unused
     team_weights teams; ///< empty: the weights of the phase
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(work_class, name, pipeline, service, call, rank, deadline_ms,
-                                                streamed, max_tokens, input_bytes, attempts, asserted, teams)
+                                                streamed, max_tokens, input_bytes, attempts, asserted,
+                                                new_key, teams)
 
 /// size arrivals of a class within spread_ms, every every_ms.
 struct burst {
@@ -71,6 +74,7 @@
     std::string team;
     bool streamed{false};
     bool asserted{true};
+    bool new_key{false};
     std::string input_id; ///< makes the input unique
     work_class what;
 };
