Check every key of the settings file; add check, state and example

Settings were read by a few lines without a check: an unknown key was accepted and a wrong number ended the process with an exception. They go through the schema of the support library now.

--- a/include/limpetlock/server/settings.hpp
+++ b/include/limpetlock/server/settings.hpp
@@ -6,7 +6,9 @@
 #include <limpetlock/support/time.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace limpetlock::server {
 
@@ -34,4 +36,10 @@
     friend bool operator==(const instance_settings&, const instance_settings&) = default;
 };
 
+/// Reads and checks a settings file. On failure `errors` has a line for each fault. The log level takes effect at once.
+std::optional<instance_settings> read_settings(const std::string& path, std::vector<std::string>& errors);
+
+/// A settings file with every key, its unit, range and default.
+std::string example_settings();
+
 } // namespace limpetlock::server
--- /dev/null
+++ b/lib/server/settings.cpp
@@ -0,0 +1,111 @@
+#include <limpetlock/server/settings.hpp>
+#include <limpetlock/support/log.hpp>
+#include <limpetlock/support/settings.hpp>
+
+#include <utility>
+
+namespace limpetlock::server {
+
+namespace {
+
+setting text(std::string section, std::string key, std::string help,
+             std::optional<std::string> otherwise = {})
+{
+    return {std::move(section),  std::move(key), setting_type::string, std::move(help), {},
+            std::move(otherwise)};
+}
+
+setting address(std::string section, std::string key, std::string help)
+{
+    return {std::move(section), std::move(key), setting_type::address, std::move(help), {}, {}};
+}
+
+setting milliseconds(std::string section, std::string key, std::string help, std::int64_t otherwise,
+                     std::int64_t max)
+{
+    return {std::move(section),
+            std::move(key),
+            setting_type::milliseconds,
+            std::move(help),
+            "ms",
+            std::to_string(otherwise),
+            0,
+            max};
+}
+
+settings_schema make_schema()
+{
+    constexpr std::int64_t max_threads = 64;
+    constexpr std::int64_t longest_lag = 60'000;
+    constexpr std::int64_t longest_stop = 600'000;
+    const instance_settings defaults;
+    return {
+        text("instance", "name",
+             "name of this instance in the platform's instance list; a replacement takes it over"),
+        text("instance", "failure_domain", "failure domain that this instance runs in"),
+        {"instance", "threads", setting_type::integer, "threads that serve requests", "threads",
+         std::to_string(defaults.threads), 1, max_threads},
+        text("instance", "log_level", "lowest level that is logged: debug, info, warning, error",
+             defaults.log_level),
+        address("caller", "listen", "listener for callers, behind the platform's balancer"),
+        address("admin", "listen", "listener of the administration API; reachable for operators only"),
+        address("peer", "listen", "listener for other instances; reachable for instances only"),
+        address("platform", "address", "configuration service and instance list of the platform"),
+        milliseconds("stop", "balancer_lag_ms",
+                     "how long the balancer may go on sending requests after the instance reports not ready",
+                     defaults.balancer_lag.count(), longest_lag),
+        milliseconds("stop", "limit_ms", "requests still in flight this long after the stop signal are cut",
+                     defaults.stop_limit.count(), longest_stop),
+    };
+}
+
+listen_address to_address(const ip_endpoint& it)
+{
+    return {it.host, it.port};
+}
+
+instance_settings to_settings(const settings& from)
+{
+    instance_settings out;
+    out.name = from.string("instance", "name");
+    out.failure_domain = from.string("instance", "failure_domain");
+    out.threads = from.integer("instance", "threads");
+    out.log_level = from.string("instance", "log_level");
+    out.caller = to_address(from.address("caller", "listen"));
+    out.admin = to_address(from.address("admin", "listen"));
+    out.peer = to_address(from.address("peer", "listen"));
+    out.platform = to_address(from.address("platform", "address"));
+    out.balancer_lag = from.milliseconds("stop", "balancer_lag_ms");
+    out.stop_limit = from.milliseconds("stop", "limit_ms");
+    return out;
+}
+
+} // namespace
+
+std::optional<instance_settings> read_settings(const std::string& path, std::vector<std::string>& errors)
+{
+    settings_reader reader(make_schema());
+    const auto values = reader.read_file(path);
+    if (!values) {
+        for (const auto& it : reader.errors())
+            errors.push_back(to_string(it));
+        return std::nullopt;
+    }
+    auto out = to_settings(*values);
+    if (out.name.empty() || out.failure_domain.empty()) {
+        errors.push_back(path + ": [instance] name and failure_domain must not be empty");
+        return std::nullopt;
+    }
+    if (!log::set_level(out.log_level)) {
+        errors.push_back(path + ": [instance] log_level: must be debug, info, warning or error");
+        return std::nullopt;
+    }
+    return out;
+}
+
+std::string example_settings()
+{
+    return settings_reader(make_schema()).example();
+}
+
+} // namespace limpetlock::server
--- a/tools/limpetlock/commands.cpp
+++ b/tools/limpetlock/commands.cpp
@@ -3,22 +3,21 @@
 #include <limpetlock/config/document.hpp>
 #include <limpetlock/http/client.hpp>
 #include <limpetlock/server/instance.hpp>
-#include <limpetlock/support/log.hpp>
+#include <limpetlock/server/settings.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_future.hpp>
-#include <boost/property_tree/ini_parser.hpp>
-#include <boost/property_tree/ptree.hpp>
-
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
+#include <charconv>
 #include <exception>
 #include <fstream>
 #include <iterator>
 #include <optional>
 #include <string>
+#include <vector>
 
 DEFINE_string(settings, "", "settings file of the instance");
 DEFINE_string(config, "", "configuration document to check");
@@ -30,47 +29,80 @@
 
 constexpr duration state_timeout{5'000};
 
-server::listen_address read_address(const std::string& text)
+std::optional<std::string> read_file(const std::string& path)
 {
-    const auto colon = text.rfind(':');
-    return {text.substr(0, colon), static_cast<std::uint16_t>(std::stoi(text.substr(colon + 1)))};
+    std::ifstream in(path, std::ios::binary);
+    if (!in)
+        return std::nullopt;
+    return std::string(std::istreambuf_iterator<char>(in), {});
 }
 
-server::instance_settings read_settings(const std::string& path)
+void print_errors(const std::vector<std::string>& errors)
 {
-    boost::property_tree::ptree tree;
-    boost::property_tree::ini_parser::read_ini(path, tree);
-    server::instance_settings out;
-    out.name = tree.get<std::string>("instance.name");
-    out.failure_domain = tree.get<std::string>("instance.failure_domain");
-    out.caller = read_address(tree.get<std::string>("caller.listen"));
-    out.admin = read_address(tree.get<std::string>("admin.listen"));
-    out.peer = read_address(tree.get<std::string>("peer.listen"));
-    out.platform = read_address(tree.get<std::string>("platform.address"));
-    out.balancer_lag = duration{tree.get<std::int64_t>("stop.balancer_lag_ms", out.balancer_lag.count())};
-    return out;
+    for (const auto& it : errors)
+        fmt::print(stderr, "limpetlock: {}\n", it);
 }
 
-std::optional<std::string> read_file(const std::string& path)
+bool require_flag(const char* name, const std::string& value)
 {
-    std::ifstream in(path, std::ios::binary);
-    if (!in)
+    if (!value.empty())
+        return true;
+    fmt::print(stderr, "limpetlock: --{} is required\n", name);
+    return false;
+}
+
+std::optional<http::address> read_address(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos)
         return std::nullopt;
-    return std::string(std::istreambuf_iterator<char>(in), {});
+    std::uint16_t port = 0;
+    const char* const end = text.data() + text.size();
+    const auto [last, ec] = std::from_chars(text.data() + colon + 1, end, port);
+    if (ec != std::errc{} || last != end || port == 0)
+        return std::nullopt;
+    return http::address{text.substr(0, colon), port};
+}
+
+bool check_document(const std::string& path)
+{
+    const auto text = read_file(path);
+    if (!text) {
+        fmt::print(stderr, "limpetlock: {}: can't be read\n", path);
+        return false;
+    }
+    error_slot<config::errc> last;
+    if (!config::document::parse(*text, last)) {
+        fmt::print(stderr, "limpetlock: {}: {}\n", path, last.last().reason);
+        return false;
+    }
+    fmt::print("{}: valid\n", path);
+    return true;
+}
+
+bool check_settings(const std::string& path)
+{
+    std::vector<std::string> errors;
+    if (!server::read_settings(path, errors)) {
+        print_errors(errors);
+        return false;
+    }
+    fmt::print("{}: valid\n", path);
+    return true;
 }
 
 } // namespace
 
 exit_code serve()
 {
-    std::optional<server::instance_settings> settings;
-    try {
-        settings = read_settings(FLAGS_settings);
-    } catch (const std::exception& it) {
-        fmt::print(stderr, "limpetlock: {}: {}\n", FLAGS_settings, it.what());
+    if (!require_flag("settings", FLAGS_settings))
+        return exit_code::wrong_usage;
+    std::vector<std::string> errors;
+    const auto settings = server::read_settings(FLAGS_settings, errors);
+    if (!settings) {
+        print_errors(errors);
         return exit_code::invalid_input;
     }
-    log::set_level(settings->log_level);
     try {
         server::instance it(*settings);
         return it.run() == server::exit_reason::cut ? exit_code::requests_cut : exit_code::success;
@@ -82,30 +114,29 @@
 
 exit_code check()
 {
-    const auto text = read_file(FLAGS_config);
-    if (!text) {
-        fmt::print(stderr, "limpetlock: {}: can't be read\n", FLAGS_config);
-        return exit_code::invalid_input;
-    }
-    error_slot<config::errc> last;
-    if (!config::document::parse(*text, last)) {
-        fmt::print(stderr, "limpetlock: {}: {}\n", FLAGS_config, last.last().reason);
-        return exit_code::invalid_input;
+    if (FLAGS_settings.empty() && FLAGS_config.empty()) {
+        fmt::print(stderr, "limpetlock: check needs --settings, --config or both\n");
+        return exit_code::wrong_usage;
     }
-    fmt::print("{}: valid\n", FLAGS_config);
-    return exit_code::success;
+    const bool settings_valid = FLAGS_settings.empty() || check_settings(FLAGS_settings);
+    const bool config_valid = FLAGS_config.empty() || check_document(FLAGS_config);
+    return settings_valid && config_valid ? exit_code::success : exit_code::invalid_input;
 }
 
 exit_code state()
 {
     const auto address = read_address(FLAGS_admin);
+    if (!address) {
+        fmt::print(stderr, "limpetlock: --admin must be IP:PORT\n");
+        return exit_code::wrong_usage;
+    }
     boost::asio::io_context io;
     http::client client(io.get_executor(), {});
     http::call_error error;
-    auto reply = boost::asio::co_spawn(io,
-                                       client.call({address.host, address.port}, {"GET", "/admin/v1/state", {}, {}},
-                                                   boot_clock::now() + state_timeout, http::reuse::fresh, error),
-                                       boost::asio::use_future);
+    const http::request request{"GET", "/admin/v1/state", {}, {}};
+    auto reply = boost::asio::co_spawn(
+        io, client.call(*address, request, boot_clock::now() + state_timeout, http::reuse::fresh, error),
+        boost::asio::use_future);
     io.run();
     const auto answer = reply.get();
     if (!answer || answer->status != 200) {
@@ -117,7 +148,11 @@
     return exit_code::success;
 }
 
-exit_code example() { return exit_code::success; }
+exit_code example()
+{
+    fmt::print("{}", server::example_settings());
+    return exit_code::success;
+}
 
 exit_code version()
 {
--- a/tools/limpetlock/main.cpp
+++ b/tools/limpetlock/main.cpp
@@ -21,7 +21,8 @@
 
 constexpr std::array subcommands{
     subcommand{"serve", "run an instance", limpetlock::tool::serve},
-    subcommand{"check", "check a settings file and a configuration document without starting", limpetlock::tool::check},
+    subcommand{"check", "check a settings file and a configuration document without starting",
+               limpetlock::tool::check},
     subcommand{"state", "print the state dump of a running instance", limpetlock::tool::state},
     subcommand{"example", "print an annotated settings file", limpetlock::tool::example},
     subcommand{"version", "print the version", limpetlock::tool::version},
@@ -36,7 +37,8 @@
            "  --settings=FILE  settings of the instance (serve, check)\n"
            "  --config=FILE    configuration document to check (check)\n"
            "  --admin=IP:PORT  admin listener of a running instance (state)\n"
-           "\nExit codes: 0 success, 1 failure, 2 wrong usage, 3 invalid settings or configuration, 4 stopped after\n"
+           "\nExit codes: 0 success, 1 failure, 2 wrong usage, 3 invalid settings or configuration, 4 "
+           "stopped after\n"
            "requests had to be cut.\n";
     return out;
 }
@@ -47,7 +49,10 @@
     return static_cast<int>(result);
 }
 
-bool is_help(std::string_view text) { return text == "--help" || text == "-h" || text == "help"; }
+bool is_help(std::string_view text)
+{
+    return text == "--help" || text == "-h" || text == "help";
+}
 
 } // namespace
 
