Add the metrics page and let witnesses refuse a diverged owner

Metrics were counted by hand and not exposed. A witness no longer supports an owner whose configuration has the same number and other content, since the two may name other owners.

--- a/lib/server/admin.cpp
+++ b/lib/server/admin.cpp
@@ -1,5 +1,7 @@
 #include "admin.hpp"
 
+#include "metrics_page.hpp"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -199,8 +201,10 @@
     route{"/admin/v1/config", config_document},
 };
 
-http::response answer_to(const components& parts, const http::request& message)
+http::response answer_to(components& parts, const http::request& message)
 {
+    if (message.method == "GET" && message.target == "/metrics")
+        return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, render_metrics(parts)};
     if (message.method == "POST" && message.target == "/admin/v1/config/check")
         return check_patch(parts, message.body);
     for (const auto& it : routes)
@@ -228,7 +232,6 @@
              {"ready", is_ready(parts)},
              {"stop_state", lifecycle::to_string(parts.stop_state())},
              {"requests_in_flight", parts.in_flight.load()}};
-    out["requests"] = parts.metrics.counts();
     out["config"] = config_json(parts);
     out["members"] = members_json(parts);
     out["queues"] = queues_json(parts);
--- a/lib/server/claim_controller.cpp
+++ b/lib/server/claim_controller.cpp
@@ -144,7 +144,9 @@
     configuration_->peer_reported(from.name, message.config_number, message.config_digest);
     const std::lock_guard lock(mutex_);
     claims::heartbeat_ack out{message.sequence, message.sent_ms, false, config_number_, config_digest_};
-    if (state_ && message.sequence > 0)
+    // Two contents under one number may name different owners, so a diverged owner gets no support.
+    const bool diverged = message.config_number == config_number_ && message.config_digest != config_digest_;
+    if (state_ && message.sequence > 0 && !diverged)
         out.vouches =
             state_->witness.vouch(from.name, from.incarnation, message.claims_number, boot_clock::now());
     return out;
--- a/lib/server/components.hpp
+++ b/lib/server/components.hpp
@@ -39,7 +39,8 @@
     http::client client;
     snapshot_cell<config::version> in_force;
     snapshot_cell<membership::snapshot> members;
-    request_metrics metrics;
+    metrics::registry registry;
+    request_metrics requests{registry};
     endpoint_table table;
     stage_costs costs;
     membership_controller membership;
--- a/lib/server/instance.cpp
+++ b/lib/server/instance.cpp
@@ -95,7 +95,7 @@
         for (const auto& filter : filters)
             if (!co_await filter->apply(it))
                 break;
-        parts.metrics.finished(it, boot_clock::now() - it.arrival);
+        parts.requests.finished(it, boot_clock::now() - it.arrival);
     }
 
     void wire_peers()
--- a/lib/server/request_metrics.cpp
+++ b/lib/server/request_metrics.cpp
@@ -1,25 +1,51 @@
 #include "request_metrics.hpp"
 
-#include <fmt/format.h>
-
 namespace limpetlock::server {
 
-void request_metrics::finished(const request_context& it, duration)
+namespace {
+
+constexpr double ms_per_second = 1000;
+
+std::string class_of(const request_context& it)
 {
-    std::string size_class = "none";
-    if (it.version)
-        if (const auto team = it.version->document.teams().find(it.team);
-            team != it.version->document.teams().end())
-            size_class = team->second.size_class;
-    const auto outcome = it.refused ? to_string(*it.refused) : std::string_view("ok");
-    const std::lock_guard lock(mutex_);
-    ++counts_[fmt::format("{}/{}/{}", config::to_string(it.priority), size_class, outcome)];
+    if (!it.version)
+        return "none";
+    const auto& teams = it.version->document.teams();
+    const auto found = teams.find(it.team);
+    return found == teams.end() ? "none" : found->second.size_class;
 }
 
-std::map<std::string, std::uint64_t> request_metrics::counts() const
+double seconds(duration it)
+{
+    return static_cast<double>(it.count()) / ms_per_second;
+}
+
+} // namespace
+
+void request_metrics::finished(const request_context& it, duration took)
 {
-    const std::lock_guard lock(mutex_);
-    return counts_;
+    const std::string rank(config::to_string(it.priority));
+    const std::string size_class = class_of(it);
+    const std::string outcome(it.refused ? to_string(*it.refused) : "ok");
+    registry_
+        .get_counter("limpetlock_requests_total", "Finished requests.",
+                     {{"rank", rank}, {"team_class", size_class}, {"outcome", outcome}})
+        .add();
+    if (it.refused)
+        return;
+    registry_
+        .get_summary("limpetlock_request_seconds", "Time from the request's header to the end of its answer.",
+                     {{"rank", rank}, {"team_class", size_class}})
+        .observe(seconds(took));
+    if (it.first_token)
+        registry_
+            .get_summary("limpetlock_first_token_seconds",
+                         "Time from the request's header to its first token.",
+                         {{"rank", rank}, {"team_class", size_class}})
+            .observe(seconds(*it.first_token));
+    if (it.tokens > 0)
+        registry_.get_counter("limpetlock_tokens_total", "Tokens delivered to callers.", {{"rank", rank}})
+            .add(static_cast<std::uint64_t>(it.tokens));
 }
 
 } // namespace limpetlock::server
--- a/lib/server/request_metrics.hpp
+++ b/lib/server/request_metrics.hpp
@@ -1,30 +1,24 @@
 /// \file
-/// Counters and quantiles of requests, by rank, team class and outcome.
+/// Counters and quantiles of requests by rank, team class, kind of work and outcome.
 #pragma once
 
 #include "request_context.hpp"
 
+#include <limpetlock/support/metrics.hpp>
 #include <limpetlock/support/time.hpp>
 
-#include <array>
-#include <atomic>
-#include <cstdint>
-#include <map>
-#include <mutex>
 #include <string>
 
 namespace limpetlock::server {
 
 class request_metrics {
 public:
-    void finished(const request_context& it, duration took);
+    explicit request_metrics(metrics::registry& registry) : registry_(registry) {}
 
-    /// Finished requests by "rank/team class/outcome"; the outcome is ok or an error code.
-    std::map<std::string, std::uint64_t> counts() const;
+    void finished(const request_context& it, duration took);
 
 private:
-    mutable std::mutex mutex_;
-    std::map<std::string, std::uint64_t> counts_;
+    metrics::registry& registry_;
 };
 
 } // namespace limpetlock::server
