--- a/lib/server/claim_controller.cpp
+++ b/lib/server/claim_controller.cpp
@@ -20,14 +20,15 @@
 
 namespace {
 
-/// Heartbeats per lease time: one or two lost ones do not end a lease.
-constexpr int heartbeats_per_lease = 8;
+/// Heartbeats per lease time: three lost ones do not end a lease. Each one more costs every owner bandwidth
+/// towards all others.
+constexpr int heartbeats_per_lease = 5;
 constexpr duration shortest_heartbeat_interval{100};
 constexpr duration idle_interval{250};
 constexpr duration expiry_interval{1'000};
 
-/// While a fleet has at most this many instances, each exchanges heartbeats with all others; in a larger one
-/// with the owners and with the configuration watchers of its failure domain.
+/// Instances exchange the configuration's number and digest this often; owners do so with every heartbeat.
+constexpr duration contact_interval{1'000};
 constexpr std::size_t full_mesh_limit = 12;
 constexpr std::size_t watchers_per_domain = 2;
 
@@ -35,6 +36,7 @@
 constexpr duration ask_pause{60};
 constexpr duration settle_patience{8'000};
 constexpr duration settle_timeout{500};
+constexpr duration handover_pull_interval{250};
 constexpr duration handover_pull_timeout{500};
 constexpr duration handover_search{10'000};
 constexpr duration handover_send_timeout{1'500};
@@ -46,24 +48,31 @@
             static_cast<std::size_t>(section.max_claims)};
 }
 
+/// Instances to exchange the configuration's number and digest with: all of them in a small fleet; in a large
+/// one the watchers of the own failure domain and one watcher of another, so that no instance hears from the
+/// whole fleet.
 std::vector<std::string> choose_contacts(const std::vector<membership::entry_instance>& entries,
-                                         const std::string& self, const std::vector<std::string>& owners)
+                                         const std::string& self)
 {
     std::vector<std::string> out;
-    const bool full_mesh = entries.size() <= full_mesh_limit;
     std::vector<config::instance> own_domain;
+    std::vector<config::instance> others;
     const auto own =
         std::find_if(entries.begin(), entries.end(), [&](const auto& it) { return it.name == self; });
-    for (const auto& it : entries)
-        if (own != entries.end() && it.failure_domain == own->failure_domain)
-            own_domain.push_back({it.name, it.failure_domain, it.leaving});
-    const auto watchers = config::watcher_set(own_domain, watchers_per_domain);
     for (const auto& it : entries) {
-        const bool owner = std::find(owners.begin(), owners.end(), it.name) != owners.end();
-        const bool watcher = std::find(watchers.begin(), watchers.end(), it.name) != watchers.end();
-        if (it.name != self && (full_mesh || owner || watcher))
+        const bool same = own != entries.end() && it.failure_domain == own->failure_domain;
+        (same ? own_domain : others).push_back({it.name, it.failure_domain, it.leaving});
+    }
+    if (entries.size() <= full_mesh_limit) {
+        for (const auto& it : entries)
             out.push_back(it.name);
+    } else {
+        out = config::watcher_set(own_domain, watchers_per_domain);
+        const auto foreign = config::watcher_set(others, watchers_per_domain);
+        if (!foreign.empty())
+            out.push_back(foreign[hash64(self) % foreign.size()]);
     }
+    std::erase(out, self);
     return out;
 }
 
@@ -115,8 +124,12 @@
 void claim_controller::set_members(const std::shared_ptr<const membership::snapshot>& members)
 {
     const std::lock_guard lock(mutex_);
-    const auto owners = state_ ? state_->map.section().owners : std::vector<std::string>();
-    contacts_ = choose_contacts(members->entries, name_, owners);
+    contacts_ = choose_contacts(members->entries, name_);
+    other_owners_.clear();
+    if (!owns_claims_locked())
+        return;
+    other_owners_ = state_->map.section().owners;
+    std::erase(other_owners_, name_);
 }
 
 void claim_controller::noticed_pause()
@@ -184,18 +197,28 @@
     return keeper_.answer_pull(state_->witness, owner, from.incarnation, boot_clock::now());
 }
 
-std::optional<claims::heartbeat> claim_controller::next_heartbeat(std::vector<std::string>& targets,
-                                                                  duration& interval)
+void claim_controller::choose_targets_locked(std::vector<std::string>& targets, time_point now)
+{
+    targets = other_owners_;
+    if (now < contacts_due_)
+        return;
+    contacts_due_ = now + contact_interval;
+    for (const auto& it : contacts_)
+        if (std::find(targets.begin(), targets.end(), it) == targets.end())
+            targets.push_back(it);
+}
+
+claims::heartbeat claim_controller::next_heartbeat(std::vector<std::string>& targets, duration& interval)
 {
     const time_point now = boot_clock::now();
     const std::lock_guard lock(mutex_);
     wake_.tick(now);
     interval = idle_interval;
+    choose_targets_locked(targets, now);
     if (!state_)
-        return claims::heartbeat{0, to_ms(now), 0, {}, 0, stopping_};
+        return {0, to_ms(now), 0, {}, 0, stopping_};
     const auto& section = state_->map.section();
     interval = std::max(shortest_heartbeat_interval, section.lease / heartbeats_per_lease);
-    targets = contacts_;
     claims::heartbeat out{0, to_ms(now), config_number_, config_digest_, section.number, stopping_};
     if (owns_claims_locked()) {
         out.sequence = state_->lease.note_sent(now);
@@ -218,8 +241,7 @@
         duration interval{};
         const auto message = next_heartbeat(targets, interval);
         for (auto& it : targets)
-            boost::asio::co_spawn(strand_, exchange_heartbeat(std::move(it), *message),
-                                  boost::asio::detached);
+            boost::asio::co_spawn(strand_, exchange_heartbeat(std::move(it), message), boost::asio::detached);
         co_await sleep_for(interval);
     }
 }
@@ -254,7 +276,7 @@
 {
     const time_point give_up = boot_clock::now() + handover_search;
     while (!stopped_ && boot_clock::now() < give_up) {
-        co_await sleep_for(shortest_heartbeat_interval);
+        co_await sleep_for(handover_pull_interval);
         std::vector<std::string> witnesses;
         std::optional<claims::handover> found;
         {
--- a/lib/server/claim_controller.hpp
+++ b/lib/server/claim_controller.hpp
@@ -100,7 +100,8 @@
     boost::asio::awaitable<void> look_for_handover();
     boost::asio::awaitable<std::optional<claims::claim_reply>>
     ask_once(std::string owner, claims::claim_request ask, time_point deadline);
-    std::optional<claims::heartbeat> next_heartbeat(std::vector<std::string>& targets, duration& interval);
+    claims::heartbeat next_heartbeat(std::vector<std::string>& targets, duration& interval);
+    void choose_targets_locked(std::vector<std::string>& targets, time_point now);
     std::string owner_of(const std::string& team, const std::string& key) const;
     bool owns_claims_locked() const;
 
@@ -115,7 +116,9 @@
     claims::wake_watch wake_;
     std::int64_t config_number_{0};
     std::string config_digest_;
+    std::vector<std::string> other_owners_;
     std::vector<std::string> contacts_;
+    time_point contacts_due_{};
     time_point last_expiry_{};
     std::atomic<bool> stopping_{false};
     std::atomic<bool> stopped_{false};
--- a/lib/server/membership_controller.cpp
+++ b/lib/server/membership_controller.cpp
@@ -29,7 +29,7 @@
 
 /// Polls per instance and second. It bounds the control traffic at the planned size, where one instance sees
 /// 1,700 endpoints; only endpoints that took a call since the last poll are asked.
-constexpr std::size_t load_polls_per_interval = 32;
+constexpr std::size_t load_polls_per_interval = 16;
 
 /// Evidence is repeated to peers for as long as the list may lag behind it without a peer having heard.
 constexpr duration evidence_lifetime{30'000};
