Add optional TLS to the HTTP listener

A caller's token went over plain TCP only. TLS writes are joined into one buffer, since the stream would make a record of each, and never use the direct write, which would lose part of a record.

--- a/include/limpetlock/http/server.hpp
+++ b/include/limpetlock/http/server.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -57,6 +58,12 @@
     duration write_timeout{10'000};
 };
 
+/// Names of PEM files: the certificate chain and its private key.
+struct tls_files {
+    std::string certificate;
+    std::string key;
+};
+
 enum class server_errc { bind_failed };
 
 /// Accepts connections on one address and runs the handler for each request, with keep-alive. Each connection
@@ -64,9 +71,9 @@
 class server {
 public:
     /// Starts to listen; port 0 picks a free one. Throws std::runtime_error with the address and reason when
-    /// the address can't be bound.
+    /// the address can't be bound, or with the file when a file of TLS can't be used.
     server(boost::asio::any_io_executor executor, const std::string& address, std::uint16_t port,
-           server_limits limits, handler handle);
+           server_limits limits, handler handle, const std::optional<tls_files>& tls = std::nullopt);
     ~server();
     server(const server&) = delete;
     server& operator=(const server&) = delete;
--- a/lib/http/connection.cpp
+++ b/lib/http/connection.cpp
@@ -15,7 +15,6 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/buffers_suffix.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -77,13 +76,27 @@
     std::string reason;
 };
 
+output single(asio::const_buffer buffer)
+{
+    return {buffer};
+}
+
+void consume(output& buffers, std::size_t n)
+{
+    for (auto& it : buffers) {
+        const auto taken = std::min(n, it.size());
+        it += taken;
+        n -= taken;
+    }
+}
+
 class caller_connection final : public connection,
                                 public exchange,
                                 public std::enable_shared_from_this<caller_connection> {
 public:
-    caller_connection(tcp::socket socket, std::shared_ptr<server_core> core)
-        : socket_(std::move(socket)), timer_(socket_), core_(std::move(core)),
-          buffer_(core_->limits.header_bytes + buffer_slack_bytes)
+    caller_connection(std::unique_ptr<transport> stream, std::shared_ptr<server_core> core)
+        : transport_(std::move(stream)), socket_(transport_->socket()), timer_(socket_),
+          core_(std::move(core)), buffer_(core_->limits.header_bytes + buffer_slack_bytes)
     {
         ++core_->open;
     }
@@ -112,6 +125,8 @@
     using parser = beast::http::request_parser<beast::http::string_body>;
 
     static asio::awaitable<void> run(std::shared_ptr<caller_connection> self);
+    asio::awaitable<bool> handshake();
+    asio::awaitable<void> end_transport();
     asio::awaitable<bool> read_request();
     asio::awaitable<bool> wait_for_request();
     asio::awaitable<bool> read_header();
@@ -121,8 +136,7 @@
     asio::awaitable<void> serve();
     asio::awaitable<void> refuse_request();
     asio::awaitable<void> linger();
-    template <typename Buffers>
-    asio::awaitable<bool> send(Buffers buffers);
+    asio::awaitable<bool> send(output rest);
 
     bool fail(error_code ec);
     bool refuse_with(int status, std::string_view code, std::string reason);
@@ -134,7 +148,8 @@
     void reset_on_close();
     void close_socket();
 
-    tcp::socket socket_;
+    std::unique_ptr<transport> transport_;
+    tcp::socket& socket_;
     deadline_timer timer_;
     std::shared_ptr<server_core> core_;
     beast::flat_buffer buffer_;
@@ -154,8 +169,7 @@
 
 void caller_connection::start()
 {
-    error_code ec;
-    socket_.non_blocking(true, ec);
+
     core_->add(shared_from_this());
     asio::co_spawn(socket_.get_executor(), run(shared_from_this()), asio::detached);
 }
@@ -183,7 +197,9 @@
 
 asio::awaitable<void> caller_connection::run(std::shared_ptr<caller_connection> self)
 {
-    bool next = co_await self->read_request();
+    bool next = co_await self->handshake();
+    if (next)
+        next = co_await self->read_request();
     while (next) {
         co_await self->serve();
         next = self->complete_ && self->keep_alive_;
@@ -192,6 +208,8 @@
     }
     if (self->refusal_)
         co_await self->refuse_request();
+    if (!self->broken_ && !self->streaming_)
+        co_await self->end_transport();
     if (self->refusal_ || (self->complete_ && self->has_unread_bytes()))
         co_await self->linger();
     if (self->streaming_ && !self->chunked_)
@@ -199,6 +217,23 @@
     self->close_socket();
 }
 
+asio::awaitable<bool> caller_connection::handshake()
+{
+    expire_after(core_->limits.header_timeout);
+    const auto ec = co_await transport_->handshake();
+    timer_.clear();
+    broken_ = ec || timer_.expired();
+    co_return !broken_;
+}
+
+/// Bounded by the time to linger, since the caller may never answer.
+asio::awaitable<void> caller_connection::end_transport()
+{
+    expire_after(linger_time);
+    co_await transport_->finish();
+    timer_.clear();
+}
+
 /// A stream to an HTTP/1.0 caller ends with its connection; only a reset shows that it was cut.
 void caller_connection::reset_on_close()
 {
@@ -268,7 +303,7 @@
     bool ok = true;
     if (!parser_->is_done()) {
         if (version_ == 11 && expects_continue(request_.headers) && buffer_.size() == 0)
-            ok = co_await send(asio::buffer(continue_text));
+            ok = co_await send(single(asio::buffer(continue_text)));
         buffer_.reserve(std::min(buffer_.max_size(), body_read_bytes));
         expire_after(core_->limits.body_timeout);
     }
@@ -304,7 +339,7 @@
         co_return fail(asio::error::timed_out);
     const auto room = buffer_.max_size() - buffer_.size();
     const auto n = std::min(room, std::max(size, buffer_.capacity() - buffer_.size()));
-    const auto [ec, count] = co_await socket_.async_read_some(buffer_.prepare(n), quiet);
+    const auto [ec, count] = co_await transport_->read_some(buffer_.prepare(n));
     buffer_.commit(count);
     if (timer_.expired())
         co_return fail(asio::error::timed_out);
@@ -391,9 +426,9 @@
     const auto body = error_body(refusal_->code, refusal_->reason, "no");
     const auto answer = json_response(refusal_->status, {});
     const auto head = head_of_answer(answer.status, answer.headers, {11, false, false, body.size()});
-    const std::array<asio::const_buffer, 2> buffers{asio::buffer(head), asio::buffer(body)};
+    const output buffers{asio::buffer(head), asio::buffer(body)};
     expire_after(core_->limits.write_timeout);
-    co_await asio::async_write(socket_, buffers, quiet);
+    co_await transport_->write(buffers);
     timer_.clear();
 }
 
@@ -406,7 +441,7 @@
         if (!ec)
             self->close_socket();
     });
-    std::array<char, 4096> waste;
+    std::string waste(body_read_bytes, 0);
     for (std::size_t total = 0; total < linger_bytes;) {
         const auto [ec, n] = co_await socket_.async_read_some(asio::buffer(waste), quiet);
         if (ec)
@@ -416,23 +451,21 @@
     stop.cancel();
 }
 
-template <typename Buffers>
-asio::awaitable<bool> caller_connection::send(Buffers buffers)
+asio::awaitable<bool> caller_connection::send(output rest)
 {
     if (broken_ || timer_.expired())
         co_return false;
-    beast::buffers_suffix<Buffers> rest(buffers);
     if (direct_writes_++ < max_direct_writes) {
         error_code ec;
-        rest.consume(socket_.write_some(buffers, ec));
+        consume(rest, transport_->write_now(rest, ec));
         broken_ = ec && ec != asio::error::would_block;
     } else {
         direct_writes_ = 0;
     }
-    if (broken_ || beast::buffer_bytes(rest) == 0)
+    if (broken_ || asio::buffer_size(rest) == 0)
         co_return !broken_;
     expire_after(core_->limits.write_timeout);
-    const auto [ec, n] = co_await asio::async_write(socket_, rest, quiet);
+    const auto [ec, n] = co_await transport_->write(rest);
     timer_.clear();
     if (ec || timer_.expired())
         broken_ = true;
@@ -448,8 +481,7 @@
         head_of_answer(answer.status, answer.headers, {version_, keep_alive_, false, answer.body.size()});
     answered_ = true;
     const bool bodiless = request_.method == "HEAD" || !status_has_body(answer.status);
-    const std::array<asio::const_buffer, 2> buffers{asio::buffer(head), bodiless ? asio::const_buffer()
-                                                                                 : asio::buffer(answer.body)};
+    const output buffers{asio::buffer(head), bodiless ? asio::const_buffer() : asio::buffer(answer.body)};
     complete_ = co_await send(buffers);
     co_return complete_;
 }
@@ -463,7 +495,7 @@
     const auto head = head_of_answer(status, headers, {version_, keep_alive_, chunked_, std::nullopt});
     answered_ = true;
     streaming_ = true;
-    co_return co_await send(asio::buffer(head));
+    co_return co_await send(single(asio::buffer(head)));
 }
 
 asio::awaitable<bool> caller_connection::write(std::string_view chunk)
@@ -474,9 +506,8 @@
     if (chunk.empty() || request_.method == "HEAD")
         co_return !broken_;
     if (!chunked_)
-        co_return co_await send(asio::buffer(chunk));
-    const std::array<asio::const_buffer, 3> buffers{asio::buffer(size), asio::buffer(chunk),
-                                                    asio::buffer("\r\n", 2)};
+        co_return co_await send(single(asio::buffer(chunk)));
+    const output buffers{asio::buffer(size), asio::buffer(chunk), asio::buffer("\r\n", 2)};
     co_return co_await send(buffers);
 }
 
@@ -487,7 +518,7 @@
     streaming_ = false;
     bool ok = !broken_;
     if (chunked_ && request_.method != "HEAD")
-        ok = co_await send(asio::buffer("0\r\n\r\n", 5));
+        ok = co_await send(single(asio::buffer("0\r\n\r\n", 5)));
     complete_ = ok;
     co_return ok;
 }
@@ -513,9 +544,10 @@
 
 } // namespace
 
-std::shared_ptr<connection> make_connection(tcp::socket socket, std::shared_ptr<server_core> core)
+std::shared_ptr<connection> make_connection(std::unique_ptr<transport> stream,
+                                            std::shared_ptr<server_core> core)
 {
-    return std::make_shared<caller_connection>(std::move(socket), std::move(core));
+    return std::make_shared<caller_connection>(std::move(stream), std::move(core));
 }
 
 std::string error_body(std::string_view code, std::string_view reason, std::string_view ran)
@@ -541,7 +573,7 @@
         if (!ec)
             socket.cancel(failed);
     });
-    std::array<char, 512> waste;
+    std::string waste(first_read_bytes, 0);
     for (std::size_t total = 0; total < linger_bytes;) {
         const auto [ec, n] = co_await socket.async_read_some(asio::buffer(waste), quiet);
         if (ec)
--- a/lib/http/connection.hpp
+++ b/lib/http/connection.hpp
@@ -2,6 +2,8 @@
 /// One accepted connection of the server: reads requests, runs the handler and writes answers.
 #pragma once
 
+#include "transport.hpp"
+
 #include <limpetlock/http/server.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -52,8 +54,8 @@
     std::unordered_map<connection*, std::weak_ptr<connection>> connections_;
 };
 
-/// The socket's executor is the strand of the connection.
-std::shared_ptr<connection> make_connection(boost::asio::ip::tcp::socket socket,
+/// The executor of the stream's socket is the strand of the connection.
+std::shared_ptr<connection> make_connection(std::unique_ptr<transport> stream,
                                             std::shared_ptr<server_core> core);
 
 /// Answers 503 and closes, for a connection beyond the limit.
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -77,6 +77,7 @@
     asio::any_io_executor executor;
     tcp::acceptor acceptor;
     std::shared_ptr<server_core> core;
+    std::unique_ptr<tls_context> tls;
     std::shared_ptr<std::atomic<std::size_t>> refusals{std::make_shared<std::atomic<std::size_t>>(0)};
     std::uint16_t port{0};
 };
@@ -102,10 +103,11 @@
     boost::system::error_code ec;
     socket.set_option(tcp::no_delay(true), ec);
     if (core->open.load() < core->limits.connections) {
-        make_connection(std::move(socket), core)->start();
+        auto stream = tls ? tls->make_transport(std::move(socket)) : make_plain_transport(std::move(socket));
+        make_connection(std::move(stream), core)->start();
         return;
     }
-    if (refusals->load() >= max_refusals)
+    if (tls || refusals->load() >= max_refusals)
         return;
     ++*refusals;
     const auto strand = socket.get_executor();
@@ -159,9 +161,11 @@
 }
 
 server::server(asio::any_io_executor executor, const std::string& address, std::uint16_t port,
-               server_limits limits, handler handle)
+               server_limits limits, handler handle, const std::optional<tls_files>& tls)
     : impl_(std::make_shared<impl>(std::move(executor), limits, std::move(handle)))
 {
+    if (tls)
+        impl_->tls = std::make_unique<tls_context>(*tls);
     impl_->listen(address, port);
     asio::co_spawn(impl_->acceptor.get_executor(), impl::accept_loop(impl_), asio::detached);
 }
--- /dev/null
+++ b/lib/http/transport.hpp
@@ -0,0 +1,62 @@
+/// \file
+/// Byte stream of an accepted connection: plain TCP or TLS.
+#pragma once
+
+#include <limpetlock/http/server.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <cstddef>
+#include <memory>
+#include <tuple>
+
+namespace limpetlock::http {
+
+using io_result = std::tuple<boost::system::error_code, std::size_t>;
+using output = std::array<boost::asio::const_buffer, 3>;
+
+class transport {
+public:
+    transport() = default;
+    transport(const transport&) = delete;
+    transport& operator=(const transport&) = delete;
+    virtual ~transport() = default;
+
+    /// The TCP socket; cancelling or closing it ends every operation.
+    virtual boost::asio::ip::tcp::socket& socket() = 0;
+
+    virtual boost::asio::awaitable<boost::system::error_code> handshake() = 0;
+    virtual boost::asio::awaitable<io_result> read_some(boost::asio::mutable_buffer to) = 0;
+
+    /// Writes everything.
+    virtual boost::asio::awaitable<io_result> write(output from) = 0;
+
+    /// Writes what the socket takes without waiting; 0 bytes when that is not possible.
+    virtual std::size_t write_now(const output& from, boost::system::error_code& ec) = 0;
+
+    /// Tells the peer that the stream ends here, where the protocol has a sign for that.
+    virtual boost::asio::awaitable<void> finish() = 0;
+};
+
+std::unique_ptr<transport> make_plain_transport(boost::asio::ip::tcp::socket socket);
+
+/// Certificate and key of a listener, shared by its connections.
+class tls_context {
+public:
+    /// Throws std::runtime_error with the file and the reason.
+    explicit tls_context(const tls_files& files);
+    tls_context(const tls_context&) = delete;
+    tls_context& operator=(const tls_context&) = delete;
+    ~tls_context();
+
+    std::unique_ptr<transport> make_transport(boost::asio::ip::tcp::socket socket);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace limpetlock::http
