Move the refusal of surplus connections out of the connection

The timer of a refused connection held a reference into the coroutine's frame and could run after its end; the socket is shared now. The refusal has a file of its own and connection.cpp is shorter.

--- a/lib/http/connection.cpp
+++ b/lib/http/connection.cpp
@@ -14,11 +14,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <array>
@@ -76,20 +74,6 @@
     std::string reason;
 };
 
-output single(asio::const_buffer buffer)
-{
-    return {buffer};
-}
-
-void consume(output& buffers, std::size_t n)
-{
-    for (auto& it : buffers) {
-        const auto taken = std::min(n, it.size());
-        it += taken;
-        n -= taken;
-    }
-}
-
 class caller_connection final : public connection,
                                 public exchange,
                                 public std::enable_shared_from_this<caller_connection> {
@@ -303,7 +287,7 @@
     bool ok = true;
     if (!parser_->is_done()) {
         if (version_ == 11 && expects_continue(request_.headers) && buffer_.size() == 0)
-            ok = co_await send(single(asio::buffer(continue_text)));
+            ok = co_await send(single_output(asio::buffer(continue_text)));
         buffer_.reserve(std::min(buffer_.max_size(), body_read_bytes));
         expire_after(core_->limits.body_timeout);
     }
@@ -457,7 +441,7 @@
         co_return false;
     if (direct_writes_++ < max_direct_writes) {
         error_code ec;
-        consume(rest, transport_->write_now(rest, ec));
+        consume_output(rest, transport_->write_now(rest, ec));
         broken_ = ec && ec != asio::error::would_block;
     } else {
         direct_writes_ = 0;
@@ -495,7 +479,7 @@
     const auto head = head_of_answer(status, headers, {version_, keep_alive_, chunked_, std::nullopt});
     answered_ = true;
     streaming_ = true;
-    co_return co_await send(single(asio::buffer(head)));
+    co_return co_await send(single_output(asio::buffer(head)));
 }
 
 asio::awaitable<bool> caller_connection::write(std::string_view chunk)
@@ -506,7 +490,7 @@
     if (chunk.empty() || request_.method == "HEAD")
         co_return !broken_;
     if (!chunked_)
-        co_return co_await send(single(asio::buffer(chunk)));
+        co_return co_await send(single_output(asio::buffer(chunk)));
     const output buffers{asio::buffer(size), asio::buffer(chunk), asio::buffer("\r\n", 2)};
     co_return co_await send(buffers);
 }
@@ -518,7 +502,7 @@
     streaming_ = false;
     bool ok = !broken_;
     if (chunked_ && request_.method != "HEAD")
-        ok = co_await send(single(asio::buffer("0\r\n\r\n", 5)));
+        ok = co_await send(single_output(asio::buffer("0\r\n\r\n", 5)));
     complete_ = ok;
     co_return ok;
 }
@@ -550,37 +534,4 @@
     return std::make_shared<caller_connection>(std::move(stream), std::move(core));
 }
 
-std::string error_body(std::string_view code, std::string_view reason, std::string_view ran)
-{
-    const nlohmann::json body = {{"error", {{"code", code}, {"reason", reason}, {"ran", ran}}},
-                                 {"request_id", ""}};
-    return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
-asio::awaitable<void> refuse(tcp::socket socket)
-{
-    const auto body = error_body("not_run", "too many connections", "no");
-    auto answer = json_response(503, {});
-    answer.headers.push_back({"Retry-After", "1"});
-    const auto head = head_of_answer(answer.status, answer.headers, {11, false, false, body.size()});
-    const std::array<asio::const_buffer, 2> buffers{asio::buffer(head), asio::buffer(body)};
-    co_await asio::async_write(socket, buffers, quiet);
-    error_code ignored;
-    socket.shutdown(tcp::socket::shutdown_send, ignored);
-    asio::steady_timer stop(socket.get_executor(), linger_time);
-    stop.async_wait([&socket](error_code ec) {
-        error_code failed;
-        if (!ec)
-            socket.cancel(failed);
-    });
-    std::string waste(first_read_bytes, 0);
-    for (std::size_t total = 0; total < linger_bytes;) {
-        const auto [ec, n] = co_await socket.async_read_some(asio::buffer(waste), quiet);
-        if (ec)
-            break;
-        total += n;
-    }
-    stop.cancel();
-}
-
 } // namespace limpetlock::http
--- /dev/null
+++ b/lib/http/refusal.cpp
@@ -0,0 +1,69 @@
+#include "connection.hpp"
+#include "message_text.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace limpetlock::http {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr auto quiet = asio::as_tuple(asio::use_awaitable);
+
+/// The caller's request is read and dropped for this long, because closing a socket with unread bytes resets
+/// it and may destroy the answer.
+constexpr std::chrono::milliseconds refusal_linger_time{1'000};
+constexpr std::size_t refusal_linger_bytes = std::size_t{64} * 1024;
+constexpr std::size_t refusal_read_bytes = 1024;
+
+} // namespace
+
+std::string error_body(std::string_view code, std::string_view reason, std::string_view ran)
+{
+    const nlohmann::json body = {{"error", {{"code", code}, {"reason", reason}, {"ran", ran}}},
+                                 {"request_id", ""}};
+    return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+asio::awaitable<void> refuse(tcp::socket accepted)
+{
+    // Shared with the timer's handler, which may be queued when this coroutine ends.
+    const auto socket = std::make_shared<tcp::socket>(std::move(accepted));
+    const auto body = error_body("not_run", "too many connections", "no");
+    auto answer = json_response(503, {});
+    answer.headers.push_back({"Retry-After", "1"});
+    const auto head = head_of_answer(answer.status, answer.headers, {11, false, false, body.size()});
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(head), asio::buffer(body)};
+    asio::steady_timer stop(socket->get_executor(), refusal_linger_time);
+    stop.async_wait([socket](error_code ec) {
+        error_code ignored;
+        if (!ec)
+            socket->close(ignored);
+    });
+    co_await asio::async_write(*socket, buffers, quiet);
+    error_code ec;
+    socket->shutdown(tcp::socket::shutdown_send, ec);
+    std::string waste(refusal_read_bytes, 0);
+    for (std::size_t total = 0; !ec && total < refusal_linger_bytes;) {
+        const auto [failed, n] = co_await socket->async_read_some(asio::buffer(waste), quiet);
+        ec = failed;
+        total += n;
+    }
+    stop.cancel();
+}
+
+} // namespace limpetlock::http
--- a/lib/http/transport.cpp
+++ b/lib/http/transport.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -94,6 +95,20 @@
     ssl::context context{ssl::context::tls_server};
 };
 
+output single_output(asio::const_buffer buffer)
+{
+    return {buffer};
+}
+
+void consume_output(output& buffers, std::size_t n)
+{
+    for (auto& it : buffers) {
+        const auto taken = std::min(n, it.size());
+        it += taken;
+        n -= taken;
+    }
+}
+
 std::unique_ptr<transport> make_plain_transport(tcp::socket socket)
 {
     return std::make_unique<plain_transport>(std::move(socket));
--- a/lib/http/transport.hpp
+++ b/lib/http/transport.hpp
@@ -18,6 +18,11 @@
 using io_result = std::tuple<boost::system::error_code, std::size_t>;
 using output = std::array<boost::asio::const_buffer, 3>;
 
+output single_output(boost::asio::const_buffer buffer);
+
+/// Drops the first n bytes.
+void consume_output(output& buffers, std::size_t n);
+
 class transport {
 public:
     transport() = default;
