--- a/utils/loadgen/driver.cpp
+++ b/utils/loadgen/driver.cpp
@@ -161,14 +161,14 @@
 
 net::awaitable<void> driver::one(result& out)
 {
-    const auto start = steady::now();
+    out.started = steady::now();
     if (out.request.what.pipeline.empty())
         co_await service(out);
     else if (where_.direct)
         co_await direct_pipeline(out);
     else
         co_await pipeline(out);
-    out.latency_ms = ms_since(start);
+    out.latency_ms = ms_since(out.started);
     out.attained =
         out.end == verdict::whole && out.latency_ms <= static_cast<double>(out.request.what.deadline_ms);
 }
@@ -208,7 +208,6 @@
 net::awaitable<verdict> driver::stream(http::address to, http::request message, time_point deadline,
                                        result& out, const testkit::expected_answer& expected)
 {
-    const auto start = steady::now();
     auto& note = out.attempts.emplace_back();
     note.instance = fmt::format("{}:{}", to.host, to.port);
     note.sent_ms = now_ms();
@@ -244,7 +243,7 @@
         if (event.what == stream_event::kind::token) {
             check.token(event.index, event.text);
             ++tokens;
-            const double at_ms = ms_since(start);
+            const double at_ms = ms_since(out.started);
             if (out.first_token_ms < 0)
                 out.first_token_ms = at_ms;
             else
--- a/utils/testkit/checker.hpp
+++ b/utils/testkit/checker.hpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -70,10 +71,11 @@
 struct result {
     arrival request;
     verdict end{verdict::failed};
-    bool attained{false};    ///< whole and inside the deadline
+    bool attained{false}; ///< whole and inside the deadline
+    std::chrono::steady_clock::time_point started;
     double send_delay_ms{0}; ///< how late the load tool itself was
     double latency_ms{0};
-    double first_token_ms{-1}; ///< below 0: none
+    double first_token_ms{-1}; ///< from the start of the request; below 0: none
     std::vector<double> gaps_ms;
     std::vector<attempt> attempts;
 };
