End the lease of a replaced process; withdraw unanswered asks; TLS for callers

A process that saw its name at another address in the list went on granting until a frame of its successor arrived; it ends its lease now. An ask without a reply could leave a grant at the owner that blocked the key until it expired; it is withdrawn as not run, which is true since nothing is sent under it. The caller listener takes a certificate and key.

--- a/include/limpetlock/claims/holder.hpp
+++ b/include/limpetlock/claims/holder.hpp
@@ -74,6 +74,10 @@
     /// is noted after finish() changes it, so that a late answer still reaches the record.
     std::optional<claim_settle> settlement() const;
 
+    /// For an attempt that finished without a reply: a grant may still be on its way or recorded at the
+    /// owner, and nothing will be dispatched under it.
+    claim_settle withdrawal() const { return settle_as(claim_outcome::not_run); }
+
     const claim_request& ask() const { return ask_; }
     const std::string& refusal() const { return refusal_; }
 
--- a/include/limpetlock/server/settings.hpp
+++ b/include/limpetlock/server/settings.hpp
@@ -23,6 +23,9 @@
     std::string name;
     std::string failure_domain;
     listen_address caller;
+    /// PEM files of the caller listener; both empty for plain HTTP.
+    std::string tls_certificate;
+    std::string tls_key;
     listen_address admin;
     listen_address peer;
     listen_address platform;
@@ -36,7 +39,8 @@
     friend bool operator==(const instance_settings&, const instance_settings&) = default;
 };
 
-/// Reads and checks a settings file. On failure `errors` has a line for each fault. The log level takes effect at once.
+/// Reads and checks a settings file. On failure `errors` has a line for each fault. The log level takes
+/// effect at once.
 std::optional<instance_settings> read_settings(const std::string& path, std::vector<std::string>& errors);
 
 /// A settings file with every key, its unit, range and default.
--- a/lib/server/claim_controller.cpp
+++ b/lib/server/claim_controller.cpp
@@ -88,8 +88,8 @@
 claim_controller::claim_controller(const boost::asio::any_io_executor& executor,
                                    const instance_settings& settings, std::int64_t incarnation,
                                    peer_controller& peers)
-    : strand_(boost::asio::make_strand(executor)), name_(settings.name), incarnation_(incarnation),
-      peers_(peers), wake_(boot_clock::now())
+    : strand_(boost::asio::make_strand(executor)), name_(settings.name), own_address_(settings.caller),
+      incarnation_(incarnation), peers_(peers), wake_(boot_clock::now())
 {
 }
 
@@ -124,6 +124,7 @@
 void claim_controller::set_members(const std::shared_ptr<const membership::snapshot>& members)
 {
     const std::lock_guard lock(mutex_);
+    notice_replacement_locked(members->entries);
     contacts_ = choose_contacts(members->entries, name_);
     other_owners_.clear();
     if (!owns_claims_locked())
@@ -132,6 +133,24 @@
     std::erase(other_owners_, name_);
 }
 
+void claim_controller::notice_replacement_locked(const std::vector<membership::entry_instance>& entries)
+{
+    const auto own =
+        std::find_if(entries.begin(), entries.end(), [&](const auto& it) { return it.name == name_; });
+    if (own == entries.end())
+        return;
+    if (own->port == own_address_.port && own->address == own_address_.host) {
+        listed_ = true;
+        return;
+    }
+    // A lagging list may still show the predecessor of a new process, so only a change away from it counts.
+    if (!listed_ || !state_ || state_->lease.superseded())
+        return;
+    state_->lease.supersede();
+    state_->witness.retire();
+    log::warning("claims_superseded", {{"listed_address", fmt::format("{}:{}", own->address, own->port)}});
+}
+
 void claim_controller::noticed_pause()
 {
     const std::lock_guard lock(mutex_);
--- a/lib/server/claim_controller.hpp
+++ b/lib/server/claim_controller.hpp
@@ -52,6 +52,8 @@
 
     /// Takes over the claims section of a configuration.
     void configure(const config::version& version);
+    /// Follows the instance list. Once it has shown this process and then shows its name at another address,
+    /// the platform has replaced this process, and it grants and vouches no more.
     void set_members(const std::shared_ptr<const membership::snapshot>& members);
 
     /// Called when this process notices that it was suspended.
@@ -104,9 +106,12 @@
     void choose_targets_locked(std::vector<std::string>& targets, time_point now);
     std::string owner_of(const std::string& team, const std::string& key) const;
     bool owns_claims_locked() const;
+    void notice_replacement_locked(const std::vector<membership::entry_instance>& entries);
 
     boost::asio::strand<boost::asio::any_io_executor> strand_;
     std::string name_;
+    listen_address own_address_;
+    bool listed_{false};
     std::int64_t incarnation_;
     peer_controller& peers_;
     config_controller* configuration_{nullptr};
--- a/lib/server/instance.cpp
+++ b/lib/server/instance.cpp
@@ -77,6 +77,13 @@
             make_service_handler(parts.admission, parts.runner, parts.claims, parts.table, parts.client));
     }
 
+    static std::optional<http::tls_files> tls_of(const instance_settings& it)
+    {
+        if (it.tls_certificate.empty())
+            return std::nullopt;
+        return http::tls_files{it.tls_certificate, it.tls_key};
+    }
+
     void open_listeners()
     {
         const auto& it = parts.settings;
@@ -85,7 +92,7 @@
             [this](http::exchange& io) -> awaitable<void> { co_await serve_admin(parts, io); });
         caller = std::make_unique<http::server>(
             parts.io.get_executor(), it.caller.host, it.caller.port, http::server_limits{},
-            [this](http::exchange& io) -> awaitable<void> { co_await serve_caller(io); });
+            [this](http::exchange& io) -> awaitable<void> { co_await serve_caller(io); }, tls_of(it));
     }
 
     awaitable<void> serve_caller(http::exchange& io)
--- a/lib/server/service_handler.cpp
+++ b/lib/server/service_handler.cpp
@@ -160,7 +160,10 @@
         if (own->holder.may_dispatch(boot_clock::now()))
             co_await dispatch(it, own);
         const auto decision = own->holder.finish();
-        settle(own);
+        if (reply)
+            settle(own);
+        else
+            spawn_settlement(*own, own->holder.withdrawal());
         if (decision.what != claims::tell::answer) {
             request_error error = to_error(decision);
             co_await refuse(it, std::move(error));
@@ -239,8 +242,13 @@
     void settle(const std::shared_ptr<booking>& own)
     {
         if (auto outcome = own->holder.settlement())
-            boost::asio::co_spawn(own->finished->executor(), claims_.settle(std::move(*outcome)),
-                                  boost::asio::detached);
+            spawn_settlement(*own, std::move(*outcome));
+    }
+
+    void spawn_settlement(const booking& own, claims::claim_settle outcome)
+    {
+        boost::asio::co_spawn(own.finished->executor(), claims_.settle(std::move(outcome)),
+                              boost::asio::detached);
     }
 
     admission_controller& admission_;
--- a/lib/server/settings.cpp
+++ b/lib/server/settings.cpp
@@ -48,6 +48,8 @@
         text("instance", "log_level", "lowest level that is logged: debug, info, warning, error",
              defaults.log_level),
         address("caller", "listen", "listener for callers, behind the platform's balancer"),
+        text("caller", "tls_certificate", "PEM file with the certificate chain; empty for plain HTTP", ""),
+        text("caller", "tls_key", "PEM file with the private key of the certificate", ""),
         address("admin", "listen", "listener of the administration API; reachable for operators only"),
         address("peer", "listen", "listener for other instances; reachable for instances only"),
         address("platform", "address", "configuration service and instance list of the platform"),
@@ -75,6 +77,8 @@
     out.admin = to_address(from.address("admin", "listen"));
     out.peer = to_address(from.address("peer", "listen"));
     out.platform = to_address(from.address("platform", "address"));
+    out.tls_certificate = from.string("caller", "tls_certificate");
+    out.tls_key = from.string("caller", "tls_key");
     out.balancer_lag = from.milliseconds("stop", "balancer_lag_ms");
     out.stop_limit = from.milliseconds("stop", "limit_ms");
     return out;
@@ -96,6 +100,10 @@
         errors.push_back(path + ": [instance] name and failure_domain must not be empty");
         return std::nullopt;
     }
+    if (out.tls_certificate.empty() != out.tls_key.empty()) {
+        errors.push_back(path + ": [caller] tls_certificate and tls_key go together");
+        return std::nullopt;
+    }
     if (!log::set_level(out.log_level)) {
         errors.push_back(path + ": [instance] log_level: must be debug, info, warning or error");
         return std::nullopt;
