Retry stale connections and overloaded answers outside the budget

A pooled connection that the endpoint closed before any byte of the answer counted as a failure of the endpoint and took a retry token, and so did a 503 'overloaded', although neither ran anything. Both are followed by another attempt now, with a doubling pause after 'overloaded'.

--- a/include/limpetlock/http/client.hpp
+++ b/include/limpetlock/http/client.hpp
@@ -32,6 +32,9 @@
     errc code{errc::none};
     std::string reason;
     bool sent{false};
+    /// The connection was a pooled one and closed before a byte of the answer came. The usual cause is an
+    /// endpoint that closed the idle connection while the request was on its way.
+    bool stale{false};
 };
 
 /// fresh opens a new connection for this call; pooled may take an idle one. A pooled connection that the
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -98,6 +98,7 @@
     void release();
 
     call_error error;
+    bool pooled{false};
     auto executor() const { return link_->socket.get_executor(); }
 
 private:
@@ -191,9 +192,10 @@
         co_return true;
     // The endpoint may have answered before it closed, for example to refuse a large body.
     reusable_ = false;
-    if (n == 0)
-        co_return fail(errc::closed, "request not sent: " + ec.message());
-    co_return true;
+    if (n > 0)
+        co_return true;
+    error.stale = pooled;
+    co_return fail(errc::closed, "request not sent: " + ec.message());
 }
 
 asio::awaitable<bool> client_exchange::read_header(time_point deadline)
@@ -275,10 +277,13 @@
 
 bool client_exchange::fail_read(const error_code& ec)
 {
-    if (ec != asio::error::eof)
-        return fail(code_of(ec), "answer not received: " + ec.message());
     const bool begun = parser_->got_some() || buffer_.size() > 0;
-    return fail(errc::closed, begun ? "answer cut before its end" : "connection closed before the answer");
+    if (ec != asio::error::eof)
+        fail(code_of(ec), "answer not received: " + ec.message());
+    else
+        fail(errc::closed, begun ? "answer cut before its end" : "connection closed before the answer");
+    error.stale = pooled && !begun && error.code == errc::closed;
+    return false;
 }
 
 header_list client_exchange::headers() const
@@ -440,19 +445,22 @@
 {
     error = {};
     if (deadline <= boot_clock::now()) {
-        error = {errc::timeout, "deadline passed before the call", false};
+        error = {errc::timeout, "deadline passed before the call", false, false};
         return nullptr;
     }
     try {
         head = head_of_request(message, host_header(to));
     } catch (const std::invalid_argument& it) {
-        error = {errc::malformed, it.what(), false};
+        error = {errc::malformed, it.what(), false, false};
         return nullptr;
     }
     auto link = policy == reuse::pooled ? pool->take(to) : nullptr;
+    const bool pooled = link != nullptr;
     if (!link)
         link = pool->create(to);
-    return std::make_shared<client_exchange>(pool, std::move(link), limits);
+    auto it = std::make_shared<client_exchange>(pool, std::move(link), limits);
+    it->pooled = pooled;
+    return it;
 }
 
 client::client(asio::any_io_executor executor, client_limits limits)
--- a/lib/server/stage_runner.cpp
+++ b/lib/server/stage_runner.cpp
@@ -1,5 +1,7 @@
 #include "stage_runner.hpp"
 
+#include "notification.hpp"
+
 #include <limpetlock/support/hash.hpp>
 
 #include <fmt/format.h>
@@ -18,9 +20,13 @@
 /// request.
 constexpr int max_retries = 2;
 
-/// Answers "leaving" cost nothing and are followed by another endpoint outside the budget, this many times.
+/// Answers "leaving" and "overloaded" and calls on a stale connection cost no endpoint time and are followed
+/// by another attempt outside the budget, this many times.
 constexpr int max_redirects = 8;
 
+/// Pause after an endpoint said that it is overloaded, doubled by each further one of the same stage.
+constexpr duration overload_pause{10};
+
 http::request make_stage_request(const stage_work& work, const std::string& call_id, time_point now)
 {
     return to_request(stage_call{call_id, work.stage, work.input, work.deadline - now});
@@ -72,14 +78,20 @@
     int number{0};
     int retries{0};
     int redirects{0};
+    http::reuse policy{http::reuse::pooled};
 
     std::string next_call_id(const stage_work& work)
     {
         return fmt::format("{}-{}", work.call_base, number++);
     }
 
-    void exclude(const membership::endpoint& it)
+    /// Prepares the next attempt. After a stale connection the same endpoint may be tried again, on a fresh
+    /// one.
+    void follow(const membership::endpoint& it, const http::call_error& transport)
     {
+        policy = transport.stale ? http::reuse::fresh : http::reuse::pooled;
+        if (transport.stale)
+            return;
         wanted.tried.push_back(it.id);
         wanted.avoid_domain = domain_number(it.failure_domain);
     }
@@ -99,7 +111,7 @@
         slot.finish(routing::outcome::success, work.expected_ms, now);
         return;
     }
-    if (kind == answer_kind::cancelled) {
+    if (kind == answer_kind::cancelled || transport.stale) {
         slot.finish(routing::outcome::cancelled, work.expected_ms, now);
         return;
     }
@@ -123,12 +135,13 @@
     slot.finish(routing::outcome::failed, work.expected_ms, now);
 }
 
-bool stage_runner::may_retry(const stage_work& work, answer_kind kind, attempts& tries)
+bool stage_runner::may_retry(const stage_work& work, answer_kind kind, const http::call_error& transport,
+                             attempts& tries)
 {
     if (kind == answer_kind::refused_input || kind == answer_kind::cancelled ||
         boot_clock::now() >= work.deadline)
         return false;
-    if (kind == answer_kind::leaving)
+    if (kind == answer_kind::leaving || kind == answer_kind::overloaded || transport.stale)
         return ++tries.redirects <= max_redirects;
     return ++tries.retries <= max_retries && table_.try_retry(work.label);
 }
@@ -136,7 +149,7 @@
 awaitable<std::optional<std::string>> stage_runner::run(const stage_work& work, request_maker make,
                                                         answer_reader read, request_error& error)
 {
-    attempts tries{{work.pool, 0, true, {}, {}}};
+    attempts tries{{work.pool, 0, true, {}, {}}, 0, 0, 0, http::reuse::pooled};
     error = {errc::not_run, fmt::format("no endpoint of pool '{}' is available", work.pool), execution::no};
     table_.first_attempt(work.label);
     while (auto slot = table_.acquire(tries.wanted, boot_clock::now())) {
@@ -146,7 +159,7 @@
         const http::address to = address_of(slot->endpoint());
         const http::request message = make(work, call_id, now);
         const time_point give_up = std::min(work.deadline, now + work.timeout);
-        const auto reply = co_await client_.call(to, message, give_up, http::reuse::pooled, transport);
+        const auto reply = co_await client_.call(to, message, give_up, tries.policy, transport);
         endpoint_answer answer;
         if (reply)
             answer = read(*reply, call_id);
@@ -158,12 +171,15 @@
                 table_.first_attempt_succeeded(work.label);
             co_return std::move(answer.value);
         }
-        tries.exclude(slot->endpoint());
+        tries.follow(slot->endpoint(), transport);
         error = error_of(answer, transport, work.deadline, boot_clock::now());
-        const bool again = may_retry(work, answer.kind, tries);
+        const bool again = may_retry(work, answer.kind, transport, tries);
         conclude(*slot, work, answer.kind, transport, again ? spent::retried : spent::abandoned);
         if (!again)
             break;
+        slot.reset();
+        if (answer.kind == answer_kind::overloaded)
+            co_await sleep_for(overload_pause * (1 << std::min(tries.redirects, max_redirects)));
     }
     co_return std::nullopt;
 }
@@ -195,7 +211,8 @@
 /// One stream from one endpoint.
 awaitable<endpoint_answer> stage_runner::stream_once(call_slot& slot, const stage_work& work,
                                                      const std::string& call_id, const token_sink& sink,
-                                                     progress& done, http::call_error& transport)
+                                                     http::reuse policy, progress& done,
+                                                     http::call_error& transport)
 {
     using kind = generation_event::kind;
     const generation_call call{call_id,         work.model,    work.input,
@@ -203,7 +220,7 @@
     const auto token_deadline = [&] { return std::min(work.deadline, boot_clock::now() + work.timeout); };
     const http::address to = address_of(slot.endpoint());
     const http::request message = to_request(call);
-    auto stream = co_await client_.open(to, message, token_deadline(), http::reuse::pooled, transport);
+    auto stream = co_await client_.open(to, message, token_deadline(), policy, transport);
     if (!stream)
         co_return answer_of(answer_kind::failed, transport.reason);
     if (stream->status() != 200) {
@@ -243,22 +260,25 @@
         const std::string call_id = tries.next_call_id(work);
         http::call_error transport;
         const std::int64_t before = done.position;
-        const auto answer = co_await stream_once(*slot, work, call_id, sink, done, transport);
+        const auto answer = co_await stream_once(*slot, work, call_id, sink, tries.policy, done, transport);
         if (answer.kind == answer_kind::ok) {
             conclude(*slot, work, answer.kind, transport, spent::useful);
             if (tries.number == 1)
                 table_.first_attempt_succeeded(work.label);
             co_return done.position;
         }
-        tries.exclude(slot->endpoint());
+        tries.follow(slot->endpoint(), transport);
         error = error_of(answer, transport, work.deadline, boot_clock::now());
-        const bool again = may_retry(work, answer.kind, tries);
+        const bool again = may_retry(work, answer.kind, transport, tries);
         counters_.resumed_streams += again && done.position > before ? 1 : 0;
         // The tokens of a broken stream were delivered, so its time counts as useful once it brought one.
         const spent lost = again ? spent::retried : spent::abandoned;
         conclude(*slot, work, answer.kind, transport, done.position > before && again ? spent::useful : lost);
         if (!again)
             break;
+        slot.reset();
+        if (answer.kind == answer_kind::overloaded)
+            co_await sleep_for(overload_pause * (1 << std::min(tries.redirects, max_redirects)));
     }
     co_return std::nullopt;
 }
