State the coroutine fault of g++ 12 as reduced cases show it

The comments said that any await inside an if, loop or try is affected. Reduced cases show that only an await in a condition is, and only when no local variable is declared.

--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -54,10 +54,10 @@
     return errc::closed;
 }
 
-// Two faults of g++ 12 shape the coroutines here. It drops the body of a coroutine that awaits inside an if,
-// loop or try and has no local variable in its outermost block, so each declares one there. It evaluates the
-// co_await of a loop condition such as `ok && co_await f()` even when ok is false, so loops await in their
-// bodies.
+// Two faults of g++ 12 shape the coroutines here. It drops the body of a coroutine that awaits in the
+// condition of an if, switch or loop and declares no local variable, so each declares one in its outermost
+// block. It evaluates the co_await of a loop condition such as `ok && co_await f()` even when ok is false, so
+// loops await in their bodies.
 
 /// One request on one connection, and its answer. A connection leaves an exchange only through release(),
 /// after an answer that was read to its end; otherwise the exchange closes it.
--- a/lib/http/connection.cpp
+++ b/lib/http/connection.cpp
@@ -62,10 +62,10 @@
 
 constexpr std::string_view continue_text = "HTTP/1.1 100 Continue\r\n\r\n";
 
-// Two faults of g++ 12 shape the coroutines here. It drops the body of a coroutine that awaits inside an if,
-// loop or try and has no local variable in its outermost block, so each declares one there. It evaluates the
-// co_await of a loop condition such as `ok && co_await f()` even when ok is false, so loops await in their
-// bodies.
+// Two faults of g++ 12 shape the coroutines here. It drops the body of a coroutine that awaits in the
+// condition of an if, switch or loop and declares no local variable, so each declares one in its outermost
+// block. It evaluates the co_await of a loop condition such as `ok && co_await f()` even when ok is false, so
+// loops await in their bodies.
 
 /// A request that the listener refuses without running it.
 struct refusal {
