Test claims over six real processes under freezes, kills, replaced owners, endpoint faults and cuts

The claim protocol was tested as a pure module only. The tests run the real processes and compare every attempt's answer with the records of the endpoints: a key runs at most once, and "not run" is never said of a key that ran. The fleet can thaw replaced processes, reads all pages of the runs, and never signals an ended process (an id of -1 would address every process).

--- /dev/null
+++ b/test/claims_test.cpp
@@ -0,0 +1,301 @@
+#include "fleet/booking_log.hpp"
+#include "fleet/fleet.hpp"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+#include <testkit/outputs.hpp>
+
+#include <algorithm>
+
+using namespace limpetlock;
+using limpetlock::test::booking_log;
+using limpetlock::test::booking_totals;
+using limpetlock::test::fleet;
+using nlohmann::json;
+
+namespace {
+
+/// Makes a booking take about half a second, so that a fault hits it while the endpoint works.
+constexpr double half_a_second = 120;
+
+/// Makes a booking take about 1.5 s, beyond its timeout of 1 s.
+constexpr double beyond_timeout = 300;
+
+constexpr duration recovery_patience{30'000};
+
+void assert_kept(const booking_totals& it)
+{
+    cr_assert(it.faults.empty(), "%s", it.faults.empty() ? "" : it.faults.front().c_str());
+}
+
+void slow_down(const fleet& it, double factor)
+{
+    it.endpoint_fault({{"pool", "dispatch"}, {"slow", factor}});
+}
+
+void clear_faults(const fleet& it)
+{
+    it.endpoint_fault({{"pool", "dispatch"}, {"clear", true}});
+}
+
+void start_fleet(const fleet& it)
+{
+    cr_assert(it.wait_ready());
+    cr_assert(it.wait_claims(false));
+}
+
+/// Starts first attempts and waits until all of them have reached an endpoint.
+void start_in_flight(const fleet& it, booking_log& log, std::size_t instance,
+                     const std::vector<std::string>& keys)
+{
+    const auto wanted = test::booking_calls(it) + static_cast<std::int64_t>(keys.size());
+    log.start_all(instance, keys, 1);
+    cr_assert(it.wait_until([&] { return test::booking_calls(it) >= wanted; }));
+    cr_assert(test::running_bookings(it) > 0, "the endpoints were done before the fault");
+}
+
+bool has_run(const fleet& it, const std::vector<std::string>& keys)
+{
+    const json page = it.runs();
+    return std::all_of(keys.begin(), keys.end(),
+                       [&](const std::string& key) { return page["keys"].contains(key); });
+}
+
+} // namespace
+
+// Guards against a second run, and a false "not run", when a caller retries elsewhere while the instance that
+// holds the call is frozen. Each owner has keys; the frozen instance owns some of them.
+Test(claims, holder_frozen, .timeout = 120)
+{
+    fleet it;
+    start_fleet(it);
+    booking_log log(it);
+    const auto keys = test::keys_of_all(it, "frozen", 2);
+    slow_down(it, half_a_second);
+    start_in_flight(it, log, 0, keys);
+    it.freeze(0);
+    log.send_all(1, keys, 2);
+    log.send_all(2, keys, 3);
+    it.thaw(0);
+    log.finish();
+    log.send_all(3, keys, 4);
+    const auto totals = log.check("holder frozen");
+    assert_kept(totals);
+    cr_assert_eq(totals.most_executions, 1);
+}
+
+// Guards against an attempt that waits in the socket of a frozen instance and runs after the thaw, although a
+// retry of it was answered or told "not run" meanwhile.
+Test(claims, holder_frozen_before_it_asks, .timeout = 120)
+{
+    fleet it;
+    start_fleet(it);
+    booking_log log(it);
+    const auto keys = test::keys_of_all(it, "early", 2);
+    it.freeze(0);
+    log.start_all(0, keys, 1);
+    log.send_all(1, keys, 2);
+    it.thaw(0);
+    log.finish();
+    log.send_all(2, keys, 3);
+    assert_kept(log.check("holder frozen before it asks"));
+}
+
+// Guards against a second run, and a false "not run", when the instance that holds the call dies.
+Test(claims, holder_killed, .timeout = 120)
+{
+    fleet it;
+    start_fleet(it);
+    booking_log log(it);
+    const auto keys = test::keys_of_all(it, "killed", 2);
+    slow_down(it, half_a_second);
+    start_in_flight(it, log, 0, keys);
+    it.kill(0);
+    log.send_all(1, keys, 2);
+    it.start(0);
+    log.send_all(2, keys, 3);
+    cr_assert(it.wait_claims(false));
+    log.send_all(3, keys, 4);
+    assert_kept(log.check("holder killed"));
+}
+
+// Guards against a second grant when the owner of the key wakes up after the retry: the owner is frozen while
+// the call is in flight, and no other process takes its place.
+Test(claims, owner_frozen, .timeout = 120)
+{
+    fleet it;
+    start_fleet(it);
+    booking_log log(it);
+    const auto keys = test::keys_of_owner(it, 4, "owner-frozen", 6);
+    slow_down(it, half_a_second);
+    start_in_flight(it, log, 0, keys);
+    it.freeze(4);
+    log.send_all(1, keys, 2);
+    it.thaw(4);
+    log.finish();
+    cr_assert(log.send_until_answered(keys, 3, recovery_patience));
+    assert_kept(log.check("owner frozen"));
+}
+
+// Guards against a new owner that knows no record and grants a key again: the owner is killed while the call
+// is in flight and started again at its old address.
+Test(claims, owner_killed, .timeout = 120)
+{
+    fleet it;
+    start_fleet(it);
+    booking_log log(it);
+    const auto keys = test::keys_of_owner(it, 4, "owner-killed", 6);
+    slow_down(it, half_a_second);
+    start_in_flight(it, log, 0, keys);
+    it.kill(4);
+    log.send_all(1, keys, 2);
+    it.start(4);
+    log.send_all(2, keys, 3);
+    cr_assert(it.wait_claims(false));
+    log.send_all(3, keys, 4);
+    assert_kept(log.check("owner killed"));
+}
+
+// Guards against two owners of one key: the owner is frozen while the call is in flight and replaced under
+// its name at a new address; the old process wakes up later with requests in its sockets and still believes
+// in its lease.
+Test(claims, owner_replaced_while_frozen, .timeout = 120)
+{
+    fleet it;
+    start_fleet(it);
+    booking_log log(it);
+    const auto keys = test::keys_of_owner(it, 4, "replaced", 6);
+    const auto late = test::keys_of_owner(it, 4, "replaced-late", 6);
+    slow_down(it, half_a_second);
+    start_in_flight(it, log, 0, keys);
+    it.freeze(4);
+    log.start_all(4, late, 1);
+    log.send_all(1, keys, 2);
+    it.replace_elsewhere(4);
+    log.send_all(2, keys, 3);
+    cr_assert(it.wait_ready());
+    cr_assert(it.wait_claims(false));
+    clear_faults(it);
+    log.send_all(3, late, 2);
+    it.thaw_replaced();
+    log.send_all(2, late, 3);
+    log.finish();
+    log.send_all(3, keys, 4);
+    log.send_all(5, late, 4);
+    const auto fresh = test::keys_of_owner(it, 4, "replaced-fresh", 6);
+    log.send_all(5, fresh, 1);
+    cr_assert(has_run(it, fresh), "the replacement grants no first attempts");
+    assert_kept(log.check("owner replaced while frozen"));
+}
+
+// Guards against two grants to retries that reach different instances at the same moment, before, while and
+// after the first attempt runs.
+Test(claims, retries_at_once, .timeout = 120)
+{
+    fleet it;
+    start_fleet(it);
+    booking_log log(it);
+    const auto keys = test::keys_of_all(it, "at-once", 2);
+    slow_down(it, half_a_second / 4);
+    for (std::size_t n = 0; n < it.size(); ++n)
+        log.start_all(n, keys, static_cast<int>(n) + 1);
+    log.finish();
+    log.send_all(1, keys, 7);
+    const auto totals = log.check("retries at once");
+    assert_kept(totals);
+    cr_assert_eq(totals.answered, keys.size());
+}
+
+// Guards against a second booking under a key with another body, and against the answer of one body for
+// another.
+Test(claims, another_body, .timeout = 120)
+{
+    fleet it;
+    start_fleet(it);
+    for (std::size_t n = 0; n < it.size(); ++n) {
+        const auto key = test::keys_of_owner(it, n, "body", 1).front();
+        const auto first = it.book(0, key, 1, {{"truck", 1}});
+        cr_assert_eq(first.status, 200, "%s", first.body.c_str());
+        const auto other = it.book(1, key, 2, {{"truck", 2}});
+        cr_assert_eq(other.status, 409, "%s", other.body.c_str());
+        cr_assert_eq(other.code(), "key_reused", "%s", other.body.c_str());
+        const auto again = it.book(2, key, 3, {{"truck", 1}});
+        cr_assert_eq(again.json()["result"], testkit::service_result("book", {{"truck", 1}}));
+        cr_assert_eq(it.executions(key), 1);
+    }
+}
+
+// Guards against a second run, and a "not run", of a booking whose endpoint runs it and closes before the
+// answer.
+Test(claims, endpoint_dies_after_the_call, .timeout = 120)
+{
+    fleet it;
+    start_fleet(it);
+    booking_log log(it);
+    const auto keys = test::keys_of_all(it, "after", 2);
+    it.endpoint_fault({{"pool", "dispatch"}, {"die_after", 1.0}});
+    log.send_all(0, keys, 1);
+    cr_assert(has_run(it, keys));
+    clear_faults(it);
+    log.send_all(1, keys, 2);
+    log.send_all(2, keys, 3);
+    const auto totals = log.check("endpoint dies after the call");
+    assert_kept(totals);
+    cr_assert_eq(totals.unknown, keys.size());
+}
+
+// Guards against a "not run", or a repeated call, after a request left for an endpoint that closes before it
+// runs it: the instance can't know that the call did not run.
+Test(claims, endpoint_dies_before_the_call, .timeout = 120)
+{
+    fleet it;
+    start_fleet(it);
+    booking_log log(it);
+    const auto keys = test::keys_of_all(it, "before", 2);
+    it.endpoint_fault({{"pool", "dispatch"}, {"die_before", 1.0}});
+    log.send_all(0, keys, 1);
+    clear_faults(it);
+    log.send_all(1, keys, 2);
+    const auto totals = log.check("endpoint dies before the call");
+    assert_kept(totals);
+    cr_assert_eq(totals.unknown, keys.size());
+    cr_assert_eq(totals.most_executions, 0);
+}
+
+// Guards against bookings on kept connections: an endpoint that closes them under the next request's first
+// byte would leave the outcome unknown. Lookups keep connections first.
+Test(claims, endpoint_closes_idle_connections, .timeout = 120)
+{
+    fleet it;
+    start_fleet(it);
+    booking_log log(it);
+    for (int n = 0; n < 20; ++n)
+        cr_assert_eq(it.post(0, "/v1/services/dispatch/lookup", {{"truck", n}}).status, 200);
+    it.endpoint_fault({{"pool", "dispatch"}, {"close_idle", true}});
+    const auto keys = test::keys_of_all(it, "idle", 2);
+    log.send_all(0, keys, 1);
+    const auto totals = log.check("endpoint closes idle connections");
+    assert_kept(totals);
+    cr_assert_eq(totals.answered, keys.size());
+}
+
+// Guards against the loss of an answer that comes after the caller's timeout: the caller is told "unknown",
+// and its next attempt gets the answer without a second run.
+Test(claims, endpoint_answers_late, .timeout = 120)
+{
+    fleet it;
+    start_fleet(it);
+    booking_log log(it);
+    const auto keys = test::keys_of_all(it, "late", 2);
+    slow_down(it, beyond_timeout);
+    for (const auto& key : keys)
+        log.start(test::owner_of(it, key), key, 1);
+    log.finish();
+    cr_assert_eq(log.answered(), 0U, "the endpoints are not slow enough");
+    cr_assert(it.wait_until([&] { return has_run(it, keys); }));
+    clear_faults(it);
+    cr_assert(log.send_until_answered(keys, 2, recovery_patience));
+    const auto totals = log.check("endpoint answers late");
+    assert_kept(totals);
+    cr_assert_eq(totals.answered, keys.size());
+}
--- /dev/null
+++ b/test/fleet/booking_log.cpp
@@ -0,0 +1,278 @@
+#include "booking_log.hpp"
+
+#include <limpetlock/support/hash.hpp>
+
+#include <fmt/format.h>
+#include <testkit/outputs.hpp>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace limpetlock::test {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr duration pause_between_attempts{100};
+constexpr duration key_patience{8'000};
+
+/// Callers give up on an instance that is frozen.
+constexpr duration caller_patience{3'000};
+constexpr std::int64_t idle_ms = 1'000;
+constexpr auto team = "plant-01";
+
+const json body{{"truck", 1}};
+
+std::string describe(const booking_attempt& it)
+{
+    return fmt::format("{} attempt {} at {} [{}..{}]: {} {}", it.key, it.number, it.instance, it.sent_ms,
+                       it.received_ms, it.reply.status, it.reply.body + it.reply.failure);
+}
+
+bool refused(const booking_attempt& it)
+{
+    return it.reply.ran() == "no";
+}
+
+/// A refusal is true although the key ran when another attempt, sent later, ran it.
+bool false_refusal(const booking_attempt& it, const std::vector<booking_attempt>& of_key)
+{
+    return refused(it) && std::none_of(of_key.begin(), of_key.end(), [&](const booking_attempt& other) {
+               return other.sent_ms > it.sent_ms && !refused(other);
+           });
+}
+
+std::int64_t sum_of_dispatch(const fleet& it, const char* total)
+{
+    std::int64_t n = 0;
+    const json page = it.run_totals();
+    for (const auto& name : it.endpoint_names("dispatch"))
+        n += page["totals"][name].value(total, std::int64_t{0});
+    return n;
+}
+
+void check_key(const std::string& key, const std::vector<booking_attempt>& of_key, std::int64_t executions,
+               booking_totals& out)
+{
+    const auto last = std::max_element(of_key.begin(), of_key.end(), [](const auto& a, const auto& b) {
+        return a.received_ms < b.received_ms;
+    });
+    const bool answered = std::any_of(of_key.begin(), of_key.end(),
+                                      [](const booking_attempt& it) { return it.reply.status == 200; });
+    ++out.keys;
+    ++(answered ? out.answered : refused(*last) ? out.refused : out.unknown);
+    out.most_executions = std::max(out.most_executions, executions);
+    std::string story;
+    for (const auto& it : of_key)
+        story += "\n  " + describe(it);
+    if (executions > 1)
+        out.faults.push_back(fmt::format("{} ran {} times:{}", key, executions, story));
+    if (answered && executions == 0)
+        out.faults.push_back(fmt::format("{} was answered and did not run:{}", key, story));
+    for (const auto& it : of_key) {
+        if (it.reply.status == 200 && it.reply.json()["result"] != testkit::service_result("book", body))
+            out.faults.push_back(fmt::format("{} has the answer of another call:{}", key, story));
+        const bool as_last = &it == &*last && refused(it);
+        if (executions > 0 && (as_last || false_refusal(it, of_key))) {
+            out.false_refusals.push_back(key);
+            out.faults.push_back(fmt::format("{} ran and was refused as not run:{}", key, story));
+            break;
+        }
+    }
+}
+
+} // namespace
+
+booking_log::booking_log(fleet& it) : fleet_(it) {}
+
+booking_log::~booking_log()
+{
+    stop_callers();
+    finish();
+}
+
+answer booking_log::send(std::size_t instance, const std::string& key, int number, duration patience)
+{
+    booking_attempt it{key, instance, number, to_ms(boot_clock::now()), 0, {}};
+    it.reply = fleet_.book(instance, key, number, body, patience);
+    it.received_ms = to_ms(boot_clock::now());
+    const std::lock_guard lock(mutex_);
+    attempts_.push_back(it);
+    return it.reply;
+}
+
+void booking_log::start(std::size_t instance, const std::string& key, int number)
+{
+    running_.emplace_back([=, this] { send(instance, key, number); });
+}
+
+void booking_log::start_all(std::size_t instance, const std::vector<std::string>& keys, int number)
+{
+    for (const auto& it : keys)
+        start(instance, it, number);
+}
+
+void booking_log::send_all(std::size_t instance, const std::vector<std::string>& keys, int number)
+{
+    std::vector<std::thread> threads;
+    for (const auto& it : keys)
+        threads.emplace_back([=, this] { send(instance, it, number); });
+    for (auto& it : threads)
+        it.join();
+}
+
+bool booking_log::send_until_answered(const std::vector<std::string>& keys, int number, duration patience)
+{
+    std::vector<std::string> left = keys;
+    return fleet_.wait_until(
+        [&] {
+            std::erase_if(left, [&](const std::string& it) {
+                return send(static_cast<std::size_t>(number) % fleet_.size(), it, number).status == 200;
+            });
+            ++number;
+            return left.empty();
+        },
+        patience);
+}
+
+void booking_log::finish()
+{
+    for (auto& it : running_)
+        it.join();
+    running_.clear();
+}
+
+void booking_log::start_callers(const std::vector<std::size_t>& instances, int callers,
+                                const std::string& prefix)
+{
+    for (int n = 0; n < callers; ++n)
+        callers_.emplace_back([=, this] {
+            for (std::size_t i = 0; !stopping_; ++i)
+                call_until_settled(instances, i + static_cast<std::size_t>(n),
+                                   fmt::format("{}-{}-{}", prefix, n, i));
+        });
+}
+
+void booking_log::call_until_settled(const std::vector<std::size_t>& instances, std::size_t at,
+                                     const std::string& key)
+{
+    const time_point give_up = boot_clock::now() + key_patience;
+    for (int number = 1; number == 1 || boot_clock::now() < give_up; ++number) {
+        const answer it = send(instances[at++ % instances.size()], key, number, caller_patience);
+        std::this_thread::sleep_for(pause_between_attempts);
+        if (it.status == 200 || it.ran() == "no")
+            return;
+    }
+}
+
+void booking_log::stop_callers()
+{
+    stopping_ = true;
+    for (auto& it : callers_)
+        it.join();
+    callers_.clear();
+    stopping_ = false;
+}
+
+std::size_t booking_log::answered() const
+{
+    const std::lock_guard lock(mutex_);
+    return static_cast<std::size_t>(std::count_if(attempts_.begin(), attempts_.end(),
+                                                  [](const auto& it) { return it.reply.status == 200; }));
+}
+
+std::size_t booking_log::attempts() const
+{
+    const std::lock_guard lock(mutex_);
+    return attempts_.size();
+}
+
+void booking_log::wait_idle()
+{
+    std::int64_t since = to_ms(boot_clock::now());
+    std::int64_t newest = -1;
+    fleet_.wait_until([&] {
+        const auto now = to_ms(boot_clock::now());
+        const auto seen = fleet_.run_totals()["newest"].get<std::int64_t>();
+        if (seen != newest || running_bookings(fleet_) > 0)
+            since = now;
+        newest = seen;
+        return now - since >= idle_ms;
+    });
+}
+
+booking_totals booking_log::check(const std::string& title)
+{
+    stop_callers();
+    finish();
+    wait_idle();
+    std::map<std::string, std::int64_t> executions;
+    const json page = fleet_.runs();
+    booking_totals out;
+    for (const auto& it : page["runs"])
+        if (it.value("call", "") == "book" && it.value("done", false))
+            ++executions[it.value("key", "")];
+    std::map<std::string, std::vector<booking_attempt>> by_key;
+    for (const auto& it : attempts_)
+        by_key[it.key].push_back(it);
+    for (const auto& [key, of_key] : by_key)
+        check_key(key, of_key, executions[key], out);
+    fmt::print(stderr,
+               "{}: keys {}, answered {}, unknown {}, refused {}, executions per key at most {}, false \"not "
+               "run\" {}\n",
+               title, out.keys, out.answered, out.unknown, out.refused, out.most_executions,
+               out.false_refusals.size());
+    for (const auto& it : out.faults)
+        fmt::print(stderr, "{}: {}\n", title, it);
+    return out;
+}
+
+std::size_t owner_of(const fleet& it, const std::string& key)
+{
+    return hash64(key, hash64(team)) % it.size();
+}
+
+std::vector<std::string> keys_of_owner(const fleet& it, std::size_t owner, const std::string& prefix,
+                                       std::size_t count)
+{
+    std::vector<std::string> out;
+    for (int n = 0; out.size() < count; ++n) {
+        std::string key = fmt::format("{}-{}", prefix, n);
+        if (owner_of(it, key) == owner)
+            out.push_back(std::move(key));
+    }
+    return out;
+}
+
+std::vector<std::string> keys_of_all(const fleet& it, const std::string& prefix, std::size_t of_each)
+{
+    std::vector<std::string> out;
+    for (std::size_t n = 0; n < it.size(); ++n)
+        for (auto& key : keys_of_owner(it, n, fmt::format("{}-{}", prefix, n), of_each))
+            out.push_back(std::move(key));
+    return out;
+}
+
+json claims_state(const fleet& it, std::size_t instance)
+{
+    const json state = it.state(instance);
+    return state.is_object() ? state.value("claims", json::object()) : json::object();
+}
+
+bool holds_lease(const fleet& it, std::size_t instance)
+{
+    return claims_state(it, instance).value("lease_held", false);
+}
+
+std::int64_t running_bookings(const fleet& it)
+{
+    return sum_of_dispatch(it, "running");
+}
+
+std::int64_t booking_calls(const fleet& it)
+{
+    return sum_of_dispatch(it, "calls");
+}
+
+} // namespace limpetlock::test
--- /dev/null
+++ b/test/fleet/booking_log.hpp
@@ -0,0 +1,98 @@
+/// \file
+/// Records every attempt at a booking and compares the answers with what the endpoints ran.
+#pragma once
+
+#include "fleet.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace limpetlock::test {
+
+struct booking_attempt {
+    std::string key;
+    std::size_t instance{0};
+    int number{0};
+    std::int64_t sent_ms{0};
+    std::int64_t received_ms{0};
+    answer reply;
+};
+
+/// Bookings by their last outcome, and the broken promises.
+struct booking_totals {
+    std::size_t keys{0};
+    std::size_t answered{0};
+    std::size_t unknown{0}; ///< no answer, "outcome_unknown" or "in_progress"
+    std::size_t refused{0}; ///< "not run"
+    std::int64_t most_executions{0};
+    std::vector<std::string> false_refusals;
+    std::vector<std::string> faults; ///< double runs, false refusals, wrong or invented answers
+};
+
+class booking_log {
+public:
+    explicit booking_log(fleet& it);
+    ~booking_log();
+    booking_log(const booking_log&) = delete;
+    booking_log& operator=(const booking_log&) = delete;
+
+    /// One attempt; waits for the answer.
+    answer send(std::size_t instance, const std::string& key, int number,
+                duration patience = duration{10'000});
+    /// One attempt that goes on while the test does.
+    void start(std::size_t instance, const std::string& key, int number);
+    void start_all(std::size_t instance, const std::vector<std::string>& keys, int number);
+    /// Attempts for all keys at once; waits for the answers.
+    void send_all(std::size_t instance, const std::vector<std::string>& keys, int number);
+    /// Repeats all keys at the instances in turn until each has its answer.
+    bool send_until_answered(const std::vector<std::string>& keys, int number, duration patience);
+    /// Waits for the attempts that go on.
+    void finish();
+
+    /// Starts callers that book with new keys at these instances, and repeat a key at the next instance until
+    /// it is answered or refused.
+    void start_callers(const std::vector<std::size_t>& instances, int callers, const std::string& prefix);
+    void stop_callers();
+    std::size_t answered() const;
+    std::size_t attempts() const;
+
+    /// Ends everything, waits until the endpoints are idle, prints the totals and returns them.
+    booking_totals check(const std::string& title);
+
+private:
+    void call_until_settled(const std::vector<std::size_t>& instances, std::size_t at,
+                            const std::string& key);
+    void wait_idle();
+
+    fleet& fleet_;
+    mutable std::mutex mutex_;
+    std::vector<booking_attempt> attempts_;
+    std::vector<std::thread> running_;
+    std::vector<std::thread> callers_;
+    std::atomic<bool> stopping_{false};
+};
+
+/// The instance that owns a key of the first team; all instances are owners, in their order.
+std::size_t owner_of(const fleet& it, const std::string& key);
+
+/// Keys with a prefix whose owner is the given instance.
+std::vector<std::string> keys_of_owner(const fleet& it, std::size_t owner, const std::string& prefix,
+                                       std::size_t count);
+
+/// As many keys of each owner.
+std::vector<std::string> keys_of_all(const fleet& it, const std::string& prefix, std::size_t of_each);
+
+/// What an instance shows of its claims; an empty object when it doesn't answer.
+nlohmann::json claims_state(const fleet& it, std::size_t instance);
+bool holds_lease(const fleet& it, std::size_t instance);
+
+/// Calls that the endpoints of the booked service run now.
+std::int64_t running_bookings(const fleet& it);
+/// Calls that the endpoints of the booked service have received.
+std::int64_t booking_calls(const fleet& it);
+
+} // namespace limpetlock::test
--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -21,6 +21,8 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <limits>
+#include <mutex>
 #include <stdexcept>
 #include <thread>
 
@@ -70,7 +72,8 @@
 struct process {
     std::string name;
     std::string failure_domain;
-    std::uint16_t caller{0};
+    std::uint16_t caller{
+        0}; ///< guarded by the mutex of the fleet: callers run while a test replaces processes
     std::uint16_t admin{0};
     std::uint16_t peer{0};
     std::uint16_t listed_peer{0};
@@ -216,7 +219,10 @@
 
     void take_address(process& it)
     {
-        it.caller = free_port();
+        {
+            const std::lock_guard lock(mutex);
+            it.caller = free_port();
+        }
         it.admin = free_port();
         it.peer = free_port();
         it.listed_peer = relay.add(it.name, it.peer);
@@ -308,7 +314,24 @@
         ::_exit(127);
     }
 
-    void signal(std::size_t instance, int number) { ::kill(processes.at(instance).pid, number); }
+    json runs_after(std::int64_t number)
+    {
+        return control(endpoints.control_port(), fmt::format("/control/runs?after={}", number), nullptr);
+    }
+
+    std::uint16_t caller_port(std::size_t instance)
+    {
+        const std::lock_guard lock(mutex);
+        return processes.at(instance).caller;
+    }
+
+    /// Does nothing when the process has ended: a process id of -1 would address every process.
+    void signal(std::size_t instance, int number)
+    {
+        const pid_t pid = processes.at(instance).pid;
+        if (pid > 0)
+            ::kill(pid, number);
+    }
 
     std::optional<int> reap(process& it, int options_of_wait)
     {
@@ -363,8 +386,10 @@
     std::filesystem::path directory;
     json listed = json::array();
     std::map<std::string, std::vector<std::string>> names_by_pool;
+    std::mutex mutex;
     std::vector<process> processes;
     std::vector<pid_t> all_pids;
+    std::vector<pid_t> replaced;
 };
 
 fleet::fleet(fleet_options options) : impl_(std::make_unique<impl>(std::move(options)))
@@ -426,23 +451,30 @@
 void fleet::replace_elsewhere(std::size_t instance)
 {
     auto& it = impl_->processes.at(instance);
+    if (it.pid > 0)
+        impl_->replaced.push_back(it.pid);
     impl_->take_address(it);
     impl_->start(it);
     change_instances({{"update", json::array({impl::entry_of(it)})}});
 }
 
+void fleet::thaw_replaced()
+{
+    for (const auto& it : impl_->replaced)
+        ::kill(it, SIGCONT);
+}
+
 answer fleet::post(std::size_t instance, const std::string& target, const json& body, const headers& more,
                    duration patience) const
 {
-    return impl_->call(impl_->processes.at(instance).caller, impl::caller_request(target, body, more),
-                       patience);
+    return impl_->call(impl_->caller_port(instance), impl::caller_request(target, body, more), patience);
 }
 
 std::future<answer> fleet::post_async(std::size_t instance, std::string target, json body, headers more,
                                       duration patience) const
 {
     return asio::co_spawn(impl_->callers.context,
-                          exchange(impl_->client, impl_->processes.at(instance).caller,
+                          exchange(impl_->client, impl_->caller_port(instance),
                                    impl::caller_request(target, body, more), patience),
                           asio::use_future);
 }
@@ -452,7 +484,7 @@
 {
     const json body{{"input", input}, {"max_tokens", max_tokens}, {"stream", true}};
     return asio::co_spawn(impl_->callers.context,
-                          read_stream(impl_->client, impl_->processes.at(instance).caller,
+                          read_stream(impl_->client, impl_->caller_port(instance),
                                       impl::caller_request("/v1/pipelines/" + pipeline, body, {})),
                           asio::use_future);
 }
@@ -518,7 +550,20 @@
 
 json fleet::runs() const
 {
-    return impl_->control(impl_->endpoints.control_port(), "/control/runs?after=0", nullptr);
+    json out = impl_->runs_after(0);
+    while (out["next"] < out["newest"]) {
+        const json page = impl_->runs_after(out["next"].get<std::int64_t>());
+        out["runs"].insert(out["runs"].end(), page["runs"].begin(), page["runs"].end());
+        out["keys"].update(page["keys"]);
+        for (const char* name : {"next", "newest", "totals"})
+            out[name] = page[name];
+    }
+    return out;
+}
+
+json fleet::run_totals() const
+{
+    return impl_->runs_after(std::numeric_limits<std::int64_t>::max() - 1);
 }
 
 std::int64_t fleet::executions(const std::string& key) const
--- a/test/fleet/fleet.hpp
+++ b/test/fleet/fleet.hpp
@@ -75,6 +75,8 @@
     /// Starts a second process under the same name at a new address, as a platform does that believes the
     /// first one dead, and lists it in place of the first.
     void replace_elsewhere(std::size_t instance);
+    /// Lets the processes go on that replace_elsewhere has replaced.
+    void thaw_replaced();
 
     // Calls.
     answer post(std::size_t instance, const std::string& target, const nlohmann::json& body,
@@ -98,6 +100,8 @@
     void endpoint_fault(const nlohmann::json& fault) const;
     nlohmann::json document() const;
     nlohmann::json runs() const;
+    /// The totals of the endpoints and the number of the newest run, without the runs.
+    nlohmann::json run_totals() const;
     /// How often the call with a key ran to its end.
     std::int64_t executions(const std::string& key) const;
     std::vector<std::string> endpoint_names(const std::string& pool) const;
--- /dev/null
+++ b/test/partition_test.cpp
@@ -0,0 +1,98 @@
+#include "fleet/booking_log.hpp"
+#include "fleet/fleet.hpp"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+#include <testkit/outputs.hpp>
+
+using namespace limpetlock;
+using limpetlock::test::booking_log;
+using limpetlock::test::booking_totals;
+using limpetlock::test::fleet;
+using nlohmann::json;
+
+namespace {
+
+constexpr duration recovery_patience{60'000};
+
+/// Domain a has the instances 0 and 3 of six.
+const std::vector<std::size_t> domain_a{0, 3};
+const std::vector<std::size_t> others{1, 2, 4, 5};
+
+void assert_kept(const booking_totals& it)
+{
+    cr_assert(it.faults.empty(), "%s", it.faults.empty() ? "" : it.faults.front().c_str());
+}
+
+/// Whether an instance answers a call that is not a booking.
+bool serves_other_work(const fleet& it, std::size_t instance)
+{
+    const json body{{"plant", instance}};
+    const auto out = it.post(instance, "/v1/services/plant-feed/stock", body);
+    return out.status == 200 && out.json()["result"] == testkit::service_result("stock", body);
+}
+
+} // namespace
+
+// Guards against a booking that runs on both sides of a cut, against owners without a majority that still
+// grant, against a cut that stops other work, and against a fleet that doesn't recover.
+Test(partition, domain_cut_off, .timeout = 180)
+{
+    fleet it;
+    cr_assert(it.wait_ready());
+    cr_assert(it.wait_claims(false));
+    booking_log log(it);
+    const auto before = test::keys_of_all(it, "before", 2);
+    const auto during = test::keys_of_all(it, "during", 3);
+    it.endpoint_fault({{"pool", "dispatch"}, {"slow", 40}});
+    log.start_all(0, before, 1);
+    log.start_all(1, before, 2);
+    it.cut(domain_a, others);
+    log.start_all(3, during, 1);
+    log.start_all(4, during, 2);
+    log.finish();
+    cr_assert(it.wait_until([&] { return !test::holds_lease(it, 0) && !test::holds_lease(it, 3); }),
+              "an owner without a majority holds its lease");
+    for (std::size_t n = 0; n < it.size(); ++n)
+        cr_assert(it.wait_until([&] { return serves_other_work(it, n); }), "instance %zu serves nothing", n);
+    const auto granted = test::keys_of_owner(it, 1, "majority", 4);
+    const auto refused = test::keys_of_owner(it, 0, "minority", 4);
+    log.send_all(2, granted, 1);
+    log.send_all(3, refused, 1);
+    for (const auto& key : granted)
+        cr_assert_eq(it.executions(key), 1, "the majority grants nothing");
+    for (const auto& key : refused)
+        cr_assert_eq(it.executions(key), 0, "the minority grants");
+    log.send_all(3, before, 3);
+    log.send_all(5, during, 3);
+    it.heal();
+    log.send_all(0, during, 4);
+    log.send_all(2, before, 4);
+    cr_assert(it.wait_claims(false));
+    const auto after = test::keys_of_all(it, "after", 1);
+    log.send_all(0, after, 1);
+    for (const auto& key : after)
+        cr_assert_eq(it.executions(key), 1, "%s isn't granted after the cut", key.c_str());
+    assert_kept(log.check("domain cut off, both sides ask for the same keys"));
+}
+
+// Guards against double runs and false refusals while callers move between both sides of a cut that comes
+// and heals twice.
+Test(partition, callers_on_both_sides, .timeout = 180)
+{
+    fleet it;
+    cr_assert(it.wait_ready());
+    cr_assert(it.wait_claims(false));
+    booking_log log(it);
+    log.start_callers({0, 1, 3, 4, 2, 5}, 12, "both");
+    for (int n = 0; n < 2; ++n) {
+        it.cut(domain_a, others);
+        cr_assert(it.wait_until([&] { return !test::holds_lease(it, 0) && !test::holds_lease(it, 3); }));
+        const auto answered = log.answered();
+        cr_assert(it.wait_until([&] { return log.answered() > answered + 20; }, recovery_patience),
+                  "the majority grants nothing");
+        it.heal();
+        cr_assert(it.wait_claims(false));
+    }
+    assert_kept(log.check("domain cut off twice under traffic"));
+}
