Give each test fleet a loopback address of its own

The ports of the processes were shared with outgoing connections and with the fleets of other tests. A killed process could not start again when its port was taken, and a fleet could meet another fleet's process: two parallel runs of restart and fault pair tests failed with "not ready" and with another fleet's owner among their own. Each fleet now listens at 127.x.y.z made from the process id; outgoing connections use 127.0.0.1.

--- a/test/fleet/booking_log.cpp
+++ b/test/fleet/booking_log.cpp
@@ -260,6 +260,15 @@
     return state.is_object() ? state.value("claims", json::object()) : json::object();
 }
 
+std::string describe_claims(const fleet& it)
+{
+    std::string out;
+    for (std::size_t n = 0; n < it.size(); ++n)
+        out += fmt::format("\n{}: {} peers {}", it.name(n), claims_state(it, n).dump(),
+                           it.state(n).value("peers", json()).dump());
+    return out;
+}
+
 bool holds_lease(const fleet& it, std::size_t instance)
 {
     return claims_state(it, instance).value("lease_held", false);
--- a/test/fleet/booking_log.hpp
+++ b/test/fleet/booking_log.hpp
@@ -88,6 +88,8 @@
 
 /// What an instance shows of its claims; an empty object when it doesn't answer.
 nlohmann::json claims_state(const fleet& it, std::size_t instance);
+/// The claims of all instances, one a line, for the message of a failed check.
+std::string describe_claims(const fleet& it);
 bool holds_lease(const fleet& it, std::size_t instance);
 
 /// Calls that the endpoints of the booked service run now.
--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -61,11 +61,20 @@
     std::vector<std::thread> threads_;
 };
 
-/// A port that was free a moment ago.
-std::uint16_t free_port()
+/// An address of the loopback network for the processes of this test. On a shared address, the port of a
+/// process that has ended goes to an outgoing connection or to the fleet of another test, and the process
+/// can't start again.
+std::string own_address()
+{
+    const auto pid = static_cast<unsigned>(::getpid());
+    return fmt::format("127.{}.{}.{}", 1 + (pid >> 16U) % 200, (pid >> 8U) % 256, pid % 256);
+}
+
+/// A port of an address that was free a moment ago.
+std::uint16_t free_port(const std::string& address)
 {
     asio::io_context context;
-    const asio::ip::tcp::acceptor it(context, {asio::ip::address_v4::loopback(), 0});
+    const asio::ip::tcp::acceptor it(context, {asio::ip::make_address(address), 0});
     return it.local_endpoint().port();
 }
 
@@ -81,11 +90,10 @@
     pid_t pid{-1};
 };
 
-asio::awaitable<answer> exchange(http::client& client, std::uint16_t port, http::request message,
+asio::awaitable<answer> exchange(http::client& client, http::address to, http::request message,
                                  duration patience)
 {
     http::call_error error;
-    const http::address to{"127.0.0.1", port};
     const auto reply =
         co_await client.call(to, message, boot_clock::now() + patience, http::reuse::fresh, error);
     answer out;
@@ -111,12 +119,11 @@
     }
 }
 
-asio::awaitable<streamed_answer> read_stream(http::client& client, std::uint16_t port, http::request message)
+asio::awaitable<streamed_answer> read_stream(http::client& client, http::address to, http::request message)
 {
     constexpr duration patience{60'000};
     streamed_answer out;
     http::call_error error;
-    const http::address to{"127.0.0.1", port};
     const time_point deadline = boot_clock::now() + patience;
     auto stream = co_await client.open(to, message, deadline, http::reuse::fresh, error);
     if (!stream) {
@@ -153,7 +160,8 @@
 struct fleet::impl {
     explicit impl(fleet_options its_options)
         : options(std::move(its_options)), platform(stand_ins.context, 0), endpoints(stand_ins.context, 0, 1),
-          relay(network.context), client(callers.context.get_executor(), {}), stand_in_thread(start_later)
+          address(own_address()), relay(network.context, address), client(callers.context.get_executor(), {}),
+          stand_in_thread(start_later)
     {
         char pattern[] = "/tmp/limpetlock-test-XXXXXX";
         if (mkdtemp(pattern) == nullptr)
@@ -221,26 +229,26 @@
     {
         {
             const std::lock_guard lock(mutex);
-            it.caller = free_port();
+            it.caller = free_port(address);
         }
-        it.admin = free_port();
-        it.peer = free_port();
+        it.admin = free_port(address);
+        it.peer = free_port(address);
         it.listed_peer = relay.add(it.name, it.peer);
         it.settings = directory / fmt::format("{}-{}.ini", it.name, it.caller);
         std::ofstream out(it.settings);
         out << fmt::format(
-            "[instance]\nname = {}\nfailure_domain = {}\n\n[caller]\nlisten = 127.0.0.1:{}\n\n"
-            "[admin]\nlisten = 127.0.0.1:{}\n\n[peer]\nlisten = 127.0.0.1:{}\n\n"
+            "[instance]\nname = {}\nfailure_domain = {}\n\n[caller]\nlisten = {}:{}\n\n"
+            "[admin]\nlisten = {}:{}\n\n[peer]\nlisten = {}:{}\n\n"
             "[platform]\naddress = 127.0.0.1:{}\n\n[stop]\nbalancer_lag_ms = {}\nlimit_ms = {}\n",
-            it.name, it.failure_domain, it.caller, it.admin, it.peer, platform.port(),
-            options.balancer_lag_ms, options.stop_limit_ms);
+            it.name, it.failure_domain, address, it.caller, address, it.admin, address, it.peer,
+            platform.port(), options.balancer_lag_ms, options.stop_limit_ms);
     }
 
-    static json entry_of(const process& it)
+    json entry_of(const process& it) const
     {
         return {{"name", it.name},
                 {"pool", "entry"},
-                {"address", "127.0.0.1"},
+                {"address", address},
                 {"port", it.caller},
                 {"peer_port", it.listed_peer},
                 {"failure_domain", it.failure_domain},
@@ -319,10 +327,10 @@
         return control(endpoints.control_port(), fmt::format("/control/runs?after={}", number), nullptr);
     }
 
-    std::uint16_t caller_port(std::size_t instance)
+    http::address caller_address(std::size_t instance)
     {
         const std::lock_guard lock(mutex);
-        return processes.at(instance).caller;
+        return {address, processes.at(instance).caller};
     }
 
     /// Does nothing when the process has ended: a process id of -1 would address every process.
@@ -343,9 +351,9 @@
         return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
     }
 
-    answer call(std::uint16_t port, http::request message, duration patience)
+    answer call(http::address to, http::request message, duration patience)
     {
-        return asio::co_spawn(callers.context, exchange(client, port, std::move(message), patience),
+        return asio::co_spawn(callers.context, exchange(client, std::move(to), std::move(message), patience),
                               asio::use_future)
             .get();
     }
@@ -353,7 +361,8 @@
     json control(std::uint16_t port, const std::string& target, const json& body)
     {
         const auto out =
-            call(port, {body.is_null() ? "GET" : "POST", target, {}, body.is_null() ? "" : body.dump()},
+            call({"127.0.0.1", port},
+                 {body.is_null() ? "GET" : "POST", target, {}, body.is_null() ? "" : body.dump()},
                  control_patience);
         if (out.status != 200)
             throw std::runtime_error(fmt::format("{}: {} {}", target, out.status, out.body + out.failure));
@@ -378,6 +387,7 @@
     testkit::platform platform;
     testkit::endpoint_host endpoints;
     runner network{2};
+    std::string address;
     peer_relay relay;
     runner callers{2};
     http::client client;
@@ -455,7 +465,7 @@
         impl_->replaced.push_back(it.pid);
     impl_->take_address(it);
     impl_->start(it);
-    change_instances({{"update", json::array({impl::entry_of(it)})}});
+    change_instances({{"update", json::array({impl_->entry_of(it)})}});
 }
 
 void fleet::thaw_replaced()
@@ -467,14 +477,14 @@
 answer fleet::post(std::size_t instance, const std::string& target, const json& body, const headers& more,
                    duration patience) const
 {
-    return impl_->call(impl_->caller_port(instance), impl::caller_request(target, body, more), patience);
+    return impl_->call(impl_->caller_address(instance), impl::caller_request(target, body, more), patience);
 }
 
 std::future<answer> fleet::post_async(std::size_t instance, std::string target, json body, headers more,
                                       duration patience) const
 {
     return asio::co_spawn(impl_->callers.context,
-                          exchange(impl_->client, impl_->caller_port(instance),
+                          exchange(impl_->client, impl_->caller_address(instance),
                                    impl::caller_request(target, body, more), patience),
                           asio::use_future);
 }
@@ -484,7 +494,7 @@
 {
     const json body{{"input", input}, {"max_tokens", max_tokens}, {"stream", true}};
     return asio::co_spawn(impl_->callers.context,
-                          read_stream(impl_->client, impl_->caller_port(instance),
+                          read_stream(impl_->client, impl_->caller_address(instance),
                                       impl::caller_request("/v1/pipelines/" + pipeline, body, {})),
                           asio::use_future);
 }
@@ -510,7 +520,8 @@
                     const std::string& body) const
 {
     constexpr duration patience{2'000};
-    return impl_->call(impl_->processes.at(instance).admin, {method, target, {}, body}, patience);
+    return impl_->call({impl_->address, impl_->processes.at(instance).admin}, {method, target, {}, body},
+                       patience);
 }
 
 json fleet::state(std::size_t instance) const
--- a/test/fleet/peer_relay.cpp
+++ b/test/fleet/peer_relay.cpp
@@ -47,7 +47,10 @@
 } // namespace
 
 struct peer_relay::impl : std::enable_shared_from_this<impl> {
-    explicit impl(asio::io_context& it) : context(it) {}
+    impl(asio::io_context& it, const std::string& its_address)
+        : context(it), address(asio::ip::make_address(its_address))
+    {
+    }
 
     bool is_cut(const std::string& one, const std::string& two)
     {
@@ -71,7 +74,7 @@
                           std::uint16_t port)
     {
         tcp::socket onward(socket.get_executor());
-        const tcp::endpoint to(asio::ip::address_v4::loopback(), port);
+        const tcp::endpoint to(address, port);
         auto [ec] = co_await onward.async_connect(to, use_tuple);
         if (ec)
             co_return;
@@ -117,19 +120,23 @@
     }
 
     asio::io_context& context;
+    asio::ip::address address;
     std::mutex mutex;
     std::set<std::pair<std::string, std::string>> cuts;
     std::vector<std::shared_ptr<tcp::acceptor>> acceptors;
 };
 
-peer_relay::peer_relay(asio::io_context& context) : impl_(std::make_shared<impl>(context)) {}
+peer_relay::peer_relay(asio::io_context& context, const std::string& address)
+    : impl_(std::make_shared<impl>(context, address))
+{
+}
 
 peer_relay::~peer_relay() = default;
 
 std::uint16_t peer_relay::add(const std::string& target, std::uint16_t target_port)
 {
-    auto acceptor = std::make_shared<tcp::acceptor>(asio::make_strand(impl_->context),
-                                                    tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    auto acceptor =
+        std::make_shared<tcp::acceptor>(asio::make_strand(impl_->context), tcp::endpoint(impl_->address, 0));
     impl_->acceptors.push_back(acceptor);
     const std::uint16_t port = acceptor->local_endpoint().port();
     asio::co_spawn(acceptor->get_executor(), impl_->accept_loop(impl_, acceptor, target, target_port),
--- a/test/fleet/peer_relay.hpp
+++ b/test/fleet/peer_relay.hpp
@@ -13,7 +13,8 @@
 
 class peer_relay {
 public:
-    explicit peer_relay(boost::asio::io_context& context);
+    /// Listens at an address and reaches its targets there.
+    peer_relay(boost::asio::io_context& context, const std::string& address);
     ~peer_relay();
     peer_relay(const peer_relay&) = delete;
     peer_relay& operator=(const peer_relay&) = delete;
