--- /dev/null
+++ b/test/restart_test.cpp
@@ -0,0 +1,166 @@
+#include "fleet/booking_log.hpp"
+#include "fleet/fleet.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace limpetlock;
+using limpetlock::test::booking_log;
+using limpetlock::test::booking_totals;
+using limpetlock::test::fleet;
+
+namespace {
+
+constexpr int callers = 12;
+constexpr duration stop_patience{30'000};
+
+/// Attempts between two faults, so that traffic meets each of them.
+constexpr std::size_t attempts_between = 50;
+
+void assert_kept(const booking_totals& it)
+{
+    cr_assert(it.faults.empty(), "%s", it.faults.empty() ? "" : it.faults.front().c_str());
+}
+
+void start_fleet(const fleet& it)
+{
+    cr_assert(it.wait_ready());
+    cr_assert(it.wait_claims(false), "%s", test::describe_claims(it).c_str());
+}
+
+/// Records that an instance took over from its predecessor.
+std::size_t imported(const fleet& it, std::size_t instance)
+{
+    const auto counters = test::claims_state(it, instance).value("counters", nlohmann::json::object());
+    return counters.value("imported", std::size_t{0});
+}
+
+void wait_attempts(const fleet& it, const booking_log& log)
+{
+    const auto before = log.attempts();
+    cr_assert(it.wait_until([&] { return log.attempts() >= before + attempts_between; }));
+}
+
+void stop_and_start(fleet& it, std::size_t instance)
+{
+    it.terminate(instance);
+    const auto code = it.wait_exit(instance, stop_patience);
+    cr_assert(code.has_value(), "%s doesn't stop", it.name(instance).c_str());
+    cr_assert_eq(*code, 0);
+    it.start(instance);
+    cr_assert(it.wait_ready());
+}
+
+/// First attempts are granted again by every owner.
+void assert_recovered(const fleet& it, booking_log& log, const std::string& prefix)
+{
+    cr_assert(it.wait_ready());
+    cr_assert(it.wait_claims(false), "%s", test::describe_claims(it).c_str());
+    const auto keys = test::keys_of_all(it, prefix, 2);
+    log.send_all(0, keys, 1);
+    for (const auto& key : keys)
+        cr_assert_eq(it.executions(key), 1, "%s isn't granted after the restart", key.c_str());
+}
+
+std::vector<std::size_t> all(const fleet& it)
+{
+    std::vector<std::size_t> out;
+    for (std::size_t n = 0; n < it.size(); ++n)
+        out.push_back(n);
+    return out;
+}
+
+} // namespace
+
+// Guards against the loss of claims at a planned stop: an owner stops and starts again under traffic, and the
+// bookings that it knew are answered from the records handed over.
+Test(restart, planned_stop_of_an_owner, .timeout = 120)
+{
+    fleet it;
+    start_fleet(it);
+    booking_log log(it);
+    const auto keys = test::keys_of_owner(it, 4, "kept", 10);
+    log.send_all(0, keys, 1);
+    cr_assert_eq(log.answered(), keys.size());
+    log.start_callers({0, 1, 2, 3, 5}, callers, "traffic");
+    wait_attempts(it, log);
+    stop_and_start(it, 4);
+    cr_assert(it.wait_until([&] { return imported(it, 4) >= keys.size(); }), "%s",
+              test::claims_state(it, 4).dump().c_str());
+    wait_attempts(it, log);
+    log.stop_callers();
+    for (const auto& key : keys) {
+        const auto again = log.send(1, key, 2);
+        cr_assert_eq(again.status, 200, "%s: %s", key.c_str(), again.body.c_str());
+    }
+    assert_kept(log.check("planned stop of an owner"));
+}
+
+// Guards against double runs, false refusals and lost claims when all instances are restarted one after
+// another by planned stops, as for a new release.
+Test(restart, one_after_another, .timeout = 180)
+{
+    fleet it;
+    start_fleet(it);
+    booking_log log(it);
+    const auto keys = test::keys_of_all(it, "kept", 3);
+    log.send_all(0, keys, 1);
+    cr_assert_eq(log.answered(), keys.size());
+    log.start_callers(all(it), callers, "rolling");
+    for (std::size_t n = 0; n < it.size(); ++n) {
+        stop_and_start(it, n);
+        cr_assert(it.wait_until([&] { return test::holds_lease(it, n); }), "%zu%s", n,
+                  test::describe_claims(it).c_str());
+    }
+    log.stop_callers();
+    log.send_all(1, keys, 2);
+    for (std::size_t n = 0; n < it.size(); ++n)
+        cr_assert(imported(it, n) > 0, "%s: %s", it.name(n).c_str(),
+                  test::claims_state(it, n).dump().c_str());
+    assert_recovered(it, log, "after");
+    assert_kept(log.check("all restarted one after another"));
+}
+
+// Guards against double runs and false refusals when two owners die at once, in each failure domain pair.
+Test(restart, two_at_once, .timeout = 180)
+{
+    fleet it;
+    start_fleet(it);
+    booking_log log(it);
+    log.start_callers(all(it), callers, "two");
+    for (std::size_t n = 0; n < it.size(); n += 2) {
+        wait_attempts(it, log);
+        it.kill(n);
+        it.kill(n + 1);
+        wait_attempts(it, log);
+        it.start(n);
+        it.start(n + 1);
+        cr_assert(it.wait_ready());
+        cr_assert(it.wait_claims(false), "%s", test::describe_claims(it).c_str());
+    }
+    log.stop_callers();
+    assert_recovered(it, log, "after");
+    assert_kept(log.check("two killed at once, three times"));
+}
+
+// Guards against a fleet that forgets what it ran and grants retries again after all instances died at once.
+Test(restart, all_at_once, .timeout = 180)
+{
+    fleet it;
+    start_fleet(it);
+    booking_log log(it);
+    const auto keys = test::keys_of_all(it, "lost", 3);
+    log.send_all(0, keys, 1);
+    log.start_callers(all(it), callers, "all");
+    wait_attempts(it, log);
+    for (std::size_t n = 0; n < it.size(); ++n)
+        it.kill(n);
+    for (std::size_t n = 0; n < it.size(); ++n)
+        it.start(n);
+    cr_assert(it.wait_ready());
+    log.send_all(1, keys, 2);
+    cr_assert(it.wait_claims(false), "%s", test::describe_claims(it).c_str());
+    log.send_all(2, keys, 3);
+    log.stop_callers();
+    assert_recovered(it, log, "after");
+    assert_kept(log.check("all killed at once"));
+}
