Close inherited sockets in the processes of the test fleet

A process that a test starts again inherited the sockets of the peer relay. Connections that the relay then closed stayed open in the child, so peers kept links to the restarted instance that led nowhere: its heartbeats got no answers, and leases did not come back.

--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -318,6 +318,9 @@
         const int out = ::open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(out, STDOUT_FILENO);
         ::dup2(out, STDERR_FILENO);
+        // A child that inherits sockets of the relay keeps connections open that the relay closes later, and
+        // their other ends wait for replies that never come.
+        ::close_range(STDERR_FILENO + 1, ~0U, 0);
         ::execv(argv[0], argv);
         ::_exit(127);
     }
