--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -21,6 +21,8 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <limits>
+#include <mutex>
 #include <stdexcept>
 #include <thread>
 
@@ -59,18 +61,28 @@
     std::vector<std::thread> threads_;
 };
 
-/// A port that was free a moment ago.
-std::uint16_t free_port()
+/// An address of the loopback network for the processes of this test. On a shared address, the port of a
+/// process that has ended goes to an outgoing connection or to the fleet of another test, and the process
+/// can't start again.
+std::string own_address()
+{
+    const auto pid = static_cast<unsigned>(::getpid());
+    return fmt::format("127.{}.{}.{}", 1 + (pid >> 16U) % 200, (pid >> 8U) % 256, pid % 256);
+}
+
+/// A port of an address that was free a moment ago.
+std::uint16_t free_port(const std::string& address)
 {
     asio::io_context context;
-    const asio::ip::tcp::acceptor it(context, {asio::ip::address_v4::loopback(), 0});
+    const asio::ip::tcp::acceptor it(context, {asio::ip::make_address(address), 0});
     return it.local_endpoint().port();
 }
 
 struct process {
     std::string name;
     std::string failure_domain;
-    std::uint16_t caller{0};
+    std::uint16_t caller{
+        0}; ///< guarded by the mutex of the fleet: callers run while a test replaces processes
     std::uint16_t admin{0};
     std::uint16_t peer{0};
     std::uint16_t listed_peer{0};
@@ -78,11 +90,10 @@
     pid_t pid{-1};
 };
 
-asio::awaitable<answer> exchange(http::client& client, std::uint16_t port, http::request message,
+asio::awaitable<answer> exchange(http::client& client, http::address to, http::request message,
                                  duration patience)
 {
     http::call_error error;
-    const http::address to{"127.0.0.1", port};
     const auto reply =
         co_await client.call(to, message, boot_clock::now() + patience, http::reuse::fresh, error);
     answer out;
@@ -108,12 +119,11 @@
     }
 }
 
-asio::awaitable<streamed_answer> read_stream(http::client& client, std::uint16_t port, http::request message)
+asio::awaitable<streamed_answer> read_stream(http::client& client, http::address to, http::request message)
 {
     constexpr duration patience{60'000};
     streamed_answer out;
     http::call_error error;
-    const http::address to{"127.0.0.1", port};
     const time_point deadline = boot_clock::now() + patience;
     auto stream = co_await client.open(to, message, deadline, http::reuse::fresh, error);
     if (!stream) {
@@ -150,7 +160,8 @@
 struct fleet::impl {
     explicit impl(fleet_options its_options)
         : options(std::move(its_options)), platform(stand_ins.context, 0), endpoints(stand_ins.context, 0, 1),
-          relay(network.context), client(callers.context.get_executor(), {}), stand_in_thread(start_later)
+          address(own_address()), relay(network.context, address), client(callers.context.get_executor(), {}),
+          stand_in_thread(start_later)
     {
         char pattern[] = "/tmp/limpetlock-test-XXXXXX";
         if (mkdtemp(pattern) == nullptr)
@@ -216,25 +227,28 @@
 
     void take_address(process& it)
     {
-        it.caller = free_port();
-        it.admin = free_port();
-        it.peer = free_port();
+        {
+            const std::lock_guard lock(mutex);
+            it.caller = free_port(address);
+        }
+        it.admin = free_port(address);
+        it.peer = free_port(address);
         it.listed_peer = relay.add(it.name, it.peer);
         it.settings = directory / fmt::format("{}-{}.ini", it.name, it.caller);
         std::ofstream out(it.settings);
         out << fmt::format(
-            "[instance]\nname = {}\nfailure_domain = {}\n\n[caller]\nlisten = 127.0.0.1:{}\n\n"
-            "[admin]\nlisten = 127.0.0.1:{}\n\n[peer]\nlisten = 127.0.0.1:{}\n\n"
+            "[instance]\nname = {}\nfailure_domain = {}\n\n[caller]\nlisten = {}:{}\n\n"
+            "[admin]\nlisten = {}:{}\n\n[peer]\nlisten = {}:{}\n\n"
             "[platform]\naddress = 127.0.0.1:{}\n\n[stop]\nbalancer_lag_ms = {}\nlimit_ms = {}\n",
-            it.name, it.failure_domain, it.caller, it.admin, it.peer, platform.port(),
-            options.balancer_lag_ms, options.stop_limit_ms);
+            it.name, it.failure_domain, address, it.caller, address, it.admin, address, it.peer,
+            platform.port(), options.balancer_lag_ms, options.stop_limit_ms);
     }
 
-    static json entry_of(const process& it)
+    json entry_of(const process& it) const
     {
         return {{"name", it.name},
                 {"pool", "entry"},
-                {"address", "127.0.0.1"},
+                {"address", address},
                 {"port", it.caller},
                 {"peer_port", it.listed_peer},
                 {"failure_domain", it.failure_domain},
@@ -304,11 +318,31 @@
         const int out = ::open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(out, STDOUT_FILENO);
         ::dup2(out, STDERR_FILENO);
+        // A child that inherits sockets of the relay keeps connections open that the relay closes later, and
+        // their other ends wait for replies that never come.
+        ::close_range(STDERR_FILENO + 1, ~0U, 0);
         ::execv(argv[0], argv);
         ::_exit(127);
     }
 
-    void signal(std::size_t instance, int number) { ::kill(processes.at(instance).pid, number); }
+    json runs_after(std::int64_t number)
+    {
+        return control(endpoints.control_port(), fmt::format("/control/runs?after={}", number), nullptr);
+    }
+
+    http::address caller_address(std::size_t instance)
+    {
+        const std::lock_guard lock(mutex);
+        return {address, processes.at(instance).caller};
+    }
+
+    /// Does nothing when the process has ended: a process id of -1 would address every process.
+    void signal(std::size_t instance, int number)
+    {
+        const pid_t pid = processes.at(instance).pid;
+        if (pid > 0)
+            ::kill(pid, number);
+    }
 
     std::optional<int> reap(process& it, int options_of_wait)
     {
@@ -320,9 +354,9 @@
         return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
     }
 
-    answer call(std::uint16_t port, http::request message, duration patience)
+    answer call(http::address to, http::request message, duration patience)
     {
-        return asio::co_spawn(callers.context, exchange(client, port, std::move(message), patience),
+        return asio::co_spawn(callers.context, exchange(client, std::move(to), std::move(message), patience),
                               asio::use_future)
             .get();
     }
@@ -330,7 +364,8 @@
     json control(std::uint16_t port, const std::string& target, const json& body)
     {
         const auto out =
-            call(port, {body.is_null() ? "GET" : "POST", target, {}, body.is_null() ? "" : body.dump()},
+            call({"127.0.0.1", port},
+                 {body.is_null() ? "GET" : "POST", target, {}, body.is_null() ? "" : body.dump()},
                  control_patience);
         if (out.status != 200)
             throw std::runtime_error(fmt::format("{}: {} {}", target, out.status, out.body + out.failure));
@@ -355,6 +390,7 @@
     testkit::platform platform;
     testkit::endpoint_host endpoints;
     runner network{2};
+    std::string address;
     peer_relay relay;
     runner callers{2};
     http::client client;
@@ -363,8 +399,10 @@
     std::filesystem::path directory;
     json listed = json::array();
     std::map<std::string, std::vector<std::string>> names_by_pool;
+    std::mutex mutex;
     std::vector<process> processes;
     std::vector<pid_t> all_pids;
+    std::vector<pid_t> replaced;
 };
 
 fleet::fleet(fleet_options options) : impl_(std::make_unique<impl>(std::move(options)))
@@ -426,23 +464,30 @@
 void fleet::replace_elsewhere(std::size_t instance)
 {
     auto& it = impl_->processes.at(instance);
+    if (it.pid > 0)
+        impl_->replaced.push_back(it.pid);
     impl_->take_address(it);
     impl_->start(it);
-    change_instances({{"update", json::array({impl::entry_of(it)})}});
+    change_instances({{"update", json::array({impl_->entry_of(it)})}});
+}
+
+void fleet::thaw_replaced()
+{
+    for (const auto& it : impl_->replaced)
+        ::kill(it, SIGCONT);
 }
 
 answer fleet::post(std::size_t instance, const std::string& target, const json& body, const headers& more,
                    duration patience) const
 {
-    return impl_->call(impl_->processes.at(instance).caller, impl::caller_request(target, body, more),
-                       patience);
+    return impl_->call(impl_->caller_address(instance), impl::caller_request(target, body, more), patience);
 }
 
 std::future<answer> fleet::post_async(std::size_t instance, std::string target, json body, headers more,
                                       duration patience) const
 {
     return asio::co_spawn(impl_->callers.context,
-                          exchange(impl_->client, impl_->processes.at(instance).caller,
+                          exchange(impl_->client, impl_->caller_address(instance),
                                    impl::caller_request(target, body, more), patience),
                           asio::use_future);
 }
@@ -452,7 +497,7 @@
 {
     const json body{{"input", input}, {"max_tokens", max_tokens}, {"stream", true}};
     return asio::co_spawn(impl_->callers.context,
-                          read_stream(impl_->client, impl_->processes.at(instance).caller,
+                          read_stream(impl_->client, impl_->caller_address(instance),
                                       impl::caller_request("/v1/pipelines/" + pipeline, body, {})),
                           asio::use_future);
 }
@@ -478,7 +523,8 @@
                     const std::string& body) const
 {
     constexpr duration patience{2'000};
-    return impl_->call(impl_->processes.at(instance).admin, {method, target, {}, body}, patience);
+    return impl_->call({impl_->address, impl_->processes.at(instance).admin}, {method, target, {}, body},
+                       patience);
 }
 
 json fleet::state(std::size_t instance) const
@@ -518,7 +564,20 @@
 
 json fleet::runs() const
 {
-    return impl_->control(impl_->endpoints.control_port(), "/control/runs?after=0", nullptr);
+    json out = impl_->runs_after(0);
+    while (out["next"] < out["newest"]) {
+        const json page = impl_->runs_after(out["next"].get<std::int64_t>());
+        out["runs"].insert(out["runs"].end(), page["runs"].begin(), page["runs"].end());
+        out["keys"].update(page["keys"]);
+        for (const char* name : {"next", "newest", "totals"})
+            out[name] = page[name];
+    }
+    return out;
+}
+
+json fleet::run_totals() const
+{
+    return impl_->runs_after(std::numeric_limits<std::int64_t>::max() - 1);
 }
 
 std::int64_t fleet::executions(const std::string& key) const
