Make request ids unique between instances

A request id was the incarnation and a number. The incarnation is the start in milliseconds, so instances that start in the same millisecond give out the same ids. The id now starts with the name of the instance. A test checks that the ids of all instances differ.

--- a/lib/server/instance.cpp
+++ b/lib/server/instance.cpp
@@ -91,7 +91,11 @@
     awaitable<void> serve_caller(http::exchange& io)
     {
         const in_flight_mark mark(parts.in_flight);
-        request_context it(io, fmt::format("{}-{}", parts.incarnation, ++last_request), boot_clock::now());
+        // The name tells apart instances that started in the same millisecond. Claim owners take two asks
+        // with one id for one attempt and would grant both.
+        request_context it(io,
+                           fmt::format("{}-{}-{}", parts.settings.name, parts.incarnation, ++last_request),
+                           boot_clock::now());
         for (const auto& filter : filters)
             if (!co_await filter->apply(it))
                 break;
--- a/test/claims_test.cpp
+++ b/test/claims_test.cpp
@@ -299,3 +299,16 @@
     assert_kept(totals);
     cr_assert_eq(totals.answered, keys.size());
 }
+
+// Guards against one id for two attempts: instances that start in the same millisecond have the same
+// incarnation, and an owner that sees one id twice takes the second ask for a repetition and grants it again.
+Test(claims, request_ids_differ_between_instances, .timeout = 120)
+{
+    fleet it;
+    cr_assert(it.wait_ready());
+    for (std::size_t n = 0; n < it.size(); ++n) {
+        const auto out = it.post(n, "/v1/services/plant-feed/stock", {{"plant", n}});
+        const auto id = out.json().value("request_id", "");
+        cr_assert(id.starts_with(it.name(n) + "-"), "%s", out.body.c_str());
+    }
+}
