--- a/test/fleet/booking_log.cpp
+++ b/test/fleet/booking_log.cpp
@@ -116,6 +116,7 @@
 void booking_log::send_all(std::size_t instance, const std::vector<std::string>& keys, int number)
 {
     std::vector<std::thread> threads;
+    threads.reserve(keys.size());
     for (const auto& it : keys)
         threads.emplace_back([=, this] { send(instance, it, number); });
     for (auto& it : threads)
--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -299,6 +299,7 @@
         const std::string log = (directory / (it.name + ".log")).string();
         std::vector<std::string> words{LIMPETLOCK_BINARY, "serve", settings};
         std::vector<char*> argv;
+        argv.reserve(words.size() + 1);
         for (auto& word : words)
             argv.push_back(word.data());
         argv.push_back(nullptr);
@@ -598,6 +599,8 @@
 {
     std::vector<std::string> one;
     std::vector<std::string> two;
+    one.reserve(side.size());
+    two.reserve(other.size());
     for (const auto n : side)
         one.push_back(name(n));
     for (const auto n : other)
