Send heartbeats before a configuration is in force

An instance that starts while the configuration service is down sent no heartbeats until it had a configuration, so it learnt numbers only from heartbeats that reached it. In some runs none did for 30 s: no frame sent, none received, 13 failed reads, never ready.

It now sends heartbeats without a claim (sequence 0), and the acknowledgements carry the numbers of its peers.

Open: why heartbeats of the peers did not reach the restarted instance in these runs.

--- a/lib/server/claim_controller.cpp
+++ b/lib/server/claim_controller.cpp
@@ -189,11 +189,12 @@
     const std::lock_guard lock(mutex_);
     wake_.tick(now);
     interval = idle_interval;
+    // Without a configuration too: the acknowledgements tell a new instance the numbers of its peers.
+    targets = contacts_;
     if (!state_)
         return claims::heartbeat{0, to_ms(now), 0, {}, 0, stopping_};
     const auto& section = state_->map.section();
     interval = std::max(shortest_heartbeat_interval, section.lease / heartbeats_per_lease);
-    targets = contacts_;
     claims::heartbeat out{0, to_ms(now), config_number_, config_digest_, section.number, stopping_};
     if (owns_claims_locked()) {
         out.sequence = state_->lease.note_sent(now);
