Keep sockets and ports of the fleet harness apart from the processes

The child processes inherited the sockets of the test, so a closed listener of a stand-in went on listening and a closed connection of the relay never ended for its peer. A port chosen for a process could be given to another socket of the machine before the process listened on it.

Children now close inherited descriptors before exec, and ports are held by bound sockets that don't listen; the stand-in endpoint holds its port while it is down. The fleet gains totals, service calls, ports and other tokens, and the platform stand-in the fault config_down (the instance list goes on).

Inherited relay connections explain why peers' heartbeats did not reach a restarted instance; no trace was taken that shows it.

--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -59,13 +59,23 @@
     std::vector<std::thread> threads_;
 };
 
-/// A port that was free a moment ago.
-std::uint16_t free_port()
-{
-    asio::io_context context;
-    const asio::ip::tcp::acceptor it(context, {asio::ip::address_v4::loopback(), 0});
-    return it.local_endpoint().port();
-}
+/// Holds ports for the processes: a socket that is bound and doesn't listen keeps a port from being given to
+/// another socket of the machine, and lets a process that sets reuse_address listen there.
+class port_holder {
+public:
+    std::uint16_t take()
+    {
+        auto& it = held_.emplace_back(context_);
+        it.open(asio::ip::tcp::v4());
+        it.set_option(asio::socket_base::reuse_address(true));
+        it.bind({asio::ip::address_v4::loopback(), 0});
+        return it.local_endpoint().port();
+    }
+
+private:
+    asio::io_context context_;
+    std::vector<asio::ip::tcp::acceptor> held_;
+};
 
 struct process {
     std::string name;
@@ -216,9 +226,9 @@
 
     void take_address(process& it)
     {
-        it.caller = free_port();
-        it.admin = free_port();
-        it.peer = free_port();
+        it.caller = ports.take();
+        it.admin = ports.take();
+        it.peer = ports.take();
         it.listed_peer = relay.add(it.name, it.peer);
         it.settings = directory / fmt::format("{}-{}.ini", it.name, it.caller);
         std::ofstream out(it.settings);
@@ -304,6 +314,8 @@
         const int out = ::open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(out, STDOUT_FILENO);
         ::dup2(out, STDERR_FILENO);
+        // A socket of the test that a child holds too stays open after the test closes it.
+        ::close_range(STDERR_FILENO + 1, ~0U, 0);
         ::execv(argv[0], argv);
         ::_exit(127);
     }
@@ -339,16 +351,21 @@
 
     static http::request caller_request(const std::string& target, const json& body, const headers& more)
     {
-        http::request out{
-            "POST", target, {{"Authorization", std::string("Bearer ") + team_token}}, body.dump()};
-        for (const auto& [name, value] : more)
+        http::request out{"POST", target, {}, body.dump()};
+        bool authorized = false;
+        for (const auto& [name, value] : more) {
             out.headers.push_back({name, value});
+            authorized = authorized || name == "Authorization";
+        }
+        if (!authorized)
+            out.headers.push_back({"Authorization", std::string("Bearer ") + team_token});
         return out;
     }
 
     static constexpr int start_later = 0;
 
     fleet_options options;
+    port_holder ports;
     struct {
         asio::io_context context{1};
     } stand_ins;
@@ -491,6 +508,21 @@
     return admin(instance, "GET", "/readyz").status == 200;
 }
 
+std::uint16_t fleet::caller_port(std::size_t instance) const
+{
+    return impl_->processes.at(instance).caller;
+}
+
+std::uint16_t fleet::admin_port(std::size_t instance) const
+{
+    return impl_->processes.at(instance).admin;
+}
+
+std::uint16_t fleet::peer_port(std::size_t instance) const
+{
+    return impl_->processes.at(instance).peer;
+}
+
 std::int64_t fleet::publish(const json& entry) const
 {
     return impl_->control(impl_->platform.port(), "/control/publish", entry)["revision"].get<std::int64_t>();
@@ -506,6 +538,11 @@
     impl_->control(impl_->platform.port(), "/control/fault", fault);
 }
 
+json fleet::platform_calls() const
+{
+    return impl_->control(impl_->platform.port(), "/control/calls", nullptr);
+}
+
 void fleet::endpoint_fault(const json& fault) const
 {
     impl_->control(impl_->endpoints.control_port(), "/control/fault", fault);
@@ -521,6 +558,13 @@
     return impl_->control(impl_->endpoints.control_port(), "/control/runs?after=0", nullptr);
 }
 
+json fleet::totals(const std::string& endpoint) const
+{
+    // No run has this number, so that the page holds the counters only.
+    return impl_->control(impl_->endpoints.control_port(), "/control/runs?after=1000000000",
+                          nullptr)["totals"][endpoint];
+}
+
 std::int64_t fleet::executions(const std::string& key) const
 {
     std::int64_t n = 0;
--- a/test/fleet/fleet.hpp
+++ b/test/fleet/fleet.hpp
@@ -76,7 +76,7 @@
     /// first one dead, and lists it in place of the first.
     void replace_elsewhere(std::size_t instance);
 
-    // Calls.
+    // Calls. They carry the token of the first team unless `more` has an Authorization.
     answer post(std::size_t instance, const std::string& target, const nlohmann::json& body,
                 const headers& more = {}, duration patience = duration{10'000}) const;
     std::future<answer> post_async(std::size_t instance, std::string target, nlohmann::json body,
@@ -90,14 +90,21 @@
     answer admin(std::size_t instance, const std::string& method, const std::string& target,
                  const std::string& body = {}) const;
     bool ready(std::size_t instance) const;
+    std::uint16_t caller_port(std::size_t instance) const;
+    std::uint16_t admin_port(std::size_t instance) const;
+    std::uint16_t peer_port(std::size_t instance) const;
 
     // The platform and the endpoints.
     std::int64_t publish(const nlohmann::json& entry) const;
     void change_instances(const nlohmann::json& change) const;
     void platform_fault(const nlohmann::json& fault) const;
+    /// How often the platform's service was called so far.
+    nlohmann::json platform_calls() const;
     void endpoint_fault(const nlohmann::json& fault) const;
     nlohmann::json document() const;
     nlohmann::json runs() const;
+    /// Counters of one endpoint, without its runs.
+    nlohmann::json totals(const std::string& endpoint) const;
     /// How often the call with a key ran to its end.
     std::int64_t executions(const std::string& key) const;
     std::vector<std::string> endpoint_names(const std::string& pool) const;
--- /dev/null
+++ b/test/fleet/load.hpp
@@ -0,0 +1,44 @@
+/// \file
+/// A steady load for tests: threads that repeat a call until the load ends.
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <functional>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace limpetlock::test {
+
+class steady_load {
+public:
+    /// Each thread calls `call` with its own number, again and again.
+    steady_load(std::size_t threads, std::function<void(std::size_t)> call) : call_(std::move(call))
+    {
+        for (std::size_t n = 0; n < threads; ++n)
+            threads_.emplace_back([this, n] {
+                while (!ended_)
+                    call_(n);
+            });
+    }
+    steady_load(const steady_load&) = delete;
+    steady_load& operator=(const steady_load&) = delete;
+    ~steady_load() { end(); }
+
+    /// Waits for the calls in progress.
+    void end()
+    {
+        ended_ = true;
+        for (auto& it : threads_)
+            if (it.joinable())
+                it.join();
+    }
+
+private:
+    std::function<void(std::size_t)> call_;
+    std::atomic<bool> ended_{false};
+    std::vector<std::thread> threads_;
+};
+
+} // namespace limpetlock::test
--- a/utils/testkit/platform.cpp
+++ b/utils/testkit/platform.cpp
@@ -72,6 +72,11 @@
     return version;
 }
 
+bool platform::is_down(bool config) const
+{
+    return mode_ == "down" || (config && config_down_);
+}
+
 json platform::config_after(std::int64_t revision) const
 {
     auto last = static_cast<std::int64_t>(entries_.size());
@@ -99,7 +104,7 @@
     it.watch();
     json answer;
     waiting_.insert(&it);
-    while (!it.closed() && mode_ != "down") {
+    while (!it.closed() && !is_down(config)) {
         answer = config ? config_after(after) : instance_list();
         const bool news = config ? !answer["entries"].empty() : answer["version"].get<std::int64_t>() > after;
         const auto left = until - now_ms();
@@ -108,7 +113,7 @@
         co_await it.sleep(static_cast<double>(list_lag_ms_ > 0 ? std::min(left, lag_poll_ms) : left));
     }
     waiting_.erase(&it);
-    if (mode_ == "down") {
+    if (is_down(config)) {
         it.drop();
         co_return;
     }
@@ -119,13 +124,17 @@
 json platform::set_fault(const json& fault)
 {
     mode_ = fault.value("mode", mode_);
+    config_down_ = fault.value("config_down", config_down_);
     delay_ms_ = fault.value("delay_ms", delay_ms_);
     list_lag_ms_ = fault.value("instances_lag_ms", list_lag_ms_);
     stale_revision_ = fault.value("revision", static_cast<std::int64_t>(entries_.size()));
     stale_version_ =
         std::max<std::int64_t>(1, fault.value("version", static_cast<std::int64_t>(lists_.size())));
     wake_all();
-    return {{"mode", mode_}, {"delay_ms", delay_ms_}, {"instances_lag_ms", list_lag_ms_}};
+    return {{"mode", mode_},
+            {"config_down", config_down_},
+            {"delay_ms", delay_ms_},
+            {"instances_lag_ms", list_lag_ms_}};
 }
 
 net::awaitable<void> platform::control(connection& it)
@@ -165,7 +174,7 @@
         co_await control(it);
         co_return;
     }
-    if (mode_ == "down") {
+    if (is_down(path == "/v1/config")) {
         ++calls_["while_down"];
         it.drop();
         co_return;
--- a/utils/testkit/platform.hpp
+++ b/utils/testkit/platform.hpp
@@ -39,6 +39,7 @@
     nlohmann::json config_after(std::int64_t revision) const;
     nlohmann::json instance_list() const;
     std::int64_t visible_version() const;
+    bool is_down(bool config) const;
     nlohmann::json set_fault(const nlohmann::json& fault);
     void wake_all();
 
@@ -47,6 +48,7 @@
     std::set<connection*> waiting_;
     std::map<std::string, std::int64_t> calls_;
     std::string mode_{"ok"};
+    bool config_down_{false};
     std::int64_t delay_ms_{0};
     std::int64_t list_lag_ms_{0};
     std::int64_t stale_revision_{0};
--- a/utils/testkit/wire.cpp
+++ b/utils/testkit/wire.cpp
@@ -167,7 +167,7 @@
 }
 
 listener::listener(net::io_context& context, std::uint16_t port, connection_handler handle)
-    : context_(context), acceptor_(context), handle_(std::move(handle)), port_(port)
+    : context_(context), acceptor_(context), holder_(context), handle_(std::move(handle)), port_(port)
 {
     listen(true);
 }
@@ -176,15 +176,20 @@
 {
     if (on == acceptor_.is_open())
         return;
+    const tcp::endpoint at(net::ip::make_address("127.0.0.1"), port_);
     if (!on) {
         acceptor_.close();
+        // Bound and not listening: connections are refused, and no other socket is given the port.
+        holder_.open(at.protocol());
+        holder_.set_option(tcp::acceptor::reuse_address(true));
+        holder_.bind(at);
         return;
     }
-    const tcp::endpoint at(net::ip::make_address("127.0.0.1"), port_);
     acceptor_.open(at.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(at);
     acceptor_.listen();
+    holder_.close();
     port_ = acceptor_.local_endpoint().port();
     net::co_spawn(context_, accept_loop(), net::detached);
 }
--- a/utils/testkit/wire.hpp
+++ b/utils/testkit/wire.hpp
@@ -85,6 +85,7 @@
 
     boost::asio::io_context& context_;
     boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::ip::tcp::acceptor holder_; ///< keeps the port while the listener is off
     connection_handler handle_;
     std::uint16_t port_;
 };
