--- /dev/null
+++ b/test/leaving_test.cpp
@@ -0,0 +1,179 @@
+#include "fleet/fleet.hpp"
+#include "fleet/load.hpp"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+#include <testkit/outputs.hpp>
+
+#include <atomic>
+#include <string>
+#include <thread>
+
+using namespace limpetlock;
+using limpetlock::test::fleet;
+using limpetlock::test::steady_load;
+using nlohmann::json;
+
+namespace {
+
+constexpr const char* pool = "plant-feed";
+
+/// P5: a leaving endpoint gets no new work later than this after the first evidence.
+constexpr duration leaving_target{3'000};
+
+constexpr std::size_t callers_per_instance = 2;
+constexpr duration pause_between_calls{10};
+
+test::fleet_options larger_pool()
+{
+    test::fleet_options out;
+    out.endpoints[pool] = 4;
+    return out;
+}
+
+struct tally {
+    std::atomic<int> whole{0};
+    std::atomic<int> wrong{0};
+    std::atomic<int> other{0};
+};
+
+/// One call of the pool at an instance, checked against the stand-in's pure result.
+void call_pool(const fleet& it, std::size_t instance, tally& out)
+{
+    static std::atomic<int> last{0};
+    const json body{{"plant", ++last}};
+    const auto got = it.post(instance, "/v1/services/plant-feed/stock", body);
+    if (got.status != 200)
+        ++out.other;
+    else if (got.json()["result"] == testkit::service_result("stock", body))
+        ++out.whole;
+    else
+        ++out.wrong;
+    std::this_thread::sleep_for(pause_between_calls);
+}
+
+std::int64_t total_of(const fleet& it, const std::string& endpoint, const char* count)
+{
+    return it.totals(endpoint).value(count, std::int64_t{0});
+}
+
+/// The state of an endpoint at an instance; "absent" when the instance sends it nothing, and empty without an
+/// answer.
+std::string state_of(const fleet& it, std::size_t instance, const std::string& endpoint)
+{
+    const json page = it.state(instance);
+    if (!page.is_object())
+        return {};
+    for (const auto& row : page["members"]["endpoints"])
+        if (row["name"] == endpoint)
+            return row["state"];
+    return "absent";
+}
+
+bool all_see(const fleet& it, const std::string& endpoint, bool live)
+{
+    for (std::size_t n = 0; n < it.size(); ++n) {
+        const std::string state = state_of(it, n, endpoint);
+        if (state.empty() || (state == "live") != live)
+            return false;
+    }
+    return true;
+}
+
+/// Marks an endpoint as leaving under load, and counts the new calls it gets after the target.
+void leave_under_load(const fleet& it, const json& leaving_list_entry)
+{
+    const std::string leaving = it.endpoint_names(pool).front();
+    tally calls;
+    steady_load load(it.size() * callers_per_instance,
+                     [&](std::size_t n) { call_pool(it, n % it.size(), calls); });
+    cr_assert(it.wait_until([&] { return calls.whole > 200; }));
+    cr_assert_gt(total_of(it, leaving, "runs"), 0);
+    it.endpoint_fault({{"endpoint", leaving}, {"leaving", true}});
+    if (!leaving_list_entry.is_null())
+        it.change_instances({{"update", json::array({leaving_list_entry})}});
+    cr_assert(it.wait_until([&] { return total_of(it, leaving, "refused_leaving") > 0; }));
+    it.wait_until([] { return false; }, leaving_target);
+    const auto refused_in_time = total_of(it, leaving, "refused_leaving");
+    const int whole = calls.whole;
+    cr_assert(it.wait_until([&] { return calls.whole > whole + 1000; }));
+    load.end();
+    const auto refused = total_of(it, leaving, "refused_leaving");
+    fmt::print("leaving endpoint: {} refused calls, the last {} ms after it began to leave\n", refused,
+               total_of(it, leaving, "last_call_after_leaving_ms"));
+    cr_assert_eq(refused, refused_in_time, "%ld calls in 3 s, %ld in all", refused_in_time, refused);
+    cr_assert_eq(calls.wrong, 0);
+    cr_assert_eq(calls.other, 0, "%d callers got no answer", calls.other.load());
+}
+
+} // namespace
+
+// Guards against new work for a leaving endpoint while the instance list is stale and goes on naming it live.
+Test(leaving, gets_no_new_work_with_a_stale_list)
+{
+    fleet it(larger_pool());
+    cr_assert(it.wait_ready());
+    it.platform_fault({{"mode", "stale"}});
+    leave_under_load(it, nullptr);
+}
+
+// Guards against new work for a leaving endpoint while the instance list shows the change 30 s late.
+Test(leaving, gets_no_new_work_with_a_list_that_lags)
+{
+    fleet it(larger_pool());
+    cr_assert(it.wait_ready());
+    it.platform_fault({{"instances_lag_ms", 30'000}});
+    leave_under_load(it, {{"name", it.endpoint_names(pool).front()}, {"state", "leaving"}});
+}
+
+// Guards against an instance that wakes from a pause longer than the time limit of its calls, takes the calls
+// that ran out for failures of the endpoints, and ejects them.
+Test(leaving, keeps_the_pool_when_a_frozen_instance_wakes)
+{
+    constexpr std::size_t frozen = 1;
+    constexpr duration pause{4'000};
+    fleet it(larger_pool());
+    cr_assert(it.wait_ready());
+    it.endpoint_fault({{"pool", pool}, {"slow", 40}});
+    tally calls;
+    steady_load load(16, [&](std::size_t) { call_pool(it, frozen, calls); });
+    cr_assert(it.wait_until([&] { return calls.whole > 50; }));
+    const auto ejections = [&] {
+        return it.state(frozen)["members"]["counters"].value("ejections", std::int64_t{-1});
+    };
+    const auto before = ejections();
+    it.freeze(frozen);
+    it.wait_until([] { return false; }, pause);
+    it.thaw(frozen);
+    const int whole = calls.whole;
+    cr_assert(it.wait_until([&] { return calls.whole > whole + 200; }));
+    load.end();
+    cr_assert_eq(ejections(), before, "%ld ejections before, %ld after", before, ejections());
+    for (const auto& name : it.endpoint_names(pool))
+        cr_assert_eq(state_of(it, frozen, name), "live");
+    cr_assert_eq(calls.wrong, 0);
+}
+
+// Guards against work for a dead endpoint, and against one that gets none after it returned.
+Test(leaving, leaves_a_dead_endpoint_alone_until_it_returns)
+{
+    fleet it(larger_pool());
+    cr_assert(it.wait_ready());
+    const std::string dead = it.endpoint_names(pool).front();
+    tally calls;
+    steady_load load(it.size() * callers_per_instance,
+                     [&](std::size_t n) { call_pool(it, n % it.size(), calls); });
+    cr_assert(it.wait_until([&] { return calls.whole > 200; }));
+    it.endpoint_fault({{"endpoint", dead}, {"down", true}, {"refuse", true}});
+    cr_assert(it.wait_until([&] { return all_see(it, dead, false); }));
+    const int whole = calls.whole;
+    const int other = calls.other;
+    cr_assert(it.wait_until([&] { return calls.whole > whole + 1000; }));
+    cr_assert_eq(calls.other, other, "%d callers got no answer", calls.other - other);
+    const auto runs = total_of(it, dead, "runs");
+    it.endpoint_fault({{"endpoint", dead}, {"clear", true}});
+    cr_assert(it.wait_until([&] { return all_see(it, dead, true); }, duration{40'000}));
+    cr_assert(it.wait_until([&] { return total_of(it, dead, "runs") > runs + 50; }));
+    load.end();
+    cr_assert_eq(calls.wrong, 0);
+}
