Keep the modules when a stop cuts requests

After a second signal the process died with a segmentation fault (exit status 139 instead of 4): the Asio context is destroyed after the modules that the coroutines of cut requests refer to. No order of destruction satisfies both, since the modules hold sockets and timers of the context.

The instance now keeps its modules when requests were cut; the process ends next.

--- a/lib/server/instance.cpp
+++ b/lib/server/instance.cpp
@@ -302,10 +302,14 @@
         parts.io.run();
         for (auto& it : threads)
             it.join();
-        const std::lock_guard lock(parts.stop_mutex);
-        const bool cut = parts.stop.cut() > 0;
         log::info("stopped", {{"requests_cut", fmt::to_string(parts.stop.cut())}});
-        return cut ? exit_reason::cut : exit_reason::graceful;
+        return was_cut() ? exit_reason::cut : exit_reason::graceful;
+    }
+
+    bool was_cut()
+    {
+        const std::lock_guard lock(parts.stop_mutex);
+        return parts.stop.cut() > 0;
     }
 
     components parts;
@@ -322,7 +326,14 @@
 
 instance::instance(instance_settings settings) : impl_(std::make_unique<impl>(std::move(settings))) {}
 
-instance::~instance() = default;
+// Coroutines of requests that were cut still refer to the modules, in an order that no destruction satisfies.
+// The process ends next, so they are kept.
+instance::~instance()
+{
+    static std::vector<impl*> kept;
+    if (impl_->was_cut())
+        kept.push_back(impl_.release());
+}
 
 exit_reason instance::run()
 {
