Restart the fleet under streams of up to six seconds

The streams of the rolling restart took up to 3.8 s and 2 s on average by the stand-in's token times, which is short for 'several seconds'. The engines are now five times slower instead of three times.

--- a/test/stop_test.cpp
+++ b/test/stop_test.cpp
@@ -94,7 +94,7 @@
 {
     fleet it;
     cr_assert(it.wait_ready());
-    it.endpoint_fault({{"pool", "model"}, {"slow", 3}});
+    it.endpoint_fault({{"pool", "model"}, {"slow", 5}});
     tally calls;
     steady_load load(it.size() * 2,
                      [&](std::size_t n) { call_while_ready(it, n % it.size(), n < it.size(), calls); });
