--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -375,10 +375,14 @@
 
     static http::request caller_request(const std::string& target, const json& body, const headers& more)
     {
-        http::request out{
-            "POST", target, {{"Authorization", std::string("Bearer ") + team_token}}, body.dump()};
-        for (const auto& [name, value] : more)
+        http::request out{"POST", target, {}, body.dump()};
+        bool authorized = false;
+        for (const auto& [name, value] : more) {
             out.headers.push_back({name, value});
+            authorized = authorized || name == "Authorization";
+        }
+        if (!authorized)
+            out.headers.push_back({"Authorization", std::string("Bearer ") + team_token});
         return out;
     }
 
@@ -538,6 +542,26 @@
     return admin(instance, "GET", "/readyz").status == 200;
 }
 
+std::string fleet::address() const
+{
+    return impl_->address;
+}
+
+std::uint16_t fleet::caller_port(std::size_t instance) const
+{
+    return impl_->processes.at(instance).caller;
+}
+
+std::uint16_t fleet::admin_port(std::size_t instance) const
+{
+    return impl_->processes.at(instance).admin;
+}
+
+std::uint16_t fleet::peer_port(std::size_t instance) const
+{
+    return impl_->processes.at(instance).peer;
+}
+
 std::int64_t fleet::publish(const json& entry) const
 {
     return impl_->control(impl_->platform.port(), "/control/publish", entry)["revision"].get<std::int64_t>();
@@ -553,6 +577,11 @@
     impl_->control(impl_->platform.port(), "/control/fault", fault);
 }
 
+json fleet::platform_calls() const
+{
+    return impl_->control(impl_->platform.port(), "/control/calls", nullptr);
+}
+
 void fleet::endpoint_fault(const json& fault) const
 {
     impl_->control(impl_->endpoints.control_port(), "/control/fault", fault);
@@ -581,6 +610,13 @@
     return impl_->runs_after(std::numeric_limits<std::int64_t>::max() - 1);
 }
 
+json fleet::totals(const std::string& endpoint) const
+{
+    // No run has this number, so that the page holds the counters only.
+    return impl_->control(impl_->endpoints.control_port(), "/control/runs?after=1000000000",
+                          nullptr)["totals"][endpoint];
+}
+
 std::int64_t fleet::executions(const std::string& key) const
 {
     std::int64_t n = 0;
