Clean the lint findings of the process tests; add up capacities every 200 ms

measure-capacity showed 0.6% of a core for an idle instance with 31 endpoints and 1.9% with 1,700, above the bound of 1.8%: every 20 ms tick added up the limits of all endpoints.

--- a/lib/server/admission_controller.cpp
+++ b/lib/server/admission_controller.cpp
@@ -17,6 +17,10 @@
 /// it.
 constexpr duration tick_interval{20};
 
+/// How often the capacity of the pools is added up; at 1,700 endpoints a sum in every tick took 1.3% of a
+/// core.
+constexpr duration capacity_interval{200};
+
 struct costed_stage {
     std::string name;
     std::string pool;
@@ -221,18 +225,26 @@
     }
 }
 
-void admission_controller::tick()
+void admission_controller::refresh_capacities(time_point now)
 {
     const auto capacities = table_.capacities();
-    const time_point now = boot_clock::now();
     const std::lock_guard lock(mutex_);
+    capacities_due_ = now + capacity_interval;
     for (const auto& [pool, slots] : capacities)
         gate_.set_capacity(pool, slots);
-    for (auto& [pool, queue] : queues_) {
+    for (const auto& [pool, queue] : queues_)
         if (!capacities.contains(pool))
             gate_.set_capacity(pool, 0);
+}
+
+void admission_controller::tick()
+{
+    const time_point now = boot_clock::now();
+    if (now >= capacities_due_)
+        refresh_capacities(now);
+    const std::lock_guard lock(mutex_);
+    for (auto& [pool, queue] : queues_)
         expire_locked(pool, *queue, now);
-    }
     pump_locked(now);
 }
 
--- a/lib/server/admission_controller.hpp
+++ b/lib/server/admission_controller.hpp
@@ -131,6 +131,7 @@
 
     boost::asio::awaitable<void> tick_loop();
     void tick();
+    void refresh_capacities(time_point now);
     void release(const admission::ticket& ticket, const work_profile& profile, double used_ms);
     void withdraw(std::uint64_t id, const std::string& team, admission::rank priority);
     admission::queue& queue_of(const std::string& pool);
@@ -148,6 +149,7 @@
     std::map<std::string, std::shared_ptr<const work_profile>> profiles_;
     std::map<std::uint64_t, waiter> waiting_;
     std::uint64_t last_id_{0};
+    time_point capacities_due_{}; ///< used by the tick only
     std::atomic<bool> stopped_{false};
 };
 
--- a/lib/server/claim_controller.cpp
+++ b/lib/server/claim_controller.cpp
@@ -205,8 +205,9 @@
     const std::lock_guard lock(mutex_);
     if (!state_ || stopping_)
         return false;
-    // A keeper that never vouched for the owner, for example one that started a moment ago, could not confirm the
-    // records to the successor. The sealed owner needs no vote any more, so confirming here costs nothing.
+    // A keeper that never vouched for the owner, for example one that started a moment ago, could not confirm
+    // the records to the successor. The sealed owner needs no vote any more, so confirming here costs
+    // nothing.
     if (state_->witness.confirm_predecessor(records.owner, records.incarnation + 1) != records.incarnation)
         return false;
     return keeper_.keep(records, state_->map.section().key_lifetime, boot_clock::now());
--- a/lib/server/endpoint_table.cpp
+++ b/lib/server/endpoint_table.cpp
@@ -56,7 +56,7 @@
     // An ejected endpoint that still has calls in flight keeps its counters until they end.
     for (auto& [id, it] : entries_)
         if (it.stats.in_flight() > 0)
-            kept.emplace(id, std::move(it));
+            kept.emplace(id, it);
     entries_ = std::move(kept);
     members_ = std::move(members);
 }
--- a/test/answers_test.cpp
+++ b/test/answers_test.cpp
@@ -56,6 +56,7 @@
 {
     constexpr int rounds = 60;
     std::vector<std::future<test::answer>> answers;
+    answers.reserve(rounds);
     for (int n = 0; n < rounds; ++n)
         answers.push_back(it.post_async(0, pipeline, request_of(fmt::format("earlier {}", n))));
     for (auto& each : answers)
@@ -189,6 +190,7 @@
     cr_assert(it.wait_ready());
     const test::headers second{{"Authorization", "Bearer token-plant-02"}};
     std::vector<std::future<test::answer>> answers;
+    answers.reserve(requests);
     for (int n = 0; n < requests; ++n)
         answers.push_back(it.post_async(static_cast<std::size_t>(n / 2) % it.size(), pipeline,
                                         request_of(fmt::format("team {} asks {}", n % 2, n / 2)),
--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -158,6 +158,8 @@
 }
 
 struct fleet::impl {
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
     explicit impl(fleet_options its_options)
         : options(std::move(its_options)), platform(stand_ins.context, 0), endpoints(stand_ins.context, 0, 1),
           address(own_address()), relay(network.context, address), client(callers.context.get_executor(), {}),
@@ -488,8 +490,8 @@
     return impl_->call(impl_->caller_address(instance), impl::caller_request(target, body, more), patience);
 }
 
-std::future<answer> fleet::post_async(std::size_t instance, std::string target, json body, headers more,
-                                      duration patience) const
+std::future<answer> fleet::post_async(std::size_t instance, const std::string& target, const json& body,
+                                      const headers& more, duration patience) const
 {
     return asio::co_spawn(impl_->callers.context,
                           exchange(impl_->client, impl_->caller_address(instance),
@@ -497,8 +499,8 @@
                           asio::use_future);
 }
 
-std::future<streamed_answer> fleet::stream_async(std::size_t instance, std::string pipeline,
-                                                 std::string input, std::int64_t max_tokens) const
+std::future<streamed_answer> fleet::stream_async(std::size_t instance, const std::string& pipeline,
+                                                 const std::string& input, std::int64_t max_tokens) const
 {
     const json body{{"input", input}, {"max_tokens", max_tokens}, {"stream", true}};
     return asio::co_spawn(impl_->callers.context,
--- a/test/fleet/fleet.hpp
+++ b/test/fleet/fleet.hpp
@@ -81,10 +81,11 @@
     // Calls. They carry the token of the first team unless `more` has an Authorization.
     answer post(std::size_t instance, const std::string& target, const nlohmann::json& body,
                 const headers& more = {}, duration patience = duration{10'000}) const;
-    std::future<answer> post_async(std::size_t instance, std::string target, nlohmann::json body,
-                                   headers more = {}, duration patience = duration{10'000}) const;
-    std::future<streamed_answer> stream_async(std::size_t instance, std::string pipeline, std::string input,
-                                              std::int64_t max_tokens) const;
+    std::future<answer> post_async(std::size_t instance, const std::string& target,
+                                   const nlohmann::json& body, const headers& more = {},
+                                   duration patience = duration{10'000}) const;
+    std::future<streamed_answer> stream_async(std::size_t instance, const std::string& pipeline,
+                                              const std::string& input, std::int64_t max_tokens) const;
     answer book(std::size_t instance, const std::string& key, int attempt,
                 const nlohmann::json& body = {{"truck", 1}}, duration patience = duration{10'000}) const;
     std::future<answer> book_async(std::size_t instance, const std::string& key, int attempt) const;
--- a/test/path_test.cpp
+++ b/test/path_test.cpp
@@ -59,6 +59,7 @@
     fleet it;
     cr_assert(it.wait_ready());
     std::vector<std::future<test::answer>> answers;
+    answers.reserve(requests);
     for (int n = 0; n < requests; ++n)
         answers.push_back(it.post_async(static_cast<std::size_t>(n) % it.size(),
                                         "/v1/services/plant-feed/stock", {{"plant", n}}, {},
