--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -523,7 +523,7 @@
     headers more{{"Idempotency-Key", key}};
     if (attempt > 0)
         more.emplace_back("Idempotency-Attempt", std::to_string(attempt));
-    return post_async(instance, "/v1/services/dispatch/book", {{"truck", 1}}, std::move(more));
+    return post_async(instance, "/v1/services/dispatch/book", {{"truck", 1}}, more);
 }
 
 answer fleet::admin(std::size_t instance, const std::string& method, const std::string& target,
