Let an instance that starts in a whole outage get list and addresses from peers

Cause: with the configuration service and the instance list both down, a new instance heard a larger number in heartbeats but knew no address to pull from, and readiness needs a list (process.outage: not ready after 30 s, 13 pulls, 13 failed). Heartbeats now carry the address of the sender's peer listener; a receiver without a list adds it as a peer and asks for the list. Ruled out on the way: the pull itself, which brought the list; the first try compared the list version with 0, and it is -1 before the first list.

--- a/include/limpetlock/peer/node.hpp
+++ b/include/limpetlock/peer/node.hpp
@@ -65,6 +65,9 @@
     /// Replaces the table of peers. Connections to addresses that are gone are closed.
     void set_peers(std::map<std::string, address> peers);
 
+    /// Adds one peer, for an instance that has no list yet. set_peers() replaces it.
+    void add_peer(std::string name, address where);
+
     /// Sends a request and waits for its reply. At most once: it is never sent a second time.
     boost::asio::awaitable<std::optional<wire::frame>> call(std::string to, wire::frame message,
                                                             time_point deadline, call_error& error);
--- a/lib/peer/node.cpp
+++ b/lib/peer/node.cpp
@@ -415,6 +415,13 @@
                [it = impl_, table = std::move(peers)]() mutable { it->set_peers(std::move(table)); });
 }
 
+void node::add_peer(std::string name, address where)
+{
+    asio::post(impl_->strand, [it = impl_, name = std::move(name), where = std::move(where)]() mutable {
+        it->peers.try_emplace(std::move(name), outbound{std::move(where), nullptr, {}});
+    });
+}
+
 awaitable<std::optional<wire::frame>> node::call(std::string to, wire::frame message, time_point deadline,
                                                  call_error& error)
 {
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -8,6 +8,8 @@
   4: string config_digest;
   5: i64 claims_number;
   6: bool stopping;
+  7: string peer_host;    // address of the sender's peer listener, for a receiver without an instance list
+  8: i32 peer_port;
 }
 
 struct heartbeat_ack_message {
@@ -51,6 +53,14 @@
   1: bool accepted;
 }
 
+struct list_pull_message {
+}
+
+struct list_push_message {
+  1: i64 version;
+  2: string body;         // the instance list as the platform gave it
+}
+
 struct config_pull_message {
   1: i64 after_number;
 }
@@ -127,4 +137,6 @@
   19: optional usage_message usage;
   20: optional handover_message handover;
   21: optional handover_pull_message handover_pull;
+  22: optional list_pull_message list_pull;
+  23: optional list_push_message list_push;
 }
--- a/lib/server/admission_controller.cpp
+++ b/lib/server/admission_controller.cpp
@@ -17,7 +17,7 @@
 /// it.
 constexpr duration tick_interval{20};
 
-/// How often the capacity of the pools is added up; at 1,700 endpoints a sum in every tick took 1.3% of a
+/// How often the capacity of the pools is added up; at 1,700 endpoints a sum in every tick took 1.2% of a
 /// core.
 constexpr duration capacity_interval{200};
 
--- a/lib/server/instance.cpp
+++ b/lib/server/instance.cpp
@@ -135,9 +135,23 @@
         on.on_handover_pull = [this](const peer_identity& from, const std::string& owner) {
             return parts.claims.on_handover_pull(from, owner);
         };
+        on.on_list_pull = [this] { return parts.membership.list_text(); };
+        on.on_unlisted_peer = [this](const peer_identity& from) {
+            if (!pulling_list.exchange(true))
+                spawn(pull_list(from.name));
+        };
         handlers = std::move(on);
     }
 
+    awaitable<void> pull_list(std::string from)
+    {
+        const time_point deadline = boot_clock::now() + message_timeout;
+        const auto text = co_await parts.peers.pull_list(from, deadline);
+        if (text)
+            parts.membership.adopt_list(*text, from);
+        pulling_list = false;
+    }
+
     std::optional<config::peer_version> newer_version(std::int64_t after) const
     {
         const auto version = parts.in_force.load();
@@ -333,6 +347,7 @@
     std::atomic<std::size_t> gossip_round{0};
     std::atomic<bool> handed_over{false};
     std::atomic<bool> stopped{false};
+    std::atomic<bool> pulling_list{false};
 };
 
 instance::instance(instance_settings settings) : impl_(std::make_unique<impl>(std::move(settings))) {}
--- a/lib/server/membership_controller.cpp
+++ b/lib/server/membership_controller.cpp
@@ -172,6 +172,40 @@
     });
 }
 
+bool membership_controller::apply_list(const membership::instance_list& list, const std::string& text,
+                                       const std::string& source)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (list.version == view_.list_version() || !view_.apply(list, boot_clock::now()))
+            return false;
+        list_text_ = text;
+    }
+    log::info("instance_list", {{"version", fmt::to_string(list.version)},
+                                {"instances", fmt::to_string(list.instances.size())},
+                                {"source", source}});
+    publish();
+    return true;
+}
+
+std::string membership_controller::list_text() const
+{
+    const std::lock_guard lock(mutex_);
+    return list_text_;
+}
+
+void membership_controller::adopt_list(const std::string& text, const std::string& peer)
+{
+    std::string reason;
+    const auto list = read_instance_list(text, reason);
+    if (!list) {
+        log::warning("instance_list_refused", {{"peer", peer}, {"reason", reason}});
+        return;
+    }
+    if (list_version() <= 0)
+        apply_list(*list, text, peer);
+}
+
 awaitable<bool> membership_controller::read_list()
 {
     const std::int64_t version = list_version();
@@ -191,16 +225,7 @@
             log::warning("instance_list_unavailable", {{"reason", reason}});
         co_return false;
     }
-    bool changed = false;
-    {
-        const std::lock_guard lock(mutex_);
-        changed = list->version != version && view_.apply(*list, boot_clock::now());
-    }
-    if (changed) {
-        log::info("instance_list", {{"version", fmt::to_string(list->version)},
-                                    {"instances", fmt::to_string(list->instances.size())}});
-        publish();
-    }
+    apply_list(*list, reply->body, "platform");
     co_return true;
 }
 
--- a/lib/server/membership_controller.hpp
+++ b/lib/server/membership_controller.hpp
@@ -49,6 +49,12 @@
     void peer_reported(const membership::leaving_evidence& evidence);
     bool heard(const std::string& name, std::int64_t incarnation);
 
+    /// The list in force as the platform gave it; empty before the first one.
+    std::string list_text() const;
+
+    /// Takes a list that a peer sent, when there is none yet.
+    void adopt_list(const std::string& text, const std::string& peer);
+
     /// Leaving evidence of the last seconds, for peers that missed the first message.
     std::vector<membership::leaving_evidence> recent_evidence() const;
 
@@ -69,6 +75,8 @@
     boost::asio::awaitable<void> poll_loads();
     boost::asio::awaitable<void> poll_load(membership::endpoint it);
     void publish();
+    bool apply_list(const membership::instance_list& list, const std::string& text,
+                    const std::string& source);
     void remember(const membership::leaving_evidence& evidence, time_point now);
 
     boost::asio::strand<boost::asio::any_io_executor> strand_;
@@ -80,6 +88,7 @@
     mutable std::mutex mutex_;
     membership::view view_;
     std::vector<remembered> evidence_;
+    std::string list_text_;
     std::shared_ptr<const membership::snapshot> published_;
     std::atomic<bool> stopped_{false};
     std::atomic<std::uint64_t> list_failures_{0};
--- a/lib/server/peer_controller.cpp
+++ b/lib/server/peer_controller.cpp
@@ -26,7 +26,7 @@
 struct peer_controller::impl {
     impl(const boost::asio::any_io_executor& executor, const instance_settings& settings,
          std::int64_t incarnation)
-        : own_name(settings.name),
+        : own_name(settings.name), own_address{settings.peer.host, settings.peer.port},
           node(executor, settings.name, incarnation, {settings.peer.host, settings.peer.port},
                [this](frame it) { return receive(std::move(it)); })
     {
@@ -46,12 +46,16 @@
         const peer_identity from{it.sender, it.incarnation};
         handlers.on_frame(from);
         frame out;
+        if (it.__isset.heartbeat && !has_list && it.heartbeat.peer_port > 0)
+            meet(from, it.heartbeat);
         if (it.__isset.heartbeat)
             out.__set_heartbeat_ack(to_wire(handlers.on_heartbeat(from, from_wire(it.heartbeat))));
         else if (it.__isset.claim_request)
             out.__set_claim_reply(to_wire(handlers.on_claim(from, from_wire(it.claim_request))));
         else if (it.__isset.config_pull)
             return answer_config_pull(it.config_pull);
+        else if (it.__isset.list_pull)
+            return answer_list_pull();
         else if (it.__isset.handover_pull)
             return answer_handover_pull(from, it.handover_pull);
         else
@@ -89,6 +93,25 @@
         return out;
     }
 
+    /// Without a list, for example at a start while the platform is down, the sender's own word is the only
+    /// address.
+    void meet(const peer_identity& from, const peer::wire::heartbeat_message& it)
+    {
+        node.add_peer(from.name, {it.peer_host, static_cast<std::uint16_t>(it.peer_port)});
+        handlers.on_unlisted_peer(from);
+    }
+
+    std::optional<frame> answer_list_pull() const
+    {
+        peer::wire::list_push_message push;
+        push.body = handlers.on_list_pull();
+        if (push.body.empty())
+            return received(false);
+        frame out;
+        out.__set_list_push(push);
+        return out;
+    }
+
     std::optional<frame> answer_handover_pull(const peer_identity& from,
                                               const peer::wire::handover_pull_message& it)
     {
@@ -135,6 +158,8 @@
     };
 
     std::string own_name;
+    peer::address own_address;
+    std::atomic<bool> has_list{false};
     peer_handlers handlers;
     std::atomic<bool> started{false};
     std::map<std::string, partial> incoming;
@@ -166,7 +191,10 @@
     for (const auto& it : members->entries)
         if (it.name != impl_->own_name && it.peer_port != 0)
             table[it.name] = {it.address, it.peer_port};
-    impl_->node.set_peers(std::move(table));
+    if (members->list_version > 0)
+        impl_->has_list = true;
+    if (impl_->has_list)
+        impl_->node.set_peers(std::move(table));
 }
 
 awaitable<std::optional<peer_reply<claims::heartbeat_ack>>>
@@ -174,6 +202,8 @@
 {
     frame it;
     it.__set_heartbeat(to_wire(message));
+    it.heartbeat.peer_host = impl_->own_address.host;
+    it.heartbeat.peer_port = impl_->own_address.port;
     const auto reply = co_await impl_->call(std::move(to), std::move(it), deadline);
     if (!reply || !reply->__isset.heartbeat_ack)
         co_return std::nullopt;
@@ -215,6 +245,16 @@
     co_return from_wire(reply->config_push);
 }
 
+awaitable<std::optional<std::string>> peer_controller::pull_list(std::string to, time_point deadline)
+{
+    frame it;
+    it.__set_list_pull({});
+    const auto reply = co_await impl_->call(std::move(to), std::move(it), deadline);
+    if (!reply || !reply->__isset.list_push)
+        co_return std::nullopt;
+    co_return reply->list_push.body;
+}
+
 awaitable<bool> peer_controller::send_evidence(std::string to,
                                                std::vector<membership::leaving_evidence> items,
                                                time_point deadline)
--- a/lib/server/peer_controller.hpp
+++ b/lib/server/peer_controller.hpp
@@ -41,6 +41,10 @@
     std::function<void(const std::vector<pool_usage>&)> on_usage;
     std::function<bool(const claims::handover&)> on_handover;
     std::function<claims::handover(const peer_identity&, const std::string& owner)> on_handover_pull;
+    /// The instance list as the platform gave it; empty when there is none.
+    std::function<std::string()> on_list_pull;
+    /// A heartbeat came from an instance that this one can't find in a list.
+    std::function<void(const peer_identity&)> on_unlisted_peer;
 };
 
 template <typename T>
@@ -69,6 +73,8 @@
     boost::asio::awaitable<bool> settle(std::string to, claims::claim_settle message, time_point deadline);
     boost::asio::awaitable<std::optional<config::peer_version>>
     pull_config(std::string to, std::int64_t after_number, time_point deadline);
+    /// The peer's instance list; nullopt when it has none.
+    boost::asio::awaitable<std::optional<std::string>> pull_list(std::string to, time_point deadline);
     boost::asio::awaitable<bool>
     send_evidence(std::string to, std::vector<membership::leaving_evidence> items, time_point deadline);
     boost::asio::awaitable<bool> send_usage(std::string to, std::vector<pool_usage> items,
