--- /dev/null
+++ b/test/fleet/calls.hpp
@@ -0,0 +1,19 @@
+/// \file
+/// Calls of a test's callers: one whole exchange, and one streamed answer.
+#pragma once
+
+#include "fleet.hpp"
+
+#include <limpetlock/http/client.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace limpetlock::test {
+
+boost::asio::awaitable<answer> exchange(http::client& client, http::address to, http::request message,
+                                        duration patience);
+
+boost::asio::awaitable<streamed_answer> read_stream(http::client& client, http::address to,
+                                                    http::request message);
+
+} // namespace limpetlock::test
--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -1,5 +1,6 @@
 #include "fleet.hpp"
 
+#include "calls.hpp"
 #include "peer_relay.hpp"
 
 #include <limpetlock/http/client.hpp>
@@ -70,13 +71,26 @@
     return fmt::format("127.{}.{}.{}", 1 + (pid >> 16U) % 200, (pid >> 8U) % 256, pid % 256);
 }
 
-/// A port of an address that was free a moment ago.
-std::uint16_t free_port(const std::string& address)
-{
-    asio::io_context context;
-    const asio::ip::tcp::acceptor it(context, {asio::ip::make_address(address), 0});
-    return it.local_endpoint().port();
-}
+/// Holds ports for the processes: a socket that is bound and doesn't listen keeps a port from being given to
+/// another socket of the machine, and lets a process that sets reuse_address listen there.
+class port_holder {
+public:
+    explicit port_holder(const std::string& address) : address_(asio::ip::make_address(address)) {}
+
+    std::uint16_t take()
+    {
+        auto& it = held_.emplace_back(context_);
+        it.open(asio::ip::tcp::v4());
+        it.set_option(asio::socket_base::reuse_address(true));
+        it.bind({address_, 0});
+        return it.local_endpoint().port();
+    }
+
+private:
+    asio::ip::address address_;
+    asio::io_context context_;
+    std::vector<asio::ip::tcp::acceptor> held_;
+};
 
 struct process {
     std::string name;
@@ -90,73 +104,8 @@
     pid_t pid{-1};
 };
 
-asio::awaitable<answer> exchange(http::client& client, http::address to, http::request message,
-                                 duration patience)
-{
-    http::call_error error;
-    const auto reply =
-        co_await client.call(to, message, boot_clock::now() + patience, http::reuse::fresh, error);
-    answer out;
-    if (reply) {
-        out.status = reply->status;
-        out.body = reply->body;
-    } else {
-        out.failure = error.reason;
-    }
-    co_return out;
-}
-
-void note_event(streamed_answer& out, const std::string& data)
-{
-    const auto it = json::parse(data, nullptr, false);
-    if (it.contains("index")) {
-        out.positions.push_back(it["index"].get<std::int64_t>());
-        out.tokens.push_back(it["text"].get<std::string>());
-    } else if (it.contains("error")) {
-        out.error = it["error"]["code"].get<std::string>();
-    } else if (it.contains("tokens")) {
-        out.done = true;
-    }
-}
-
-asio::awaitable<streamed_answer> read_stream(http::client& client, http::address to, http::request message)
-{
-    constexpr duration patience{60'000};
-    streamed_answer out;
-    http::call_error error;
-    const time_point deadline = boot_clock::now() + patience;
-    auto stream = co_await client.open(to, message, deadline, http::reuse::fresh, error);
-    if (!stream) {
-        out.failure = error.reason;
-        co_return out;
-    }
-    out.status = stream->status();
-    if (out.status != 200) {
-        const std::string body = co_await stream->body(deadline);
-        note_event(out, body);
-        co_return out;
-    }
-    while (auto data = co_await stream->next(deadline))
-        note_event(out, *data);
-    if (stream->error().code != http::errc::none)
-        out.failure = stream->error().reason;
-    co_return out;
-}
-
 } // namespace
 
-std::string answer::code() const
-{
-    const auto it = json();
-    return it.is_object() && it.contains("error") ? it["error"].value("code", "") : "";
-}
-
-std::string answer::ran() const
-{
-    const auto it = json();
-    return it.is_object() && it.contains("error") ? it["error"].value("ran", "") : "";
-}
-
 struct fleet::impl {
     impl(const impl&) = delete;
     impl& operator=(const impl&) = delete;
@@ -231,10 +180,10 @@
     {
         {
             const std::lock_guard lock(mutex);
-            it.caller = free_port(address);
+            it.caller = ports.take();
         }
-        it.admin = free_port(address);
-        it.peer = free_port(address);
+        it.admin = ports.take();
+        it.peer = ports.take();
         it.listed_peer = relay.add(it.name, it.peer);
         it.settings = directory / fmt::format("{}-{}.ini", it.name, it.caller);
         std::ofstream out(it.settings);
@@ -398,6 +347,7 @@
     testkit::endpoint_host endpoints;
     runner network{2};
     std::string address;
+    port_holder ports{address};
     peer_relay relay;
     runner callers{2};
     http::client client;
