--- a/lib/server/admin.cpp
+++ b/lib/server/admin.cpp
@@ -95,6 +95,9 @@
         if (it.reported)
             endpoints.back()["reported_load"] = *it.reported;
     }
+    for (const auto& it : parts.membership.unroutable())
+        endpoints.push_back(
+            {{"pool", it.pool}, {"name", it.name}, {"state", membership::to_string(it.status)}});
     const auto counts = parts.membership.counts();
     return {{"list_version", parts.membership.list_version()},
             {"entries", std::move(entries)},
--- a/lib/server/membership_controller.cpp
+++ b/lib/server/membership_controller.cpp
@@ -180,6 +180,7 @@
         if (list.version == view_.list_version() || !view_.apply(list, boot_clock::now()))
             return false;
         list_text_ = text;
+        listed_ = list.instances;
     }
     log::info("instance_list", {{"version", fmt::to_string(list.version)},
                                 {"instances", fmt::to_string(list.instances.size())},
@@ -188,6 +189,18 @@
     return true;
 }
 
+std::vector<membership_controller::endpoint_state> membership_controller::unroutable() const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<endpoint_state> out;
+    for (const auto& it : listed_) {
+        const auto status = view_.status(it.pool, it.name);
+        if (status == membership::state::leaving || status == membership::state::ejected)
+            out.push_back({it.pool, it.name, *status});
+    }
+    return out;
+}
+
 std::string membership_controller::list_text() const
 {
     const std::lock_guard lock(mutex_);
--- a/lib/server/membership_controller.hpp
+++ b/lib/server/membership_controller.hpp
@@ -49,6 +49,15 @@
     void peer_reported(const membership::leaving_evidence& evidence);
     bool heard(const std::string& name, std::int64_t incarnation);
 
+    struct endpoint_state {
+        std::string pool;
+        std::string name;
+        membership::state status{};
+    };
+
+    /// Listed endpoints that take no calls now, with the reason: leaving or ejected.
+    std::vector<endpoint_state> unroutable() const;
+
     /// The list in force as the platform gave it; empty before the first one.
     std::string list_text() const;
 
@@ -89,6 +98,7 @@
     membership::view view_;
     std::vector<remembered> evidence_;
     std::string list_text_;
+    std::vector<membership::listed_instance> listed_;
     std::shared_ptr<const membership::snapshot> published_;
     std::atomic<bool> stopped_{false};
     std::atomic<std::uint64_t> list_failures_{0};
