Drop an unused result of the claim call and an unused include

peer_controller::claim reported whether its request may have left, and nobody used it: an ask may be repeated in any case.

--- a/lib/server/claim_controller.cpp
+++ b/lib/server/claim_controller.cpp
@@ -8,7 +8,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -343,9 +342,8 @@
 {
     if (owner == name_)
         co_return on_claim(ask);
-    bool sent = false;
-    co_return co_await peers_.claim(std::move(owner), std::move(ask),
-                                    std::min(deadline, boot_clock::now() + ask_timeout), sent);
+    const time_point patience = std::min(deadline, boot_clock::now() + ask_timeout);
+    co_return co_await peers_.claim(std::move(owner), std::move(ask), patience);
 }
 
 awaitable<std::optional<claims::claim_reply>> claim_controller::ask(claims::claim_request ask,
--- a/lib/server/peer_controller.cpp
+++ b/lib/server/peer_controller.cpp
@@ -213,13 +213,11 @@
 }
 
 awaitable<std::optional<claims::claim_reply>>
-peer_controller::claim(std::string to, claims::claim_request message, time_point deadline, bool& sent)
+peer_controller::claim(std::string to, claims::claim_request message, time_point deadline)
 {
     frame it;
     it.__set_claim_request(to_wire(message));
-    peer::call_error error;
-    const auto reply = co_await impl_->node.call(std::move(to), std::move(it), deadline, error);
-    sent = reply.has_value() || error.sent;
+    const auto reply = co_await impl_->call(std::move(to), std::move(it), deadline);
     if (!reply || !reply->__isset.claim_reply)
         co_return std::nullopt;
     co_return from_wire(reply->claim_reply);
--- a/lib/server/peer_controller.hpp
+++ b/lib/server/peer_controller.hpp
@@ -67,9 +67,8 @@
 
     boost::asio::awaitable<std::optional<peer_reply<claims::heartbeat_ack>>>
     heartbeat(std::string to, claims::heartbeat message, time_point deadline);
-    /// `sent` tells whether the request may have reached the owner.
     boost::asio::awaitable<std::optional<claims::claim_reply>>
-    claim(std::string to, claims::claim_request message, time_point deadline, bool& sent);
+    claim(std::string to, claims::claim_request message, time_point deadline);
     boost::asio::awaitable<bool> settle(std::string to, claims::claim_settle message, time_point deadline);
     boost::asio::awaitable<std::optional<config::peer_version>>
     pull_config(std::string to, std::int64_t after_number, time_point deadline);
