--- /dev/null
+++ b/include/limpetlock/gateway/endpoint_book.hpp
@@ -0,0 +1,76 @@
+/// \file
+/// What one instance has seen of each endpoint, and the choice of the endpoint for a request.
+#pragma once
+
+#include <limpetlock/gateway/model.hpp>
+#include <limpetlock/support/time.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace limpetlock::gateway {
+
+/// How one sending to an endpoint ended.
+enum class send_outcome : std::uint8_t {
+    answered,
+    failed_by_endpoint, ///< an error of the endpoint's own
+    full,
+    unreachable, ///< provably not sent
+    broken,      ///< sent, and the connection failed before the end of the answer
+    replaced,    ///< another endpoint has the address
+    cancelled    ///< given up here; says nothing about the endpoint
+};
+
+struct endpoint_wish {
+    std::string pool;
+    std::uint64_t affinity{0}; ///< hash that prefers the same endpoint each time; 0 for none
+    std::string domain;        ///< preferred failure domain
+    std::vector<std::string> tried;
+};
+
+class endpoint_book {
+public:
+    /// Takes a new list; what was seen of endpoints that stay is kept.
+    void adopt(const std::vector<endpoint>& endpoints, time_point now);
+
+    /// The endpoint for a request, or nullopt when the pool has none that wasn't tried. Endpoints that failed
+    /// lately are used only when there is no other.
+    std::optional<endpoint> choose(const endpoint_wish& wish, time_point now);
+
+    void started(const std::string& id, time_point now);
+    void finished(const std::string& id, send_outcome how, time_point now);
+    void reported(const std::string& id, const load_figures& load, time_point now);
+
+    /// All endpoints of a pool that take new work.
+    std::vector<endpoint> members(std::string_view pool) const;
+
+    /// Whether the endpoint is still listed and takes new work.
+    bool takes_work(const std::string& id) const;
+
+    /// Share of the places of a pool that are taken, as far as it is known.
+    double usage(std::string_view pool, time_point now) const;
+
+private:
+    struct seen {
+        endpoint who;
+        std::uint32_t in_flight{0};
+        std::uint32_t failures{0};
+        double error_share{0};
+        time_point avoid_until{};
+        load_figures load;
+        time_point load_at{};
+    };
+
+    double load_of(const seen& it, time_point now) const;
+    void punish(seen& it, duration base, time_point now);
+
+    std::map<std::string, seen, std::less<>> endpoints_;
+    std::map<std::string, std::vector<std::string>, std::less<>> pools_;
+};
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/include/limpetlock/gateway/instance.hpp
@@ -0,0 +1,36 @@
+/// \file
+/// A gateway process: callers on one side, the platform's endpoints and published state on the other.
+#pragma once
+
+#include <limpetlock/gateway/dialect.hpp>
+#include <limpetlock/gateway/settings.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace limpetlock::gateway {
+
+enum class exit_reason : std::uint8_t { graceful, cut };
+
+/// Reads the settings again after a change; nullopt with a reason when they can't be used.
+using settings_source = std::function<std::optional<gateway_settings>(std::string& reason)>;
+
+class instance {
+public:
+    /// Throws std::runtime_error when a listener can't be opened.
+    instance(gateway_settings settings, std::unique_ptr<dialect> names, settings_source reload);
+    ~instance();
+    instance(const instance&) = delete;
+    instance& operator=(const instance&) = delete;
+
+    /// Serves until a stop signal and the end of the requests in progress.
+    exit_reason run();
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/include/limpetlock/gateway/piece_queue.hpp
@@ -0,0 +1,76 @@
+/// \file
+/// Pieces of stages that wait for an endpoint of their pool, and the batches that are formed of them.
+#pragma once
+
+#include <limpetlock/gateway/model.hpp>
+#include <limpetlock/support/time.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace limpetlock::gateway {
+
+/// The pieces that one request needs of one stage.
+struct stage_order {
+    std::string request_id;
+    std::uint32_t stage{0};
+    std::vector<std::uint32_t> pieces;
+    std::string key;
+    std::vector<std::string> inputs;
+    time_point deadline{};  ///< after this the results are of no use
+    time_point wanted_by{}; ///< results by this time let the request meet its objective
+    std::string domain;     ///< where the results will be fetched
+    std::uint64_t result_bytes{0}; ///< of one piece
+    int priority{0};
+    double worth{1}; ///< of the request per piece, in relation to other requests
+};
+
+/// A piece in the queue or in a call.
+struct queued_piece {
+    std::shared_ptr<const stage_order> order;
+    std::size_t index{0}; ///< into order->pieces
+    std::uint32_t tries{0};
+    time_point queued{};
+};
+
+struct batch_options {
+    std::size_t size{1};
+    double call_ms{0};
+    double piece_ms{0};
+    /// Pieces with results of this size wait a little for an endpoint in their own domain, because results
+    /// that cross domains are dear.
+    std::uint64_t local_result_bytes{100'000};
+    duration local_patience{120};
+    /// Every n-th batch begins with the pieces that wait longest, so that nothing is passed over for ever.
+    std::uint32_t oldest_first_every{4};
+};
+
+class piece_queue {
+public:
+    void push(queued_piece it);
+
+    /// Takes the pieces of the next batch for an endpoint in `domain`. `local_elsewhere` tells whether a
+    /// domain has an endpoint that may soon take pieces. Pieces whose deadline can't be met are not taken.
+    std::vector<queued_piece> take_batch(const batch_options& options, std::string_view domain,
+                                         const std::vector<std::string>& other_domains, time_point now);
+
+    /// Drops the pieces that can't be done before their deadline and returns them.
+    std::vector<queued_piece> expire(const batch_options& options, time_point now);
+
+    /// Drops the pieces of an order.
+    void cancel(std::string_view request_id, std::uint32_t stage);
+
+    bool empty() const { return waiting_.empty(); }
+    std::size_t size() const { return waiting_.size(); }
+
+private:
+    std::list<queued_piece> waiting_;
+    std::uint32_t batches_{0};
+};
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/include/limpetlock/gateway/replica.hpp
@@ -0,0 +1,54 @@
+/// \file
+/// A read-only copy of the platform's published state. Entries carry the revision of their last change, so
+/// that copies of several sources merge in any order.
+#pragma once
+
+#include <limpetlock/gateway/model.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace limpetlock::gateway {
+
+class replica {
+public:
+    /// Removed entries that are kept, so that peers learn of the removal.
+    static constexpr std::size_t max_removed = 4096;
+
+    /// True when the entry is newer than the one that is held.
+    bool apply(state_item it);
+
+    /// Takes a full listing of a prefix as of `revision`: entries that it lacks are removed unless they
+    /// changed later. Returns whether anything changed.
+    bool adopt_listing(std::string_view prefix, std::vector<state_item> items, std::int64_t revision);
+
+    /// Records that every change up to the revision is held.
+    void complete_to(std::int64_t revision);
+
+    /// Every change up to this revision is held; 0 before the first listing.
+    std::int64_t revision() const { return revision_; }
+
+    const state_item* find(std::string_view key) const;
+    std::vector<const state_item*> under(std::string_view prefix) const;
+
+    /// Entries that changed after the revision. `whole` is set when removals of that time may be forgotten;
+    /// then these are all entries.
+    std::vector<state_item> changes_after(std::int64_t revision, bool& whole) const;
+
+    std::size_t size() const { return items_.size(); }
+
+private:
+    void forget_removed();
+
+    std::map<std::string, state_item, std::less<>> items_;
+    std::int64_t revision_{0};
+    std::int64_t forgotten_to_{0}; ///< removals up to this revision may be forgotten
+    std::size_t removed_{0};
+};
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -0,0 +1,89 @@
+/// \file
+/// Decides which pieces go to which endpoint of one stage pool, and when.
+#pragma once
+
+#include <limpetlock/gateway/piece_queue.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace limpetlock::gateway {
+
+/// How a call with a batch ended.
+enum class call_outcome : std::uint8_t {
+    answered,
+    full,        ///< the endpoint had no place for the call
+    unreachable, ///< provably not sent
+    broken,      ///< sent and not answered
+    replaced     ///< another endpoint has the address
+};
+
+struct stage_dispatch {
+    std::uint64_t call{0};
+    endpoint to;
+    std::vector<queued_piece> pieces;
+    time_point give_up{}; ///< the endpoint counts as hung after this
+};
+
+class stage_dispatcher {
+public:
+    void configure(const stage_figures& figures, std::vector<endpoint> endpoints);
+
+    void submit(const std::shared_ptr<const stage_order>& order, time_point now);
+    void cancel(std::string_view request_id, std::uint32_t stage) { queue_.cancel(request_id, stage); }
+
+    /// The next call to make now; nullopt when nothing waits or no endpoint is free.
+    std::optional<stage_dispatch> next(time_point now);
+
+    /// Records the end of a call. What becomes of its pieces is up to the caller.
+    void finished(std::uint64_t call, call_outcome how, time_point now);
+
+    /// Queues a piece again after it failed; false when it was tried too often.
+    bool retry(queued_piece it, time_point now);
+
+    std::vector<queued_piece> expire(time_point now) { return queue_.expire(options_, now); }
+
+    /// Time that the pool needs for what waits and runs now.
+    duration backlog(time_point now) const;
+
+    /// Expected time of a call with this many pieces.
+    duration call_time(std::size_t pieces) const;
+
+    bool has_endpoints() const { return !endpoints_.empty(); }
+    std::size_t waiting() const { return queue_.size(); }
+
+    static constexpr std::uint32_t max_tries = 4;
+
+private:
+    struct target {
+        endpoint who;
+        bool busy{false};
+        time_point busy_until{};
+        time_point avoid_until{};
+        std::uint32_t failures{0};
+        double slowness{1}; ///< measured time of calls in relation to the expected time
+    };
+    struct running_call {
+        std::string endpoint_id;
+        time_point started{};
+        std::size_t pieces{0};
+    };
+
+    target* pick(time_point now, const std::vector<std::string>& passed);
+    std::vector<std::string> domains_besides(std::string_view domain, time_point now) const;
+    bool usable(const target& it, time_point now) const;
+    void punish(target& it, duration base, time_point now);
+
+    stage_figures figures_;
+    batch_options options_;
+    piece_queue queue_;
+    std::map<std::string, target, std::less<>> endpoints_;
+    std::map<std::uint64_t, running_call> calls_;
+    std::uint64_t last_call_{0};
+};
+
+} // namespace limpetlock::gateway
--- a/include/limpetlock/http/client.hpp
+++ b/include/limpetlock/http/client.hpp
@@ -12,6 +12,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -46,6 +47,9 @@
     std::size_t idle_per_address{16};
     duration idle_timeout{10'000};
     duration connect_timeout{500};
+    /// Takes an answer without length or chunks, which ends when the endpoint closes the connection; a reset
+    /// still cuts it.
+    bool accept_unframed{false};
 };
 
 /// A streamed answer of server-sent events. Destroying it before its end closes the connection, which cancels
@@ -69,6 +73,24 @@
     virtual boost::asio::awaitable<std::string> body(time_point deadline) = 0;
 };
 
+/// An answer whose body is read as it arrives. Destroying it before its end closes the connection, which
+/// cancels the call at the endpoint.
+class answer_reader {
+public:
+    virtual ~answer_reader() = default;
+
+    virtual int status() const = 0;
+    virtual const header_list& headers() const = 0;
+
+    /// The next bytes of the body, or nullopt at the end or on failure: then error().code is errc::none only
+    /// when the answer was complete.
+    virtual boost::asio::awaitable<std::optional<std::string>> read(time_point deadline) = 0;
+    virtual const call_error& error() const = 0;
+};
+
+/// Tells from its headers whether an answer belongs to the request that was sent.
+using answer_filter = std::function<bool(const header_list&)>;
+
 /// Safe for use from any thread. An abandoned or failed exchange closes its connection; only a connection
 /// whose last answer was read to its end returns to the pool.
 class client {
@@ -86,6 +108,13 @@
     boost::asio::awaitable<std::unique_ptr<event_stream>>
     open(address to, request message, time_point deadline, reuse policy, call_error& error);
 
+    /// Sends the request and reads the answer's header. Answers that the filter rejects are read to their end
+    /// and dropped. nullptr on failure.
+    boost::asio::awaitable<std::unique_ptr<answer_reader>> open_answer(address to, request message,
+                                                                       time_point deadline, reuse policy,
+                                                                       call_error& error,
+                                                                       answer_filter accept = {});
+
 private:
     struct impl;
     std::shared_ptr<impl> impl_;
--- a/include/limpetlock/http/server.hpp
+++ b/include/limpetlock/http/server.hpp
@@ -83,6 +83,9 @@
     /// Requests that a handler is working on now.
     std::size_t active() const;
 
+    /// Bounds of the requests that begin later.
+    void set_limits(const server_limits& limits);
+
     /// Closes the listening socket and idle connections; requests in progress go on and their connections
     /// close after the answer (Connection: close).
     void stop_accepting();
--- /dev/null
+++ b/lib/gateway/endpoint_book.cpp
@@ -0,0 +1,190 @@
+#include <limpetlock/gateway/endpoint_book.hpp>
+
+#include <limpetlock/support/hash.hpp>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace limpetlock::gateway {
+
+namespace {
+
+/// First pause after a failure; doubles with each further one.
+constexpr duration unreachable_pause{500};
+constexpr duration broken_pause{300};
+constexpr duration full_pause{100};
+constexpr duration longest_pause{6'000};
+constexpr duration replaced_pause{10'000};
+
+/// Failures in a row of established connections before an endpoint is avoided.
+constexpr std::uint32_t tolerated_failures = 1;
+
+/// Weight of one answer in the share of errors.
+constexpr double error_weight = 0.15;
+
+/// Places that an error share of 1 counts for.
+constexpr double error_cost = 3;
+
+/// A load report says nothing after this.
+constexpr duration report_lifetime{2'000};
+
+/// An endpoint with affinity is passed over when its places are used beyond this share.
+constexpr double affinity_load_limit = 0.85;
+
+/// Load, in places, that a call to another failure domain must save.
+constexpr double domain_cost = 0.02;
+
+} // namespace
+
+void endpoint_book::adopt(const std::vector<endpoint>& endpoints, time_point now)
+{
+    std::map<std::string, seen, std::less<>> next;
+    pools_.clear();
+    for (const auto& it : endpoints) {
+        const auto found = endpoints_.find(it.id);
+        const bool same = found != endpoints_.end() && found->second.who.started_ms == it.started_ms &&
+                          found->second.who.address == it.address;
+        seen entry = same ? found->second : seen{};
+        entry.who = it;
+        next.emplace(it.id, std::move(entry));
+        if (!it.leaving)
+            pools_[it.pool].push_back(it.id);
+    }
+    // Requests in progress at endpoints that left the list still end.
+    for (auto& [id, it] : endpoints_)
+        if (it.in_flight > 0 && !next.contains(id)) {
+            it.who.leaving = true;
+            it.avoid_until = now + longest_pause;
+            next.emplace(id, it);
+        }
+    endpoints_ = std::move(next);
+}
+
+double endpoint_book::load_of(const seen& it, time_point now) const
+{
+    double load = it.in_flight;
+    if (it.load_at != time_point{} && now - it.load_at < report_lifetime)
+        load = std::max(load, static_cast<double>(it.load.running + it.load.waiting));
+    return (load + it.error_share * error_cost) / std::max<double>(1, it.who.slots);
+}
+
+std::optional<endpoint> endpoint_book::choose(const endpoint_wish& wish, time_point now)
+{
+    const auto found = pools_.find(wish.pool);
+    if (found == pools_.end())
+        return std::nullopt;
+    const seen* best = nullptr;
+    std::tuple<bool, bool, double> best_rank{};
+    for (const auto& id : found->second) {
+        if (std::find(wish.tried.begin(), wish.tried.end(), id) != wish.tried.end())
+            continue;
+        const seen& it = endpoints_.at(id);
+        const bool avoided = it.avoid_until > now;
+        const double load = load_of(it, now);
+        const bool crowded = wish.affinity != 0 && load > affinity_load_limit;
+        // The largest hash wins, so that each key keeps its endpoint while the list changes.
+        double rank = 0;
+        if (wish.affinity != 0 && !crowded)
+            rank = -static_cast<double>(hash64(id, wish.affinity));
+        else
+            rank = load + (it.who.domain == wish.domain ? 0 : domain_cost) +
+                   static_cast<double>(hash64(id, static_cast<std::uint64_t>(to_ms(now))) >> 40) * 1e-10;
+        const std::tuple<bool, bool, double> key{avoided, crowded, rank};
+        if (best == nullptr || key < best_rank) {
+            best = &it;
+            best_rank = key;
+        }
+    }
+    if (best == nullptr)
+        return std::nullopt;
+    return best->who;
+}
+
+void endpoint_book::started(const std::string& id, time_point)
+{
+    const auto it = endpoints_.find(id);
+    if (it != endpoints_.end())
+        ++it->second.in_flight;
+}
+
+void endpoint_book::punish(seen& it, duration base, time_point now)
+{
+    const auto factor = std::int64_t{1} << std::min<std::uint32_t>(it.failures, 4);
+    it.avoid_until = now + std::min(longest_pause, base * factor);
+}
+
+void endpoint_book::finished(const std::string& id, send_outcome how, time_point now)
+{
+    const auto found = endpoints_.find(id);
+    if (found == endpoints_.end())
+        return;
+    seen& it = found->second;
+    if (it.in_flight > 0)
+        --it.in_flight;
+    switch (how) {
+    case send_outcome::answered:
+        it.failures = 0;
+        it.error_share -= error_weight * it.error_share;
+        break;
+    case send_outcome::failed_by_endpoint:
+        it.failures = 0;
+        it.error_share += error_weight * (1 - it.error_share);
+        break;
+    case send_outcome::full:
+        it.avoid_until = std::max(it.avoid_until, now + full_pause);
+        break;
+    case send_outcome::unreachable:
+        punish(it, unreachable_pause, now);
+        ++it.failures;
+        break;
+    case send_outcome::broken:
+        it.error_share += error_weight * (1 - it.error_share);
+        if (++it.failures > tolerated_failures)
+            punish(it, broken_pause, now);
+        break;
+    case send_outcome::replaced:
+        it.avoid_until = now + replaced_pause;
+        break;
+    case send_outcome::cancelled:
+        break;
+    }
+}
+
+void endpoint_book::reported(const std::string& id, const load_figures& load, time_point now)
+{
+    const auto it = endpoints_.find(id);
+    if (it == endpoints_.end())
+        return;
+    it->second.load = load;
+    it->second.load_at = now;
+}
+
+std::vector<endpoint> endpoint_book::members(std::string_view pool) const
+{
+    std::vector<endpoint> out;
+    const auto found = pools_.find(pool);
+    if (found != pools_.end())
+        for (const auto& id : found->second)
+            out.push_back(endpoints_.at(id).who);
+    return out;
+}
+
+bool endpoint_book::takes_work(const std::string& id) const
+{
+    const auto it = endpoints_.find(id);
+    return it != endpoints_.end() && !it->second.who.leaving;
+}
+
+double endpoint_book::usage(std::string_view pool, time_point now) const
+{
+    const auto found = pools_.find(pool);
+    if (found == pools_.end() || found->second.empty())
+        return 1;
+    double sum = 0;
+    for (const auto& id : found->second)
+        sum += std::min(1.0, load_of(endpoints_.at(id), now));
+    return sum / static_cast<double>(found->second.size());
+}
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/lib/gateway/event_framing.cpp
@@ -0,0 +1,51 @@
+#include <limpetlock/gateway/event_framing.hpp>
+
+#include <charconv>
+
+namespace limpetlock::gateway {
+
+void event_framing::drop_pending()
+{
+    buffer_.clear();
+    scanned_ = 0;
+    event_id_.reset();
+}
+
+void event_framing::take_line(std::string_view line)
+{
+    if (!line.starts_with("id:"))
+        return;
+    line.remove_prefix(3);
+    if (line.starts_with(' '))
+        line.remove_prefix(1);
+    std::uint64_t id = 0;
+    const auto [end, ec] = std::from_chars(line.data(), line.data() + line.size(), id);
+    if (ec == std::errc{} && end == line.data() + line.size())
+        event_id_ = id;
+}
+
+std::string event_framing::feed(std::string_view bytes)
+{
+    buffer_.append(bytes);
+    std::size_t whole = 0;
+    for (auto end = buffer_.find('\n', scanned_); end != std::string::npos; end = buffer_.find('\n', scanned_)) {
+        std::string_view line(buffer_.data() + scanned_, end - scanned_);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        scanned_ = end + 1;
+        if (!line.empty()) {
+            take_line(line);
+            continue;
+        }
+        whole = scanned_;
+        if (event_id_)
+            last_id_ = event_id_;
+        event_id_.reset();
+    }
+    std::string out = buffer_.substr(0, whole);
+    buffer_.erase(0, whole);
+    scanned_ -= whole;
+    return out;
+}
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/lib/gateway/feeder.cpp
@@ -0,0 +1,293 @@
+#include "feeder.hpp"
+
+#include "result_releaser.hpp"
+
+#include <limpetlock/support/log.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace limpetlock::gateway {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
+
+constexpr auto quiet = asio::as_tuple(asio::use_awaitable);
+
+/// Pauses of endpoints and the patience of pieces end between events, so waiting pieces are looked at again.
+constexpr duration tick_interval{25};
+
+/// An order that nobody asked for this long is dropped, and its results are released: the instance that gave
+/// it is gone.
+constexpr duration abandoned_after{2'500};
+
+} // namespace
+
+/// An order of this or another instance and the results so far.
+struct feeder::open_order {
+    open_order(stage_order it, std::string its_pool, const asio::any_io_executor& executor)
+        : order(std::make_shared<const stage_order>(std::move(it))), pool(std::move(its_pool)),
+          results(order->pieces.size()), have(order->pieces.size(), false), done(executor),
+          missing(order->pieces.size())
+    {
+        done.expires_at(asio::steady_timer::time_point::max());
+    }
+
+    std::vector<std::string> handles() const
+    {
+        std::vector<std::string> out;
+        for (const auto& it : results)
+            if (!it.handle.empty())
+                out.push_back(it.handle);
+        return out;
+    }
+
+    std::shared_ptr<const stage_order> order;
+    std::string pool;
+    std::vector<piece_result> results;
+    std::vector<bool> have;
+    asio::steady_timer done; ///< cancelled when the order ends
+    std::size_t missing;
+    bool cancelled{false};
+    bool delivered{false};
+    time_point last_asked{};
+};
+
+struct feeder::pool_state {
+    stage_dispatcher dispatcher;
+};
+
+feeder::feeder(asio::any_io_executor executor, const dialect& names, http::client& client,
+               result_releaser& releaser, metrics::registry& metrics)
+    : executor_(std::move(executor)), names_(names), client_(client), releaser_(releaser),
+      calls_(metrics.get_counter("limpetlock_stage_calls_total", "calls to endpoints of stage pools")),
+      pieces_(metrics.get_counter("limpetlock_stage_pieces_total", "pieces sent in stage calls")),
+      repeated_(metrics.get_counter("limpetlock_stage_pieces_repeated_total", "pieces sent again"))
+{
+    asio::co_spawn(executor_, tick_loop(), asio::detached);
+}
+
+feeder::~feeder() = default;
+
+std::size_t feeder::open_orders() const
+{
+    return static_cast<std::size_t>(std::count_if(orders_.begin(), orders_.end(), [](const auto& it) {
+        return it.second->missing > 0 && !it.second->cancelled;
+    }));
+}
+
+void feeder::configure(const routing_table& table, const std::vector<endpoint>& endpoints)
+{
+    for (const auto& [name, it] : table.pools) {
+        if (!it.stage)
+            continue;
+        auto& state = pools_[name];
+        if (!state)
+            state = std::make_unique<pool_state>();
+        std::vector<endpoint> members;
+        std::copy_if(endpoints.begin(), endpoints.end(), std::back_inserter(members),
+                     [&name = name](const endpoint& e) { return e.pool == name; });
+        state->dispatcher.configure(*it.stage, std::move(members));
+        pump(name);
+    }
+}
+
+awaitable<void> feeder::tick_loop()
+{
+    asio::steady_timer timer(executor_);
+    for (;;) {
+        timer.expires_after(tick_interval);
+        co_await timer.async_wait(quiet);
+        expire(boot_clock::now());
+        for (const auto& [name, state] : pools_)
+            if (state->dispatcher.waiting() > 0)
+                pump(name);
+    }
+}
+
+awaitable<order_result> feeder::run(std::string pool, stage_order order, duration patience)
+{
+    order_result out;
+    const auto found = pools_.find(pool);
+    if (found == pools_.end() || !found->second->dispatcher.has_endpoints()) {
+        out.reason = "no endpoints in pool " + pool;
+        co_return out;
+    }
+    const time_point now = boot_clock::now();
+    const order_key key{order.request_id, order.stage};
+    auto& slot = orders_[key];
+    if (!slot || slot->cancelled) {
+        slot = std::make_shared<open_order>(std::move(order), pool, executor_);
+        found->second->dispatcher.submit(slot->order, now);
+        slot->last_asked = now;
+        pump(pool);
+    }
+    const auto it = slot;
+    it->last_asked = now;
+    if (it->missing > 0 && !it->cancelled) {
+        asio::steady_timer limit(executor_, patience);
+        limit.async_wait([it](const boost::system::error_code& ec) {
+            if (!ec)
+                it->done.cancel();
+        });
+        co_await it->done.async_wait(quiet);
+    }
+    it->last_asked = boot_clock::now();
+    out.backlog = found->second->dispatcher.backlog(it->last_asked);
+    if (it->cancelled) {
+        out.reason = "cancelled";
+        co_return out;
+    }
+    if (it->missing > 0) {
+        out.how = order_result::status::in_progress;
+        co_return out;
+    }
+    out.how = order_result::status::done;
+    out.pieces = it->results;
+    it->delivered = true;
+    orders_.erase(key);
+    co_return out;
+}
+
+void feeder::cancel(const std::string& request_id, std::uint32_t stage)
+{
+    const auto found = orders_.find({request_id, stage});
+    if (found == orders_.end())
+        return;
+    const auto it = found->second;
+    orders_.erase(found);
+    it->cancelled = true;
+    it->done.cancel();
+    releaser_.release(it->handles());
+    if (const auto pool = pools_.find(it->pool); pool != pools_.end())
+        pool->second->dispatcher.cancel(request_id, stage);
+}
+
+void feeder::pump(const std::string& pool)
+{
+    auto& state = *pools_.at(pool);
+    while (auto call = state.dispatcher.next(boot_clock::now()))
+        asio::co_spawn(executor_, make_call(pool, std::move(*call)), asio::detached);
+}
+
+awaitable<void> feeder::make_call(std::string pool, stage_dispatch call)
+{
+    const time_point started = boot_clock::now();
+    std::vector<stage_item> items;
+    for (const auto& it : call.pieces)
+        items.push_back({it.order->request_id, it.order->stage, it.order->pieces[it.index],
+                         std::max(duration{1}, it.order->deadline - started), it.order->key,
+                         it.order->inputs});
+    calls_.add();
+    pieces_.add(items.size());
+    http::call_error error;
+    const auto answer = co_await client_.call(call.to.address, names_.stage_call(items, call.to.id),
+                                              call.give_up, http::reuse::fresh, error);
+    const time_point now = boot_clock::now();
+    auto& state = *pools_.at(pool);
+    auto how = call_outcome::broken;
+    std::optional<std::vector<piece_result>> results;
+    if (answer) {
+        const auto facts = names_.read_answer(answer->status, answer->headers);
+        if (answer->status == 200)
+            results = names_.read_stage_answer(answer->body, items.size());
+        if (results)
+            how = call_outcome::answered;
+        else if (facts.wrong_endpoint)
+            how = call_outcome::replaced;
+        else if (facts.not_run)
+            how = call_outcome::full;
+    } else if (!error.sent) {
+        how = call_outcome::unreachable;
+    }
+    state.dispatcher.finished(call.call, how, now);
+    log::info("stage_call", {{"pool", pool},
+                             {"endpoint", call.to.id},
+                             {"pieces", fmt::to_string(items.size())},
+                             {"requests", fmt::format("{}", items.front().request_id)},
+                             {"took_ms", fmt::to_string((now - started).count())},
+                             {"status", answer ? fmt::to_string(answer->status) : error.reason},
+                             {"waiting", fmt::to_string(state.dispatcher.waiting())}});
+    if (results)
+        take_results(state, call, *results);
+    else
+        requeue(state, std::move(call.pieces), answer ? "refused" : error.reason);
+    pump(pool);
+}
+
+void feeder::take_results(pool_state& at, stage_dispatch& call, const std::vector<piece_result>& results)
+{
+    std::vector<queued_piece> again;
+    for (std::size_t n = 0; n < results.size(); ++n) {
+        const auto failure = results[n].failure;
+        if (failure == piece_failure::no_room || failure == piece_failure::error)
+            again.push_back(std::move(call.pieces[n]));
+        else
+            settle(call.pieces[n], results[n]);
+    }
+    if (!again.empty())
+        requeue(at, std::move(again), "piece failed");
+}
+
+void feeder::requeue(pool_state& at, std::vector<queued_piece> pieces, std::string_view reason)
+{
+    const time_point now = boot_clock::now();
+    for (auto& it : pieces) {
+        if (!orders_.contains({it.order->request_id, it.order->stage}))
+            continue;
+        repeated_.add();
+        queued_piece copy = it;
+        if (!at.dispatcher.retry(std::move(copy), now)) {
+            log::warning("stage_piece_failed", {{"request", it.order->request_id},
+                                                {"stage", fmt::to_string(it.order->stage)},
+                                                {"tries", fmt::to_string(it.tries + 1)},
+                                                {"reason", std::string(reason)}});
+            settle(it, {{}, piece_failure::error});
+        }
+    }
+}
+
+/// Records the end of a piece. Results for an order that nobody waits for are released.
+void feeder::settle(const queued_piece& piece, piece_result result)
+{
+    const auto found = orders_.find({piece.order->request_id, piece.order->stage});
+    if (found == orders_.end() || found->second->order != piece.order || found->second->have[piece.index]) {
+        if (!result.handle.empty())
+            releaser_.release({result.handle});
+        return;
+    }
+    auto& it = *found->second;
+    it.have[piece.index] = true;
+    it.results[piece.index] = std::move(result);
+    if (--it.missing == 0)
+        it.done.cancel();
+}
+
+void feeder::expire(time_point now)
+{
+    for (const auto& [name, state] : pools_)
+        for (const auto& it : state->dispatcher.expire(now))
+            settle(it, {{}, piece_failure::late});
+    for (auto it = orders_.begin(); it != orders_.end();) {
+        const auto order = it->second;
+        ++it;
+        if (now - order->last_asked < abandoned_after)
+            continue;
+        log::info("stage_order_abandoned", {{"request", order->order->request_id},
+                                            {"stage", fmt::to_string(order->order->stage)},
+                                            {"pool", order->pool}});
+        const std::string id = order->order->request_id;
+        cancel(id, order->order->stage);
+    }
+}
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/lib/gateway/feeder.hpp
@@ -0,0 +1,79 @@
+/// \file
+/// Runs the stage pools that this instance is responsible for: takes orders of all instances, forms batches
+/// and calls the endpoints.
+#pragma once
+
+#include <limpetlock/gateway/dialect.hpp>
+#include <limpetlock/gateway/stage_dispatcher.hpp>
+#include <limpetlock/http/client.hpp>
+#include <limpetlock/support/metrics.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace limpetlock::gateway {
+
+class result_releaser;
+
+/// What became of an order.
+struct order_result {
+    enum class status : std::uint8_t { done, in_progress, refused };
+
+    status how{status::refused};
+    std::vector<piece_result> pieces; ///< in the order of the order's pieces
+    std::string reason;
+    duration backlog{0}; ///< time that the pool needs for what waits now
+};
+
+class feeder {
+public:
+    feeder(boost::asio::any_io_executor executor, const dialect& names, http::client& client,
+           result_releaser& releaser, metrics::registry& metrics);
+    ~feeder();
+
+    /// Takes the stage pools of a table and the endpoints that serve them.
+    void configure(const routing_table& table, const std::vector<endpoint>& endpoints);
+
+    /// Submits an order, or joins it when it was submitted before, and waits up to `patience` for its
+    /// results. The results of an order that nobody asks for again are released.
+    boost::asio::awaitable<order_result> run(std::string pool, stage_order order, duration patience);
+
+    void cancel(const std::string& request_id, std::uint32_t stage);
+
+    /// Orders that are not done.
+    std::size_t open_orders() const;
+
+private:
+    struct open_order;
+    struct pool_state;
+    using order_key = std::pair<std::string, std::uint32_t>;
+
+    boost::asio::awaitable<void> tick_loop();
+    boost::asio::awaitable<void> make_call(std::string pool, stage_dispatch call);
+    void pump(const std::string& pool);
+    void take_results(pool_state& at, stage_dispatch& call, const std::vector<piece_result>& results);
+    void requeue(pool_state& at, std::vector<queued_piece> pieces, std::string_view reason);
+    void settle(const queued_piece& piece, piece_result result);
+    void expire(time_point now);
+
+    boost::asio::any_io_executor executor_;
+    const dialect& names_;
+    http::client& client_;
+    result_releaser& releaser_;
+    metrics::counter& calls_;
+    metrics::counter& pieces_;
+    metrics::counter& repeated_;
+    std::map<std::string, std::unique_ptr<pool_state>, std::less<>> pools_;
+    std::map<order_key, std::shared_ptr<open_order>> orders_;
+};
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/lib/gateway/fleet.cpp
@@ -0,0 +1,292 @@
+#include "fleet.hpp"
+
+#include <limpetlock/support/hash.hpp>
+#include <limpetlock/support/log.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace limpetlock::gateway {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
+
+constexpr auto quiet = asio::as_tuple(asio::use_awaitable);
+
+constexpr duration ping_interval{300};
+constexpr duration ping_timeout{700};
+constexpr duration pull_timeout{1'000};
+
+/// In a fleet up to this size every instance pings every other one; in a larger one, this many a round.
+constexpr std::size_t full_mesh = 8;
+constexpr std::size_t pings_per_round = 3;
+
+/// News of other instances in one ping or pong.
+constexpr std::size_t news_per_message = 12;
+
+/// Seeds that are no known instance are tried each time this many rounds have passed.
+constexpr std::uint64_t seed_rounds = 3;
+
+const char* const seed_prefix = "seed/";
+
+wire::member_message to_message(const member& it, duration age)
+{
+    wire::member_message out;
+    out.name = it.name;
+    out.host = it.address.host;
+    out.port = it.address.port;
+    out.domain = it.domain;
+    out.capacity = static_cast<std::int32_t>(it.capacity);
+    out.life = it.life;
+    out.age_ms = age.count();
+    out.stopping = it.stopping;
+    return out;
+}
+
+member_news from_message(const wire::member_message& it)
+{
+    member_news out;
+    out.who = {it.name,    {it.host, static_cast<std::uint16_t>(it.port)}, it.domain, it.capacity, it.life,
+               it.stopping};
+    out.age = duration(std::max<std::int64_t>(0, it.age_ms));
+    return out;
+}
+
+member own_member(const gateway_settings& it, std::int64_t life)
+{
+    return {it.name, it.peer, it.domain, it.capacity, life, false};
+}
+
+peer::address to_peer(const http::address& it)
+{
+    return {it.host, it.port};
+}
+
+} // namespace
+
+// Incarnation 0: the order of two processes of one name is told by their messages, and a clock that was set
+// back must not shut a new process out.
+fleet::fleet(asio::any_io_executor executor, const gateway_settings& settings, std::int64_t life,
+             published_state& state, handlers on)
+    : executor_(std::move(executor)), settings_(settings), state_(state), on_(std::move(on)),
+      view_(own_member(settings, life)),
+      node_(executor_, settings.name, 0, to_peer(settings.peer),
+            [this](wire::frame message) { return answer(std::move(message)); }),
+      random_(static_cast<std::minstd_rand::result_type>(hash64(settings.name, 1)))
+{
+}
+
+void fleet::start()
+{
+    asio::co_spawn(executor_, ping_loop(), asio::detached);
+}
+
+/// Gives the peer node the addresses of all known instances and of the seeds that are none of them.
+void fleet::refresh_links(time_point now)
+{
+    view_.forget(now);
+    std::map<std::string, peer::address> next;
+    std::set<peer::address> known;
+    known.insert(to_peer(settings_.peer));
+    for (const auto& it : view_.news(now, SIZE_MAX)) {
+        next.emplace(it.who.name, to_peer(it.who.address));
+        known.insert(to_peer(it.who.address));
+    }
+    for (const auto& it : settings_.seeds)
+        if (!known.contains(to_peer(it)))
+            next.emplace(fmt::format("{}{}:{}", seed_prefix, it.host, it.port), to_peer(it));
+    if (next == links_)
+        return;
+    links_ = next;
+    node_.set_peers(std::move(next));
+}
+
+std::vector<std::string> fleet::ping_targets(time_point now)
+{
+    std::vector<std::string> members;
+    std::vector<std::string> out;
+    for (const auto& [name, to] : links_) {
+        if (!name.starts_with(seed_prefix))
+            members.push_back(name);
+        else if (rounds_ % seed_rounds == 0 || view_.live(now, false).size() == 1)
+            out.push_back(name);
+    }
+    if (members.size() > full_mesh) {
+        std::shuffle(members.begin(), members.end(), random_);
+        members.resize(pings_per_round);
+    }
+    out.insert(out.end(), members.begin(), members.end());
+    return out;
+}
+
+awaitable<void> fleet::ping_loop()
+{
+    asio::steady_timer timer(executor_);
+    for (;;) {
+        const time_point now = boot_clock::now();
+        refresh_links(now);
+        for (auto& to : ping_targets(now))
+            asio::co_spawn(executor_, ping(std::move(to)), asio::detached);
+        ++rounds_;
+        timer.expires_after(ping_interval);
+        co_await timer.async_wait(quiet);
+    }
+}
+
+std::vector<wire::member_message> fleet::news_for_peers(time_point now) const
+{
+    std::vector<wire::member_message> out;
+    for (const auto& it : view_.news(now, news_per_message))
+        out.push_back(to_message(it.who, it.age));
+    return out;
+}
+
+awaitable<void> fleet::ping(std::string to)
+{
+    const time_point sent = boot_clock::now();
+    wire::frame message;
+    wire::member_ping_message body;
+    body.own = to_message(view_.own(), duration{0});
+    body.known = news_for_peers(sent);
+    message.__set_member_ping(body);
+    peer::call_error error;
+    const auto reply = co_await node_.call(to, std::move(message), sent + ping_timeout, error);
+    if (!reply || !reply->__isset.member_pong)
+        co_return;
+    take_pong(to, reply->member_pong, sent);
+}
+
+/// A proof in the reply held before the ping was sent at the latest by its age, whatever the way took.
+void fleet::take_pong(const std::string& from, const wire::member_pong_message& it, time_point sent)
+{
+    learn(it.own, it.known, boot_clock::now());
+    const bool newer = it.table_revision > state_.table_revision() ||
+                       it.state_revision > state_.copy().revision();
+    if (it.proof_age_ms >= 0)
+        state_.prove({it.table_revision, sent - duration(it.proof_age_ms)});
+    if (!newer || pulling_)
+        return;
+    pulling_ = true;
+    asio::co_spawn(executor_, pull(from), asio::detached);
+}
+
+awaitable<void> fleet::pull(std::string from)
+{
+    const time_point sent = boot_clock::now();
+    wire::frame message;
+    wire::state_pull_message body;
+    body.after_revision = state_.copy().revision();
+    message.__set_state_pull(body);
+    peer::call_error error;
+    const auto reply = co_await node_.call(from, std::move(message), sent + pull_timeout, error);
+    pulling_ = false;
+    if (!reply || !reply->__isset.state_push)
+        co_return;
+    const auto& push = reply->state_push;
+    std::vector<state_item> items;
+    for (const auto& it : push.items)
+        items.push_back({it.key, it.value, it.revision, it.removed});
+    const time_point now = boot_clock::now();
+    if (push.whole)
+        state_.adopt_listing(std::vector<state_item>(items), push.revision, now);
+    state_.merge(std::move(items), now);
+    state_.complete_to(push.revision);
+    if (push.proof_age_ms >= 0)
+        state_.prove({push.table_revision, sent - duration(push.proof_age_ms)});
+    log::info("state_from_peer", {{"peer", from},
+                                  {"revision", fmt::to_string(push.revision)},
+                                  {"items", fmt::to_string(push.items.size())},
+                                  {"proof_age_ms", fmt::to_string(push.proof_age_ms)}});
+}
+
+wire::member_pong_message fleet::make_pong(time_point now) const
+{
+    wire::member_pong_message out;
+    out.own = to_message(view_.own(), duration{0});
+    out.known = news_for_peers(now);
+    out.state_revision = state_.copy().revision();
+    out.table_revision = state_.table_revision();
+    out.proof_age_ms = state_.proof_age(now).value_or(duration(-1)).count();
+    return out;
+}
+
+wire::state_push_message fleet::make_push(std::int64_t after, time_point now) const
+{
+    wire::state_push_message out;
+    bool whole = false;
+    for (const auto& it : state_.copy().changes_after(after, whole)) {
+        wire::state_item_message item;
+        item.key = it.key;
+        item.value = it.value;
+        item.revision = it.revision;
+        item.removed = it.removed;
+        out.items.push_back(std::move(item));
+    }
+    out.whole = whole;
+    out.revision = state_.copy().revision();
+    out.table_revision = state_.table_revision();
+    out.proof_age_ms = state_.proof_age(now).value_or(duration(-1)).count();
+    return out;
+}
+
+void fleet::learn(const wire::member_message& own, const std::vector<wire::member_message>& known,
+                  time_point now)
+{
+    auto news = from_message(own);
+    news.age = duration{0};
+    view_.heard(news, now);
+    for (const auto& it : known)
+        if (it.name != own.name) {
+            auto second_hand = from_message(it);
+            second_hand.age = std::max(second_hand.age, duration{1});
+            view_.heard(second_hand, now);
+        }
+}
+
+awaitable<std::optional<wire::frame>> fleet::answer(wire::frame message)
+{
+    const time_point now = boot_clock::now();
+    wire::frame reply;
+    if (message.__isset.member_ping) {
+        learn(message.member_ping.own, message.member_ping.known, now);
+        reply.__set_member_pong(make_pong(now));
+        co_return reply;
+    }
+    if (message.__isset.state_pull) {
+        reply.__set_state_push(make_push(message.state_pull.after_revision, now));
+        co_return reply;
+    }
+    if (message.__isset.stage_order) {
+        auto result = co_await on_.on_order(std::move(message.stage_order));
+        reply.__set_stage_result(std::move(result));
+        co_return reply;
+    }
+    if (message.__isset.stage_cancel)
+        on_.on_cancel(message.stage_cancel);
+    reply.__set_received({});
+    co_return reply;
+}
+
+awaitable<std::optional<wire::frame>> fleet::call(std::string to, wire::frame message, time_point deadline)
+{
+    peer::call_error error;
+    auto reply = co_await node_.call(to, std::move(message), deadline, error);
+    if (reply)
+        co_return reply;
+    view_.unreachable(to);
+    log::warning("peer_unreachable", {{"peer", to}, {"reason", error.reason}});
+    co_return std::nullopt;
+}
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/lib/gateway/fleet.hpp
@@ -0,0 +1,74 @@
+/// \file
+/// The links to the other instances: who lives, and the published state and its proofs passed between them.
+#pragma once
+
+#include <limpetlock/gateway/fleet_view.hpp>
+#include <limpetlock/gateway/published_state.hpp>
+#include <limpetlock/gateway/settings.hpp>
+#include <limpetlock/peer/generated/peer_types.h>
+#include <limpetlock/peer/node.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+
+namespace limpetlock::gateway {
+
+namespace wire = peer::wire;
+
+class fleet {
+public:
+    struct handlers {
+        std::function<boost::asio::awaitable<wire::stage_result_message>(wire::stage_order_message)> on_order;
+        std::function<void(const wire::stage_cancel_message&)> on_cancel;
+    };
+
+    fleet(boost::asio::any_io_executor executor, const gateway_settings& settings, std::int64_t life,
+          published_state& state, handlers on);
+
+    void start();
+
+    fleet_view& view() { return view_; }
+
+    /// One request to another instance. nullopt when it gave no answer; then it counts as unreachable if the
+    /// link failed.
+    boost::asio::awaitable<std::optional<wire::frame>> call(std::string to, wire::frame message,
+                                                            time_point deadline);
+
+    void announce_stop() { view_.set_stopping(); }
+    void stop() { node_.stop(); }
+    peer::node_counters counters() const { return node_.counters(); }
+
+private:
+    boost::asio::awaitable<void> ping_loop();
+    boost::asio::awaitable<void> ping(std::string to);
+    boost::asio::awaitable<void> pull(std::string from);
+    boost::asio::awaitable<std::optional<wire::frame>> answer(wire::frame message);
+    std::vector<std::string> ping_targets(time_point now);
+    wire::member_pong_message make_pong(time_point now) const;
+    std::vector<wire::member_message> news_for_peers(time_point now) const;
+    wire::state_push_message make_push(std::int64_t after, time_point now) const;
+    void learn(const wire::member_message& own, const std::vector<wire::member_message>& known,
+               time_point now);
+    void take_pong(const std::string& from, const wire::member_pong_message& it, time_point sent);
+    void refresh_links(time_point now);
+
+    boost::asio::any_io_executor executor_;
+    const gateway_settings& settings_;
+    published_state& state_;
+    handlers on_;
+    fleet_view view_;
+    peer::node node_;
+    std::minstd_rand random_;
+    std::map<std::string, peer::address> links_;
+    std::uint64_t rounds_{0};
+    bool pulling_{false};
+};
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/lib/gateway/instance.cpp
@@ -0,0 +1,332 @@
+#include "feeder.hpp"
+#include "fleet.hpp"
+#include "request_handler.hpp"
+#include "result_releaser.hpp"
+#include "stage_chain.hpp"
+#include "store_reader.hpp"
+
+#include <limpetlock/gateway/endpoint_book.hpp>
+#include <limpetlock/gateway/instance.hpp>
+#include <limpetlock/gateway/published_state.hpp>
+#include <limpetlock/lifecycle/stop_sequence.hpp>
+#include <limpetlock/support/log.hpp>
+#include <limpetlock/support/metrics.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <csignal>
+#include <random>
+#include <utility>
+
+namespace limpetlock::gateway {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
+
+constexpr auto quiet = asio::as_tuple(asio::use_awaitable);
+
+constexpr duration stop_step_interval{50};
+
+/// Two readiness checks, one a second, have to fail before the platform sends no new connections.
+constexpr duration announce_time{2'600};
+
+/// Part of the time between signal and kill that is left for the process to end.
+constexpr duration stop_reserve{500};
+
+/// After the last answer, the time for its bytes to leave before the process ends.
+constexpr duration close_grace{100};
+
+/// The fleet learns of a stop by the pings of this time; the responsible pools are then served elsewhere.
+constexpr duration proof_reserve{300};
+
+constexpr duration connect_timeout{350};
+constexpr std::size_t idle_connections = 8;
+
+http::client_limits endpoint_limits()
+{
+    http::client_limits out;
+    out.body_bytes = std::size_t{8} * 1024 * 1024;
+    out.idle_per_address = idle_connections;
+    out.idle_timeout = duration(1'500);
+    out.connect_timeout = connect_timeout;
+    out.accept_unframed = true;
+    return out;
+}
+
+lifecycle::stop_settings stop_settings_of(const operating_bounds& bounds)
+{
+    lifecycle::stop_settings out;
+    out.limit = bounds.stop - stop_reserve;
+    out.announce = std::min(announce_time, out.limit / 3);
+    out.handover = duration(0);
+    return out;
+}
+
+std::int64_t random_life()
+{
+    std::random_device source;
+    return static_cast<std::int64_t>((static_cast<std::uint64_t>(source()) << 31) ^ source());
+}
+
+} // namespace
+
+struct instance::impl {
+    impl(gateway_settings its_settings, std::unique_ptr<dialect> its_names, settings_source its_reload)
+        : settings(std::move(its_settings)), names(std::move(its_names)), reload(std::move(its_reload)),
+          state(*names, callbacks()), client(io.get_executor(), endpoint_limits()),
+          reader(io.get_executor(), settings, *names, state, metrics),
+          releaser(io.get_executor(), *names, client),
+          orders(io.get_executor(), *names, client, releaser, metrics),
+          peers(io.get_executor(), settings, random_life(), state, peer_handlers()),
+          chain(io.get_executor(), peers, orders, releaser),
+          handler({*names, settings, state, book, chain, releaser, peers, client, metrics}),
+          stop(stop_settings_of(settings.bounds)), signals(io, SIGTERM, SIGINT), hangups(io, SIGHUP)
+    {
+        open_listeners();
+    }
+
+    published_state::callbacks callbacks()
+    {
+        published_state::callbacks out;
+        out.on_table = [this](const std::shared_ptr<const routing_table>& it) {
+            orders.configure(*it, endpoints);
+            set_caller_limits(it->limits);
+        };
+        out.on_endpoints = [this](const std::vector<endpoint>& it) {
+            endpoints = it;
+            book.adopt(it, boot_clock::now());
+            if (const auto table = state.table())
+                orders.configure(*table, endpoints);
+        };
+        return out;
+    }
+
+    fleet::handlers peer_handlers()
+    {
+        fleet::handlers out;
+        out.on_order = [this](wire::stage_order_message it) { return run_order(std::move(it)); };
+        out.on_cancel = [this](const wire::stage_cancel_message& it) {
+            orders.cancel(it.request_id, static_cast<std::uint32_t>(it.stage));
+        };
+        return out;
+    }
+
+    /// Runs an order of another instance. Its times count from its arrival here.
+    awaitable<wire::stage_result_message> run_order(wire::stage_order_message it)
+    {
+        const time_point now = boot_clock::now();
+        stage_order order;
+        order.request_id = it.request_id;
+        order.stage = static_cast<std::uint32_t>(it.stage);
+        order.pieces.assign(it.pieces.begin(), it.pieces.end());
+        order.key = it.key;
+        order.inputs = it.inputs;
+        order.deadline = now + duration(it.time_left_ms);
+        order.wanted_by = now + duration(it.slack_ms);
+        order.domain = it.domain;
+        order.result_bytes = static_cast<std::uint64_t>(std::max<std::int64_t>(0, it.result_bytes));
+        order.priority = it.priority;
+        order.worth = it.worth;
+        const auto result = co_await orders.run(it.pool, std::move(order), order_hold);
+        wire::stage_result_message out;
+        out.status = static_cast<std::int32_t>(result.how);
+        out.reason = result.reason;
+        out.backlog_ms = result.backlog.count();
+        for (const auto& piece : result.pieces) {
+            wire::piece_result_message message;
+            message.handle = piece.handle;
+            message.failure = static_cast<std::int32_t>(piece.failure);
+            out.pieces.push_back(std::move(message));
+        }
+        co_return out;
+    }
+
+    static http::server_limits to_server_limits(const caller_limits& it)
+    {
+        http::server_limits out;
+        out.header_bytes = it.header_bytes;
+        out.body_bytes = it.body_bytes;
+        out.header_timeout = it.header_timeout;
+        out.idle_timeout = it.idle_timeout;
+        return out;
+    }
+
+    void set_caller_limits(const caller_limits& it)
+    {
+        if (caller)
+            caller->set_limits(to_server_limits(it));
+    }
+
+    void open_listeners()
+    {
+        caller = std::make_unique<http::server>(
+            io.get_executor(), settings.caller.host, settings.caller.port, to_server_limits({}),
+            [this](http::exchange& it) -> awaitable<void> { co_await handler.serve(it); });
+        ready = std::make_unique<http::server>(
+            io.get_executor(), settings.ready.host, settings.ready.port, http::server_limits{},
+            [this](http::exchange& it) -> awaitable<void> { co_await serve_ready(it); });
+    }
+
+    /// Why the instance is not ready; empty when it is.
+    std::string not_ready_because(time_point now) const
+    {
+        if (stop.state() != lifecycle::stop_state::running)
+            return "stopping";
+        if (!state.table())
+            return "no configuration";
+        const auto age = state.proof_age(now);
+        const auto& bounds = settings.bounds;
+        if (bounds.keys_need_proof && (!age || *age + proof_reserve > bounds.key_revoked))
+            return "configuration not proven";
+        return {};
+    }
+
+    awaitable<void> serve_ready(http::exchange& it)
+    {
+        const std::string& target = it.message().target;
+        http::response answer;
+        if (names->is_readiness_check(it.message())) {
+            const std::string reason = not_ready_because(boot_clock::now());
+            note_readiness(reason);
+            answer = http::json_response(reason.empty() ? 200 : 503, reason.empty() ? "{}" : "{\"ready\":false}");
+        } else if (target == "/metrics") {
+            answer = {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.render()};
+        } else {
+            answer = http::json_response(404, "{\"error\":\"no such page\"}");
+        }
+        co_await it.respond(std::move(answer));
+    }
+
+    void note_readiness(const std::string& reason)
+    {
+        if (reason == last_readiness)
+            return;
+        log::info("readiness", {{"ready", reason.empty() ? "yes" : "no"}, {"reason", reason.empty() ? "-" : reason}});
+        last_readiness = reason;
+    }
+
+    void watch_signals()
+    {
+        signals.async_wait([this](const boost::system::error_code& ec, int) {
+            if (ec)
+                return;
+            const bool first = stop.state() == lifecycle::stop_state::running;
+            stop.signal(boot_clock::now());
+            if (first)
+                asio::co_spawn(io, stop_loop(), asio::detached);
+            watch_signals();
+        });
+    }
+
+    void watch_hangups()
+    {
+        hangups.async_wait([this](const boost::system::error_code& ec, int) {
+            if (ec)
+                return;
+            std::string reason;
+            const auto next = reload(reason);
+            if (next)
+                settings.seeds = next->seeds;
+            log::info("settings_reloaded", {{"ok", next ? "yes" : "no"}, {"reason", reason.empty() ? "-" : reason}});
+            watch_hangups();
+        });
+    }
+
+    awaitable<void> stop_loop()
+    {
+        asio::steady_timer timer(io);
+        for (;;) {
+            for (const auto it : stop.step(boot_clock::now(), handler.in_flight() + orders.open_orders(), true)) {
+                log::info("stop", {{"action", std::string(lifecycle::to_string(it))},
+                                   {"in_flight", fmt::to_string(handler.in_flight())},
+                                   {"orders", fmt::to_string(orders.open_orders())}});
+                co_await carry_out(it);
+            }
+            timer.expires_after(stop_step_interval);
+            co_await timer.async_wait(quiet);
+        }
+    }
+
+    awaitable<void> carry_out(lifecycle::stop_action it)
+    {
+        using lifecycle::stop_action;
+        if (it == stop_action::announce)
+            peers.announce_stop();
+        if (it == stop_action::refuse_new_work)
+            caller->stop_accepting();
+        if (it != stop_action::close)
+            co_return;
+        asio::steady_timer timer(io, close_grace);
+        co_await timer.async_wait(quiet);
+        io.stop();
+    }
+
+    exit_reason run()
+    {
+        reader.start();
+        peers.start();
+        watch_signals();
+        watch_hangups();
+        log::info("started", {{"instance", settings.name},
+                              {"failure_domain", settings.domain},
+                              {"caller", fmt::format("{}:{}", settings.caller.host, settings.caller.port)},
+                              {"seeds", fmt::to_string(settings.seeds.size())}});
+        io.run();
+        log::info("stopped", {{"requests_cut", fmt::to_string(stop.cut())}});
+        return stop.cut() > 0 ? exit_reason::cut : exit_reason::graceful;
+    }
+
+    /// An order of another instance is answered after this long at the latest, done or not.
+    static constexpr duration order_hold{500};
+
+    gateway_settings settings;
+    std::unique_ptr<dialect> names;
+    settings_source reload;
+    asio::io_context io{1};
+    metrics::registry metrics;
+    std::vector<endpoint> endpoints;
+    endpoint_book book;
+    published_state state;
+    http::client client;
+    store_reader reader;
+    result_releaser releaser;
+    feeder orders;
+    fleet peers;
+    stage_chain chain;
+    request_handler handler;
+    std::unique_ptr<http::server> caller;
+    std::unique_ptr<http::server> ready;
+    lifecycle::stop_sequence stop;
+    asio::signal_set signals;
+    asio::signal_set hangups;
+    std::string last_readiness{"starting"};
+};
+
+instance::instance(gateway_settings settings, std::unique_ptr<dialect> names, settings_source reload)
+    : impl_(std::make_unique<impl>(std::move(settings), std::move(names), std::move(reload)))
+{
+}
+
+// Coroutines still refer to the modules, in an order that no destruction satisfies. The process ends next, so
+// they are kept.
+instance::~instance()
+{
+    static std::vector<impl*> kept;
+    kept.push_back(impl_.release());
+}
+
+exit_reason instance::run()
+{
+    return impl_->run();
+}
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/lib/gateway/piece_queue.cpp
@@ -0,0 +1,123 @@
+#include <limpetlock/gateway/piece_queue.hpp>
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+#include <utility>
+
+namespace limpetlock::gateway {
+
+namespace {
+
+duration time_of(const batch_options& options, std::size_t pieces)
+{
+    return duration(
+        static_cast<std::int64_t>(options.call_ms + options.piece_ms * static_cast<double>(pieces)));
+}
+
+/// Pieces of one order that wait together.
+struct waiting_order {
+    const stage_order* order{nullptr};
+    time_point queued{};
+    std::size_t pieces{0};
+};
+
+using iterator = std::list<queued_piece>::iterator;
+
+std::vector<waiting_order> orders_of(const std::list<queued_piece>& waiting)
+{
+    std::vector<waiting_order> out;
+    std::map<const stage_order*, std::size_t> index;
+    for (const auto& it : waiting) {
+        const auto [found, added] = index.try_emplace(it.order.get(), out.size());
+        if (added)
+            out.push_back({it.order.get(), it.queued, 0});
+        ++out[found->second].pieces;
+    }
+    return out;
+}
+
+} // namespace
+
+void piece_queue::push(queued_piece it)
+{
+    waiting_.push_back(std::move(it));
+}
+
+/// Orders that can still be in time go first, the one with the least slack at the front; then those that are
+/// late already, by their deadline. Late ones are worth little, and serving them first would make the others
+/// late as well.
+std::vector<queued_piece> piece_queue::take_batch(const batch_options& options, std::string_view domain,
+                                                  const std::vector<std::string>& other_domains,
+                                                  time_point now)
+{
+    auto orders = orders_of(waiting_);
+    const duration least = time_of(options, 1);
+    const bool oldest_first =
+        options.oldest_first_every > 0 && batches_ % options.oldest_first_every == options.oldest_first_every - 1;
+    const auto is_late = [&](const waiting_order& it) { return it.order->wanted_by < now + least; };
+    std::sort(orders.begin(), orders.end(), [&](const waiting_order& a, const waiting_order& b) {
+        if (oldest_first)
+            return a.queued < b.queued;
+        const bool late_a = is_late(a);
+        const bool late_b = is_late(b);
+        const auto end_a = late_a ? a.order->deadline : a.order->wanted_by;
+        const auto end_b = late_b ? b.order->deadline : b.order->wanted_by;
+        return std::tie(late_a, end_a) < std::tie(late_b, end_b);
+    });
+    const auto waits_for_local = [&](const waiting_order& it) {
+        if (it.order->result_bytes < options.local_result_bytes || it.order->domain.empty() ||
+            it.order->domain == domain || now - it.queued >= options.local_patience)
+            return false;
+        return std::find(other_domains.begin(), other_domains.end(), it.order->domain) != other_domains.end();
+    };
+    std::size_t room = options.size;
+    std::map<const stage_order*, bool> chosen;
+    for (const auto& it : orders) {
+        if (room == 0)
+            break;
+        if (it.order->deadline < now + least || waits_for_local(it))
+            continue;
+        // An order is split only when it could never fit.
+        if (it.pieces > room && it.pieces <= options.size)
+            continue;
+        chosen.emplace(it.order, true);
+        room -= std::min(room, it.pieces);
+    }
+    std::vector<queued_piece> out;
+    for (auto it = waiting_.begin(); it != waiting_.end() && out.size() < options.size;) {
+        if (!chosen.contains(it->order.get())) {
+            ++it;
+            continue;
+        }
+        out.push_back(std::move(*it));
+        it = waiting_.erase(it);
+    }
+    if (!out.empty())
+        ++batches_;
+    return out;
+}
+
+std::vector<queued_piece> piece_queue::expire(const batch_options& options, time_point now)
+{
+    const duration least = time_of(options, 1);
+    std::vector<queued_piece> out;
+    for (auto it = waiting_.begin(); it != waiting_.end();) {
+        if (it->order->deadline >= now + least) {
+            ++it;
+            continue;
+        }
+        out.push_back(std::move(*it));
+        it = waiting_.erase(it);
+    }
+    return out;
+}
+
+void piece_queue::cancel(std::string_view request_id, std::uint32_t stage)
+{
+    waiting_.remove_if([&](const queued_piece& it) {
+        return it.order->request_id == request_id && it.order->stage == stage;
+    });
+}
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/lib/gateway/published_state.cpp
@@ -0,0 +1,174 @@
+#include <limpetlock/gateway/published_state.hpp>
+
+#include <limpetlock/support/log.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetlock::gateway {
+
+published_state::published_state(const dialect& names, callbacks calls)
+    : names_(names), calls_(std::move(calls))
+{
+}
+
+void published_state::merge(std::vector<state_item> items, time_point now)
+{
+    bool table_changed = false;
+    bool endpoints_changed = false;
+    for (auto& it : items) {
+        const bool is_table = it.key == names_.table_key();
+        const bool is_endpoint = it.key.starts_with(names_.endpoint_prefix());
+        if (!is_table && !is_endpoint)
+            continue;
+        const bool newer = copy_.apply(std::move(it));
+        table_changed = table_changed || (newer && is_table);
+        endpoints_changed = endpoints_changed || (newer && is_endpoint);
+    }
+    if (table_changed)
+        decode_table(now);
+    if (endpoints_changed)
+        decode_endpoints(now);
+}
+
+void published_state::adopt_listing(std::vector<state_item> items, std::int64_t revision, time_point now)
+{
+    std::erase_if(items, [this](const state_item& it) { return !it.key.starts_with(names_.endpoint_prefix()); });
+    if (copy_.adopt_listing(names_.endpoint_prefix(), std::move(items), revision))
+        decode_endpoints(now);
+}
+
+void published_state::decode_table(time_point now)
+{
+    const state_item* const it = copy_.find(names_.table_key());
+    if (it == nullptr)
+        return;
+    std::string reason;
+    auto table = names_.read_table(it->value, reason);
+    if (!table) {
+        log::error("table_rejected", {{"revision", fmt::to_string(it->revision)}, {"reason", reason}});
+        return;
+    }
+    log::info("table_in_force", {{"version", fmt::to_string(table->version)},
+                                 {"revision", fmt::to_string(it->revision)},
+                                 {"routes", fmt::to_string(table->routes.size())},
+                                 {"keys", fmt::to_string(table->teams_by_key.size())},
+                                 {"proof_age_ms", fmt::to_string(proof_age(now).value_or(duration(-1)).count())}});
+    table_revision_ = it->revision;
+    table_ = std::make_shared<const routing_table>(std::move(*table));
+    calls_.on_table(table_);
+}
+
+std::vector<endpoint> published_state::read_entries()
+{
+    std::vector<endpoint> out;
+    std::map<std::string, decoded_entry, std::less<>> next;
+    for (const auto* it : copy_.under(names_.endpoint_prefix())) {
+        const auto found = decoded_.find(it->key);
+        decoded_entry entry;
+        if (found != decoded_.end() && found->second.revision == it->revision) {
+            entry = std::move(found->second);
+        } else {
+            std::string reason;
+            entry = {it->revision, names_.read_endpoint(it->key, it->value, reason)};
+            if (!entry.meaning)
+                log::warning("endpoint_entry_rejected", {{"key", it->key},
+                                                         {"revision", fmt::to_string(it->revision)},
+                                                         {"reason", reason}});
+        }
+        if (entry.meaning)
+            out.push_back(*entry.meaning);
+        next.emplace(it->key, std::move(entry));
+    }
+    decoded_ = std::move(next);
+    return out;
+}
+
+namespace {
+
+bool holds(const std::vector<endpoint>& list, const std::string& id)
+{
+    return std::any_of(list.begin(), list.end(), [&id](const endpoint& it) { return it.id == id; });
+}
+
+} // namespace
+
+/// Adds endpoints whose entry vanished a short while ago, unless another endpoint has their address.
+void published_state::keep_lapsed(std::vector<endpoint>& next, bool unsettled, time_point now)
+{
+    const std::vector<endpoint> present = next;
+    for (const auto& it : endpoints_) {
+        if (holds(present, it.id)) {
+            missing_since_.erase(it.id);
+            continue;
+        }
+        const auto [since, added] = missing_since_.try_emplace(it.id, now);
+        const bool reused = std::any_of(present.begin(), present.end(), [&it](const endpoint& other) {
+            return other.address == it.address;
+        });
+        if ((unsettled || !added) && !reused && now - since->second < removal_grace)
+            next.push_back(it);
+        else
+            missing_since_.erase(since);
+    }
+}
+
+void published_state::log_changes(const std::vector<endpoint>& next, bool unsettled) const
+{
+    for (const auto& it : next) {
+        const auto old = std::find_if(endpoints_.begin(), endpoints_.end(),
+                                      [&it](const endpoint& other) { return other.id == it.id; });
+        if (old == endpoints_.end() || old->leaving != it.leaving)
+            log::info("endpoint_known", {{"endpoint", it.id},
+                                         {"pool", it.pool},
+                                         {"address", fmt::format("{}:{}", it.address.host, it.address.port)},
+                                         {"leaving", it.leaving ? "yes" : "no"},
+                                         {"state_revision", fmt::to_string(copy_.revision())}});
+    }
+    for (const auto& it : endpoints_)
+        if (!holds(next, it.id))
+            log::info("endpoint_gone", {{"endpoint", it.id},
+                                        {"pool", it.pool},
+                                        {"store_unsettled", unsettled ? "yes" : "no"},
+                                        {"state_revision", fmt::to_string(copy_.revision())}});
+}
+
+void published_state::decode_endpoints(time_point now)
+{
+    const bool unsettled = store_failed_at_ && now - *store_failed_at_ < unsettled_after_failure;
+    auto next = read_entries();
+    keep_lapsed(next, unsettled, now);
+    if (next == endpoints_)
+        return;
+    log_changes(next, unsettled);
+    endpoints_ = std::move(next);
+    calls_.on_endpoints(endpoints_);
+}
+
+void published_state::settle_removals(time_point now)
+{
+    const bool due = std::any_of(missing_since_.begin(), missing_since_.end(), [now](const auto& it) {
+        return now - it.second >= removal_grace;
+    });
+    if (due)
+        decode_endpoints(now);
+}
+
+bool published_state::prove(const table_proof& proof)
+{
+    if (proof.table_revision > table_revision_)
+        return false;
+    proven_at_ = proven_at_ ? std::max(*proven_at_, proof.at) : proof.at;
+    return true;
+}
+
+std::optional<duration> published_state::proof_age(time_point now) const
+{
+    if (!proven_at_)
+        return std::nullopt;
+    return now - *proven_at_;
+}
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/lib/gateway/request_job.cpp
@@ -0,0 +1,41 @@
+#include "request_job.hpp"
+
+#include <array>
+
+namespace limpetlock::gateway {
+
+std::string_view to_string(send_end it)
+{
+    static constexpr std::array<std::string_view, 6> names{"delivered",     "not_sent", "not_run",
+                                                           "failed_answer", "broken",   "timeout"};
+    return names[static_cast<std::size_t>(it)];
+}
+
+send_result failed_send(const http::call_error& error)
+{
+    send_result out;
+    out.reason = error.reason;
+    if (!error.sent) {
+        out.how = send_end::not_sent;
+        out.outcome = error.code == http::errc::cancelled ? send_outcome::cancelled : send_outcome::unreachable;
+        return out;
+    }
+    const bool timeout = error.code == http::errc::timeout;
+    out.how = timeout ? send_end::timeout : send_end::broken;
+    // An idle connection that the endpoint closed says nothing about the endpoint.
+    out.outcome = error.stale ? send_outcome::cancelled : send_outcome::broken;
+    return out;
+}
+
+std::uint64_t affinity_of(const caller_request& it)
+{
+    if (it.prompt.empty())
+        return 0;
+    const prompt_part* best = &it.prompt.front();
+    for (const auto& part : it.prompt)
+        if (part.tokens > best->tokens)
+            best = &part;
+    return best->id;
+}
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/lib/gateway/request_job.hpp
@@ -0,0 +1,117 @@
+/// \file
+/// State of one request while it is served.
+#pragma once
+
+#include "request_handler.hpp"
+
+#include <limpetlock/gateway/event_framing.hpp>
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace limpetlock::gateway {
+
+/// Results of stages that wait for the engine; released when they are no longer needed.
+class held_results {
+public:
+    held_results() = default;
+    held_results(result_releaser& releaser, std::vector<std::string> handles)
+        : releaser_(&releaser), handles_(std::move(handles))
+    {
+    }
+    held_results(const held_results&) = delete;
+    held_results& operator=(const held_results&) = delete;
+    held_results(held_results&& it) noexcept { swap(it); }
+    held_results& operator=(held_results&& it) noexcept
+    {
+        swap(it);
+        return *this;
+    }
+    ~held_results() { release(); }
+
+    const std::vector<std::string>& handles() const { return handles_; }
+
+    void release()
+    {
+        if (releaser_ != nullptr && !handles_.empty())
+            releaser_->release(handles_);
+        handles_.clear();
+    }
+
+private:
+    void swap(held_results& it) noexcept
+    {
+        std::swap(releaser_, it.releaser_);
+        handles_.swap(it.handles_);
+    }
+
+    result_releaser* releaser_{nullptr};
+    std::vector<std::string> handles_;
+};
+
+/// How one sending to an endpoint ended.
+enum class send_end : std::uint8_t {
+    delivered,     ///< the caller has the answer
+    not_sent,      ///< no byte reached the endpoint
+    not_run,       ///< the endpoint states that it did not run the request
+    failed_answer, ///< a whole answer that tells a failure
+    broken,        ///< sent, and no whole answer came
+    timeout        ///< sent, and the time is up
+};
+
+struct send_result {
+    send_end how{send_end::not_sent};
+    send_outcome outcome{send_outcome::cancelled};
+    std::string reason;
+    http::response answer; ///< of failed_answer
+};
+
+std::string_view to_string(send_end it);
+
+/// The end of a sending whose connection failed.
+send_result failed_send(const http::call_error& error);
+
+/// Hash of the part of a prompt whose reuse saves most: requests with the same part go to the same engine. 0
+/// for a request without a prompt.
+std::uint64_t affinity_of(const caller_request& it);
+
+struct request_handler::job {
+    job(http::exchange& exchange, time_point now) : io(exchange), arrival(now) {}
+
+    struct own_answer {
+        int status{0};
+        std::string reason;
+        duration retry_after{0};
+    };
+
+    http::exchange& io;
+    const time_point arrival;
+    boost::asio::any_io_executor executor;
+    caller_request request;
+    std::shared_ptr<const routing_table> table;
+    const route* way{nullptr};
+    std::optional<std::string> team;
+    std::optional<duration> proof_age;
+    int priority{0};
+    time_point deadline{};        ///< of the final answer
+    time_point caller_deadline{}; ///< the caller waits until then
+    std::string pool;
+    endpoint_wish wish;
+    stage_work work;
+    held_results inputs;
+    event_framing framing;
+    std::size_t sendings{0};
+    std::uint32_t runs{0}; ///< sendings after which the request may have run
+    bool streaming{false};
+    bool complete{false};
+    bool caller_gone{false};
+    int status{0};
+    std::string endpoint_id;
+    time_point stages_done{};
+    time_point first_byte{};
+    own_answer refusal;
+};
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/lib/gateway/result_releaser.cpp
@@ -0,0 +1,64 @@
+#include "result_releaser.hpp"
+
+#include <limpetlock/support/log.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace limpetlock::gateway {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
+
+/// Releases are gathered for this long. A result occupies room at its maker until then.
+constexpr duration flush_delay{60};
+constexpr duration call_timeout{600};
+
+} // namespace
+
+result_releaser::result_releaser(asio::any_io_executor executor, const dialect& names, http::client& client)
+    : executor_(std::move(executor)), names_(names), client_(client)
+{
+}
+
+void result_releaser::release(const std::vector<std::string>& handles)
+{
+    for (const auto& it : handles)
+        if (const auto maker = names_.maker_of(it))
+            pending_[*maker].push_back(it);
+    if (pending_.empty() || flushing_)
+        return;
+    flushing_ = true;
+    asio::co_spawn(executor_, flush_later(), asio::detached);
+}
+
+awaitable<void> result_releaser::flush_later()
+{
+    asio::steady_timer timer(executor_, flush_delay);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    flushing_ = false;
+    for (auto& [maker, handles] : std::exchange(pending_, {}))
+        asio::co_spawn(executor_, send(maker, std::move(handles)), asio::detached);
+}
+
+/// A release that fails is not repeated: results expire by themselves.
+awaitable<void> result_releaser::send(http::address maker, std::vector<std::string> handles)
+{
+    http::call_error error;
+    const auto answer = co_await client_.call(maker, names_.release_call(handles),
+                                              boot_clock::now() + call_timeout, http::reuse::pooled, error);
+    if (!answer)
+        log::info("release_failed", {{"maker", fmt::format("{}:{}", maker.host, maker.port)},
+                                     {"results", fmt::to_string(handles.size())},
+                                     {"reason", error.reason}});
+}
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/lib/gateway/result_releaser.hpp
@@ -0,0 +1,34 @@
+/// \file
+/// Tells the makers of stage results that a result is no longer needed, several results in one call.
+#pragma once
+
+#include <limpetlock/gateway/dialect.hpp>
+#include <limpetlock/http/client.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace limpetlock::gateway {
+
+class result_releaser {
+public:
+    result_releaser(boost::asio::any_io_executor executor, const dialect& names, http::client& client);
+
+    void release(const std::vector<std::string>& handles);
+
+private:
+    boost::asio::awaitable<void> flush_later();
+    boost::asio::awaitable<void> send(http::address maker, std::vector<std::string> handles);
+
+    boost::asio::any_io_executor executor_;
+    const dialect& names_;
+    http::client& client_;
+    std::map<http::address, std::vector<std::string>> pending_;
+    bool flushing_{false};
+};
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/lib/gateway/stage_chain.cpp
@@ -0,0 +1,416 @@
+#include "stage_chain.hpp"
+
+#include <limpetlock/support/log.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace limpetlock::gateway {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
+
+constexpr auto quiet = asio::as_tuple(asio::use_awaitable);
+
+/// The responsible instance answers an order after this long at the latest, so that its silence shows.
+constexpr duration order_patience{500};
+constexpr duration order_slack{350};
+
+/// Instances that one order is placed at, one after the other, before it fails.
+constexpr std::size_t max_places = 3;
+
+constexpr duration cancel_timeout{300};
+
+/// A pool with this many endpoints has one responsible instance for each failure domain; a smaller one has
+/// one for all, which forms fuller batches.
+constexpr std::size_t endpoints_for_domains = 12;
+
+/// What is known of a backlog says nothing after this.
+constexpr duration backlog_lifetime{1'500};
+
+/// Part of a full batch that a call usually holds beside the pieces in question.
+constexpr double usual_fill = 0.4;
+
+duration stage_time(const stage_spec& spec, std::uint32_t pieces, const routing_table& table)
+{
+    const pool* const it = table.find_pool(spec.pool);
+    if (it == nullptr || !it->stage)
+        return duration{0};
+    const double items = std::max<double>(pieces, usual_fill * it->stage->batch);
+    return duration(static_cast<std::int64_t>(it->stage->call_ms + it->stage->piece_ms * items));
+}
+
+/// For each stage the expected time from its end to the end of the last one that needs it.
+std::vector<duration> time_after(const std::vector<stage_spec>& stages,
+                                 const std::vector<std::uint32_t>& pieces, const routing_table& table)
+{
+    std::vector<duration> out(stages.size(), duration{0});
+    for (std::size_t n = stages.size(); n-- > 0;) {
+        if (pieces[n] == 0)
+            continue;
+        const duration own = stage_time(stages[n], pieces[n], table);
+        for (const auto need : stages[n].needs)
+            if (need < n)
+                out[need] = std::max(out[need], out[n] + own);
+    }
+    return out;
+}
+
+wire::stage_order_message to_message(const stage_order& it, const std::string& pool, time_point now)
+{
+    wire::stage_order_message out;
+    out.pool = pool;
+    out.request_id = it.request_id;
+    out.stage = static_cast<std::int32_t>(it.stage);
+    out.pieces.assign(it.pieces.begin(), it.pieces.end());
+    out.key = it.key;
+    out.inputs = it.inputs;
+    out.time_left_ms = (it.deadline - now).count();
+    out.slack_ms = (it.wanted_by - now).count();
+    out.domain = it.domain;
+    out.result_bytes = static_cast<std::int64_t>(it.result_bytes);
+    out.priority = it.priority;
+    out.worth = it.worth;
+    return out;
+}
+
+std::optional<order_result> from_message(const wire::stage_result_message& it, std::size_t pieces)
+{
+    order_result out;
+    if (it.status < 0 || it.status > 2)
+        return std::nullopt;
+    out.how = static_cast<order_result::status>(it.status);
+    out.reason = it.reason;
+    out.backlog = duration(std::max<std::int64_t>(0, it.backlog_ms));
+    for (const auto& piece : it.pieces) {
+        if (piece.failure < 0 || piece.failure > static_cast<std::int32_t>(piece_failure::error))
+            return std::nullopt;
+        out.pieces.push_back({piece.handle, static_cast<piece_failure>(piece.failure)});
+    }
+    if (out.how == order_result::status::done && out.pieces.size() != pieces)
+        return std::nullopt;
+    return out;
+}
+
+} // namespace
+
+std::string_view to_string(stage_end it)
+{
+    static constexpr std::array<std::string_view, 4> names{"done", "late", "unavailable", "failed"};
+    return names[static_cast<std::size_t>(it)];
+}
+
+/// Shared by the coroutines of the stages and the one that waits for them.
+struct stage_chain::run_state {
+    run_state(stage_work it, std::shared_ptr<const routing_table> its_table,
+              const asio::any_io_executor& executor)
+        : work(std::move(it)), table(std::move(its_table)),
+          after(time_after(work.stages, work.pieces, *table)), results(work.stages.size()),
+          ended(work.stages.size(), false), placed_at(work.stages.size()), progress(executor)
+    {
+    }
+
+    /// Wakes everyone who waits for a stage.
+    void notify()
+    {
+        ++changes;
+        progress.cancel();
+    }
+
+    bool failed() const { return abandoned || how != stage_end::done; }
+
+    void fail(stage_end code, std::string why)
+    {
+        if (how == stage_end::done) {
+            how = code;
+            reason = std::move(why);
+        }
+        notify();
+    }
+
+    bool ready(std::size_t index) const
+    {
+        const auto& needs = work.stages[index].needs;
+        return std::all_of(needs.begin(), needs.end(), [this](std::uint32_t it) { return ended[it]; });
+    }
+
+    bool complete() const { return std::all_of(ended.begin(), ended.end(), [](bool it) { return it; }); }
+
+    /// Whether a stage that takes part in this request needs the results of the given one.
+    bool followed(std::size_t index) const
+    {
+        for (std::size_t n = 0; n < work.stages.size(); ++n)
+            if (work.pieces[n] > 0)
+                for (const auto need : work.stages[n].needs)
+                    if (need == index)
+                        return true;
+        return false;
+    }
+
+    bool followers_ended(std::size_t index) const
+    {
+        for (std::size_t n = 0; n < work.stages.size(); ++n)
+            for (const auto need : work.stages[n].needs)
+                if (need == index && !ended[n])
+                    return false;
+        return true;
+    }
+
+    std::vector<std::string> inputs_of(std::size_t index) const
+    {
+        std::vector<std::string> out;
+        for (const auto need : work.stages[index].needs)
+            out.insert(out.end(), results[need].begin(), results[need].end());
+        return out;
+    }
+
+    const stage_work work;
+    const std::shared_ptr<const routing_table> table;
+    const std::vector<duration> after;
+    std::vector<std::vector<std::string>> results;
+    std::vector<bool> ended;
+    std::vector<std::string> placed_at; ///< instance that holds the open order of a stage; empty for none
+    asio::steady_timer progress;
+    std::uint64_t changes{0};
+    stage_end how{stage_end::done};
+    std::string reason;
+    bool abandoned{false};
+};
+
+/// Cancels what is still ordered when the run is given up.
+class stage_chain::run_guard {
+public:
+    run_guard(stage_chain& owner, std::shared_ptr<run_state> it) : owner_(owner), state_(std::move(it)) {}
+    run_guard(const run_guard&) = delete;
+    run_guard& operator=(const run_guard&) = delete;
+    ~run_guard()
+    {
+        if (state_)
+            owner_.give_up(*state_);
+    }
+
+    void dismiss() { state_ = nullptr; }
+
+private:
+    stage_chain& owner_;
+    std::shared_ptr<run_state> state_;
+};
+
+stage_chain::stage_chain(asio::any_io_executor executor, fleet& peers, feeder& local,
+                         result_releaser& releaser)
+    : executor_(std::move(executor)), fleet_(peers), feeder_(local), releaser_(releaser)
+{
+}
+
+duration stage_chain::least_time(const stage_work& work, const routing_table& table)
+{
+    const auto after = time_after(work.stages, work.pieces, table);
+    duration out{0};
+    for (std::size_t n = 0; n < work.stages.size(); ++n)
+        if (work.pieces[n] > 0)
+            out = std::max(out, after[n] + stage_time(work.stages[n], work.pieces[n], table));
+    return out;
+}
+
+duration stage_chain::backlog(const stage_work& work, time_point now) const
+{
+    duration out{0};
+    for (std::size_t n = 0; n < work.stages.size(); ++n) {
+        const auto it = backlogs_.find(work.stages[n].pool);
+        if (work.pieces[n] > 0 && it != backlogs_.end() && now - it->second.at < backlog_lifetime)
+            out += it->second.length;
+    }
+    return out;
+}
+
+void stage_chain::note_backlog(const std::string& pool, duration backlog, time_point now)
+{
+    backlogs_.insert_or_assign(pool, known_backlog{backlog, now});
+}
+
+awaitable<stage_outcome> stage_chain::run(stage_work work, std::shared_ptr<const routing_table> table)
+{
+    const auto state = std::make_shared<run_state>(std::move(work), std::move(table), executor_);
+    run_guard guard(*this, state);
+    for (std::size_t n = 0; n < state->work.stages.size(); ++n) {
+        if (state->work.pieces[n] == 0)
+            state->ended[n] = true;
+        else
+            asio::co_spawn(executor_, run_stage(*this, state, n), asio::detached);
+    }
+    while (!state->complete() && !state->failed()) {
+        state->progress.expires_at(asio::steady_timer::time_point::max());
+        co_await state->progress.async_wait(quiet);
+    }
+    stage_outcome out;
+    out.how = state->how;
+    out.reason = state->reason;
+    if (out.how != stage_end::done)
+        co_return out;
+    guard.dismiss();
+    for (std::size_t n = 0; n < state->work.stages.size(); ++n)
+        if (!state->followed(n))
+            out.inputs.insert(out.inputs.end(), state->results[n].begin(), state->results[n].end());
+    co_return out;
+}
+
+void stage_chain::give_up(run_state& state)
+{
+    state.abandoned = true;
+    state.notify();
+    for (std::size_t n = 0; n < state.results.size(); ++n) {
+        releaser_.release(state.results[n]);
+        state.results[n].clear();
+        const std::string at = std::exchange(state.placed_at[n], {});
+        const auto stage = static_cast<std::uint32_t>(n);
+        if (at == fleet_.view().own().name)
+            feeder_.cancel(state.work.request_id, stage);
+        else if (!at.empty())
+            asio::co_spawn(executor_, cancel_at(at, state.work.request_id, stage), asio::detached);
+    }
+}
+
+awaitable<void> stage_chain::cancel_at(std::string name, std::string request_id, std::uint32_t stage)
+{
+    wire::frame message;
+    wire::stage_cancel_message body;
+    body.request_id = std::move(request_id);
+    body.stage = static_cast<std::int32_t>(stage);
+    message.__set_stage_cancel(body);
+    co_await fleet_.call(std::move(name), std::move(message), boot_clock::now() + cancel_timeout);
+}
+
+awaitable<void> stage_chain::run_stage(stage_chain& self, std::shared_ptr<run_state> state, std::size_t index)
+{
+    while (!state->ready(index) && !state->failed()) {
+        state->progress.expires_at(asio::steady_timer::time_point::max());
+        co_await state->progress.async_wait(quiet);
+    }
+    if (state->failed())
+        co_return;
+    const stage_spec& spec = state->work.stages[index];
+    stage_order order;
+    order.request_id = state->work.request_id;
+    order.stage = static_cast<std::uint32_t>(index);
+    for (std::uint32_t n = 0; n < state->work.pieces[index]; ++n)
+        order.pieces.push_back(n);
+    order.inputs = state->inputs_of(index);
+    if (order.inputs.empty())
+        order.key = state->work.key;
+    order.deadline = state->work.deadline - state->after[index];
+    order.wanted_by = state->work.wanted_by - state->after[index];
+    order.domain = state->work.domain;
+    order.result_bytes = spec.result_bytes;
+    order.priority = state->work.priority;
+    order.worth = state->work.worth;
+    auto result = co_await self.place_order(state, index, std::move(order));
+    state->placed_at[index].clear();
+    std::vector<std::string> handles;
+    auto failure = piece_failure::none;
+    for (const auto& it : result.pieces) {
+        if (!it.handle.empty())
+            handles.push_back(it.handle);
+        else
+            failure = it.failure == piece_failure::none ? piece_failure::error : it.failure;
+    }
+    const bool done = result.how == order_result::status::done && failure == piece_failure::none;
+    if (state->abandoned || !done)
+        self.releaser_.release(handles);
+    if (state->abandoned)
+        co_return;
+    if (result.how != order_result::status::done) {
+        state->fail(stage_end::unavailable, result.reason);
+        co_return;
+    }
+    if (!done) {
+        state->fail(failure == piece_failure::late ? stage_end::late : stage_end::failed,
+                    fmt::format("piece of stage {}: {}", index, to_string(failure)));
+        co_return;
+    }
+    state->results[index] = std::move(handles);
+    state->ended[index] = true;
+    for (const auto need : spec.needs)
+        if (state->followers_ended(need)) {
+            self.releaser_.release(state->results[need]);
+            state->results[need].clear();
+        }
+    state->notify();
+}
+
+/// Places the order at the responsible instance; when that one is silent or refuses, at the next one.
+awaitable<order_result> stage_chain::place_order(std::shared_ptr<run_state> state, std::size_t index,
+                                                 stage_order order)
+{
+    const std::string pool = state->work.stages[index].pool;
+    order_result last;
+    last.reason = "no instance runs the pool";
+    std::vector<std::string> tried;
+    for (std::size_t n = 0; n < max_places && !state->abandoned; ++n) {
+        const time_point now = boot_clock::now();
+        std::string place = fleet_.view().own().name;
+        for (const auto& it : by_responsibility(pool, fleet_.view().live(now, true)))
+            if (std::find(tried.begin(), tried.end(), it.name) == tried.end()) {
+                place = it.name;
+                break;
+            }
+        if (order.deadline <= now || std::find(tried.begin(), tried.end(), place) != tried.end())
+            break;
+        tried.push_back(place);
+        state->placed_at[index] = place;
+        stage_order copy = order;
+        auto result = co_await order_at(state, place, pool, std::move(copy));
+        if (result && result->how == order_result::status::done)
+            co_return std::move(*result);
+        if (result)
+            last = std::move(*result);
+        log::warning("stage_order_moved", {{"request", order.request_id},
+                                           {"stage", fmt::to_string(order.stage)},
+                                           {"pool", pool},
+                                           {"from", place},
+                                           {"reason", result ? last.reason : "no answer"}});
+    }
+    last.how = order_result::status::refused;
+    co_return last;
+}
+
+/// Asks one instance until the order ends. nullopt when the instance is silent.
+awaitable<std::optional<order_result>> stage_chain::order_at(std::shared_ptr<run_state> state,
+                                                             std::string name, std::string pool,
+                                                             stage_order order)
+{
+    const bool local = name == fleet_.view().own().name;
+    const std::size_t pieces = order.pieces.size();
+    std::optional<order_result> result;
+    while (!state->abandoned) {
+        const time_point now = boot_clock::now();
+        result.reset();
+        if (local) {
+            stage_order copy = order;
+            result = co_await feeder_.run(pool, std::move(copy), order_patience);
+        } else {
+            wire::frame message;
+            message.__set_stage_order(to_message(order, pool, now));
+            auto reply = co_await fleet_.call(name, std::move(message), now + order_patience + order_slack);
+            if (reply && reply->__isset.stage_result)
+                result = from_message(reply->stage_result, pieces);
+        }
+        if (!result)
+            co_return std::nullopt;
+        note_backlog(pool, result->backlog, boot_clock::now());
+        if (result->how != order_result::status::in_progress)
+            break;
+    }
+    co_return result;
+}
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/lib/gateway/stage_chain.hpp
@@ -0,0 +1,88 @@
+/// \file
+/// Runs the stages of one request in the order of their needs, through the instances that are responsible
+/// for the pools.
+#pragma once
+
+#include "feeder.hpp"
+#include "fleet.hpp"
+#include "result_releaser.hpp"
+
+#include <limpetlock/gateway/model.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace limpetlock::gateway {
+
+struct stage_work {
+    std::string request_id;
+    std::vector<stage_spec> stages;
+    std::vector<std::uint32_t> pieces; ///< of each stage
+    std::string key;
+    time_point deadline{};
+    time_point wanted_by{}; ///< all stages done by this time let the request meet its objective
+    std::string domain;
+    int priority{0};
+    double worth{1};
+};
+
+enum class stage_end : std::uint8_t { done, late, unavailable, failed };
+
+std::string_view to_string(stage_end it);
+
+struct stage_outcome {
+    stage_end how{stage_end::failed};
+    std::vector<std::string> inputs; ///< results that the request itself needs
+    std::string reason;
+};
+
+class stage_chain {
+public:
+    stage_chain(boost::asio::any_io_executor executor, fleet& peers, feeder& local,
+                result_releaser& releaser);
+
+    /// Whoever gives up the returned coroutine cancels what it has ordered. The caller releases the inputs.
+    boost::asio::awaitable<stage_outcome> run(stage_work work,
+                                              std::shared_ptr<const routing_table> table);
+
+    /// Expected time of the stages of a request when nothing waits.
+    static duration least_time(const stage_work& work, const routing_table& table);
+
+    /// Expected time until the pools of the request have worked off what waits there now, as far as it is
+    /// known.
+    duration backlog(const stage_work& work, time_point now) const;
+
+private:
+    struct run_state;
+    class run_guard;
+
+    static boost::asio::awaitable<void> run_stage(stage_chain& self, std::shared_ptr<run_state> state,
+                                                  std::size_t index);
+    boost::asio::awaitable<order_result> place_order(std::shared_ptr<run_state> state, std::size_t index,
+                                                     stage_order order);
+    boost::asio::awaitable<std::optional<order_result>>
+    order_at(std::shared_ptr<run_state> state, std::string name, std::string pool, stage_order order);
+    void note_backlog(const std::string& pool, duration backlog, time_point now);
+    boost::asio::awaitable<void> cancel_at(std::string name, std::string request_id, std::uint32_t stage);
+    void give_up(run_state& state);
+
+    struct known_backlog {
+        duration length{0};
+        time_point at{};
+    };
+
+    boost::asio::any_io_executor executor_;
+    fleet& fleet_;
+    feeder& feeder_;
+    result_releaser& releaser_;
+    std::map<std::string, known_backlog, std::less<>> backlogs_;
+};
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -0,0 +1,197 @@
+#include <limpetlock/gateway/stage_dispatcher.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace limpetlock::gateway {
+
+namespace {
+
+/// First pause after a failure; doubles with each further one.
+constexpr duration unreachable_pause{400};
+constexpr duration broken_pause{600};
+constexpr duration full_pause{120};
+constexpr duration longest_pause{5'000};
+
+/// An endpoint with another id at the address is gone; the list will say so.
+constexpr duration replaced_pause{5'000};
+
+/// A call counts as hung after this many times its expected time, and this much more.
+constexpr double hung_factor = 3;
+constexpr duration hung_slack{400};
+
+/// Weight of one call in the measured slowness.
+constexpr double slowness_weight = 0.4;
+
+/// An endpoint that is slower than this takes a call only when no other one is free soon.
+constexpr double slow_limit = 1.8;
+
+} // namespace
+
+void stage_dispatcher::configure(const stage_figures& figures, std::vector<endpoint> endpoints)
+{
+    figures_ = figures;
+    options_.size = std::max<std::uint32_t>(1, figures.batch);
+    options_.call_ms = figures.call_ms;
+    options_.piece_ms = figures.piece_ms;
+    std::map<std::string, target, std::less<>> next;
+    for (auto& it : endpoints) {
+        if (it.leaving)
+            continue;
+        const auto found = endpoints_.find(it.id);
+        target entry = found == endpoints_.end() ? target{} : found->second;
+        const bool restarted = entry.who.started_ms != it.started_ms;
+        if (restarted)
+            entry = target{};
+        std::string id = it.id;
+        entry.who = std::move(it);
+        next.emplace(std::move(id), std::move(entry));
+    }
+    endpoints_ = std::move(next);
+}
+
+void stage_dispatcher::submit(const std::shared_ptr<const stage_order>& order, time_point now)
+{
+    for (std::size_t n = 0; n < order->pieces.size(); ++n)
+        queue_.push({order, n, 0, now});
+}
+
+bool stage_dispatcher::retry(queued_piece it, time_point now)
+{
+    if (it.tries + 1 >= max_tries || it.order->deadline <= now)
+        return false;
+    ++it.tries;
+    queue_.push(std::move(it));
+    return true;
+}
+
+duration stage_dispatcher::call_time(std::size_t pieces) const
+{
+    return duration(
+        static_cast<std::int64_t>(figures_.call_ms + figures_.piece_ms * static_cast<double>(pieces)));
+}
+
+bool stage_dispatcher::usable(const target& it, time_point now) const
+{
+    return !it.busy && it.avoid_until <= now;
+}
+
+/// Domains with another endpoint that is free now.
+std::vector<std::string> stage_dispatcher::domains_besides(std::string_view domain, time_point now) const
+{
+    std::vector<std::string> out;
+    for (const auto& [id, it] : endpoints_)
+        if (it.who.domain != domain && it.avoid_until <= now && it.slowness < slow_limit)
+            out.push_back(it.who.domain);
+    return out;
+}
+
+/// The fastest free endpoint. A slow one is passed over while a faster one will be free before the slow one
+/// could be done.
+stage_dispatcher::target* stage_dispatcher::pick(time_point now, const std::vector<std::string>& passed)
+{
+    target* best = nullptr;
+    for (auto& [id, it] : endpoints_) {
+        const bool skip = std::find(passed.begin(), passed.end(), id) != passed.end();
+        if (!skip && usable(it, now) && (best == nullptr || it.slowness < best->slowness))
+            best = &it;
+    }
+    if (best == nullptr || best->slowness < slow_limit)
+        return best;
+    const auto done = now + duration(static_cast<std::int64_t>(
+                                static_cast<double>(call_time(1).count()) * best->slowness));
+    for (const auto& [id, it] : endpoints_)
+        if (it.busy && it.slowness < slow_limit && it.avoid_until <= now &&
+            std::max(it.busy_until, now) + call_time(1) < done)
+            return nullptr;
+    return best;
+}
+
+std::optional<stage_dispatch> stage_dispatcher::next(time_point now)
+{
+    std::vector<std::string> passed;
+    while (!queue_.empty()) {
+        target* const to = pick(now, passed);
+        if (to == nullptr)
+            return std::nullopt;
+        auto pieces = queue_.take_batch(options_, to->who.domain, domains_besides(to->who.domain, now), now);
+        if (pieces.empty()) {
+            passed.push_back(to->who.id);
+            continue;
+        }
+        const duration expected(static_cast<std::int64_t>(
+            static_cast<double>(call_time(pieces.size()).count()) * std::max(1.0, to->slowness)));
+        to->busy = true;
+        to->busy_until = now + expected;
+        const duration patience(
+            static_cast<std::int64_t>(static_cast<double>(expected.count()) * hung_factor));
+        calls_[++last_call_] = {to->who.id, now, pieces.size()};
+        return stage_dispatch{last_call_, to->who, std::move(pieces), now + patience + hung_slack};
+    }
+    return std::nullopt;
+}
+
+void stage_dispatcher::punish(target& it, duration base, time_point now)
+{
+    const auto factor = std::int64_t{1} << std::min<std::uint32_t>(it.failures, 4);
+    it.avoid_until = now + std::min(longest_pause, base * factor);
+    ++it.failures;
+}
+
+void stage_dispatcher::finished(std::uint64_t call, call_outcome how, time_point now)
+{
+    const auto found = calls_.find(call);
+    if (found == calls_.end())
+        return;
+    const running_call ended = found->second;
+    calls_.erase(found);
+    const auto at = endpoints_.find(ended.endpoint_id);
+    if (at == endpoints_.end())
+        return;
+    target& it = at->second;
+    it.busy = false;
+    switch (how) {
+    case call_outcome::answered: {
+        it.failures = 0;
+        const double ratio = static_cast<double>((now - ended.started).count()) /
+                             std::max(1.0, static_cast<double>(call_time(ended.pieces).count()));
+        it.slowness += slowness_weight * (ratio - it.slowness);
+        break;
+    }
+    case call_outcome::full:
+        it.avoid_until = now + full_pause;
+        break;
+    case call_outcome::unreachable:
+        punish(it, unreachable_pause, now);
+        break;
+    case call_outcome::broken:
+        punish(it, broken_pause, now);
+        break;
+    case call_outcome::replaced:
+        it.avoid_until = now + replaced_pause;
+        break;
+    }
+}
+
+duration stage_dispatcher::backlog(time_point now) const
+{
+    double speed = 0;
+    double running_ms = 0;
+    for (const auto& [id, it] : endpoints_) {
+        if (it.avoid_until > now)
+            continue;
+        speed += 1 / std::max(0.5, it.slowness);
+        if (it.busy && it.busy_until > now)
+            running_ms += static_cast<double>((it.busy_until - now).count());
+    }
+    if (speed <= 0)
+        return duration(std::chrono::seconds(60));
+    const auto batch = static_cast<double>(options_.size);
+    const double calls = std::ceil(static_cast<double>(queue_.size()) / batch);
+    const double work = running_ms + calls * figures_.call_ms +
+                        static_cast<double>(queue_.size()) * figures_.piece_ms;
+    return duration(static_cast<std::int64_t>(work / speed));
+}
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/lib/gateway/store_reader.cpp
@@ -0,0 +1,214 @@
+#include "store_reader.hpp"
+
+#include <limpetlock/support/hash.hpp>
+#include <limpetlock/support/log.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace limpetlock::gateway {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
+
+constexpr auto quiet = asio::as_tuple(asio::use_awaitable);
+
+/// A proof this old is renewed; proofs of peers count, so that one read serves many instances. Jitter keeps
+/// the instances from reading at the same moment.
+constexpr duration proof_renewal{750};
+constexpr int proof_jitter_ms = 300;
+constexpr duration proof_check_interval{60};
+
+constexpr duration read_timeout{900};
+constexpr duration list_timeout{1'500};
+constexpr duration retry_pause{250};
+
+/// Time that a watch waits for a change, and the slack before it counts as silent.
+constexpr duration watch_wait{8'000};
+constexpr duration watch_slack{1'200};
+constexpr duration first_watch_pause{200};
+constexpr duration longest_watch_pause{1'000};
+
+/// Pages of one listing. The store sends up to 500 entries a page.
+constexpr int max_pages = 64;
+
+http::client_limits store_limits()
+{
+    http::client_limits out;
+    out.body_bytes = std::size_t{4} * 1024 * 1024;
+    out.idle_timeout = duration(5'000);
+    return out;
+}
+
+} // namespace
+
+store_reader::store_reader(asio::any_io_executor executor, const gateway_settings& settings,
+                           const dialect& names, published_state& state, metrics::registry& metrics)
+    : executor_(std::move(executor)), store_(settings.store), names_(names), state_(state),
+      client_(executor_, store_limits()),
+      random_(static_cast<std::minstd_rand::result_type>(hash64(settings.name))),
+      calls_(metrics.get_counter("limpetlock_store_calls_total", "calls to the platform's store")),
+      failures_(metrics.get_counter("limpetlock_store_failures_total", "store calls without a usable answer"))
+{
+}
+
+void store_reader::start()
+{
+    asio::co_spawn(executor_, prove_loop(), asio::detached);
+    asio::co_spawn(executor_, watch_loop(), asio::detached);
+}
+
+awaitable<void> store_reader::pause(duration length)
+{
+    asio::steady_timer timer(executor_, length);
+    co_await timer.async_wait(quiet);
+}
+
+void store_reader::note_answer(bool answered, const std::string& what, const std::string& reason)
+{
+    if (!answered) {
+        failures_.add();
+        state_.store_failed(boot_clock::now());
+    }
+    if (answered == reachable_)
+        return;
+    reachable_ = answered;
+    if (answered)
+        log::info("store_regained", {{"call", what}});
+    else
+        log::warning("store_lost", {{"call", what}, {"reason", reason}});
+}
+
+awaitable<std::optional<http::response>> store_reader::call(http::request message, duration timeout)
+{
+    http::call_error error;
+    const std::string target = message.target;
+    calls_.add();
+    auto answer = co_await client_.call(store_, std::move(message), boot_clock::now() + timeout,
+                                        http::reuse::pooled, error);
+    const bool refused = answer && (answer->status == 429 || answer->status >= 500);
+    const bool usable = answer && !refused;
+    const std::string reason = answer ? fmt::format("status {}", answer->status) : error.reason;
+    // A pooled connection that the store closed while idle says nothing about the store.
+    if (!error.stale)
+        note_answer(usable, target, reason);
+    if (!usable)
+        co_return std::nullopt;
+    co_return answer;
+}
+
+awaitable<void> store_reader::prove_loop()
+{
+    duration renewal = proof_renewal;
+    for (;;) {
+        const auto age = state_.proof_age(boot_clock::now());
+        state_.settle_removals(boot_clock::now());
+        if (age && *age < renewal && !behind_) {
+            co_await pause(proof_check_interval);
+            continue;
+        }
+        const bool ok = co_await read_table();
+        if (ok && behind_) {
+            const bool listed = co_await list_endpoints();
+            behind_ = !listed;
+        }
+        renewal = proof_renewal + duration(static_cast<int>(random_() % proof_jitter_ms));
+        co_await pause(ok ? proof_check_interval : retry_pause);
+    }
+}
+
+/// The answer holds every table that was published before the request was sent.
+awaitable<bool> store_reader::read_table()
+{
+    const time_point sent = boot_clock::now();
+    const std::int64_t held = state_.copy().revision();
+    const auto answer = co_await call(names_.read_key(names_.table_key()), read_timeout);
+    if (!answer)
+        co_return false;
+    state_page page;
+    const auto how = names_.read_item(*answer, page);
+    if (how != store_answer::ok || page.items.empty()) {
+        log::warning("table_unavailable", {{"status", fmt::to_string(answer->status)}});
+        co_return false;
+    }
+    const std::int64_t revision = page.items.front().revision;
+    state_.merge(std::move(page.items), boot_clock::now());
+    state_.prove({revision, sent});
+    // The watch had the time of a whole proof interval to deliver what this proof names.
+    behind_ = held > 0 && held == state_.copy().revision() && store_revision_ > held;
+    store_revision_ = std::max(store_revision_, page.revision);
+    co_return true;
+}
+
+awaitable<bool> store_reader::list_endpoints()
+{
+    std::vector<state_item> items;
+    std::string after;
+    std::int64_t first_revision = 0;
+    for (int n = 0; n < max_pages; ++n) {
+        const auto answer = co_await call(names_.read_range(names_.endpoint_prefix(), after), list_timeout);
+        state_page page;
+        if (!answer || names_.read_page(*answer, page) != store_answer::ok)
+            co_return false;
+        if (n == 0)
+            first_revision = page.revision;
+        for (auto& it : page.items) {
+            after = it.key;
+            items.push_back(std::move(it));
+        }
+        if (!page.more)
+            break;
+    }
+    state_.adopt_listing(std::move(items), first_revision, boot_clock::now());
+    state_.complete_to(first_revision);
+    co_return true;
+}
+
+awaitable<store_answer> store_reader::watch_once()
+{
+    const std::int64_t after = state_.copy().revision();
+    const auto answer = co_await call(names_.watch({}, after, watch_wait), watch_wait + watch_slack);
+    if (!answer)
+        co_return store_answer::refused;
+    state_page page;
+    const auto how = names_.read_events(*answer, page);
+    if (how == store_answer::ok) {
+        state_.merge(std::move(page.items), boot_clock::now());
+        state_.complete_to(page.revision);
+    }
+    co_return how;
+}
+
+awaitable<void> store_reader::watch_loop()
+{
+    duration wait = first_watch_pause;
+    bool listed = false;
+    for (;;) {
+        if (!listed)
+            listed = co_await list_endpoints();
+        store_answer how = store_answer::refused;
+        if (listed)
+            how = co_await watch_once();
+        if (how == store_answer::ok) {
+            wait = first_watch_pause;
+            continue;
+        }
+        if (how == store_answer::history_lost || how == store_answer::malformed) {
+            log::info("watch_restarted", {{"after_revision", fmt::to_string(state_.copy().revision())}});
+            listed = false;
+        }
+        co_await pause(wait);
+        wait = std::min(longest_watch_pause, wait * 2);
+    }
+}
+
+} // namespace limpetlock::gateway
--- /dev/null
+++ b/lib/gateway/store_reader.hpp
@@ -0,0 +1,51 @@
+/// \file
+/// Reads the platform's published state: one linearizable read of the routing table now and then as a proof
+/// of its age, and a waiting watch for changes.
+#pragma once
+
+#include <limpetlock/gateway/dialect.hpp>
+#include <limpetlock/gateway/published_state.hpp>
+#include <limpetlock/gateway/settings.hpp>
+#include <limpetlock/http/client.hpp>
+#include <limpetlock/support/metrics.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <random>
+
+namespace limpetlock::gateway {
+
+class store_reader {
+public:
+    store_reader(boost::asio::any_io_executor executor, const gateway_settings& settings,
+                 const dialect& names, published_state& state, metrics::registry& metrics);
+
+    void start();
+
+private:
+    boost::asio::awaitable<void> prove_loop();
+    boost::asio::awaitable<void> watch_loop();
+    boost::asio::awaitable<bool> read_table();
+    boost::asio::awaitable<bool> list_endpoints();
+    boost::asio::awaitable<store_answer> watch_once();
+    boost::asio::awaitable<std::optional<http::response>> call(http::request message, duration timeout);
+    boost::asio::awaitable<void> pause(duration length);
+    void note_answer(bool answered, const std::string& what, const std::string& reason);
+
+    boost::asio::any_io_executor executor_;
+    http::address store_;
+    const dialect& names_;
+    published_state& state_;
+    http::client client_;
+    std::minstd_rand random_;
+    metrics::counter& calls_;
+    metrics::counter& failures_;
+    bool reachable_{false};
+    std::int64_t store_revision_{0}; ///< highest revision that the store named
+    bool behind_{false};             ///< the last proof named a revision that the watch had not delivered
+};
+
+} // namespace limpetlock::gateway
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -39,6 +39,9 @@
 /// Interim answers (1xx) that one exchange accepts before its final answer.
 constexpr int max_interim_answers = 8;
 
+/// Answers of former requests that one exchange drops before its own answer.
+constexpr int max_foreign_answers = 4;
+
 std::string host_header(const address& to)
 {
     const bool v6 = to.host.find(':') != std::string::npos;
@@ -90,6 +93,8 @@
     /// The user takes the body while it arrives and bounds it.
     void stream_body() { streamed_ = true; }
 
+    void set_filter(answer_filter accept) { accept_ = std::move(accept); }
+
     /// Records that an operation of this exchange ended with an exception; the destructor closes the
     /// connection.
     void abandon(const error_code& ec);
@@ -107,17 +112,21 @@
     asio::awaitable<bool> connect(time_point deadline);
     asio::awaitable<bool> send(std::string head, std::string body, time_point deadline);
     asio::awaitable<bool> read_header(time_point deadline);
+    asio::awaitable<bool> read_final_header(time_point deadline);
+    asio::awaitable<bool> discard_body(time_point deadline);
     asio::awaitable<bool> fill(time_point deadline);
     asio::awaitable<bool> advance(time_point deadline);
     bool parse();
     bool check_header();
     bool fail_read(const error_code& ec);
+    bool ends_here();
 
     std::shared_ptr<connection_pool> pool_;
     connection_ptr link_;
     client_limits limits_;
     beast::flat_buffer buffer_;
     std::optional<parser> parser_;
+    answer_filter accept_;
     bool head_request_{false};
     bool streamed_{false};
     bool reusable_{true};
@@ -199,6 +208,23 @@
 }
 
 asio::awaitable<bool> client_exchange::read_header(time_point deadline)
+{
+    bool ok = true;
+    for (int n = 0; n <= max_foreign_answers; ++n) {
+        ok = co_await read_final_header(deadline);
+        if (!ok)
+            co_return false;
+        if (!accept_ || accept_(headers()))
+            co_return check_header();
+        ok = co_await discard_body(deadline);
+        if (!ok)
+            co_return false;
+    }
+    co_return fail(errc::malformed, "only answers to other requests");
+}
+
+/// Reads past interim answers.
+asio::awaitable<bool> client_exchange::read_final_header(time_point deadline)
 {
     bool ok = true;
     for (int n = 0; n <= max_interim_answers; ++n) {
@@ -214,17 +240,29 @@
         if (!ok)
             co_return false;
         if (status() >= 200)
-            co_return check_header();
+            co_return true;
         if (status() == 101)
             break;
     }
     co_return fail(errc::malformed, "no final answer");
 }
 
+asio::awaitable<bool> client_exchange::discard_body(time_point deadline)
+{
+    bool ok = !parser_->need_eof();
+    if (!ok)
+        co_return fail(errc::malformed, "answer to another request without an end");
+    while (ok && !parser_->is_done()) {
+        ok = co_await advance(deadline);
+        parser_->get().body().clear();
+    }
+    co_return ok;
+}
+
 /// An answer that ends with its connection can't be told from a cut one, so it is an error.
 bool client_exchange::check_header()
 {
-    if (parser_->need_eof() && !parser_->is_done())
+    if (parser_->need_eof() && !parser_->is_done() && !limits_.accept_unframed)
         return fail(errc::malformed, "answer has neither length nor chunks");
     if (!parser_->keep_alive())
         reusable_ = false;
@@ -241,7 +279,7 @@
     bool ok = true;
     if (need_more_ || buffer_.size() == 0)
         ok = co_await fill(deadline);
-    co_return ok&& parse();
+    co_return ok && (parser_->is_done() || parse());
 }
 
 bool client_exchange::parse()
@@ -270,11 +308,24 @@
     buffer_.commit(n);
     if (link_->timer.expired())
         co_return fail(errc::timeout, "answer not received in time");
+    if (ec == asio::error::eof && ends_here())
+        co_return true;
     if (ec)
         co_return fail_read(ec);
     co_return true;
 }
 
+/// Completes an answer that ends with its connection; false when the end cuts the answer.
+bool client_exchange::ends_here()
+{
+    if (!parser_->is_header_done() || !parser_->need_eof())
+        return false;
+    error_code ec;
+    parser_->put_eof(ec);
+    reusable_ = false;
+    return !ec;
+}
+
 bool client_exchange::fail_read(const error_code& ec)
 {
     const bool begun = parser_->got_some() || buffer_.size() > 0;
@@ -421,6 +472,59 @@
     co_return std::move(exchange_->body());
 }
 
+class reader_impl final : public answer_reader {
+public:
+    explicit reader_impl(exchange_ptr source)
+        : exchange_(std::move(source)), strand_(exchange_->executor()), status_(exchange_->status()),
+          headers_(exchange_->headers())
+    {
+    }
+
+    int status() const override { return status_; }
+    const header_list& headers() const override { return headers_; }
+    const call_error& error() const override { return exchange_->error; }
+    asio::awaitable<std::optional<std::string>> read(time_point deadline) override;
+
+private:
+    static asio::awaitable<void> read_bytes_of(reader_impl& self, time_point deadline);
+
+    exchange_ptr exchange_;
+    asio::any_io_executor strand_;
+    int status_;
+    header_list headers_;
+    std::string bytes_;
+    bool ended_{false};
+};
+
+asio::awaitable<void> reader_impl::read_bytes_of(reader_impl& self, time_point deadline)
+{
+    bool ok = true;
+    while (ok && self.exchange_->body().empty() && !self.exchange_->done())
+        ok = co_await self.exchange_->read_more(deadline);
+    self.bytes_ = std::move(self.exchange_->body());
+    self.exchange_->body().clear();
+    if (ok && self.exchange_->done()) {
+        self.ended_ = true;
+        self.exchange_->release();
+    }
+}
+
+asio::awaitable<std::optional<std::string>> reader_impl::read(time_point deadline)
+{
+    const bool readable = !ended_ && exchange_->error.code == errc::none;
+    bytes_.clear();
+    if (readable) {
+        try {
+            co_await asio::co_spawn(strand_, read_bytes_of(*this, deadline), asio::use_awaitable);
+        } catch (const boost::system::system_error& it) {
+            exchange_->abandon(it.code());
+        }
+    }
+    if (bytes_.empty())
+        co_return std::nullopt;
+    co_return std::move(bytes_);
+}
+
 } // namespace
 
 struct client::impl {
@@ -513,4 +617,29 @@
     co_return std::make_unique<stream_impl>(it, self->limits.body_bytes);
 }
 
+asio::awaitable<std::unique_ptr<answer_reader>> client::open_answer(address to, request message,
+                                                                    time_point deadline, reuse policy,
+                                                                    call_error& error, answer_filter accept)
+{
+    const auto self = impl_;
+    std::string head;
+    const auto it = self->begin(to, message, deadline, policy, head, error);
+    if (!it)
+        co_return nullptr;
+    it->stream_body();
+    it->set_filter(std::move(accept));
+    bool started = false;
+    try {
+        started = co_await asio::co_spawn(it->executor(),
+                                          it->start(std::move(head), std::move(message.body), deadline),
+                                          asio::use_awaitable);
+    } catch (const boost::system::system_error& failure) {
+        it->abandon(failure.code());
+    }
+    error = it->error;
+    if (!started)
+        co_return nullptr;
+    co_return std::make_unique<reader_impl>(it);
+}
+
 } // namespace limpetlock::http
--- a/lib/http/connection.cpp
+++ b/lib/http/connection.cpp
@@ -80,7 +80,7 @@
 public:
     caller_connection(std::unique_ptr<transport> stream, std::shared_ptr<server_core> core)
         : transport_(std::move(stream)), socket_(transport_->socket()), timer_(socket_),
-          core_(std::move(core)), buffer_(core_->limits.header_bytes + buffer_slack_bytes)
+          core_(std::move(core)), limits_(core_->limits()), buffer_(limits_.header_bytes + buffer_slack_bytes)
     {
         ++core_->open;
     }
@@ -136,6 +136,7 @@
     tcp::socket& socket_;
     deadline_timer timer_;
     std::shared_ptr<server_core> core_;
+    server_limits limits_;
     beast::flat_buffer buffer_;
     std::optional<parser> parser_;
     std::optional<refusal> refusal_;
@@ -203,7 +204,7 @@
 
 asio::awaitable<bool> caller_connection::handshake()
 {
-    expire_after(core_->limits.header_timeout);
+    expire_after(limits_.header_timeout);
     const auto ec = co_await transport_->handshake();
     timer_.clear();
     broken_ = ec || timer_.expired();
@@ -239,11 +240,11 @@
 {
     bool ok = co_await wait_for_request();
     if (ok) {
-        expire_after(core_->limits.header_timeout);
+        expire_after(limits_.header_timeout);
         ok = co_await read_header();
     }
     if (ok) {
-        expire_after(core_->limits.body_timeout);
+        expire_after(limits_.body_timeout);
         ok = co_await read_body();
     }
     timer_.clear();
@@ -261,7 +262,8 @@
     if (buffer_.capacity() > first_read_bytes)
         buffer_ = beast::flat_buffer(buffer_.max_size());
     idle_ = true;
-    expire_after(core_->stopping ? stopping_idle_timeout : core_->limits.idle_timeout);
+    limits_ = core_->limits();
+    expire_after(core_->stopping ? stopping_idle_timeout : limits_.idle_timeout);
     const bool some = co_await fill(first_read_bytes);
     idle_ = false;
     refusal_.reset();
@@ -271,8 +273,8 @@
 asio::awaitable<bool> caller_connection::read_header()
 {
     parser_.emplace();
-    parser_->header_limit(static_cast<std::uint32_t>(core_->limits.header_bytes));
-    parser_->body_limit(core_->limits.body_bytes);
+    parser_->header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
+    parser_->body_limit(limits_.body_bytes);
     bool ok = true;
     while (ok && !parser_->is_header_done())
         ok = co_await advance();
@@ -289,7 +291,7 @@
         if (version_ == 11 && expects_continue(request_.headers) && buffer_.size() == 0)
             ok = co_await send(single_output(asio::buffer(continue_text)));
         buffer_.reserve(std::min(buffer_.max_size(), body_read_bytes));
-        expire_after(core_->limits.body_timeout);
+        expire_after(limits_.body_timeout);
     }
     while (ok && !parser_->is_done())
         ok = co_await advance();
@@ -343,10 +345,10 @@
 {
     if (ec == beast::http::error::header_limit)
         return refuse_with(431, "too_large",
-                           "header over " + std::to_string(core_->limits.header_bytes) + " bytes");
+                           "header over " + std::to_string(limits_.header_bytes) + " bytes");
     if (ec == beast::http::error::body_limit)
         return refuse_with(413, "too_large",
-                           "body over " + std::to_string(core_->limits.body_bytes) + " bytes");
+                           "body over " + std::to_string(limits_.body_bytes) + " bytes");
     if (ec == asio::error::timed_out && !broken_ && socket_.is_open())
         return refuse_with(408, "bad_request", "request not received in time");
     if (ec.category() == beast::http::make_error_code(beast::http::error::bad_method).category())
@@ -411,7 +413,7 @@
     const auto answer = json_response(refusal_->status, {});
     const auto head = head_of_answer(answer.status, answer.headers, {11, false, false, body.size()});
     const output buffers{asio::buffer(head), asio::buffer(body)};
-    expire_after(core_->limits.write_timeout);
+    expire_after(limits_.write_timeout);
     co_await transport_->write(buffers);
     timer_.clear();
 }
@@ -448,7 +450,7 @@
     }
     if (broken_ || asio::buffer_size(rest) == 0)
         co_return !broken_;
-    expire_after(core_->limits.write_timeout);
+    expire_after(limits_.write_timeout);
     const auto [ec, n] = co_await transport_->write(rest);
     timer_.clear();
     if (ec || timer_.expired())
--- a/lib/http/connection.hpp
+++ b/lib/http/connection.hpp
@@ -37,13 +37,17 @@
 
 /// What the listener and its connections share.
 struct server_core {
-    server_core(server_limits bounds, handler function) : limits(bounds), handle(std::move(function)) {}
+    server_core(server_limits bounds, handler function) : handle(std::move(function)), limits_(bounds) {}
 
     void add(const std::shared_ptr<connection>& it);
     void remove(connection* it);
     std::vector<std::shared_ptr<connection>> all() const;
 
-    const server_limits limits;
+    server_limits limits() const;
+
+    /// Requests and connections that begin later get these bounds.
+    void set_limits(const server_limits& bounds);
+
     const handler handle;
     std::atomic<std::size_t> active{0};
     std::atomic<std::size_t> open{0};
@@ -51,6 +55,7 @@
 
 private:
     mutable std::mutex mutex_;
+    server_limits limits_;
     std::unordered_map<connection*, std::weak_ptr<connection>> connections_;
 };
 
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -51,6 +51,18 @@
     connections_.erase(it);
 }
 
+server_limits server_core::limits() const
+{
+    const std::lock_guard lock(mutex_);
+    return limits_;
+}
+
+void server_core::set_limits(const server_limits& bounds)
+{
+    const std::lock_guard lock(mutex_);
+    limits_ = bounds;
+}
+
 std::vector<std::shared_ptr<connection>> server_core::all() const
 {
     std::vector<std::shared_ptr<connection>> result;
@@ -102,7 +114,7 @@
 {
     boost::system::error_code ec;
     socket.set_option(tcp::no_delay(true), ec);
-    if (core->open.load() < core->limits.connections) {
+    if (core->open.load() < core->limits().connections) {
         auto stream = tls ? tls->make_transport(std::move(socket)) : make_plain_transport(std::move(socket));
         make_connection(std::move(stream), core)->start();
         return;
@@ -188,6 +200,11 @@
     return impl_->core->active.load();
 }
 
+void server::set_limits(const server_limits& limits)
+{
+    impl_->core->set_limits(limits);
+}
+
 void server::stop_accepting()
 {
     impl_->stop();
--- a/lib/peer/node.cpp
+++ b/lib/peer/node.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <deque>
 #include <mutex>
 #include <stdexcept>
@@ -34,6 +35,10 @@
 constexpr std::size_t max_queued_frames = 1024;
 constexpr duration connect_timeout{500};
 
+/// A link on which nothing arrived for this long before a call timed out is closed: it may have gone silent
+/// without a reset, and a new connection to the same peer may work.
+constexpr duration silent_link_timeout{400};
+
 /// A connected socket with a queue of frames that one writer coroutine sends in order.
 struct connection {
     explicit connection(tcp::socket it) : socket(std::move(it)), wake(socket.get_executor()) {}
@@ -49,6 +54,7 @@
     tcp::socket socket;
     asio::steady_timer wake;
     std::deque<std::string> outgoing;
+    time_point last_received{};
     bool closed{false};
 };
 
@@ -271,6 +277,7 @@
             auto bytes = co_await read_frame(link->socket);
             if (!bytes)
                 break;
+            link->last_received = boot_clock::now();
             auto message = self->receive(*bytes);
             if (!message)
                 break;
@@ -337,12 +344,15 @@
             error = {errc::closed, fmt::format("connection to {} closed", to), false};
             co_return std::nullopt;
         }
+        const time_point sent_at = boot_clock::now();
         it->done.expires_after(remaining(deadline));
         co_await it->done.async_wait(use_tuple);
         if (it->reply)
             co_return std::move(it->reply);
         if (const auto again = peers.find(to); again != peers.end())
             again->second.waiting.erase(correlation);
+        if (!it->lost && boot_clock::now() - std::max(link->last_received, sent_at) >= silent_link_timeout)
+            link->close();
         error = it->lost ? call_error{errc::closed, fmt::format("connection to {} lost", to), true}
                          : call_error{errc::timeout, fmt::format("no reply from {} in time", to), true};
         co_return std::nullopt;
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -121,6 +121,82 @@
   2: i32 part;
 }
 
+/// One instance as its peers know it.
+struct member_message {
+  1: string name;
+  2: string host;
+  3: i32 port;
+  4: string domain;
+  5: i32 capacity;        // thousandths of a core
+  6: i64 life;            // random number of this process; differs after a restart
+  7: i64 age_ms;          // since it was last heard; 0 for the sender itself
+  8: bool stopping;
+}
+
+struct member_ping_message {
+  1: member_message own;
+  2: list<member_message> known;
+}
+
+struct member_pong_message {
+  1: member_message own;
+  2: list<member_message> known;
+  3: i64 state_revision;  // newest revision of the published state that the sender holds
+  4: i64 proof_age_ms;    // since the table was known to be the newest; -1 when it never was
+  5: i64 table_revision;  // of the routing table that the sender holds
+}
+
+struct state_pull_message {
+  1: i64 after_revision;
+}
+
+struct state_item_message {
+  1: string key;
+  2: string value;
+  3: i64 revision;
+  4: bool removed;
+}
+
+struct state_push_message {
+  1: i64 revision;
+  2: bool whole;          // keys that are absent were removed
+  3: list<state_item_message> items;
+  4: i64 proof_age_ms;
+  5: i64 table_revision;
+}
+
+struct stage_order_message {
+  1: string pool;
+  2: string request_id;
+  3: i32 stage;
+  4: list<i32> pieces;
+  5: string key;
+  6: list<string> inputs;
+  7: i64 time_left_ms;
+  8: i64 slack_ms;        // until the pieces have to be done for an answer within the objective
+  9: string domain;       // where the results are wanted
+  10: i64 result_bytes;   // of one piece
+  11: i32 priority;
+  12: double worth;       // relative worth of one piece
+}
+
+struct piece_result_message {
+  1: string handle;       // empty when the piece failed
+  2: i32 failure;
+}
+
+struct stage_result_message {
+  1: i32 status;          // 0 done, 1 still in progress, 2 refused
+  2: list<piece_result_message> pieces;
+  3: string reason;
+  4: i64 backlog_ms;      // time that the pool needs for what waits now
+}
+
+struct stage_cancel_message {
+  1: string request_id;
+  2: i32 stage;
+}
+
 struct frame {
   1: string sender;
   2: i64 incarnation;
@@ -139,4 +215,11 @@
   21: optional handover_pull_message handover_pull;
   22: optional list_pull_message list_pull;
   23: optional list_push_message list_push;
+  24: optional member_ping_message member_ping;
+  25: optional member_pong_message member_pong;
+  26: optional state_pull_message state_pull;
+  27: optional state_push_message state_push;
+  28: optional stage_order_message stage_order;
+  29: optional stage_result_message stage_result;
+  30: optional stage_cancel_message stage_cancel;
 }
--- a/tools/limpetlock/commands.cpp
+++ b/tools/limpetlock/commands.cpp
@@ -1,6 +1,9 @@
 #include "commands.hpp"
 
+#include "platform/platform.hpp"
+
 #include <limpetlock/config/document.hpp>
+#include <limpetlock/gateway/instance.hpp>
 #include <limpetlock/http/client.hpp>
 #include <limpetlock/server/instance.hpp>
 #include <limpetlock/server/settings.hpp>
@@ -112,6 +115,23 @@
     }
 }
 
+exit_code serve_platform()
+{
+    std::string reason;
+    const auto settings = platform::load_settings(reason);
+    if (!settings) {
+        fmt::print(stderr, "limpetlock: {}\n", reason);
+        return exit_code::invalid_input;
+    }
+    try {
+        gateway::instance it(*settings, platform::make_dialect(), platform::load_settings);
+        return it.run() == gateway::exit_reason::cut ? exit_code::requests_cut : exit_code::success;
+    } catch (const std::exception& it) {
+        fmt::print(stderr, "limpetlock: {}\n", it.what());
+        return exit_code::failure;
+    }
+}
+
 exit_code check()
 {
     if (FLAGS_settings.empty() && FLAGS_config.empty()) {
--- a/tools/limpetlock/main.cpp
+++ b/tools/limpetlock/main.cpp
@@ -21,6 +21,8 @@
 
 constexpr std::array subcommands{
     subcommand{"serve", "run an instance", limpetlock::tool::serve},
+    subcommand{"platform", "run an instance on the Steppe Ice platform, with the settings that it provides",
+               limpetlock::tool::serve_platform},
     subcommand{"check", "check a settings file and a configuration document without starting",
                limpetlock::tool::check},
     subcommand{"state", "print the state dump of a running instance", limpetlock::tool::state},
@@ -32,7 +34,7 @@
 {
     std::string out = "usage: limpetlock SUBCOMMAND [--flag=value ...]\n\nSubcommands:\n";
     for (const auto& it : subcommands)
-        out += fmt::format("  {:<8} {}\n", it.name, it.summary);
+        out += fmt::format("  {:<9} {}\n", it.name, it.summary);
     out += "\nFlags:\n"
            "  --settings=FILE  settings of the instance (serve, check)\n"
            "  --config=FILE    configuration document to check (check)\n"
