Plan with the room at stage endpoints; stop waiters on one timer from waking each other

Waiters of a stage chain shared one timer and set its expiry before each wait, which cancelled the others: the process spun while a stage ran.

--- a/include/limpetlock/gateway/piece_queue.hpp
+++ b/include/limpetlock/gateway/piece_queue.hpp
@@ -54,10 +54,12 @@
 public:
     void push(queued_piece it);
 
-    /// Takes the pieces of the next batch for an endpoint in `domain`. `local_elsewhere` tells whether a
-    /// domain has an endpoint that may soon take pieces. Pieces whose deadline can't be met are not taken.
+    /// Takes the pieces of the next batch for an endpoint in `domain`. `other_domains` have an
+    /// endpoint that may soon take pieces. Pieces whose deadline can't be met are not taken, nor
+    /// are those whose results don't fit into `room` bytes.
     std::vector<queued_piece> take_batch(const batch_options& options, std::string_view domain,
-                                         const std::vector<std::string>& other_domains, time_point now);
+                                         const std::vector<std::string>& other_domains, std::uint64_t room,
+                                         time_point now);
 
     /// Drops the pieces that can't be done before their deadline and returns them.
     std::vector<queued_piece> expire(const batch_options& options, time_point now);
--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -42,6 +42,13 @@
     /// Records the end of a call. What becomes of its pieces is up to the caller.
     void finished(std::uint64_t call, call_outcome how, time_point now);
 
+    /// Results of this size are no longer kept at the endpoint.
+    void free_room(std::string_view endpoint_id, std::uint64_t bytes);
+
+    /// The endpoint had no room for the result of a piece. The piece waits again, and the endpoint gets no
+    /// call until results may have left it.
+    void out_of_room(std::string_view endpoint_id, queued_piece it, time_point now);
+
     /// Queues a piece again after it failed; false when it was tried too often.
     bool retry(queued_piece it, time_point now);
 
@@ -65,18 +72,21 @@
         time_point busy_until{};
         time_point avoid_until{};
         std::uint32_t failures{0};
-        double slowness{1}; ///< measured time of calls in relation to the expected time
+        std::uint64_t held_bytes{0}; ///< results that wait to be fetched, or are being made
+        double slowness{1};          ///< measured time of calls in relation to the expected time
     };
     struct running_call {
         std::string endpoint_id;
         time_point started{};
         std::size_t pieces{0};
+        std::uint64_t bytes{0};
     };
 
     target* pick(time_point now, const std::vector<std::string>& passed);
     std::vector<std::string> domains_besides(std::string_view domain, time_point now) const;
     bool usable(const target& it, time_point now) const;
     void punish(target& it, duration base, time_point now);
+    std::uint64_t room_of(const target& it) const;
 
     stage_figures figures_;
     batch_options options_;
--- a/lib/gateway/feeder.cpp
+++ b/lib/gateway/feeder.cpp
@@ -64,6 +64,7 @@
 
 struct feeder::pool_state {
     stage_dispatcher dispatcher;
+    duration result_lifetime{0};
 };
 
 feeder::feeder(asio::any_io_executor executor, const dialect& names, http::client& client,
@@ -96,6 +97,7 @@
         std::vector<endpoint> members;
         std::copy_if(endpoints.begin(), endpoints.end(), std::back_inserter(members),
                      [&name = name](const endpoint& e) { return e.pool == name; });
+        state->result_lifetime = it.stage->result_lifetime;
         state->dispatcher.configure(*it.stage, std::move(members));
         pump(name);
     }
@@ -167,7 +169,7 @@
     orders_.erase(found);
     it->cancelled = true;
     it->done.cancel();
-    releaser_.release(it->handles());
+    release(it->handles());
     if (const auto pool = pools_.find(it->pool); pool != pools_.end())
         pool->second->dispatcher.cancel(request_id, stage);
 }
@@ -217,19 +219,58 @@
                              {"took_ms", fmt::to_string((now - started).count())},
                              {"status", answer ? fmt::to_string(answer->status) : error.reason},
                              {"waiting", fmt::to_string(state.dispatcher.waiting())}});
-    if (results)
+    if (results) {
+        note_results(pool, call, *results, now);
         take_results(state, call, *results);
-    else
+    } else {
         requeue(state, std::move(call.pieces), answer ? "refused" : error.reason);
+    }
     pump(pool);
 }
 
+/// Results occupy room until they are released or expire; failed pieces occupy none.
+void feeder::note_results(const std::string& pool, const stage_dispatch& call,
+                          const std::vector<piece_result>& results, time_point now)
+{
+    auto& state = *pools_.at(pool);
+    for (std::size_t n = 0; n < results.size(); ++n) {
+        const std::uint64_t bytes = call.pieces[n].order->result_bytes;
+        if (results[n].handle.empty())
+            state.dispatcher.free_room(call.to.id, bytes);
+        else
+            kept_.insert_or_assign(results[n].handle,
+                                   kept_result{pool, call.to.id, bytes, now + state.result_lifetime});
+    }
+}
+
+bool feeder::forget_result(const std::string& handle)
+{
+    const auto it = kept_.find(handle);
+    if (it == kept_.end())
+        return false;
+    const auto pool = pools_.find(it->second.pool);
+    if (pool != pools_.end())
+        pool->second->dispatcher.free_room(it->second.endpoint_id, it->second.bytes);
+    kept_.erase(it);
+    return true;
+}
+
+void feeder::release(const std::vector<std::string>& handles)
+{
+    for (const auto& it : handles)
+        forget_result(it);
+    releaser_.release(handles);
+}
+
 void feeder::take_results(pool_state& at, stage_dispatch& call, const std::vector<piece_result>& results)
 {
     std::vector<queued_piece> again;
+    const time_point now = boot_clock::now();
     for (std::size_t n = 0; n < results.size(); ++n) {
         const auto failure = results[n].failure;
-        if (failure == piece_failure::no_room || failure == piece_failure::error)
+        if (failure == piece_failure::no_room)
+            at.dispatcher.out_of_room(call.to.id, std::move(call.pieces[n]), now);
+        else if (failure == piece_failure::error)
             again.push_back(std::move(call.pieces[n]));
         else
             settle(call.pieces[n], results[n]);
@@ -262,7 +303,7 @@
     const auto found = orders_.find({piece.order->request_id, piece.order->stage});
     if (found == orders_.end() || found->second->order != piece.order || found->second->have[piece.index]) {
         if (!result.handle.empty())
-            releaser_.release({result.handle});
+            release({result.handle});
         return;
     }
     auto& it = *found->second;
@@ -277,6 +318,12 @@
     for (const auto& [name, state] : pools_)
         for (const auto& it : state->dispatcher.expire(now))
             settle(it, {{}, piece_failure::late});
+    std::vector<std::string> expired;
+    for (const auto& [handle, it] : kept_)
+        if (it.expires <= now)
+            expired.push_back(handle);
+    for (const auto& it : expired)
+        forget_result(it);
     for (auto it = orders_.begin(); it != orders_.end();) {
         const auto order = it->second;
         ++it;
--- a/lib/gateway/feeder.hpp
+++ b/lib/gateway/feeder.hpp
@@ -49,6 +49,9 @@
 
     void cancel(const std::string& request_id, std::uint32_t stage);
 
+    /// Releases results at their makers, and their room with them.
+    void release(const std::vector<std::string>& handles);
+
     /// Orders that are not done.
     std::size_t open_orders() const;
 
@@ -63,6 +66,9 @@
     void take_results(pool_state& at, stage_dispatch& call, const std::vector<piece_result>& results);
     void requeue(pool_state& at, std::vector<queued_piece> pieces, std::string_view reason);
     void settle(const queued_piece& piece, piece_result result);
+    void note_results(const std::string& pool, const stage_dispatch& call,
+                      const std::vector<piece_result>& results, time_point now);
+    bool forget_result(const std::string& handle);
     void expire(time_point now);
 
     boost::asio::any_io_executor executor_;
@@ -74,6 +80,15 @@
     metrics::counter& repeated_;
     std::map<std::string, std::unique_ptr<pool_state>, std::less<>> pools_;
     std::map<order_key, std::shared_ptr<open_order>> orders_;
+
+    /// A result that occupies room at its maker.
+    struct kept_result {
+        std::string pool;
+        std::string endpoint_id;
+        std::uint64_t bytes{0};
+        time_point expires{};
+    };
+    std::map<std::string, kept_result, std::less<>> kept_;
 };
 
 } // namespace limpetlock::gateway
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -274,12 +274,16 @@
     }
     if (message.__isset.stage_cancel)
         on_.on_cancel(message.stage_cancel);
+    if (message.__isset.stage_release)
+        on_.on_release(message.stage_release);
     reply.__set_received({});
     co_return reply;
 }
 
 awaitable<std::optional<wire::frame>> fleet::call(std::string to, wire::frame message, time_point deadline)
 {
+    if (!links_.contains(to))
+        refresh_links(boot_clock::now());
     peer::call_error error;
     auto reply = co_await node_.call(to, std::move(message), deadline, error);
     if (reply)
--- a/lib/gateway/fleet.hpp
+++ b/lib/gateway/fleet.hpp
@@ -27,6 +27,7 @@
     struct handlers {
         std::function<boost::asio::awaitable<wire::stage_result_message>(wire::stage_order_message)> on_order;
         std::function<void(const wire::stage_cancel_message&)> on_cancel;
+        std::function<void(const wire::stage_release_message&)> on_release;
     };
 
     fleet(boost::asio::any_io_executor executor, const gateway_settings& settings, std::int64_t life,
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -2,6 +2,7 @@
 #include "fleet.hpp"
 #include "request_handler.hpp"
 #include "result_releaser.hpp"
+#include "result_returns.hpp"
 #include "stage_chain.hpp"
 #include "store_reader.hpp"
 
@@ -87,8 +88,9 @@
           releaser(io.get_executor(), *names, client),
           orders(io.get_executor(), *names, client, releaser, metrics),
           peers(io.get_executor(), settings, random_life(), state, peer_handlers()),
-          chain(io.get_executor(), peers, orders, releaser),
-          handler({*names, settings, state, book, chain, releaser, peers, client, metrics}),
+          returns(io.get_executor(), peers, orders, releaser),
+          chain(io.get_executor(), peers, orders, returns),
+          handler({*names, settings, state, book, chain, returns, peers, client, metrics}),
           stop(stop_settings_of(settings.bounds)), signals(io, SIGTERM, SIGINT), hangups(io, SIGHUP)
     {
         open_listeners();
@@ -117,6 +119,7 @@
         out.on_cancel = [this](const wire::stage_cancel_message& it) {
             orders.cancel(it.request_id, static_cast<std::uint32_t>(it.stage));
         };
+        out.on_release = [this](const wire::stage_release_message& it) { orders.release(it.handles); };
         return out;
     }
 
@@ -301,6 +304,7 @@
     result_releaser releaser;
     feeder orders;
     fleet peers;
+    result_returns returns;
     stage_chain chain;
     request_handler handler;
     std::unique_ptr<http::server> caller;
--- a/lib/gateway/piece_queue.cpp
+++ b/lib/gateway/piece_queue.cpp
@@ -49,7 +49,7 @@
 /// late as well.
 std::vector<queued_piece> piece_queue::take_batch(const batch_options& options, std::string_view domain,
                                                   const std::vector<std::string>& other_domains,
-                                                  time_point now)
+                                                  std::uint64_t room, time_point now)
 {
     auto orders = orders_of(waiting_);
     const duration least = time_of(options, 1);
@@ -71,25 +71,32 @@
             return false;
         return std::find(other_domains.begin(), other_domains.end(), it.order->domain) != other_domains.end();
     };
-    std::size_t room = options.size;
-    std::map<const stage_order*, bool> chosen;
+    std::size_t places = options.size;
+    std::map<const stage_order*, std::size_t> chosen;
     for (const auto& it : orders) {
-        if (room == 0)
+        if (places == 0)
             break;
         if (it.order->deadline < now + least || waits_for_local(it))
             continue;
         // An order is split only when it could never fit.
-        if (it.pieces > room && it.pieces <= options.size)
+        if (it.pieces > places && it.pieces <= options.size)
             continue;
-        chosen.emplace(it.order, true);
-        room -= std::min(room, it.pieces);
+        const std::size_t count = std::min(places, it.pieces);
+        const std::uint64_t bytes = it.order->result_bytes * count;
+        if (bytes > room)
+            continue;
+        chosen.emplace(it.order, count);
+        places -= count;
+        room -= bytes;
     }
     std::vector<queued_piece> out;
     for (auto it = waiting_.begin(); it != waiting_.end() && out.size() < options.size;) {
-        if (!chosen.contains(it->order.get())) {
+        const auto wanted = chosen.find(it->order.get());
+        if (wanted == chosen.end() || wanted->second == 0) {
             ++it;
             continue;
         }
+        --wanted->second;
         out.push_back(std::move(*it));
         it = waiting_.erase(it);
     }
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -234,7 +234,7 @@
         outcome = co_await run_chain(it);
     it.stages_done = boot_clock::now();
     if (outcome.how == stage_end::done) {
-        it.inputs = held_results(parts_.releaser, std::move(outcome.inputs));
+        it.inputs = held_results(parts_.returns, std::move(outcome.inputs));
         co_return true;
     }
     co_return refuse(it, 503, fmt::format("stages {}: {}", to_string(outcome.how), outcome.reason),
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "fleet.hpp"
-#include "result_releaser.hpp"
+#include "result_returns.hpp"
 #include "stage_chain.hpp"
 
 #include <limpetlock/gateway/dialect.hpp>
@@ -34,7 +34,7 @@
     published_state& state;
     endpoint_book& book;
     stage_chain& chain;
-    result_releaser& releaser;
+    result_returns& returns;
     fleet& peers;
     http::client& client;
     metrics::registry& metrics;
--- a/lib/gateway/request_job.hpp
+++ b/lib/gateway/request_job.hpp
@@ -13,12 +13,12 @@
 
 namespace limpetlock::gateway {
 
-/// Results of stages that wait for the engine; released when they are no longer needed.
+/// Results of stages that wait for the engine; given back when they are no longer needed.
 class held_results {
 public:
     held_results() = default;
-    held_results(result_releaser& releaser, std::vector<std::string> handles)
-        : releaser_(&releaser), handles_(std::move(handles))
+    held_results(result_returns& returns, std::vector<result_group> groups)
+        : returns_(&returns), groups_(std::move(groups))
     {
     }
     held_results(const held_results&) = delete;
@@ -31,24 +31,30 @@
     }
     ~held_results() { release(); }
 
-    const std::vector<std::string>& handles() const { return handles_; }
+    std::vector<std::string> handles() const
+    {
+        std::vector<std::string> out;
+        for (const auto& it : groups_)
+            out.insert(out.end(), it.handles.begin(), it.handles.end());
+        return out;
+    }
 
     void release()
     {
-        if (releaser_ != nullptr && !handles_.empty())
-            releaser_->release(handles_);
-        handles_.clear();
+        for (auto& it : groups_)
+            returns_->give_back(std::move(it));
+        groups_.clear();
     }
 
 private:
     void swap(held_results& it) noexcept
     {
-        std::swap(releaser_, it.releaser_);
-        handles_.swap(it.handles_);
+        std::swap(returns_, it.returns_);
+        groups_.swap(it.groups_);
     }
 
-    result_releaser* releaser_{nullptr};
-    std::vector<std::string> handles_;
+    result_returns* returns_{nullptr};
+    std::vector<result_group> groups_;
 };
 
 /// How one sending to an endpoint ended.
--- /dev/null
+++ b/lib/gateway/result_returns.hpp
@@ -0,0 +1,44 @@
+/// \file
+/// Gives results that are no longer needed back to the instance that ran their stage, which knows the room at
+/// the endpoints.
+#pragma once
+
+#include "feeder.hpp"
+#include "fleet.hpp"
+#include "result_releaser.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace limpetlock::gateway {
+
+/// Results of one stage and the instance that ran it.
+struct result_group {
+    std::string place;
+    std::vector<std::string> handles;
+};
+
+class result_returns {
+public:
+    result_returns(boost::asio::any_io_executor executor, fleet& peers, feeder& local,
+                   result_releaser& releaser);
+
+    void give_back(result_group group);
+
+private:
+    boost::asio::awaitable<void> flush_later();
+    boost::asio::awaitable<void> send(std::string place, std::vector<std::string> handles);
+
+    boost::asio::any_io_executor executor_;
+    fleet& fleet_;
+    feeder& feeder_;
+    result_releaser& releaser_;
+    std::map<std::string, std::vector<std::string>> pending_;
+    bool flushing_{false};
+};
+
+} // namespace limpetlock::gateway
--- a/lib/gateway/stage_chain.cpp
+++ b/lib/gateway/stage_chain.cpp
@@ -116,7 +116,8 @@
               const asio::any_io_executor& executor)
         : work(std::move(it)), table(std::move(its_table)),
           after(time_after(work.stages, work.pieces, *table)), results(work.stages.size()),
-          ended(work.stages.size(), false), placed_at(work.stages.size()), progress(executor)
+          ended(work.stages.size(), false), placed_at(work.stages.size()),
+          progress(executor, asio::steady_timer::time_point::max())
     {
     }
 
@@ -170,17 +171,17 @@
     {
         std::vector<std::string> out;
         for (const auto need : work.stages[index].needs)
-            out.insert(out.end(), results[need].begin(), results[need].end());
+            out.insert(out.end(), results[need].handles.begin(), results[need].handles.end());
         return out;
     }
 
     const stage_work work;
     const std::shared_ptr<const routing_table> table;
     const std::vector<duration> after;
-    std::vector<std::vector<std::string>> results;
+    std::vector<result_group> results;
     std::vector<bool> ended;
     std::vector<std::string> placed_at; ///< instance that holds the open order of a stage; empty for none
-    asio::steady_timer progress;
+    asio::steady_timer progress; ///< never expires; cancelled to wake those who wait for a stage
     std::uint64_t changes{0};
     stage_end how{stage_end::done};
     std::string reason;
@@ -207,8 +208,8 @@
 };
 
 stage_chain::stage_chain(asio::any_io_executor executor, fleet& peers, feeder& local,
-                         result_releaser& releaser)
-    : executor_(std::move(executor)), fleet_(peers), feeder_(local), releaser_(releaser)
+                         result_returns& returns)
+    : executor_(std::move(executor)), fleet_(peers), feeder_(local), returns_(returns)
 {
 }
 
@@ -249,7 +250,6 @@
             asio::co_spawn(executor_, run_stage(*this, state, n), asio::detached);
     }
     while (!state->complete() && !state->failed()) {
-        state->progress.expires_at(asio::steady_timer::time_point::max());
         co_await state->progress.async_wait(quiet);
     }
     stage_outcome out;
@@ -259,8 +259,8 @@
         co_return out;
     guard.dismiss();
     for (std::size_t n = 0; n < state->work.stages.size(); ++n)
-        if (!state->followed(n))
-            out.inputs.insert(out.inputs.end(), state->results[n].begin(), state->results[n].end());
+        if (!state->followed(n) && !state->results[n].handles.empty())
+            out.inputs.push_back(std::move(state->results[n]));
     co_return out;
 }
 
@@ -269,8 +269,7 @@
     state.abandoned = true;
     state.notify();
     for (std::size_t n = 0; n < state.results.size(); ++n) {
-        releaser_.release(state.results[n]);
-        state.results[n].clear();
+        returns_.give_back(std::exchange(state.results[n], {}));
         const std::string at = std::exchange(state.placed_at[n], {});
         const auto stage = static_cast<std::uint32_t>(n);
         if (at == fleet_.view().own().name)
@@ -293,7 +292,6 @@
 awaitable<void> stage_chain::run_stage(stage_chain& self, std::shared_ptr<run_state> state, std::size_t index)
 {
     while (!state->ready(index) && !state->failed()) {
-        state->progress.expires_at(asio::steady_timer::time_point::max());
         co_await state->progress.async_wait(quiet);
     }
     if (state->failed())
@@ -314,18 +312,17 @@
     order.priority = state->work.priority;
     order.worth = state->work.worth;
     auto result = co_await self.place_order(state, index, std::move(order));
-    state->placed_at[index].clear();
-    std::vector<std::string> handles;
+    result_group made{std::exchange(state->placed_at[index], {}), {}};
     auto failure = piece_failure::none;
     for (const auto& it : result.pieces) {
         if (!it.handle.empty())
-            handles.push_back(it.handle);
+            made.handles.push_back(it.handle);
         else
             failure = it.failure == piece_failure::none ? piece_failure::error : it.failure;
     }
     const bool done = result.how == order_result::status::done && failure == piece_failure::none;
     if (state->abandoned || !done)
-        self.releaser_.release(handles);
+        self.returns_.give_back(std::move(made));
     if (state->abandoned)
         co_return;
     if (result.how != order_result::status::done) {
@@ -337,13 +334,11 @@
                     fmt::format("piece of stage {}: {}", index, to_string(failure)));
         co_return;
     }
-    state->results[index] = std::move(handles);
+    state->results[index] = std::move(made);
     state->ended[index] = true;
     for (const auto need : spec.needs)
-        if (state->followers_ended(need)) {
-            self.releaser_.release(state->results[need]);
-            state->results[need].clear();
-        }
+        if (state->followers_ended(need))
+            self.returns_.give_back(std::exchange(state->results[need], {}));
     state->notify();
 }
 
--- a/lib/gateway/stage_chain.hpp
+++ b/lib/gateway/stage_chain.hpp
@@ -5,7 +5,7 @@
 
 #include "feeder.hpp"
 #include "fleet.hpp"
-#include "result_releaser.hpp"
+#include "result_returns.hpp"
 
 #include <limpetlock/gateway/model.hpp>
 
@@ -39,16 +39,16 @@
 
 struct stage_outcome {
     stage_end how{stage_end::failed};
-    std::vector<std::string> inputs; ///< results that the request itself needs
+    std::vector<result_group> inputs; ///< results that the request itself needs
     std::string reason;
 };
 
 class stage_chain {
 public:
     stage_chain(boost::asio::any_io_executor executor, fleet& peers, feeder& local,
-                result_releaser& releaser);
+                result_returns& returns);
 
-    /// Whoever gives up the returned coroutine cancels what it has ordered. The caller releases the inputs.
+    /// Whoever gives up the returned coroutine cancels what it has ordered. The caller gives the inputs back.
     boost::asio::awaitable<stage_outcome> run(stage_work work,
                                               std::shared_ptr<const routing_table> table);
 
@@ -81,7 +81,7 @@
     boost::asio::any_io_executor executor_;
     fleet& fleet_;
     feeder& feeder_;
-    result_releaser& releaser_;
+    result_returns& returns_;
     std::map<std::string, known_backlog, std::less<>> backlogs_;
 };
 
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -12,6 +12,7 @@
 constexpr duration unreachable_pause{400};
 constexpr duration broken_pause{600};
 constexpr duration full_pause{120};
+constexpr duration no_room_pause{80};
 constexpr duration longest_pause{5'000};
 
 /// An endpoint with another id at the address is gone; the list will say so.
@@ -27,6 +28,11 @@
 /// An endpoint that is slower than this takes a call only when no other one is free soon.
 constexpr double slow_limit = 1.8;
 
+constexpr double bytes_per_mb = 1e6;
+
+/// Part of an endpoint's room that is planned with; sizes of results are approximate.
+constexpr double usable_room = 0.95;
+
 } // namespace
 
 void stage_dispatcher::configure(const stage_figures& figures, std::vector<endpoint> endpoints)
@@ -115,7 +121,8 @@
         target* const to = pick(now, passed);
         if (to == nullptr)
             return std::nullopt;
-        auto pieces = queue_.take_batch(options_, to->who.domain, domains_besides(to->who.domain, now), now);
+        auto pieces = queue_.take_batch(options_, to->who.domain, domains_besides(to->who.domain, now),
+                                        room_of(*to), now);
         if (pieces.empty()) {
             passed.push_back(to->who.id);
             continue;
@@ -126,12 +133,39 @@
         to->busy_until = now + expected;
         const duration patience(
             static_cast<std::int64_t>(static_cast<double>(expected.count()) * hung_factor));
-        calls_[++last_call_] = {to->who.id, now, pieces.size()};
+        std::uint64_t bytes = 0;
+        for (const auto& it : pieces)
+            bytes += it.order->result_bytes;
+        to->held_bytes += bytes;
+        calls_[++last_call_] = {to->who.id, now, pieces.size(), bytes};
         return stage_dispatch{last_call_, to->who, std::move(pieces), now + patience + hung_slack};
     }
     return std::nullopt;
 }
 
+std::uint64_t stage_dispatcher::room_of(const target& it) const
+{
+    if (figures_.result_room_mb <= 0)
+        return UINT64_MAX;
+    const auto all = static_cast<std::uint64_t>(figures_.result_room_mb * bytes_per_mb * usable_room);
+    return all - std::min(all, it.held_bytes);
+}
+
+void stage_dispatcher::free_room(std::string_view endpoint_id, std::uint64_t bytes)
+{
+    const auto it = endpoints_.find(endpoint_id);
+    if (it != endpoints_.end())
+        it->second.held_bytes -= std::min(bytes, it->second.held_bytes);
+}
+
+void stage_dispatcher::out_of_room(std::string_view endpoint_id, queued_piece it, time_point now)
+{
+    const auto at = endpoints_.find(endpoint_id);
+    if (at != endpoints_.end())
+        at->second.avoid_until = std::max(at->second.avoid_until, now + no_room_pause);
+    queue_.push(std::move(it));
+}
+
 void stage_dispatcher::punish(target& it, duration base, time_point now)
 {
     const auto factor = std::int64_t{1} << std::min<std::uint32_t>(it.failures, 4);
@@ -151,6 +185,8 @@
         return;
     target& it = at->second;
     it.busy = false;
+    if (how != call_outcome::answered)
+        free_room(ended.endpoint_id, ended.bytes);
     switch (how) {
     case call_outcome::answered: {
         it.failures = 0;
--- a/lib/http/message.cpp
+++ b/lib/http/message.cpp
@@ -1,15 +1,20 @@
 #include <limpetlock/http/message.hpp>
 
-#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/core/string.hpp>
 
 #include <utility>
 
 namespace limpetlock::http {
 
+bool same_name(std::string_view a, std::string_view b)
+{
+    return boost::beast::iequals(a, b);
+}
+
 std::optional<std::string_view> find(const header_list& headers, std::string_view name)
 {
     for (const auto& it : headers)
-        if (boost::algorithm::iequals(it.name, name))
+        if (same_name(it.name, name))
             return it.value;
     return std::nullopt;
 }
--- a/lib/http/message_text.cpp
+++ b/lib/http/message_text.cpp
@@ -1,6 +1,5 @@
 #include "message_text.hpp"
 
-#include <boost/algorithm/string/predicate.hpp>
 #include <boost/beast/http/status.hpp>
 #include <fmt/format.h>
 
@@ -13,8 +12,6 @@
 
 namespace {
 
-using boost::algorithm::iequals;
-
 std::string_view reason_of(int status)
 {
     return boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(status));
@@ -44,8 +41,8 @@
 
 bool is_framing(std::string_view name)
 {
-    return iequals(name, "Connection") || iequals(name, "Content-Length") ||
-           iequals(name, "Transfer-Encoding");
+    return same_name(name, "Connection") || same_name(name, "Content-Length") ||
+           same_name(name, "Transfer-Encoding");
 }
 
 void append_headers(fmt::memory_buffer& buf, const header_list& headers)
@@ -110,13 +107,13 @@
 bool wants_close(const header_list& headers)
 {
     const auto it = find(headers, "Connection");
-    return it && iequals(*it, "close");
+    return it && same_name(*it, "close");
 }
 
 bool expects_continue(const header_list& headers)
 {
     const auto it = find(headers, "Expect");
-    return it && iequals(*it, "100-continue");
+    return it && same_name(*it, "100-continue");
 }
 
 bool status_has_body(int status)
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -197,6 +197,11 @@
   2: i32 stage;
 }
 
+/// Results that the sender no longer needs, for the instance that ran the stage.
+struct stage_release_message {
+  1: list<string> handles;
+}
+
 struct frame {
   1: string sender;
   2: i64 incarnation;
@@ -222,4 +227,5 @@
   28: optional stage_order_message stage_order;
   29: optional stage_result_message stage_result;
   30: optional stage_cancel_message stage_cancel;
+  31: optional stage_release_message stage_release;
 }
--- /dev/null
+++ b/utils/platformkit/endpoints.cpp
@@ -0,0 +1,242 @@
+#include "endpoints.hpp"
+
+#include "platform/platform.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace limpetlock::platformkit {
+
+namespace asio = boost::asio;
+namespace header = platform::header;
+using asio::awaitable;
+using nlohmann::json;
+
+namespace {
+
+constexpr auto quiet = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::seconds hang_time{30};
+
+std::string value_of(const http::request& message, std::string_view name)
+{
+    return std::string(http::find(message.headers, name).value_or(""));
+}
+
+run_record record_of(const http::request& message)
+{
+    run_record out;
+    out.request_id = value_of(message, header::request_id);
+    out.tenant = value_of(message, header::tenant);
+    out.target = message.target;
+    out.body = message.body;
+    out.inputs = value_of(message, header::inputs);
+    out.resume_after = value_of(message, header::last_event_id);
+    out.authorization = value_of(message, header::authorization);
+    out.priority = value_of(message, header::request_priority);
+    const std::string deadline = value_of(message, header::deadline_ms);
+    std::from_chars(deadline.data(), deadline.data() + deadline.size(), out.deadline_ms);
+    return out;
+}
+
+std::string entry_of(const endpoint_options& it, const std::string& address, std::uint16_t port,
+                     const std::string& state)
+{
+    return json{{"service", it.pool},
+                {"addr", fmt::format("{}:{}", address, port)},
+                {"zone", it.domain},
+                {"version", "v1"},
+                {"slots", it.slots},
+                {"state", state},
+                {"coldLeftMs", 0},
+                {"seq", 1},
+                {"born", 1'700'000'000'000}}
+        .dump();
+}
+
+http::response not_run(int status)
+{
+    http::response out = http::json_response(status, "{}");
+    out.headers.push_back({std::string(header::not_run), "1"});
+    return out;
+}
+
+} // namespace
+
+service_endpoint::service_endpoint(asio::any_io_executor executor, const std::string& address,
+                                   endpoint_options options)
+    : executor_(std::move(executor)), address_(address), options_(std::move(options))
+{
+    server_ = std::make_unique<http::server>(executor_, address, 0, http::server_limits{},
+                                             [this](http::exchange& io) { return serve(io); });
+}
+
+std::string service_endpoint::entry(const std::string& state) const
+{
+    return entry_of(options_, address_, port(), state);
+}
+
+awaitable<void> service_endpoint::wait(std::chrono::milliseconds length)
+{
+    asio::steady_timer timer(executor_, length);
+    co_await timer.async_wait(quiet);
+}
+
+awaitable<void> service_endpoint::serve(http::exchange& io)
+{
+    using namespace asio::experimental::awaitable_operators;
+    const behaviour how = count_ > 0 ? how_ : behaviour::normal;
+    if (count_ > 0)
+        --count_;
+    const std::string expected = value_of(io.message(), header::expect_instance);
+    const bool other = how == behaviour::wrong_endpoint || (!expected.empty() && expected != options_.id);
+    if (other || how == behaviour::refuse) {
+        http::response answer = not_run(other ? 421 : 503);
+        co_await io.respond(std::move(answer));
+        co_return;
+    }
+    const std::size_t run = runs_.size();
+    runs_.push_back(record_of(io.message()));
+    co_await (work(io, run, how) || io.closed());
+}
+
+awaitable<void> service_endpoint::work(http::exchange& io, std::size_t run, behaviour how)
+{
+    co_await wait(how == behaviour::hang ? std::chrono::milliseconds(hang_time) : options_.work);
+    http::header_list headers;
+    headers.push_back({std::string(header::request_id),
+                       how == behaviour::wrong_id ? "0000000000000000" : runs_[run].request_id});
+    if (how != behaviour::unstamped)
+        headers.push_back({std::string(header::stamp), "stamp-" + options_.id});
+    headers.push_back({std::string(header::server_load), fmt::format("1,0,{}", options_.slots)});
+    if (how == behaviour::fail) {
+        http::response answer{500, headers, "failed"};
+        co_await io.respond(std::move(answer));
+        runs_[run].finished = true;
+        co_return;
+    }
+    if (options_.events > 0) {
+        co_await stream(io, run, how, std::move(headers));
+        co_return;
+    }
+    if (how == behaviour::cut_answer) {
+        co_await io.begin_stream(200, headers);
+        co_await io.write("the first half of");
+        co_return;
+    }
+    http::response answer{200, headers, "answer to " + runs_[run].request_id};
+    co_await io.respond(std::move(answer));
+    runs_[run].finished = true;
+}
+
+awaitable<void> service_endpoint::stream(http::exchange& io, std::size_t run, behaviour how,
+                                         http::header_list headers)
+{
+    headers.push_back({"Content-Type", "text/event-stream"});
+    std::size_t next = 1;
+    const std::string& after = runs_[run].resume_after;
+    std::from_chars(after.data(), after.data() + after.size(), next);
+    if (!after.empty())
+        ++next;
+    const std::size_t cut_at = (options_.events + next) / 2;
+    bool ok = co_await io.begin_stream(200, headers);
+    const std::string filler(options_.event_bytes, 'x');
+    for (; ok && next <= options_.events; ++next) {
+        const std::string event = fmt::format("id: {}\ndata: {}\n\n", next, filler);
+        if (how == behaviour::cut_answer && next == cut_at) {
+            co_await io.write(std::string_view(event).substr(0, event.size() / 2));
+            co_return;
+        }
+        ok = co_await io.write(event);
+        if (options_.event_gap.count() > 0)
+            co_await wait(options_.event_gap);
+    }
+    if (ok)
+        ok = co_await io.finish();
+    runs_[run].finished = ok;
+}
+
+stage_endpoint::stage_endpoint(asio::any_io_executor executor, const std::string& address,
+                               endpoint_options options, std::size_t batch, std::size_t room)
+    : executor_(std::move(executor)), address_(address), options_(std::move(options)), batch_(batch),
+      room_(room)
+{
+    server_ = std::make_unique<http::server>(executor_, address, 0, http::server_limits{},
+                                             [this](http::exchange& io) { return serve(io); });
+}
+
+std::string stage_endpoint::entry(const std::string& state) const
+{
+    return entry_of(options_, address_, port(), state);
+}
+
+http::response stage_endpoint::release(const std::string& body)
+{
+    const json it = json::parse(body, nullptr, false);
+    if (!it.is_object())
+        return http::json_response(400, "{}");
+    for (const auto& handle : it["handles"])
+        held_.erase(handle.get<std::string>());
+    return http::json_response(200, "{}");
+}
+
+awaitable<void> stage_endpoint::serve(http::exchange& io)
+{
+    if (io.message().target == "/v1/stage-free") {
+        http::response answer = release(io.message().body);
+        co_await io.respond(std::move(answer));
+        co_return;
+    }
+    co_await run_call(io);
+}
+
+awaitable<void> stage_endpoint::run_call(http::exchange& io)
+{
+    const behaviour how = count_ > 0 ? how_ : behaviour::normal;
+    if (count_ > 0)
+        --count_;
+    if (busy_ || how == behaviour::refuse) {
+        http::response full = not_run(503);
+        co_await io.respond(std::move(full));
+        co_return;
+    }
+    busy_ = true;
+    asio::steady_timer timer(executor_, how == behaviour::hang ? std::chrono::milliseconds(hang_time)
+                                                                : options_.work);
+    co_await timer.async_wait(quiet);
+    busy_ = false;
+    const json body = json::parse(io.message().body, nullptr, false);
+    json results = json::array();
+    stage_record record;
+    for (const auto& it : body["items"]) {
+        ++record.pieces;
+        record.request_ids.insert(it["id"].get<std::string>());
+        if (it.contains("inputs"))
+            for (const auto& input : it["inputs"])
+                record.inputs.insert(input.get<std::string>());
+        if (how == behaviour::fail) {
+            results.push_back({{"reason", "error"}});
+        } else if (held_.size() >= room_) {
+            results.push_back({{"reason", "room"}});
+        } else {
+            const std::string handle = fmt::format("{}:{}/{:x}", address_, port(), ++made_);
+            held_.insert(handle);
+            results.push_back({{"handle", handle}});
+        }
+    }
+    calls_.push_back(std::move(record));
+    if (how == behaviour::cut_answer)
+        co_return;
+    const bool too_many = calls_.back().pieces > batch_;
+    http::response answer = too_many ? http::json_response(400, "{}")
+                                     : http::json_response(200, json{{"items", results}}.dump());
+    co_await io.respond(std::move(answer));
+}
+
+} // namespace limpetlock::platformkit
--- /dev/null
+++ b/utils/platformkit/store.cpp
@@ -0,0 +1,210 @@
+#include "store.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace limpetlock::platformkit {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using nlohmann::json;
+
+namespace {
+
+constexpr auto quiet = asio::as_tuple(asio::use_awaitable);
+
+/// Entries of one page.
+constexpr std::size_t page_items = 50;
+
+constexpr std::chrono::seconds silence{30};
+
+std::string encode_base64(const std::string& text)
+{
+    std::string out((text.size() + 2) / 3 * 4 + 1, '\0');
+    const int n = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),        // NOLINT
+                                  reinterpret_cast<const unsigned char*>(text.data()), // NOLINT
+                                  static_cast<int>(text.size()));
+    out.resize(static_cast<std::size_t>(n));
+    return out;
+}
+
+/// Value of a query parameter, with %XX decoded; empty when it is absent.
+std::string parameter(const std::string& target, const std::string& name)
+{
+    const auto query = target.find('?');
+    if (query == std::string::npos)
+        return {};
+    std::string rest = "&" + target.substr(query + 1) + "&";
+    const auto begin = rest.find("&" + name + "=");
+    if (begin == std::string::npos)
+        return {};
+    const auto from = begin + name.size() + 2;
+    const std::string raw = rest.substr(from, rest.find('&', from) - from);
+    std::string out;
+    for (std::size_t n = 0; n < raw.size(); ++n) {
+        if (raw[n] == '%' && n + 2 < raw.size()) {
+            out += static_cast<char>(std::stoi(raw.substr(n + 1, 2), nullptr, 16));
+            n += 2;
+        } else {
+            out += raw[n];
+        }
+    }
+    return out;
+}
+
+std::int64_t number(const std::string& text)
+{
+    std::int64_t out = 0;
+    std::from_chars(text.data(), text.data() + text.size(), out);
+    return out;
+}
+
+} // namespace
+
+store::store(asio::any_io_executor executor, const std::string& address)
+    : executor_(std::move(executor))
+{
+    server_ = std::make_unique<http::server>(executor_, address, 0, http::server_limits{},
+                                             [this](http::exchange& io) { return serve(io); });
+}
+
+json store::to_json(const change& it)
+{
+    if (it.removed)
+        return {{"key", it.key}, {"rev", it.revision}, {"deleted", true}};
+    return {{"key", it.key},
+            {"value", encode_base64(it.value)},
+            {"rev", it.revision},
+            {"created", it.revision},
+            {"lease", 0}};
+}
+
+void store::record(change it)
+{
+    it.revision = ++revision_;
+    history_.push_back(it);
+    if (it.removed)
+        items_.erase(it.key);
+    else
+        items_.insert_or_assign(it.key, it);
+    wake_watches();
+}
+
+void store::wake_watches()
+{
+    for (auto* it : watches_)
+        it->cancel();
+}
+
+void store::put(const std::string& key, const std::string& value)
+{
+    record({key, value, 0, false});
+}
+
+void store::remove(const std::string& key)
+{
+    record({key, {}, 0, true});
+}
+
+void store::forget_history()
+{
+    history_.clear();
+    history_from_ = revision_ + 1;
+    wake_watches();
+}
+
+http::response store::read_key(const std::string& target) const
+{
+    const auto it = items_.find(parameter(target, "key"));
+    if (it == items_.end())
+        return http::json_response(404, "{}");
+    json body = to_json(it->second);
+    body["asOf"] = revision_;
+    return http::json_response(200, body.dump());
+}
+
+http::response store::read_range(const std::string& target) const
+{
+    const std::string prefix = parameter(target, "prefix");
+    const std::string after = parameter(target, "after");
+    json list = json::array();
+    bool more = false;
+    for (const auto& [key, it] : items_) {
+        if (!key.starts_with(prefix) || (!after.empty() && key <= after))
+            continue;
+        more = list.size() == page_items;
+        if (more)
+            break;
+        list.push_back(to_json(it));
+    }
+    return http::json_response(200, json{{"items", list}, {"morePages", more}, {"asOf", revision_}}.dump());
+}
+
+awaitable<void> store::hang(http::exchange& io)
+{
+    asio::steady_timer timer(executor_, silence);
+    co_await timer.async_wait(quiet);
+    http::response answer = http::json_response(503, "{}");
+    co_await io.respond(std::move(answer));
+}
+
+awaitable<void> store::serve_watch(http::exchange& io)
+{
+    const std::string target = io.message().target;
+    const std::string prefix = parameter(target, "prefix");
+    const std::int64_t after = number(parameter(target, "after"));
+    const auto until = std::chrono::steady_clock::now() +
+                       std::chrono::milliseconds(number(parameter(target, "waitMs")));
+    for (;;) {
+        if (after + 1 < history_from_) {
+            http::response gone = http::json_response(410, "{}");
+            co_await io.respond(std::move(gone));
+            co_return;
+        }
+        json events = json::array();
+        for (const auto& it : history_)
+            if (it.revision > after && it.key.starts_with(prefix))
+                events.push_back(to_json(it));
+        if (!events.empty() || std::chrono::steady_clock::now() >= until) {
+            http::response answer =
+                http::json_response(200, json{{"events", events}, {"asOf", revision_}}.dump());
+            co_await io.respond(std::move(answer));
+            co_return;
+        }
+        asio::steady_timer timer(executor_, until);
+        watches_.insert(&timer);
+        co_await timer.async_wait(quiet);
+        watches_.erase(&timer);
+    }
+}
+
+awaitable<void> store::serve(http::exchange& io)
+{
+    const std::string& target = io.message().target;
+    const bool is_watch = target.starts_with("/v1/kv-watch");
+    ++calls_;
+    if (mode_ == store_mode::silent || (mode_ == store_mode::silent_watches && is_watch)) {
+        co_await hang(io);
+        co_return;
+    }
+    if (is_watch && mode_ != store_mode::refusing) {
+        co_await serve_watch(io);
+        co_return;
+    }
+    http::response answer = http::json_response(404, "{}");
+    if (mode_ == store_mode::refusing)
+        answer = http::json_response(503, "{}");
+    else if (target.starts_with("/v1/kv-key"))
+        answer = read_key(target);
+    else if (target.starts_with("/v1/kv-range"))
+        answer = read_range(target);
+    co_await io.respond(std::move(answer));
+}
+
+} // namespace limpetlock::platformkit
--- /dev/null
+++ b/utils/platformkit/store.hpp
@@ -0,0 +1,68 @@
+/// \file
+/// A small stand-in for the platform's store. It speaks the store's protocol and misbehaves on request.
+#pragma once
+
+#include <limpetlock/http/server.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace limpetlock::platformkit {
+
+enum class store_mode : std::uint8_t { serving, refusing, silent, silent_watches };
+
+class store {
+public:
+    /// Listens on a free port of the address.
+    store(boost::asio::any_io_executor executor, const std::string& address);
+
+    std::uint16_t port() const { return server_->port(); }
+
+    void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+    void set_mode(store_mode mode) { mode_ = mode; }
+
+    /// Drops what watches could still be told of.
+    void forget_history();
+
+    std::int64_t revision() const { return revision_; }
+    std::size_t calls() const { return calls_; }
+
+private:
+    struct change {
+        std::string key;
+        std::string value;
+        std::int64_t revision{0};
+        bool removed{false};
+    };
+
+    boost::asio::awaitable<void> serve(http::exchange& io);
+    boost::asio::awaitable<void> serve_watch(http::exchange& io);
+    boost::asio::awaitable<void> hang(http::exchange& io);
+    http::response read_key(const std::string& target) const;
+    http::response read_range(const std::string& target) const;
+    static nlohmann::json to_json(const change& it);
+    void record(change it);
+    void wake_watches();
+
+    boost::asio::any_io_executor executor_;
+    std::map<std::string, change> items_;
+    std::vector<change> history_;
+    std::int64_t revision_{1};
+    std::int64_t history_from_{1}; ///< the history before this revision is gone
+    store_mode mode_{store_mode::serving};
+    std::size_t calls_{0};
+    std::set<boost::asio::steady_timer*> watches_;
+    std::unique_ptr<http::server> server_;
+};
+
+} // namespace limpetlock::platformkit
