Give stage inputs back when fetched, make large results late, place prompts by their largest shared part

Ruled out for the re-reads: the choice of the engine itself, which was stable; the hash took the request's own part, which nobody shares.

--- a/include/limpetlock/gateway/model.hpp
+++ b/include/limpetlock/gateway/model.hpp
@@ -173,6 +173,7 @@
 struct answer_facts {
     bool not_run{false};        ///< the endpoint states that it did not run the request
     bool wrong_endpoint{false}; ///< another endpoint has the address now
+    bool inputs_gone{false};    ///< not run, since results of its stages no longer exist
     bool stamped{false};        ///< carries the endpoint's signature
     bool encoded{false};        ///< the body has a content encoding
     bool closing{false};        ///< the endpoint closes the connection
@@ -205,6 +206,14 @@
     friend bool operator==(const piece_result&, const piece_result&) = default;
 };
 
+/// Results of one stage and the instance that ran it.
+struct result_group {
+    std::string place;
+    std::vector<std::string> handles;
+
+    friend bool operator==(const result_group&, const result_group&) = default;
+};
+
 /// One entry of the platform's published state.
 struct state_item {
     std::string key;
--- a/include/limpetlock/gateway/piece_queue.hpp
+++ b/include/limpetlock/gateway/piece_queue.hpp
@@ -21,7 +21,7 @@
     std::uint32_t stage{0};
     std::vector<std::uint32_t> pieces;
     std::string key;
-    std::vector<std::string> inputs;
+    std::vector<result_group> inputs;
     time_point deadline{};  ///< after this the results are of no use
     time_point wanted_by{}; ///< results by this time let the request meet its objective
     std::string domain;     ///< where the results will be fetched
@@ -45,7 +45,9 @@
     /// Pieces with results of this size wait a little for an endpoint in their own domain, because results
     /// that cross domains are dear.
     std::uint64_t local_result_bytes{100'000};
-    duration local_patience{120};
+    duration local_patience{250};
+    /// They wait for this part of their slack at most.
+    double local_slack_share{0.33};
     /// Every n-th batch begins with the pieces that wait longest, so that nothing is passed over for ever.
     std::uint32_t oldest_first_every{4};
 };
--- a/lib/gateway/feeder.cpp
+++ b/lib/gateway/feeder.cpp
@@ -30,6 +30,18 @@
 /// it is gone.
 constexpr duration abandoned_after{2'500};
 
+/// An endpoint has fetched the inputs of a call this long after the call was sent: a megabyte or two over the
+/// links of stage endpoints.
+constexpr duration input_fetch_time{70};
+
+std::vector<std::string> handles_of(const std::vector<result_group>& groups)
+{
+    std::vector<std::string> out;
+    for (const auto& it : groups)
+        out.insert(out.end(), it.handles.begin(), it.handles.end());
+    return out;
+}
+
 } // namespace
 
 /// An order of this or another instance and the results so far.
@@ -57,8 +69,9 @@
     std::vector<bool> have;
     asio::steady_timer done; ///< cancelled when the order ends
     std::size_t missing;
+    std::size_t started{0}; ///< pieces in calls or done
+    bool inputs_returned{false};
     bool cancelled{false};
-    bool delivered{false};
     time_point last_asked{};
 };
 
@@ -68,8 +81,9 @@
 };
 
 feeder::feeder(asio::any_io_executor executor, const dialect& names, http::client& client,
-               result_releaser& releaser, metrics::registry& metrics)
+               result_releaser& releaser, metrics::registry& metrics, used_inputs on_used)
     : executor_(std::move(executor)), names_(names), client_(client), releaser_(releaser),
+      on_used_(std::move(on_used)),
       calls_(metrics.get_counter("limpetlock_stage_calls_total", "calls to endpoints of stage pools")),
       pieces_(metrics.get_counter("limpetlock_stage_pieces_total", "pieces sent in stage calls")),
       repeated_(metrics.get_counter("limpetlock_stage_pieces_repeated_total", "pieces sent again"))
@@ -155,7 +169,6 @@
     }
     out.how = order_result::status::done;
     out.pieces = it->results;
-    it->delivered = true;
     orders_.erase(key);
     co_return out;
 }
@@ -188,7 +201,8 @@
     for (const auto& it : call.pieces)
         items.push_back({it.order->request_id, it.order->stage, it.order->pieces[it.index],
                          std::max(duration{1}, it.order->deadline - started), it.order->key,
-                         it.order->inputs});
+                         handles_of(it.order->inputs)});
+    asio::co_spawn(executor_, give_inputs_back(note_started(call)), asio::detached);
     calls_.add();
     pieces_.add(items.size());
     http::call_error error;
@@ -228,6 +242,37 @@
     pump(pool);
 }
 
+/// Orders of the call that have inputs.
+std::vector<std::shared_ptr<feeder::open_order>> feeder::note_started(const stage_dispatch& call)
+{
+    std::vector<std::shared_ptr<open_order>> out;
+    for (const auto& piece : call.pieces) {
+        const auto found = orders_.find({piece.order->request_id, piece.order->stage});
+        if (found == orders_.end() || found->second->order != piece.order)
+            continue;
+        ++found->second->started;
+        if (!piece.order->inputs.empty() && std::find(out.begin(), out.end(), found->second) == out.end())
+            out.push_back(found->second);
+    }
+    return out;
+}
+
+/// An endpoint fetches the inputs of its pieces before it works on them, so their room is free long before
+/// the call ends.
+awaitable<void> feeder::give_inputs_back(std::vector<std::shared_ptr<open_order>> orders)
+{
+    if (orders.empty())
+        co_return;
+    asio::steady_timer timer(executor_, input_fetch_time);
+    co_await timer.async_wait(quiet);
+    for (const auto& it : orders) {
+        if (it->inputs_returned || it->cancelled || it->started < it->order->pieces.size())
+            continue;
+        it->inputs_returned = true;
+        on_used_(it->order->inputs);
+    }
+}
+
 /// Results occupy room until they are released or expire; failed pieces occupy none.
 void feeder::note_results(const std::string& pool, const stage_dispatch& call,
                           const std::vector<piece_result>& results, time_point now)
@@ -269,7 +314,7 @@
     for (std::size_t n = 0; n < results.size(); ++n) {
         const auto failure = results[n].failure;
         if (failure == piece_failure::no_room)
-            at.dispatcher.out_of_room(call.to.id, std::move(call.pieces[n]), now);
+            put_back(at, call.to.id, std::move(call.pieces[n]), now);
         else if (failure == piece_failure::error)
             again.push_back(std::move(call.pieces[n]));
         else
@@ -279,6 +324,16 @@
         requeue(at, std::move(again), "piece failed");
 }
 
+/// Lets a piece wait again for which the endpoint had no room.
+void feeder::put_back(pool_state& at, const std::string& endpoint_id, queued_piece piece, time_point now)
+{
+    const auto found = orders_.find({piece.order->request_id, piece.order->stage});
+    if (found == orders_.end() || found->second->order != piece.order)
+        return;
+    --found->second->started;
+    at.dispatcher.out_of_room(endpoint_id, std::move(piece), now);
+}
+
 void feeder::requeue(pool_state& at, std::vector<queued_piece> pieces, std::string_view reason)
 {
     const time_point now = boot_clock::now();
@@ -286,6 +341,7 @@
         if (!orders_.contains({it.order->request_id, it.order->stage}))
             continue;
         repeated_.add();
+        --orders_.at({it.order->request_id, it.order->stage})->started;
         queued_piece copy = it;
         if (!at.dispatcher.retry(std::move(copy), now)) {
             log::warning("stage_piece_failed", {{"request", it.order->request_id},
--- a/lib/gateway/feeder.hpp
+++ b/lib/gateway/feeder.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -36,8 +37,11 @@
 
 class feeder {
 public:
+    /// Takes the inputs of an order when the endpoint has fetched them.
+    using used_inputs = std::function<void(const std::vector<result_group>&)>;
+
     feeder(boost::asio::any_io_executor executor, const dialect& names, http::client& client,
-           result_releaser& releaser, metrics::registry& metrics);
+           result_releaser& releaser, metrics::registry& metrics, used_inputs on_used);
     ~feeder();
 
     /// Takes the stage pools of a table and the endpoints that serve them.
@@ -62,9 +66,12 @@
 
     boost::asio::awaitable<void> tick_loop();
     boost::asio::awaitable<void> make_call(std::string pool, stage_dispatch call);
+    boost::asio::awaitable<void> give_inputs_back(std::vector<std::shared_ptr<open_order>> orders);
+    std::vector<std::shared_ptr<open_order>> note_started(const stage_dispatch& call);
     void pump(const std::string& pool);
     void take_results(pool_state& at, stage_dispatch& call, const std::vector<piece_result>& results);
     void requeue(pool_state& at, std::vector<queued_piece> pieces, std::string_view reason);
+    void put_back(pool_state& at, const std::string& endpoint_id, queued_piece piece, time_point now);
     void settle(const queued_piece& piece, piece_result result);
     void note_results(const std::string& pool, const stage_dispatch& call,
                       const std::vector<piece_result>& results, time_point now);
@@ -75,6 +82,7 @@
     const dialect& names_;
     http::client& client_;
     result_releaser& releaser_;
+    used_inputs on_used_;
     metrics::counter& calls_;
     metrics::counter& pieces_;
     metrics::counter& repeated_;
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -86,7 +86,8 @@
           state(*names, callbacks()), client(io.get_executor(), endpoint_limits()),
           reader(io.get_executor(), settings, *names, state, metrics),
           releaser(io.get_executor(), *names, client),
-          orders(io.get_executor(), *names, client, releaser, metrics),
+          orders(io.get_executor(), *names, client, releaser, metrics,
+                 [this](const std::vector<result_group>& used) { give_back(used); }),
           peers(io.get_executor(), settings, random_life(), state, peer_handlers()),
           returns(io.get_executor(), peers, orders, releaser),
           chain(io.get_executor(), peers, orders, returns),
@@ -132,7 +133,8 @@
         order.stage = static_cast<std::uint32_t>(it.stage);
         order.pieces.assign(it.pieces.begin(), it.pieces.end());
         order.key = it.key;
-        order.inputs = it.inputs;
+        for (auto& group : it.inputs)
+            order.inputs.push_back({std::move(group.place), std::move(group.handles)});
         order.deadline = now + duration(it.time_left_ms);
         order.wanted_by = now + duration(it.slack_ms);
         order.domain = it.domain;
@@ -153,6 +155,12 @@
         co_return out;
     }
 
+    void give_back(const std::vector<result_group>& used)
+    {
+        for (const auto& it : used)
+            returns.give_back(it);
+    }
+
     static http::server_limits to_server_limits(const caller_limits& it)
     {
         http::server_limits out;
--- a/lib/gateway/piece_queue.cpp
+++ b/lib/gateway/piece_queue.cpp
@@ -67,7 +67,12 @@
     });
     const auto waits_for_local = [&](const waiting_order& it) {
         if (it.order->result_bytes < options.local_result_bytes || it.order->domain.empty() ||
-            it.order->domain == domain || now - it.queued >= options.local_patience)
+            it.order->domain == domain)
+            return false;
+        const auto slack = static_cast<double>((it.order->wanted_by - least - it.queued).count());
+        const auto patience = std::min<double>(static_cast<double>(options.local_patience.count()),
+                                               slack * options.local_slack_share);
+        if (static_cast<double>((now - it.queued).count()) >= patience)
             return false;
         return std::find(other_domains.begin(), other_domains.end(), it.order->domain) != other_domains.end();
     };
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -265,7 +265,7 @@
         return false;
     if (last.how == send_end::not_sent)
         return true;
-    if (last.how != send_end::not_run) {
+    if (may_have_run(last.how)) {
         const bool resumes = it.way->resumable;
         if (it.runs >= it.way->attempts || !(it.way->repeatable || resumes) || last.how == send_end::timeout)
             return false;
@@ -293,13 +293,15 @@
         last = co_await send_once(it, attempt);
         if (last.how == send_end::delivered)
             co_return;
-        if (last.how != send_end::not_sent && last.how != send_end::not_run)
+        if (may_have_run(last.how))
             ++it.runs;
         log::info("sending_failed", {{"request", it.request.id},
                                      {"endpoint", to->id},
                                      {"end", std::string(to_string(last.how))},
                                      {"reason", last.reason}});
-        const bool again = may_send_again(it, last);
+        bool again = may_send_again(it, last);
+        if (again && last.how == send_end::inputs_gone)
+            again = co_await remake_inputs(it);
         if (!again)
             break;
     }
@@ -312,13 +314,25 @@
     conclude(it, last);
 }
 
+/// Runs the stages once more, for a request whose results expired before an engine fetched them.
+awaitable<bool> request_handler::remake_inputs(job& it)
+{
+    const bool first = !std::exchange(it.stages_rerun, true);
+    if (!first)
+        co_return false;
+    it.inputs.release();
+    it.wish.tried.clear();
+    co_return co_await run_stages(it);
+}
+
 /// The final answer of a request that was given up. Only a request that never ran is refused.
 void request_handler::conclude(job& it, const send_result& last)
 {
     if (it.streaming)
         return;
-    const bool may_have_run = it.runs > 0;
-    if (!may_have_run)
+    if (it.refusal.status != 0)
+        return;
+    if (it.runs == 0)
         refuse(it, 503, last.reason.empty() ? "no endpoint" : last.reason, retry_after(it, boot_clock::now()));
     else if (last.how == send_end::timeout)
         refuse(it, 504, last.reason, duration{0});
@@ -355,9 +369,12 @@
     if (facts.load)
         parts_.book.reported(to.target.id, *facts.load, boot_clock::now());
     if (facts.not_run || facts.wrong_endpoint) {
-        out.how = send_end::not_run;
+        out.how = facts.inputs_gone ? send_end::inputs_gone : send_end::not_run;
+        out.outcome = facts.inputs_gone      ? send_outcome::answered
+                      : facts.wrong_endpoint ? send_outcome::replaced
+                                             : send_outcome::full;
         out.reason = fmt::format("refused with status {}", answer->status());
-        to.conclude(facts.wrong_endpoint ? send_outcome::replaced : send_outcome::full, boot_clock::now());
+        to.conclude(out.outcome, boot_clock::now());
         co_return out;
     }
     if (!facts.stamped || facts.encoded) {
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -70,6 +70,7 @@
     boost::asio::awaitable<send_result> send_once(job& it, sending& to);
     boost::asio::awaitable<send_result> relay_whole(job& it, http::answer_reader& from, bool keep_errors);
     boost::asio::awaitable<send_result> relay_stream(job& it, http::answer_reader& from);
+    boost::asio::awaitable<bool> remake_inputs(job& it);
     bool may_send_again(job& it, const send_result& last);
     void conclude(job& it, const send_result& last);
     boost::asio::awaitable<void> answer_refusal(job& it);
--- a/lib/gateway/request_job.cpp
+++ b/lib/gateway/request_job.cpp
@@ -6,8 +6,8 @@
 
 std::string_view to_string(send_end it)
 {
-    static constexpr std::array<std::string_view, 6> names{"delivered",     "not_sent", "not_run",
-                                                           "failed_answer", "broken",   "timeout"};
+    static constexpr std::array<std::string_view, 7> names{
+        "delivered", "not_sent", "not_run", "inputs_gone", "failed_answer", "broken", "timeout"};
     return names[static_cast<std::size_t>(it)];
 }
 
@@ -32,9 +32,9 @@
     if (it.prompt.empty())
         return 0;
     const prompt_part* best = &it.prompt.front();
-    for (const auto& part : it.prompt)
-        if (part.tokens > best->tokens)
-            best = &part;
+    for (std::size_t n = 1; n + 1 < it.prompt.size(); ++n)
+        if (it.prompt[n].tokens > best->tokens)
+            best = &it.prompt[n];
     return best->id;
 }
 
--- a/lib/gateway/request_job.hpp
+++ b/lib/gateway/request_job.hpp
@@ -62,6 +62,7 @@
     delivered,     ///< the caller has the answer
     not_sent,      ///< no byte reached the endpoint
     not_run,       ///< the endpoint states that it did not run the request
+    inputs_gone,   ///< not run, since results of its stages no longer exist
     failed_answer, ///< a whole answer that tells a failure
     broken,        ///< sent, and no whole answer came
     timeout        ///< sent, and the time is up
@@ -76,11 +77,17 @@
 
 std::string_view to_string(send_end it);
 
+/// Whether an endpoint may have begun to work on the request.
+inline bool may_have_run(send_end it)
+{
+    return it != send_end::not_sent && it != send_end::not_run && it != send_end::inputs_gone;
+}
+
 /// The end of a sending whose connection failed.
 send_result failed_send(const http::call_error& error);
 
-/// Hash of the part of a prompt whose reuse saves most: requests with the same part go to the same engine. 0
-/// for a request without a prompt.
+/// The part of a prompt whose reuse saves most: requests with the same part go to the same engine. The last
+/// one of several parts is the request's own and never reused. 0 for a request without a prompt.
 std::uint64_t affinity_of(const caller_request& it);
 
 struct request_handler::job {
@@ -109,6 +116,7 @@
     held_results inputs;
     event_framing framing;
     std::size_t sendings{0};
+    bool stages_rerun{false};
     std::uint32_t runs{0}; ///< sendings after which the request may have run
     bool streaming{false};
     bool complete{false};
--- a/lib/gateway/result_returns.hpp
+++ b/lib/gateway/result_returns.hpp
@@ -7,6 +7,8 @@
 #include "fleet.hpp"
 #include "result_releaser.hpp"
 
+#include <limpetlock/gateway/model.hpp>
+
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
@@ -16,12 +18,6 @@
 
 namespace limpetlock::gateway {
 
-/// Results of one stage and the instance that ran it.
-struct result_group {
-    std::string place;
-    std::vector<std::string> handles;
-};
-
 class result_returns {
 public:
     result_returns(boost::asio::any_io_executor executor, fleet& peers, feeder& local,
--- a/lib/gateway/stage_chain.cpp
+++ b/lib/gateway/stage_chain.cpp
@@ -31,6 +31,13 @@
 
 constexpr duration cancel_timeout{300};
 
+/// A result of this size occupies a good part of the room at its maker, so it isn't made long before it is
+/// needed.
+constexpr std::uint64_t large_result_bytes = 100'000;
+
+/// Waits in the queues of the stages take this much of the time that a stage could start later.
+constexpr duration spare_margin{250};
+
 /// A pool with this many endpoints has one responsible instance for each failure domain; a smaller one has
 /// one for all, which forms fuller batches.
 constexpr std::size_t endpoints_for_domains = 12;
@@ -74,7 +81,12 @@
     out.stage = static_cast<std::int32_t>(it.stage);
     out.pieces.assign(it.pieces.begin(), it.pieces.end());
     out.key = it.key;
-    out.inputs = it.inputs;
+    for (const auto& group : it.inputs) {
+        wire::result_group_message message;
+        message.place = group.place;
+        message.handles = group.handles;
+        out.inputs.push_back(std::move(message));
+    }
     out.time_left_ms = (it.deadline - now).count();
     out.slack_ms = (it.wanted_by - now).count();
     out.domain = it.domain;
@@ -145,6 +157,13 @@
         return std::all_of(needs.begin(), needs.end(), [this](std::uint32_t it) { return ended[it]; });
     }
 
+    /// How long a stage may wait before its start without holding up the request.
+    duration spare_time(std::size_t index) const
+    {
+        const duration own = after[index] + stage_time(work.stages[index], work.pieces[index], *table);
+        return least_time(work, *table) - own - spare_margin;
+    }
+
     bool complete() const { return std::all_of(ended.begin(), ended.end(), [](bool it) { return it; }); }
 
     /// Whether a stage that takes part in this request needs the results of the given one.
@@ -167,11 +186,12 @@
         return true;
     }
 
-    std::vector<std::string> inputs_of(std::size_t index) const
+    std::vector<result_group> inputs_of(std::size_t index) const
     {
-        std::vector<std::string> out;
+        std::vector<result_group> out;
         for (const auto need : work.stages[index].needs)
-            out.insert(out.end(), results[need].handles.begin(), results[need].handles.end());
+            if (!results[need].handles.empty())
+                out.push_back(results[need]);
         return out;
     }
 
@@ -297,6 +317,13 @@
     if (state->failed())
         co_return;
     const stage_spec& spec = state->work.stages[index];
+    const duration spare = state->spare_time(index);
+    if (spec.result_bytes >= large_result_bytes && spare > duration{0}) {
+        asio::steady_timer timer(self.executor_, spare);
+        co_await timer.async_wait(quiet);
+        if (state->failed())
+            co_return;
+    }
     stage_order order;
     order.request_id = state->work.request_id;
     order.stage = static_cast<std::uint32_t>(index);
@@ -336,9 +363,10 @@
     }
     state->results[index] = std::move(made);
     state->ended[index] = true;
+    // Whoever ran this stage gave its inputs back once they were fetched.
     for (const auto need : spec.needs)
         if (state->followers_ended(need))
-            self.returns_.give_back(std::exchange(state->results[need], {}));
+            state->results[need] = {};
     state->notify();
 }
 
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -165,13 +165,19 @@
   5: i64 table_revision;
 }
 
+/// Results of a stage and the instance that ran it.
+struct result_group_message {
+  1: string place;
+  2: list<string> handles;
+}
+
 struct stage_order_message {
   1: string pool;
   2: string request_id;
   3: i32 stage;
   4: list<i32> pieces;
   5: string key;
-  6: list<string> inputs;
+  6: list<result_group_message> inputs;
   7: i64 time_left_ms;
   8: i64 slack_ms;        // until the pieces have to be done for an answer within the objective
   9: string domain;       // where the results are wanted
