Release stage results at the first event on resumable routes; end the results of one request together

Traced with the time that results stay at their makers: on resumable routes they were kept to the end of the stream (90th percentile 2.9 s), which filled the makers' room and made the pools' queues grow until inputs expired. A resumed stream runs its stages again.

--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -300,7 +300,8 @@
                                      {"end", std::string(to_string(last.how))},
                                      {"reason", last.reason}});
         bool again = may_send_again(it, last);
-        if (again && last.how == send_end::inputs_gone)
+        const bool needs_inputs = !it.way->stages.empty() && it.inputs.handles().empty();
+        if (again && (last.how == send_end::inputs_gone || needs_inputs))
             again = co_await remake_inputs(it);
         if (!again)
             break;
@@ -384,7 +385,7 @@
         co_return out;
     }
     const bool success = answer->status() >= 200 && answer->status() < 300;
-    if (success && !it.way->resumable)
+    if (success)
         it.inputs.release();
     if (success && it.way->stream)
         out = co_await relay_stream(it, *answer);
--- a/lib/gateway/stage_chain.cpp
+++ b/lib/gateway/stage_chain.cpp
@@ -31,12 +31,9 @@
 
 constexpr duration cancel_timeout{300};
 
-/// A result of this size occupies a good part of the room at its maker, so it isn't made long before it is
-/// needed.
-constexpr std::uint64_t large_result_bytes = 100'000;
-
-/// Waits in the queues of the stages take this much of the time that a stage could start later.
-constexpr duration spare_margin{250};
+/// A stage beside the chain begins when the chain is expected to reach its last stage this much later than
+/// the stage would end. It covers the wait for a free endpoint.
+constexpr duration align_margin{150};
 
 /// A pool with this many endpoints has one responsible instance for each failure domain; a smaller one has
 /// one for all, which forms fuller batches.
@@ -157,11 +154,39 @@
         return std::all_of(needs.begin(), needs.end(), [this](std::uint32_t it) { return ended[it]; });
     }
 
-    /// How long a stage may wait before its start without holding up the request.
-    duration spare_time(std::size_t index) const
+    /// A stage beside the chain: it needs no other one, and no other one needs it.
+    bool stands_alone(std::size_t index) const
     {
-        const duration own = after[index] + stage_time(work.stages[index], work.pieces[index], *table);
-        return least_time(work, *table) - own - spare_margin;
+        return work.stages[index].needs.empty() && !followed(index);
+    }
+
+    /// Expected time until the stages that others follow are done, when nothing waits.
+    duration time_of_followed() const
+    {
+        duration out{0};
+        for (std::size_t n = 0; n < work.stages.size(); ++n)
+            if (!ended[n] && followed(n))
+                out += stage_time(work.stages[n], work.pieces[n], *table);
+        return out;
+    }
+
+    /// Whether a stage whose needs are met should begin now. The results of a request are fetched together,
+    /// so whichever is made early occupies room at its maker until the last one is done: a stage that stands
+    /// alone waits until the rest is nearly done, and the last stage of the chain waits for it.
+    bool is_due(std::size_t index) const
+    {
+        if (!ready(index))
+            return false;
+        if (stands_alone(index)) {
+            const duration own = stage_time(work.stages[index], work.pieces[index], *table);
+            return time_of_followed() <= own + align_margin;
+        }
+        if (followed(index))
+            return true;
+        for (std::size_t n = 0; n < work.stages.size(); ++n)
+            if (n != index && !ended[n] && stands_alone(n))
+                return false;
+        return true;
     }
 
     bool complete() const { return std::all_of(ended.begin(), ended.end(), [](bool it) { return it; }); }
@@ -311,19 +336,12 @@
 
 awaitable<void> stage_chain::run_stage(stage_chain& self, std::shared_ptr<run_state> state, std::size_t index)
 {
-    while (!state->ready(index) && !state->failed()) {
+    while (!state->is_due(index) && !state->failed()) {
         co_await state->progress.async_wait(quiet);
     }
     if (state->failed())
         co_return;
     const stage_spec& spec = state->work.stages[index];
-    const duration spare = state->spare_time(index);
-    if (spec.result_bytes >= large_result_bytes && spare > duration{0}) {
-        asio::steady_timer timer(self.executor_, spare);
-        co_await timer.async_wait(quiet);
-        if (state->failed())
-            co_return;
-    }
     stage_order order;
     order.request_id = state->work.request_id;
     order.stage = static_cast<std::uint32_t>(index);
