Cancel work on another executor without Asio's forwarding handler

Reproduced with the stand-in under the address sanitizer: co_spawn_cancellation_handler of Boost 1.81 emits into a coroutine that has ended when a cancellation and the end cross between two strands. run_on() posts the cancellation to the owner of the socket instead and keeps a flag. Ruled out: the stack, the parser of unframed answers. The peer node had the same fault. A line with the call stack is written on a crash.

--- a/include/limpetlock/http/client.hpp
+++ b/include/limpetlock/http/client.hpp
@@ -113,7 +113,7 @@
     boost::asio::awaitable<std::unique_ptr<answer_reader>> open_answer(address to, request message,
                                                                        time_point deadline, reuse policy,
                                                                        call_error& error,
-                                                                       answer_filter accept = {});
+                                                                       answer_filter accept);
 
 private:
     struct impl;
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -190,9 +190,17 @@
 
 awaitable<void> request_handler::run(job& it)
 {
-    const bool ready = co_await prepare(it);
-    if (ready)
-        co_await forward(it);
+    bool ready = false;
+    try {
+        ready = co_await prepare(it);
+        if (ready)
+            co_await forward(it);
+    } catch (const boost::system::system_error& failure) {
+        if (failure.code() != asio::error::operation_aborted)
+            log::error("request_failed", {{"id", it.request.id}, {"reason", failure.what()}});
+        if (it.refusal.status == 0)
+            refuse(it, it.sendings == 0 ? 503 : 502, failure.what(), first_retry_after);
+    }
 }
 
 /// Chooses the pool and, for a generation, the engine, so that the stages can be run near it.
@@ -353,13 +361,13 @@
         extra.priority = std::clamp(it.priority, 0, 9);
     extra.resume_after = it.framing.last_id();
     auto message = parts_.names.forward(it.io.message(), extra);
-    const auto mine = [this, &it](const http::header_list& headers) {
+    http::answer_filter mine = [this, &it](const http::header_list& headers) {
         return parts_.names.answers(headers, it.request.id);
     };
     const auto reuse = it.way->repeatable ? http::reuse::pooled : http::reuse::fresh;
     http::call_error error;
     const auto answer = co_await parts_.client.open_answer(to.target.address, std::move(message), it.deadline,
-                                                           reuse, error, mine);
+                                                           reuse, error, std::move(mine));
     send_result out;
     if (!answer) {
         out = failed_send(error);
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -3,10 +3,10 @@
 
 #include <limpetlock/http/client.hpp>
 #include <limpetlock/http/event_parser.hpp>
+#include <limpetlock/support/run_on.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -104,7 +104,16 @@
 
     call_error error;
     bool pooled{false};
-    auto executor() const { return link_->socket.get_executor(); }
+    asio::any_io_executor executor() const { return link_->socket.get_executor(); }
+
+    /// Ends what runs on the connection, for run_on().
+    std::function<void()> canceller() const
+    {
+        return [link = link_] {
+            if (link)
+                link->close_here();
+        };
+    }
 
 private:
     using parser = beast::http::response_parser<beast::http::string_body>;
@@ -451,7 +460,9 @@
     const bool readable = events_.empty() && !ended_ && !failed();
     if (readable) {
         try {
-            co_await asio::co_spawn(strand_, read_event(*this, deadline), asio::use_awaitable);
+            auto work = read_event(*this, deadline);
+            auto cancel = exchange_->canceller();
+            co_await run_on(strand_, std::move(work), std::move(cancel));
         } catch (const boost::system::system_error& it) {
             exchange_->abandon(it.code());
         }
@@ -464,7 +475,9 @@
     const bool readable = !ended_ && !failed();
     if (readable) {
         try {
-            co_await asio::co_spawn(strand_, read_rest(*this, deadline), asio::use_awaitable);
+            auto work = read_rest(*this, deadline);
+            auto cancel = exchange_->canceller();
+            co_await run_on(strand_, std::move(work), std::move(cancel));
         } catch (const boost::system::system_error& it) {
             exchange_->abandon(it.code());
         }
@@ -515,7 +528,9 @@
     bytes_.clear();
     if (readable) {
         try {
-            co_await asio::co_spawn(strand_, read_bytes_of(*this, deadline), asio::use_awaitable);
+            auto work = read_bytes_of(*this, deadline);
+            auto cancel = exchange_->canceller();
+            co_await run_on(strand_, std::move(work), std::move(cancel));
         } catch (const boost::system::system_error& it) {
             exchange_->abandon(it.code());
         }
@@ -584,9 +599,9 @@
         co_return std::nullopt;
     std::optional<response> result;
     try {
-        result = co_await asio::co_spawn(it->executor(),
-                                         whole_answer(it, std::move(head), std::move(message.body), deadline),
-                                         asio::use_awaitable);
+        auto cancel = it->canceller();
+        auto work = whole_answer(it, std::move(head), std::move(message.body), deadline);
+        result = co_await run_on(it->executor(), std::move(work), std::move(cancel));
     } catch (const boost::system::system_error& failure) {
         it->abandon(failure.code());
     }
@@ -605,9 +620,9 @@
     it->stream_body();
     bool started = false;
     try {
-        started = co_await asio::co_spawn(it->executor(),
-                                          it->start(std::move(head), std::move(message.body), deadline),
-                                          asio::use_awaitable);
+        auto cancel = it->canceller();
+        auto work = it->start(std::move(head), std::move(message.body), deadline);
+        started = co_await run_on(it->executor(), std::move(work), std::move(cancel));
     } catch (const boost::system::system_error& failure) {
         it->abandon(failure.code());
     }
@@ -630,9 +645,9 @@
     it->set_filter(std::move(accept));
     bool started = false;
     try {
-        started = co_await asio::co_spawn(it->executor(),
-                                          it->start(std::move(head), std::move(message.body), deadline),
-                                          asio::use_awaitable);
+        auto cancel = it->canceller();
+        auto work = it->start(std::move(head), std::move(message.body), deadline);
+        started = co_await run_on(it->executor(), std::move(work), std::move(cancel));
     } catch (const boost::system::system_error& failure) {
         it->abandon(failure.code());
     }
--- a/lib/peer/node.cpp
+++ b/lib/peer/node.cpp
@@ -1,5 +1,6 @@
 #include <limpetlock/peer/generated/peer_types.h>
 #include <limpetlock/peer/node.hpp>
+#include <limpetlock/support/run_on.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
@@ -68,6 +69,19 @@
     bool lost{false};
 };
 
+/// Lets the caller of a call give it up. Used on the strand of the node.
+struct cancel_state {
+    void cancel()
+    {
+        cancelled = true;
+        if (waiting)
+            waiting->done.cancel();
+    }
+
+    std::shared_ptr<waiter> waiting;
+    bool cancelled{false};
+};
+
 struct outbound {
     address to;
     connection_ptr link;
@@ -323,7 +337,7 @@
     }
 
     awaitable<std::optional<wire::frame>> call(std::string to, wire::frame message, time_point deadline,
-                                               call_error& error)
+                                               call_error& error, std::shared_ptr<cancel_state> cancel)
     {
         const auto link = co_await connect(to, deadline, error);
         if (!link) {
@@ -346,12 +360,14 @@
         }
         const time_point sent_at = boot_clock::now();
         it->done.expires_after(remaining(deadline));
-        co_await it->done.async_wait(use_tuple);
+        cancel->waiting = it;
+        if (!cancel->cancelled)
+            co_await it->done.async_wait(use_tuple);
         if (it->reply)
             co_return std::move(it->reply);
         if (const auto again = peers.find(to); again != peers.end())
             again->second.waiting.erase(correlation);
-        if (!it->lost && boot_clock::now() - std::max(link->last_received, sent_at) >= silent_link_timeout)
+        if (!it->lost && !cancel->cancelled && boot_clock::now() - std::max(link->last_received, sent_at) >= silent_link_timeout)
             link->close();
         error = it->lost ? call_error{errc::closed, fmt::format("connection to {} lost", to), true}
                          : call_error{errc::timeout, fmt::format("no reply from {} in time", to), true};
@@ -435,8 +451,11 @@
 awaitable<std::optional<wire::frame>> node::call(std::string to, wire::frame message, time_point deadline,
                                                  call_error& error)
 {
-    co_return co_await asio::co_spawn(
-        impl_->strand, impl_->call(std::move(to), std::move(message), deadline, error), asio::use_awaitable);
+    const auto cancel = std::make_shared<cancel_state>();
+    auto work = impl_->call(std::move(to), std::move(message), deadline, error, cancel);
+    // g++ 12 destroys a closure twice that is converted within a co_await expression.
+    std::function<void()> give_up = [cancel] { cancel->cancel(); };
+    co_return co_await run_on(impl_->strand, std::move(work), std::move(give_up));
 }
 
 node_counters node::counters() const
--- a/tools/limpetlock/commands.cpp
+++ b/tools/limpetlock/commands.cpp
@@ -7,6 +7,7 @@
 #include <limpetlock/http/client.hpp>
 #include <limpetlock/server/instance.hpp>
 #include <limpetlock/server/settings.hpp>
+#include <limpetlock/support/crash_report.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -123,6 +124,7 @@
         fmt::print(stderr, "limpetlock: {}\n", reason);
         return exit_code::invalid_input;
     }
+    log::install_crash_report();
     try {
         gateway::instance it(*settings, platform::make_dialect(), platform::load_settings);
         return it.run() == gateway::exit_reason::cut ? exit_code::requests_cut : exit_code::success;
--- a/utils/platform-standin/main.cpp
+++ b/utils/platform-standin/main.cpp
@@ -8,36 +8,56 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
+#include <cstdlib>
 #include <fstream>
 #include <string>
 
-DEFINE_string(settings, "boot.json", "settings file to write for the instance");
+DEFINE_string(settings, "boot", "settings files to write for the instances, without their number and ending");
+DEFINE_int32(instances, 1, "instances that callers use in turn");
+DEFINE_int32(trouble_every, 0, "every n-th request fails at its endpoint in one of several ways; 0 for none");
 DEFINE_int32(requests, 200, "streamed requests to send");
 DEFINE_int32(concurrency, 4, "requests at the same time");
 DEFINE_int32(events, 60, "events of each answer");
-DEFINE_int32(caller_port, 19001, "caller listener of the instance");
+DEFINE_int32(give_up_every, 0, "every n-th caller leaves within give_up_ms; 0 for none");
+DEFINE_int32(give_up_ms, 120, "longest time after which such a caller leaves");
+DEFINE_int32(caller_port, 19001, "caller listener of the first instance; each uses three ports");
 
 namespace {
 
 using namespace limpetlock; // NOLINT(google-build-using-namespace)
 using boost::asio::awaitable;
 
+constexpr duration patience{5'000};
+constexpr std::chrono::milliseconds pause{200};
+
+/// Spreads the times at which callers leave.
+constexpr int step = 37;
+
 struct progress {
     int started{0};
     int running{0};
     int whole{0};
+    int left{0};
     std::size_t bytes{0};
 };
 
+std::uint16_t caller_port(int n)
+{
+    return static_cast<std::uint16_t>(FLAGS_caller_port + 3 * (std::abs(n) % FLAGS_instances));
+}
+
 http::request make_request(int n)
 {
-    http::request out{"POST", "/stream/x", {}, std::string(4000, 'p')};
+    constexpr int kinds = 3;
+    const char* const paths[kinds] = {"/stream/x", "/resumable/x", "/lookup/x"};
+    http::request out{"POST", n < 0 ? paths[0] : paths[n % kinds], {}, std::string(4000, 'p')};
     out.headers = {{"Host", platformkit::site::host},
                    {"Limpetlock-Request-Id", fmt::format("{:016x}", n + 1)},
                    {"Limpetlock-Deadline-Ms", "5000"},
@@ -52,11 +72,13 @@
 
 awaitable<bool> send_one(http::client& client, int n, progress& count)
 {
-    constexpr duration patience{5'000};
     const time_point deadline = boot_clock::now() + patience;
     http::call_error error;
-    const http::address to{"127.0.0.1", static_cast<std::uint16_t>(FLAGS_caller_port)};
-    const auto answer = co_await client.open_answer(to, make_request(n), deadline, http::reuse::pooled, error);
+    const http::address to{"127.0.0.1", caller_port(n)};
+    http::request message = make_request(n);
+    http::answer_filter any;
+    const auto answer = co_await client.open_answer(to, std::move(message), deadline, http::reuse::pooled,
+                                                    error, std::move(any));
     if (!answer || answer->status() != 200)
         co_return false;
     for (;;) {
@@ -68,11 +90,26 @@
     co_return answer->error().code == http::errc::none;
 }
 
+/// Sends a request and leaves after a while that differs from request to request.
+awaitable<void> send_and_leave(http::client& client, int n, progress& count)
+{
+    using namespace boost::asio::experimental::awaitable_operators;
+    const auto executor = co_await boost::asio::this_coro::executor;
+    boost::asio::steady_timer timer(executor, std::chrono::milliseconds(n * step % FLAGS_give_up_ms + 1));
+    progress ignored;
+    co_await (send_one(client, n, ignored) || timer.async_wait(boost::asio::use_awaitable));
+    ++count.left;
+}
+
 awaitable<void> worker(boost::asio::io_context& io, http::client& client, progress& count)
 {
     ++count.running;
     while (count.started < FLAGS_requests) {
         const int n = count.started++;
+        if (FLAGS_give_up_every > 0 && n % FLAGS_give_up_every == 0) {
+            co_await send_and_leave(client, n, count);
+            continue;
+        }
         const bool ok = co_await send_one(client, n, count);
         if (ok)
             ++count.whole;
@@ -83,17 +120,16 @@
 
 awaitable<void> drive(boost::asio::io_context& io, http::client& client, progress& count)
 {
-    constexpr std::chrono::milliseconds pause{200};
     boost::asio::steady_timer timer(io);
-    for (int n = -1;; --n) {
-        progress ignored;
-        const bool ready = co_await send_one(client, n, ignored);
-        if (ready)
-            break;
+    progress ignored;
+    int n = -1;
+    bool ready = co_await send_one(client, n, ignored);
+    while (!ready) {
         timer.expires_after(pause);
         co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+        ready = co_await send_one(client, --n, ignored);
     }
-    for (int n = 0; n < FLAGS_concurrency; ++n)
+    for (int it = 0; it < FLAGS_concurrency; ++it)
         boost::asio::co_spawn(io, worker(io, client, count), boost::asio::detached);
 }
 
@@ -107,16 +143,23 @@
     options.events = static_cast<std::size_t>(FLAGS_events);
     platformkit::site site(io.get_executor(), options);
     site.publish();
-    const auto port = static_cast<std::uint16_t>(FLAGS_caller_port);
-    std::ofstream(FLAGS_settings) << site.settings("one", port, port + 1, port + 2,
-                                                   {static_cast<std::uint16_t>(port + 2)});
+    for (int n = 0; n < FLAGS_instances; ++n) {
+        const std::uint16_t port = caller_port(n);
+        std::ofstream(fmt::format("{}-{}.json", FLAGS_settings, n))
+            << site.settings(fmt::format("instance-{}", n), port, port + 1, port + 2,
+                             {static_cast<std::uint16_t>(FLAGS_caller_port + 2)});
+    }
+    for (auto& it : site.engines)
+        it->fail_every(static_cast<std::size_t>(FLAGS_trouble_every));
+    for (auto& it : site.plain)
+        it->fail_every(static_cast<std::size_t>(FLAGS_trouble_every));
     http::client client(io.get_executor(), {});
     progress count;
     const auto started = std::chrono::steady_clock::now();
     boost::asio::co_spawn(io, drive(io, client, count), boost::asio::detached);
     io.run();
     const std::chrono::duration<double> took = std::chrono::steady_clock::now() - started;
-    fmt::print("requests {} whole {} bytes {} seconds {:.2f}\n", count.started, count.whole, count.bytes,
+    fmt::print("requests {} whole {} left {} bytes {} seconds {:.2f}\n", count.started, count.whole, count.left, count.bytes,
                took.count());
-    return count.whole == count.started ? 0 : 1;
+    return count.whole + count.left == count.started ? 0 : 1;
 }
--- a/utils/platformkit/endpoints.cpp
+++ b/utils/platformkit/endpoints.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <charconv>
 #include <utility>
 
@@ -88,12 +89,25 @@
     co_await timer.async_wait(quiet);
 }
 
+behaviour service_endpoint::next_behaviour()
+{
+    static constexpr std::array troubles{behaviour::refuse,     behaviour::fail,     behaviour::cut_answer,
+                                         behaviour::hang,       behaviour::wrong_id, behaviour::unstamped,
+                                         behaviour::cut_answer, behaviour::wrong_endpoint};
+    if (count_ > 0) {
+        --count_;
+        return how_;
+    }
+    ++served_;
+    if (fail_every_ == 0 || served_ % fail_every_ != 0)
+        return behaviour::normal;
+    return troubles[served_ / fail_every_ % troubles.size()];
+}
+
 awaitable<void> service_endpoint::serve(http::exchange& io)
 {
     using namespace asio::experimental::awaitable_operators;
-    const behaviour how = count_ > 0 ? how_ : behaviour::normal;
-    if (count_ > 0)
-        --count_;
+    const behaviour how = next_behaviour();
     const std::string expected = value_of(io.message(), header::expect_instance);
     const bool other = how == behaviour::wrong_endpoint || (!expected.empty() && expected != options_.id);
     if (other || how == behaviour::refuse) {
--- a/utils/platformkit/endpoints.hpp
+++ b/utils/platformkit/endpoints.hpp
@@ -71,6 +71,9 @@
         count_ = count;
     }
 
+    /// From now on every n-th request ends in one of the ways above, in turn.
+    void fail_every(std::size_t n) { fail_every_ = n; }
+
     const std::vector<run_record>& runs() const { return runs_; }
 
     /// The entry by which the endpoint is listed.
@@ -78,6 +81,7 @@
 
 private:
     boost::asio::awaitable<void> serve(http::exchange& io);
+    behaviour next_behaviour();
     boost::asio::awaitable<void> work(http::exchange& io, std::size_t run, behaviour how);
     boost::asio::awaitable<void> stream(http::exchange& io, std::size_t run, behaviour how,
                                         http::header_list headers);
@@ -88,6 +92,8 @@
     endpoint_options options_;
     behaviour how_{behaviour::normal};
     std::size_t count_{0};
+    std::size_t fail_every_{0};
+    std::size_t served_{0};
     std::vector<run_record> runs_;
     std::unique_ptr<http::server> server_;
 };
