--- /dev/null
+++ b/unittests/gateway/dispatch_test.cpp
@@ -0,0 +1,291 @@
+#include <limpetlock/gateway/endpoint_book.hpp>
+#include <limpetlock/gateway/stage_dispatcher.hpp>
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+
+using namespace limpetlock;
+using namespace limpetlock::gateway;
+
+namespace {
+
+time_point at(std::int64_t ms)
+{
+    return time_point(duration(1'000'000 + ms));
+}
+
+endpoint endpoint_named(const std::string& id, const std::string& domain = "a", const std::string& pool = "p")
+{
+    endpoint out;
+    out.id = id;
+    out.pool = pool;
+    out.address = {"10.0.0.1", 80};
+    out.domain = domain;
+    out.slots = 4;
+    out.started_ms = 1;
+    return out;
+}
+
+stage_figures figures(std::uint32_t batch = 12)
+{
+    stage_figures out;
+    out.batch = batch;
+    out.call_ms = 240;
+    out.piece_ms = 10;
+    return out;
+}
+
+struct order_spec {
+    std::string id;
+    std::size_t pieces{1};
+    std::int64_t wanted_ms{1'000};
+    std::int64_t deadline_ms{10'000};
+    std::string domain{"a"};
+    std::uint64_t bytes{1'000};
+};
+
+std::shared_ptr<const stage_order> make_order(const order_spec& it)
+{
+    auto out = std::make_shared<stage_order>();
+    out->request_id = it.id;
+    for (std::uint32_t n = 0; n < it.pieces; ++n)
+        out->pieces.push_back(n);
+    out->wanted_by = at(it.wanted_ms);
+    out->deadline = at(it.deadline_ms);
+    out->domain = it.domain;
+    out->result_bytes = it.bytes;
+    return out;
+}
+
+std::set<std::string> requests_in(const std::vector<queued_piece>& pieces)
+{
+    std::set<std::string> out;
+    for (const auto& it : pieces)
+        out.insert(it.order->request_id);
+    return out;
+}
+
+} // namespace
+
+// Pattern: many requests a second, each with a few pieces, before a pool whose calls have a high fixed cost.
+Test(stage_dispatcher, one_call_takes_pieces_of_many_requests)
+{
+    stage_dispatcher it;
+    it.configure(figures(12), {endpoint_named("one")});
+    for (int n = 0; n < 6; ++n)
+        it.submit(make_order({"r" + std::to_string(n), 2}), at(0));
+    const auto call = it.next(at(0));
+    cr_assert(call.has_value());
+    cr_expect_eq(call->pieces.size(), 12);
+    cr_expect_eq(requests_in(call->pieces).size(), 6);
+    cr_expect_not(it.next(at(0)).has_value(), "an endpoint works on one call at a time");
+}
+
+Test(stage_dispatcher, an_order_is_not_split_when_it_fits_into_one_call)
+{
+    stage_dispatcher it;
+    it.configure(figures(6), {endpoint_named("one")});
+    it.submit(make_order({"first", 4, 500}), at(0));
+    it.submit(make_order({"second", 4, 600}), at(0));
+    it.submit(make_order({"third", 2, 700}), at(0));
+    const auto call = it.next(at(0));
+    cr_assert(call.has_value());
+    cr_expect_eq(requests_in(call->pieces), (std::set<std::string>{"first", "third"}));
+}
+
+// Pattern: a burst that makes part of the queue late. Late work is worth little; served first it would make
+// the rest late as well.
+Test(stage_dispatcher, work_that_can_be_in_time_goes_before_work_that_is_late)
+{
+    stage_dispatcher it;
+    it.configure(figures(2), {endpoint_named("one")});
+    it.submit(make_order({"late", 2, 100}), at(0));
+    it.submit(make_order({"in-time", 2, 2'000}), at(0));
+    const auto call = it.next(at(0));
+    cr_assert(call.has_value());
+    cr_expect_eq(requests_in(call->pieces), (std::set<std::string>{"in-time"}));
+}
+
+Test(stage_dispatcher, late_work_is_not_passed_over_for_ever)
+{
+    stage_dispatcher it;
+    it.configure(figures(1), {endpoint_named("one")});
+    it.submit(make_order({"late", 1, 100, 100'000}), at(0));
+    bool served = false;
+    for (int n = 0; n < 8 && !served; ++n) {
+        const std::int64_t now = n * 300;
+        it.submit(make_order({"n" + std::to_string(n), 1, now + 5'000}), at(now + 1));
+        const auto call = it.next(at(now + 1));
+        cr_assert(call.has_value());
+        served = requests_in(call->pieces).contains("late");
+        it.finished(call->call, call_outcome::answered, at(now + 260));
+    }
+    cr_expect(served);
+}
+
+Test(stage_dispatcher, pieces_that_cannot_be_done_in_time_are_given_up_at_once)
+{
+    stage_dispatcher it;
+    it.configure(figures(), {endpoint_named("one")});
+    it.submit(make_order({"hopeless", 3, 50, 200}), at(0));
+    cr_expect_not(it.next(at(0)).has_value());
+    cr_expect_eq(it.expire(at(0)).size(), 3);
+    cr_expect_eq(it.waiting(), 0);
+}
+
+// Pattern: results stay at their maker until they are fetched. Calls beyond its room are wasted.
+Test(stage_dispatcher, room_for_results_bounds_the_calls)
+{
+    stage_dispatcher it;
+    auto with_room = figures(12);
+    with_room.result_room_mb = 4;
+    it.configure(with_room, {endpoint_named("one")});
+    it.submit(make_order({"first", 3, 1'000, 10'000, "a", 1'000'000}), at(0));
+    it.submit(make_order({"second", 3, 1'100, 10'000, "a", 1'000'000}), at(0));
+    const auto call = it.next(at(0));
+    cr_assert(call.has_value());
+    cr_expect_eq(requests_in(call->pieces), (std::set<std::string>{"first"}));
+    it.finished(call->call, call_outcome::answered, at(270));
+    cr_expect_not(it.next(at(270)).has_value(), "the results of the first order are still there");
+    it.free_room("one", 3'000'000);
+    cr_expect(it.next(at(271)).has_value());
+}
+
+// Pattern: results cross failure domains at a price, while both domains have endpoints.
+Test(stage_dispatcher, large_results_wait_a_little_for_an_endpoint_of_their_domain)
+{
+    stage_dispatcher it;
+    it.configure(figures(), {endpoint_named("one", "a"), endpoint_named("two", "b")});
+    it.submit(make_order({"busy", 1, 3'000, 10'000, "b", 1'000}), at(0));
+    auto first = it.next(at(0));
+    cr_assert(first.has_value());
+    const std::string other = first->to.domain == "a" ? "b" : "a";
+    it.submit(make_order({"large", 1, 3'000, 10'000, first->to.domain, 800'000}), at(1));
+    cr_expect_not(it.next(at(1)).has_value(), "its domain is busy");
+    const auto later = it.next(at(400));
+    cr_assert(later.has_value(), "patience is bounded");
+    cr_expect_eq(later->to.domain, other);
+}
+
+// Pattern: a part of the endpoints turns slow by several times.
+Test(stage_dispatcher, slow_endpoint_is_used_only_when_it_helps)
+{
+    stage_dispatcher it;
+    it.configure(figures(1), {endpoint_named("fast"), endpoint_named("slow")});
+    std::int64_t now = 0;
+    for (int n = 0; n < 6; ++n) {
+        for (int k = 0; k < 2; ++k)
+            it.submit(make_order({"w" + std::to_string(n * 2 + k), 1, now + 9'000, now + 20'000}), at(now));
+        std::vector<stage_dispatch> calls;
+        while (auto call = it.next(at(now)))
+            calls.push_back(std::move(*call));
+        for (const auto& call : calls)
+            it.finished(call.call, call_outcome::answered, at(now + (call.to.id == "slow" ? 1'500 : 250)));
+        now += 1'600;
+    }
+    it.submit(make_order({"x", 1, now + 9'000, now + 20'000}), at(now));
+    const auto call = it.next(at(now));
+    cr_assert(call.has_value());
+    cr_expect_eq(call->to.id, "fast");
+    it.submit(make_order({"y", 1, now + 9'000, now + 20'000}), at(now));
+    cr_expect_not(it.next(at(now)).has_value(), "the fast one will be done with both before the slow one");
+}
+
+Test(stage_dispatcher, failed_endpoints_are_avoided_and_tried_again)
+{
+    stage_dispatcher it;
+    it.configure(figures(), {endpoint_named("one")});
+    it.submit(make_order({"r", 1}), at(0));
+    auto call = it.next(at(0));
+    cr_assert(call.has_value());
+    it.finished(call->call, call_outcome::unreachable, at(5));
+    cr_expect(it.retry(std::move(call->pieces.front()), at(5)));
+    cr_expect_not(it.next(at(6)).has_value());
+    cr_expect(it.next(at(600)).has_value());
+}
+
+Test(stage_dispatcher, a_piece_is_tried_a_bounded_number_of_times)
+{
+    stage_dispatcher it;
+    it.configure(figures(), {endpoint_named("one")});
+    queued_piece piece{make_order({"r", 1, 1'000, 100'000}), 0, 0, at(0)};
+    std::uint32_t tries = 1;
+    while (it.retry(piece, at(0))) {
+        ++piece.tries;
+        ++tries;
+    }
+    cr_expect_eq(tries, stage_dispatcher::max_tries);
+}
+
+Test(stage_dispatcher, a_hung_call_is_given_up)
+{
+    stage_dispatcher it;
+    it.configure(figures(), {endpoint_named("one")});
+    it.submit(make_order({"r", 2}), at(0));
+    const auto call = it.next(at(0));
+    cr_assert(call.has_value());
+    cr_expect_gt(call->give_up, at(0) + 2 * it.call_time(2));
+    cr_expect_lt(call->give_up, at(2'000));
+}
+
+Test(endpoint_book, the_same_part_of_a_prompt_stays_at_its_engine)
+{
+    endpoint_book it;
+    std::vector<endpoint> all;
+    for (int n = 0; n < 8; ++n)
+        all.push_back(endpoint_named("e" + std::to_string(n)));
+    it.adopt(all, at(0));
+    std::map<std::uint64_t, std::string> placed;
+    for (std::uint64_t part = 1; part <= 200; ++part)
+        placed[part] = it.choose({"p", part, "a", {}}, at(0))->id;
+    auto fewer = all;
+    fewer.erase(fewer.begin() + 2);
+    it.adopt(fewer, at(10));
+    std::set<std::string> used;
+    for (const auto& [part, id] : placed) {
+        used.insert(id);
+        if (id != "e2")
+            cr_expect_eq(it.choose({"p", part, "a", {}}, at(10))->id, id);
+    }
+    cr_expect_eq(used.size(), 8);
+}
+
+Test(endpoint_book, a_full_engine_is_passed_over)
+{
+    endpoint_book it;
+    it.adopt({endpoint_named("one"), endpoint_named("two")}, at(0));
+    const auto home = it.choose({"p", 77, "a", {}}, at(0))->id;
+    it.reported(home, {4, 2, 4}, at(10));
+    cr_expect_neq(it.choose({"p", 77, "a", {}}, at(20))->id, home);
+    cr_expect_eq(it.choose({"p", 77, "a", {}}, at(10'000))->id, home, "the report has expired");
+}
+
+// Pattern: one endpoint of a pool doesn't answer.
+Test(endpoint_book, unreachable_endpoints_are_used_last)
+{
+    endpoint_book it;
+    it.adopt({endpoint_named("one"), endpoint_named("two")}, at(0));
+    const auto first = it.choose({"p", 0, "a", {}}, at(0))->id;
+    it.started(first, at(0));
+    it.finished(first, send_outcome::unreachable, at(1));
+    for (int n = 0; n < 20; ++n)
+        cr_expect_neq(it.choose({"p", 0, "a", {}}, at(2 + n))->id, first);
+    const std::string other = first == "one" ? "two" : "one";
+    cr_expect_eq(it.choose({"p", 0, "a", {other}}, at(30))->id, first, "better than none");
+}
+
+Test(endpoint_book, leaving_endpoints_get_no_new_work)
+{
+    endpoint_book it;
+    auto leaving = endpoint_named("one");
+    leaving.leaving = true;
+    it.adopt({leaving, endpoint_named("two")}, at(0));
+    for (int n = 0; n < 20; ++n)
+        cr_expect_eq(it.choose({"p", static_cast<std::uint64_t>(n), "a", {}}, at(n))->id, "two");
+    cr_expect_not(it.takes_work("one"));
+    cr_expect_not(it.choose({"p", 0, "a", {"two"}}, at(0)).has_value());
+}
--- /dev/null
+++ b/unittests/platform/platform_test.cpp
@@ -0,0 +1,286 @@
+#include "platform/platform.hpp"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+#include <random>
+
+using namespace limpetlock;
+using nlohmann::json;
+
+namespace {
+
+const char* const settings_text = R"({
+  "node": "n-1", "zone": "a", "ip": "10.1.0.1",
+  "listen": {"front": "10.1.0.1:8625", "ready": "10.1.0.1:8621", "control": "10.1.0.1:8628"},
+  "seeds": ["10.1.0.1:8628", "10.2.0.1:8628"],
+  "limits": {"cpuShare": 0.25, "cores": 2},
+  "bounds": {"drainMs": 2500, "graceS": 8, "configMs": 2000, "strictRevoke": true, "revokeMs": 5000,
+             "budgetRatio": 0.2, "budgetWindowS": 10, "budgetExtra": 52, "recoverS": 12},
+  "provider": {"addr": "10.200.1.7:8624", "form": "read", "readsPerS": 2000}, "later": {"x": 1}})";
+
+json table_json()
+{
+    return json::parse(R"({"version":7,
+      "routes":[{"name":"r1","host":"h.example","prefix":"/a/","kind":"stream","timeoutMs":15000,"goalMs":1200,
+                 "priority":0,"split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"attempts":2,
+                 "stages":[{"service":"p1","after":[],"bytes":800000},{"service":"p1","after":[0],"bytes":10}],
+                 "public":false,"sticky":true,"resumable":true,"gapGoalMs":400},
+                {"name":"r2","host":"h.example","prefix":"/a/b/","kind":"idempotent","timeoutMs":800,
+                 "goalMs":100,"priority":2,"service":"s2","attempts":2,"public":true},
+                {"name":"r3","host":"h.example","prefix":"/c/","kind":"non_idempotent","timeoutMs":800,
+                 "service":"s2"}],
+      "services":[{"name":"s1","healthPath":"/healthz","maxConns":500,"engine":{"slots":128,"kvTokens":785915}},
+                  {"name":"s2","healthPath":"/healthz","maxConns":48},
+                  {"name":"p1","maxConns":500,"pieces":{"slots":1,"queue":2,"batch":12,"callMs":240.0,
+                   "itemMs":17.0,"headroomMb":14.0,"handleS":4.0,"linkMbps":10000}}],
+      "limits":{"headerBytes":16384,"bodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+      "tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1},{"name":"t2","apiKeys":["k3"]}]})");
+}
+
+json entry_json()
+{
+    return json::parse(R"({"service":"s1","addr":"10.128.0.9:8080","zone":"a","version":"v1","slots":128,
+                           "state":"ready","coldLeftMs":0,"seq":4,"born":1700000000000})");
+}
+
+http::request caller_request()
+{
+    return {"POST", "/a/x?q=1", {{"Host", "h.example"},
+                                  {"Limpetlock-Request-Id", "9c41"},
+                                  {"Limpetlock-Deadline-Ms", "1500"},
+                                  {"Limpetlock-Pieces", "2,0"},
+                                  {"Limpetlock-Piece-Key", "pk"},
+                                  {"Limpetlock-Token-Count", "1460,80"},
+                                  {"Limpetlock-Prefix-Hash", "5c1e07a2:800,91bd3f06:410"},
+                                  {"Authorization", "Bearer k1"},
+                                  {"Limpetlock-Tenant", "forged"},
+                                  {"Kv-From", "10.0.0.1:80/x"},
+                                  {"Limpetlock-Pin-Ms", "100"},
+                                  {"Connection", "X-Hop"},
+                                  {"X-Hop", "1"},
+                                  {"X-Other", "kept"}},
+            "body"};
+}
+
+const gateway::dialect& names()
+{
+    static const auto it = platform::make_dialect();
+    return *it;
+}
+
+} // namespace
+
+Test(platform_settings, decodes_the_file)
+{
+    std::string reason;
+    const auto it = platform::read_settings(settings_text, reason);
+    cr_assert(it.has_value(), "%s", reason.c_str());
+    cr_expect_eq(it->name, "n-1");
+    cr_expect_eq(it->domain, "a");
+    cr_expect(it->caller == (http::address{"10.1.0.1", 8625}));
+    cr_expect(it->peer == (http::address{"10.1.0.1", 8628}));
+    cr_expect_eq(it->seeds.size(), 2);
+    cr_expect_eq(it->capacity, 500);
+    cr_expect_eq(it->bounds.leaving_endpoint.count(), 2500);
+    cr_expect_eq(it->bounds.stop.count(), 8000);
+}
+
+Test(platform_settings, names_the_field_that_is_wrong)
+{
+    for (const char* name : {"node", "zone", "listen", "seeds", "provider"}) {
+        auto it = json::parse(settings_text);
+        it.erase(name);
+        std::string reason;
+        cr_expect_not(platform::read_settings(it.dump(), reason).has_value());
+        cr_expect_neq(reason.find(name), std::string::npos, "%s", reason.c_str());
+    }
+    std::string reason;
+    cr_expect_not(platform::read_settings("{", reason).has_value());
+}
+
+Test(platform_table, decodes_routes_pools_and_keys)
+{
+    std::string reason;
+    const auto it = names().read_table(table_json().dump(), reason);
+    cr_assert(it.has_value(), "%s", reason.c_str());
+    cr_expect_eq(it->version, 7);
+    const auto* stream = it->find_route("h.example", "/a/x");
+    cr_assert_not_null(stream);
+    cr_expect_eq(stream->name, "r1");
+    cr_expect_not(stream->repeatable);
+    cr_expect(stream->resumable);
+    cr_expect_eq(stream->stages.size(), 2);
+    cr_expect_eq(stream->targets.size(), 2);
+    cr_expect_eq(it->find_route("h.example", "/a/b/c")->name, "r2", "the longest prefix decides");
+    cr_expect(it->find_route("h.example", "/a/b/c")->repeatable);
+    cr_expect_not(it->find_route("h.example", "/c/d")->repeatable);
+    cr_expect_null(it->find_route("other.example", "/a/x"));
+    cr_expect_null(it->find_route("h.example", "/a"), "a prefix ends with a slash");
+    cr_expect_eq(it->find_pool("p1")->stage->batch, 12);
+    cr_expect_eq(it->teams_by_key.at("k2").name, "t1");
+    cr_expect_eq(*it->teams_by_key.at("k1").priority, 1);
+    cr_expect_not(it->teams_by_key.at("k3").priority.has_value());
+}
+
+Test(platform_table, stage_that_needs_a_later_one_is_rejected)
+{
+    auto it = table_json();
+    it["routes"][0]["stages"][0]["after"] = {1};
+    std::string reason;
+    cr_expect_not(names().read_table(it.dump(), reason).has_value());
+    cr_expect_neq(reason.find("after"), std::string::npos);
+}
+
+// Entries of other writers: fields missing or of another type, unknown states.
+Test(platform_entry, names_no_endpoint_unless_every_field_is_sound)
+{
+    std::string reason;
+    const auto sound = names().read_endpoint("servers/i-1", entry_json().dump(), reason);
+    cr_assert(sound.has_value(), "%s", reason.c_str());
+    cr_expect_eq(sound->id, "i-1");
+    cr_expect_eq(sound->slots, 128);
+    for (const char* name : {"service", "addr", "zone", "version", "slots", "state", "coldLeftMs", "seq"}) {
+        auto missing = entry_json();
+        missing.erase(name);
+        cr_expect_not(names().read_endpoint("servers/i-1", missing.dump(), reason).has_value(), "%s", name);
+        auto other = entry_json();
+        other[name] = json::array();
+        cr_expect_not(names().read_endpoint("servers/i-1", other.dump(), reason).has_value(), "%s", name);
+    }
+    auto unknown = entry_json();
+    unknown["state"] = "asleep";
+    cr_expect_not(names().read_endpoint("servers/i-1", unknown.dump(), reason).has_value());
+    auto fraction = entry_json();
+    fraction["born"] = 1.5;
+    cr_expect_not(names().read_endpoint("servers/i-1", fraction.dump(), reason).has_value());
+    cr_expect_not(names().read_endpoint("servers/i-1", "\xff\xfe", reason).has_value());
+}
+
+Test(platform_store, reads_items_pages_and_events)
+{
+    gateway::state_page page;
+    const http::response item{200, {}, R"({"key":"a","value":"aGk=","rev":4,"created":4,"lease":0,"asOf":9})"};
+    cr_expect(names().read_item(item, page) == gateway::store_answer::ok);
+    cr_expect_eq(page.items[0].value, "hi");
+    cr_expect_eq(page.revision, 9);
+    page = {};
+    const http::response events{
+        200, {}, R"({"events":[{"key":"a","value":"","rev":5,"created":4,"lease":0},{"key":"b","rev":6,"deleted":true}],"asOf":6})"};
+    cr_expect(names().read_events(events, page) == gateway::store_answer::ok);
+    cr_expect_eq(page.items.size(), 2);
+    cr_expect(page.items[1].removed);
+    cr_expect(names().read_events({410, {}, "{}"}, page) == gateway::store_answer::history_lost);
+    cr_expect(names().read_item({404, {}, "{}"}, page) == gateway::store_answer::absent);
+    cr_expect(names().read_page({503, {}, "{}"}, page) == gateway::store_answer::refused);
+    cr_expect(names().read_page({200, {}, R"({"items":[{"key":"a","value":"***","rev":1}],"asOf":2})"}, page) ==
+              gateway::store_answer::malformed);
+}
+
+Test(platform_request, is_read_and_forwarded_without_headers_that_callers_may_not_set)
+{
+    std::string reason;
+    const auto it = names().read_request(caller_request(), reason);
+    cr_assert(it.has_value(), "%s", reason.c_str());
+    cr_expect_eq(it->path, "/a/x");
+    cr_expect_eq(it->time_left->count(), 1500);
+    cr_expect_eq(*it->api_key, "k1");
+    cr_expect_eq(it->stage_pieces.size(), 2);
+    cr_expect_eq(it->prompt.size(), 2);
+    cr_expect_eq(it->prompt_tokens, 1460);
+    gateway::forwarding extra;
+    extra.time_left = duration{900};
+    extra.endpoint_id = "i-1";
+    extra.team = "t1";
+    extra.inputs = {"h1", "h2"};
+    const auto out = names().forward(caller_request(), extra);
+    const auto value = [&out](std::string_view name) {
+        return std::string(http::find(out.headers, name).value_or("(absent)"));
+    };
+    cr_expect_eq(out.target, "/a/x?q=1");
+    cr_expect_eq(out.body, "body");
+    cr_expect_eq(value("Limpetlock-Tenant"), "t1");
+    cr_expect_eq(value("Limpetlock-Deadline-Ms"), "900");
+    cr_expect_eq(value("Limpetlock-Expect-Instance"), "i-1");
+    cr_expect_eq(value("Limpetlock-Inputs"), "h1,h2");
+    cr_expect_eq(value("X-Other"), "kept");
+    for (const char* name : {"Authorization", "Kv-From", "Limpetlock-Pin-Ms", "Connection", "X-Hop"})
+        cr_expect_eq(value(name), "(absent)", "%s", name);
+    cr_expect_eq(value("Limpetlock-Prefix-Hash"), "5c1e07a2:800,91bd3f06:410", "unchanged");
+}
+
+Test(platform_request, malformed_headers_give_a_reason)
+{
+    for (const char* name : {"Limpetlock-Deadline-Ms", "Limpetlock-Pieces", "Limpetlock-Prefix-Hash",
+                             "Limpetlock-Token-Count"}) {
+        auto message = caller_request();
+        for (auto& it : message.headers)
+            if (it.name == name)
+                it.value = "x;y";
+        std::string reason;
+        cr_expect_not(names().read_request(message, reason).has_value(), "%s", name);
+        cr_expect_not(reason.empty());
+    }
+}
+
+Test(platform_answer, not_run_is_told_only_by_the_endpoint)
+{
+    const auto shed = names().read_answer(503, {{"Limpetlock-Not-Run", "1"}});
+    cr_expect(shed.not_run);
+    cr_expect_not(names().read_answer(503, {}).not_run);
+    cr_expect(names().read_answer(421, {}).wrong_endpoint);
+    cr_expect(names().read_answer(409, {{"Limpetlock-Not-Run", "1"}}).inputs_gone);
+    const auto load = names().read_answer(200, {{"Limpetlock-Server-Load", "3,1,8"}}).load;
+    cr_assert(load.has_value());
+    cr_expect_eq(load->waiting, 1);
+    cr_expect_not(names().read_answer(200, {{"Limpetlock-Server-Load", "3,1"}}).load.has_value());
+    cr_expect_not(names().answers({{"Limpetlock-Request-Id", "other"}}, "9c41"));
+}
+
+// A result that lands at another piece's place would be given to another request.
+Test(platform_stage, answer_with_another_number_of_results_is_rejected)
+{
+    const std::string two = R"({"items":[{"handle":"10.1.64.7:8080/91"},{"reason":"gone"}]})";
+    const auto it = names().read_stage_answer(two, 2);
+    cr_assert(it.has_value());
+    cr_expect_eq((*it)[0].handle, "10.1.64.7:8080/91");
+    cr_expect((*it)[1].failure == gateway::piece_failure::input_gone);
+    cr_expect_not(names().read_stage_answer(two, 1).has_value());
+    cr_expect_not(names().read_stage_answer(two, 3).has_value());
+    cr_expect_not(names().read_stage_answer("[]", 0).has_value());
+    cr_expect(names().maker_of("10.1.64.7:8080/91") == (http::address{"10.1.64.7", 8080}));
+    cr_expect_not(names().maker_of("nonsense").has_value());
+}
+
+// Bytes of other writers and broken answers must give an error and nothing else.
+Test(platform_decoders, random_damage_never_escapes)
+{
+    std::mt19937 random(20261204);
+    const std::vector<std::string> texts{table_json().dump(), entry_json().dump(), settings_text,
+                                         R"({"items":[{"key":"a","value":"aGk=","rev":4}],"morePages":false,"asOf":9})",
+                                         R"({"items":[{"handle":"10.1.64.7:8080/91"},{"reason":"gone"}]})"};
+    for (int n = 0; n < 4000; ++n) {
+        std::string text = texts[random() % texts.size()];
+        for (unsigned k = 0; k < 1 + random() % 4; ++k) {
+            const auto place = random() % text.size();
+            if (random() % 3 == 0)
+                text.erase(place, random() % 8);
+            else
+                text[place] = static_cast<char>(random() % 256);
+            if (text.empty())
+                text = "x";
+        }
+        std::string reason;
+        gateway::state_page page;
+        names().read_table(text, reason);
+        names().read_endpoint("servers/x", text, reason);
+        platform::read_settings(text, reason);
+        names().read_page({200, {}, text}, page);
+        names().read_events({200, {}, text}, page);
+        names().read_item({200, {}, text}, page);
+        names().read_stage_answer(text, 2);
+        auto message = caller_request();
+        message.headers[random() % message.headers.size()].value = text.substr(0, 40);
+        names().read_request(message, reason);
+    }
+}
