--- /dev/null
+++ b/test/platform/platform_fleet.cpp
@@ -0,0 +1,226 @@
+#include "platform_fleet.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
+#include <fmt/format.h>
+
+#include <cerrno>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <utility>
+
+namespace limpetlock::test {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int first_port = 18'000;
+constexpr int ports_per_instance = 3;
+constexpr std::chrono::milliseconds poll_interval{20};
+
+/// A loopback address of its own for each test process, so that fixed ports don't collide.
+std::string own_address()
+{
+    const auto pid = static_cast<unsigned>(getpid());
+    return fmt::format("127.{}.{}.{}", 1 + (pid >> 14U) % 120, (pid >> 7U) % 128, 2 + pid % 128);
+}
+
+http::request to_request(const platform_call& it)
+{
+    const bool stream = it.path.starts_with("/stream/") || it.path.starts_with("/resumable/");
+    http::request out{stream ? "POST" : "GET", it.path, {}, stream ? "prompt of " + it.id : ""};
+    out.headers = {{"Host", platformkit::site::host},
+                   {"Limpetlock-Request-Id", it.id},
+                   {"Limpetlock-Deadline-Ms", fmt::to_string(it.deadline.count())}};
+    if (!it.key.empty())
+        out.headers.push_back({"Authorization", "Bearer " + it.key});
+    if (!it.pieces.empty()) {
+        out.headers.push_back({"Limpetlock-Pieces", it.pieces});
+        out.headers.push_back({"Limpetlock-Piece-Key", "key-of-" + it.id});
+    }
+    if (!it.prompt.empty())
+        out.headers.push_back({"Limpetlock-Prefix-Hash", it.prompt});
+    return out;
+}
+
+} // namespace
+
+platform_fleet::platform_fleet(std::size_t instances, platformkit::site_options options)
+    : address_(own_address()), directory_(fmt::format("/tmp/limpetlock-platform-{}", getpid())),
+      work_(io_.get_executor()), processes_(instances, -1)
+{
+    options.address = address_;
+    std::filesystem::create_directories(directory_);
+    site_ = std::make_unique<platformkit::site>(io_.get_executor(), options);
+    client_ = std::make_unique<http::client>(io_.get_executor(), http::client_limits{});
+    site_->publish();
+    thread_ = std::thread([this] { io_.run(); });
+    for (std::size_t n = 0; n < instances; ++n)
+        start(n);
+}
+
+platform_fleet::~platform_fleet()
+{
+    for (const pid_t it : processes_)
+        if (it > 0) {
+            kill(it, SIGKILL);
+            waitpid(it, nullptr, 0);
+        }
+    io_.stop();
+    thread_.join();
+    std::error_code ec;
+    std::filesystem::remove_all(directory_, ec);
+}
+
+std::uint16_t platform_fleet::port(std::size_t instance, int which) const
+{
+    return static_cast<std::uint16_t>(first_port + ports_per_instance * static_cast<int>(instance) + which);
+}
+
+void platform_fleet::start(std::size_t instance)
+{
+    std::vector<std::uint16_t> seeds;
+    for (std::size_t n = 0; n < std::min<std::size_t>(3, processes_.size()); ++n)
+        seeds.push_back(port(n, 2));
+    const std::string file = fmt::format("{}/boot-{}.json", directory_, instance);
+    std::ofstream(file) << site_->settings(fmt::format("instance-{}", instance), port(instance, 0),
+                                           port(instance, 1), port(instance, 2), seeds);
+    const std::string log = fmt::format("{}/instance-{}.log", directory_, instance);
+    const pid_t pid = fork();
+    if (pid == 0) {
+        const int out = open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
+        dup2(out, STDOUT_FILENO);
+        dup2(out, STDERR_FILENO);
+        close_range(STDERR_FILENO + 1, ~0U, 0);
+        setenv("LIMPETLOCK_CONFIG", file.c_str(), 1);
+        execl(LIMPETLOCK_BINARY, "limpetlock", "platform", nullptr);
+        _exit(127);
+    }
+    processes_[instance] = pid;
+}
+
+void platform_fleet::signal(std::size_t instance, int number)
+{
+    kill(processes_[instance], number);
+    if (number == SIGKILL) {
+        waitpid(processes_[instance], nullptr, 0);
+        processes_[instance] = -1;
+    }
+}
+
+int platform_fleet::wait_exit(std::size_t instance, std::chrono::milliseconds patience)
+{
+    const auto until = std::chrono::steady_clock::now() + patience;
+    while (std::chrono::steady_clock::now() < until) {
+        int status = 0;
+        if (waitpid(processes_[instance], &status, WNOHANG) > 0) {
+            processes_[instance] = -1;
+            return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return -1;
+}
+
+void platform_fleet::at_site(const std::function<void(platformkit::site&)>& action)
+{
+    std::promise<void> done;
+    asio::post(io_, [&] {
+        action(*site_);
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+bool platform_fleet::eventually(const std::function<bool(platformkit::site&)>& condition,
+                                std::chrono::milliseconds patience)
+{
+    const auto until = std::chrono::steady_clock::now() + patience;
+    bool holds = false;
+    do {
+        at_site([&](platformkit::site& it) { holds = condition(it); });
+        if (!holds)
+            std::this_thread::sleep_for(poll_interval);
+    } while (!holds && std::chrono::steady_clock::now() < until);
+    return holds;
+}
+
+bool platform_fleet::is_ready(std::size_t instance)
+{
+    http::call_error error;
+    const http::address to{address_, port(instance, 1)};
+    http::request message{"GET", "/v1/readyz", {}, {}};
+    auto reply = asio::co_spawn(io_,
+                                client_->call(to, std::move(message), boot_clock::now() + duration(300),
+                                              http::reuse::fresh, error),
+                                asio::use_future);
+    const auto answer = reply.get();
+    return answer && answer->status == 200;
+}
+
+bool platform_fleet::wait_ready(std::chrono::milliseconds patience)
+{
+    const auto until = std::chrono::steady_clock::now() + patience;
+    for (std::size_t n = 0; n < processes_.size(); ++n)
+        while (!is_ready(n)) {
+            if (std::chrono::steady_clock::now() >= until)
+                return false;
+            std::this_thread::sleep_for(poll_interval);
+        }
+    return true;
+}
+
+asio::awaitable<platform_answer> platform_fleet::exchange(std::size_t instance, platform_call call)
+{
+    platform_answer out;
+    const http::address to{address_, port(instance, 0)};
+    const time_point deadline = boot_clock::now() + duration(call.deadline.count() + 1'000);
+    http::call_error error;
+    http::request message = to_request(call);
+    http::answer_filter any;
+    const auto answer = co_await client_->open_answer(to, std::move(message), deadline, http::reuse::fresh,
+                                                      error, std::move(any));
+    if (!answer)
+        co_return out;
+    out.status = answer->status();
+    out.headers = answer->headers();
+    bool more = true;
+    while (more) {
+        const auto bytes = co_await answer->read(deadline);
+        more = bytes.has_value();
+        if (more)
+            out.body += *bytes;
+    }
+    out.whole = answer->error().code == http::errc::none;
+    co_return out;
+}
+
+std::future<platform_answer> platform_fleet::send(std::size_t instance, platform_call call)
+{
+    if (call.leaves_after.count() == 0)
+        return asio::co_spawn(io_, exchange(instance, std::move(call)), asio::use_future);
+    return asio::co_spawn(io_, leave(instance, std::move(call)), asio::use_future);
+}
+
+asio::awaitable<platform_answer> platform_fleet::leave(std::size_t instance, platform_call call)
+{
+    using namespace asio::experimental::awaitable_operators;
+    asio::steady_timer timer(io_, call.leaves_after);
+    auto first = co_await (exchange(instance, std::move(call)) || timer.async_wait(asio::use_awaitable));
+    if (first.index() == 0)
+        co_return std::move(std::get<0>(first));
+    platform_answer none;
+    co_return none;
+}
+
+} // namespace limpetlock::test
--- /dev/null
+++ b/test/platform/platform_fleet.hpp
@@ -0,0 +1,85 @@
+/// \file
+/// Real gateway processes around a stand-in of the platform that runs inside the test.
+#pragma once
+
+#include "platformkit/site.hpp"
+
+#include <limpetlock/http/client.hpp>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <sys/types.h>
+#include <thread>
+#include <vector>
+
+namespace limpetlock::test {
+
+struct platform_answer {
+    int status{0}; ///< 0 when no header of an answer came
+    http::header_list headers;
+    std::string body;
+    bool whole{false}; ///< the answer came to its end
+
+    std::string header(std::string_view name) const { return std::string(http::find(headers, name).value_or("")); }
+};
+
+struct platform_call {
+    std::string path;
+    std::string id;
+    std::string key{platformkit::site::key};
+    std::string pieces;
+    std::string prompt;
+    std::chrono::milliseconds deadline{5'000};
+    /// The caller leaves after this; 0 for never.
+    std::chrono::milliseconds leaves_after{0};
+};
+
+class platform_fleet {
+public:
+    explicit platform_fleet(std::size_t instances, platformkit::site_options options = {});
+    ~platform_fleet();
+    platform_fleet(const platform_fleet&) = delete;
+    platform_fleet& operator=(const platform_fleet&) = delete;
+
+    /// Runs a function where the stand-in runs, and waits for it.
+    void at_site(const std::function<void(platformkit::site&)>& action);
+
+    /// False when the instances were not ready in time.
+    bool wait_ready(std::chrono::milliseconds patience = std::chrono::seconds(5));
+    bool is_ready(std::size_t instance);
+
+    std::future<platform_answer> send(std::size_t instance, platform_call call);
+    platform_answer ask(std::size_t instance, platform_call call) { return send(instance, std::move(call)).get(); }
+
+    void start(std::size_t instance);
+    void signal(std::size_t instance, int number);
+
+    /// Waits for the end of a process and returns its exit code; -1 after a signal or when it goes on.
+    int wait_exit(std::size_t instance, std::chrono::milliseconds patience);
+
+    /// Waits until a condition holds at the stand-in.
+    bool eventually(const std::function<bool(platformkit::site&)>& condition,
+                    std::chrono::milliseconds patience = std::chrono::seconds(3));
+
+private:
+    boost::asio::awaitable<platform_answer> exchange(std::size_t instance, platform_call call);
+    boost::asio::awaitable<platform_answer> leave(std::size_t instance, platform_call call);
+    std::uint16_t port(std::size_t instance, int which) const;
+
+    std::string address_;
+    std::string directory_;
+    boost::asio::io_context io_{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+    std::unique_ptr<platformkit::site> site_;
+    std::unique_ptr<http::client> client_;
+    std::vector<pid_t> processes_;
+    std::thread thread_;
+};
+
+} // namespace limpetlock::test
--- /dev/null
+++ b/test/platform/platform_test.cpp
@@ -0,0 +1,400 @@
+#include "platform_fleet.hpp"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+#include <set>
+#include <thread>
+
+using namespace limpetlock::test;
+using limpetlock::platformkit::behaviour;
+using limpetlock::platformkit::site;
+using limpetlock::platformkit::site_options;
+using limpetlock::platformkit::store_mode;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+std::string id_of(int n)
+{
+    return fmt::format("{:016x}", n + 0x1000);
+}
+
+platform_call stream_call(int n)
+{
+    platform_call out;
+    out.path = "/stream/x";
+    out.id = id_of(n);
+    out.pieces = "2,1";
+    out.prompt = fmt::format("1:50,{:x}:80,{:x}:30", n % 7 + 2, n + 1000);
+    return out;
+}
+
+platform_call plain_call(const std::string& route, int n)
+{
+    platform_call out;
+    out.path = "/" + route + "/x";
+    out.id = id_of(n);
+    out.deadline = milliseconds(1'500);
+    return out;
+}
+
+std::string whole_stream(std::size_t events, std::size_t bytes = 55)
+{
+    std::string out;
+    for (std::size_t n = 1; n <= events; ++n)
+        out += fmt::format("id: {}\ndata: {}\n\n", n, std::string(bytes, 'x'));
+    return out;
+}
+
+/// Runs of a request over all endpoints of a list.
+template <typename Endpoints>
+std::size_t runs_of(const Endpoints& endpoints, const std::string& id)
+{
+    std::size_t out = 0;
+    for (const auto& it : endpoints)
+        out += static_cast<std::size_t>(std::count_if(it->runs().begin(), it->runs().end(),
+                                                      [&id](const auto& run) { return run.request_id == id; }));
+    return out;
+}
+
+} // namespace
+
+// Many requests at once over three instances: every answer is whole and its own, batches hold pieces of several
+// requests, and no result stays behind at its maker.
+Test(platform, streams_over_stages_are_whole)
+{
+    platform_fleet fleet(3);
+    cr_assert(fleet.wait_ready());
+    constexpr int requests = 120;
+    std::vector<std::future<platform_answer>> answers;
+    for (int n = 0; n < requests; ++n)
+        answers.push_back(fleet.send(static_cast<std::size_t>(n % 3), stream_call(n)));
+    for (int n = 0; n < requests; ++n) {
+        const auto it = answers[static_cast<std::size_t>(n)].get();
+        cr_expect_eq(it.status, 200, "request %d: %s", n, it.body.c_str());
+        cr_expect(it.whole);
+        cr_expect_eq(it.body, whole_stream(8));
+        cr_expect_eq(it.header("Limpetlock-Request-Id"), id_of(n));
+    }
+    fleet.at_site([](site& it) {
+        std::size_t calls = 0;
+        std::size_t pieces = 0;
+        for (const auto& endpoint : it.first_stage)
+            for (const auto& call : endpoint->calls()) {
+                ++calls;
+                pieces += call.pieces;
+            }
+        cr_expect_eq(pieces, 2 * requests);
+        cr_expect_lt(calls, requests, "calls hold pieces of several requests");
+        std::set<std::string> inputs;
+        for (const auto& engine : it.engines)
+            for (const auto& run : engine->runs())
+                cr_expect(inputs.insert(run.inputs).second, "results went to two requests");
+        for (const auto& engine : it.engines)
+            for (const auto& run : engine->runs()) {
+                cr_expect_eq(run.tenant, site::team);
+                cr_expect_eq(run.authorization, "");
+            }
+    });
+    const bool released = fleet.eventually([](site& it) {
+        std::size_t held = 0;
+        for (const auto& list : {&it.first_stage, &it.second_stage})
+            for (const auto& endpoint : *list)
+                held += endpoint->held();
+        return held == 0;
+    });
+    cr_expect(released, "results stay at their makers");
+}
+
+// Guards against a second run of a booking whose answer was lost, and against a refusal that isn't true.
+Test(platform, booking_runs_at_most_once_and_refusals_are_true)
+{
+    platform_fleet fleet(1);
+    cr_assert(fleet.wait_ready());
+    const std::vector<std::pair<behaviour, int>> cases{{behaviour::cut_answer, 502}, {behaviour::unstamped, 502},
+                                                       {behaviour::hang, 504},       {behaviour::fail, 500},
+                                                       {behaviour::refuse, 503},     {behaviour::wrong_endpoint, 503}};
+    int n = 0;
+    for (const auto& [how, status] : cases) {
+        fleet.at_site([how = how](site& it) {
+            for (const auto& endpoint : it.plain)
+                endpoint->behave(how, 100);
+        });
+        const auto answer = fleet.ask(0, plain_call("booking", ++n));
+        cr_expect_eq(answer.status, status, "case %d: %d", n, answer.status);
+        fleet.at_site([&, how = how](site& it) {
+            const bool never = how == behaviour::refuse || how == behaviour::wrong_endpoint;
+            cr_expect_eq(runs_of(it.plain, id_of(n)), never ? 0U : 1U, "case %d", n);
+            for (const auto& endpoint : it.plain)
+                endpoint->behave(how, 0);
+        });
+        if (status == 503)
+            cr_expect_neq(answer.header("Retry-After"), "");
+        std::this_thread::sleep_for(milliseconds(400));
+    }
+}
+
+Test(platform, lookup_is_repeated_at_another_endpoint)
+{
+    platform_fleet fleet(1);
+    cr_assert(fleet.wait_ready());
+    int whole = 0;
+    for (int n = 0; n < 10; ++n) {
+        fleet.at_site([](site& it) { it.plain[0]->behave(behaviour::fail, 1); });
+        const auto answer = fleet.ask(0, plain_call("lookup", n));
+        whole += answer.status == 200 && answer.body == "answer to " + id_of(n) ? 1 : 0;
+    }
+    cr_expect_eq(whole, 10);
+}
+
+// An answer with another request's id is not the caller's.
+Test(platform, answer_of_another_request_is_never_passed_on)
+{
+    platform_fleet fleet(1);
+    cr_assert(fleet.wait_ready());
+    fleet.at_site([](site& it) {
+        for (const auto& endpoint : it.plain)
+            endpoint->behave(behaviour::wrong_id, 100);
+    });
+    const auto answer = fleet.ask(0, plain_call("lookup", 1));
+    cr_expect_neq(answer.status, 200);
+    cr_expect_eq(answer.body.find("answer to"), std::string::npos);
+}
+
+// Guards against lost, doubled or joined events when a stream goes on at another engine.
+Test(platform, broken_stream_goes_on_at_another_engine)
+{
+    platform_fleet fleet(1);
+    cr_assert(fleet.wait_ready());
+    fleet.at_site([](site& it) {
+        for (const auto& engine : it.engines)
+            engine->behave(behaviour::cut_answer, 1);
+    });
+    platform_call call;
+    call.path = "/resumable/x";
+    call.id = id_of(1);
+    call.prompt = "1:50,2:20";
+    const auto answer = fleet.ask(0, call);
+    cr_expect_eq(answer.status, 200);
+    fleet.at_site([](site& it) {
+        std::size_t resumed = 0;
+        for (const auto& engine : it.engines)
+            for (const auto& run : engine->runs())
+                resumed += run.resume_after.empty() ? 0 : 1;
+        cr_expect_geq(resumed, 1);
+    });
+    const std::string all = whole_stream(8);
+    cr_expect(answer.whole ? answer.body == all : all.starts_with(answer.body));
+}
+
+Test(platform, broken_stream_that_cannot_be_resumed_is_cut_visibly)
+{
+    platform_fleet fleet(1);
+    cr_assert(fleet.wait_ready());
+    fleet.at_site([](site& it) {
+        for (const auto& engine : it.engines)
+            engine->behave(behaviour::cut_answer, 10);
+    });
+    const auto answer = fleet.ask(0, stream_call(1));
+    cr_expect_eq(answer.status, 200);
+    cr_expect_not(answer.whole);
+    cr_expect(whole_stream(8).starts_with(answer.body));
+    fleet.at_site([](site& it) { cr_expect_eq(runs_of(it.engines, id_of(1)), 1); });
+}
+
+// A caller that leaves must stop the engine within half a second, also while its stages run.
+Test(platform, leaving_caller_stops_the_work)
+{
+    site_options options;
+    options.events = 2'000;
+    options.event_gap = milliseconds(5);
+    platform_fleet fleet(2, options);
+    cr_assert(fleet.wait_ready());
+    for (int n = 0; n < 12; ++n) {
+        auto call = stream_call(n);
+        call.leaves_after = milliseconds(10 + 25 * n);
+        fleet.ask(static_cast<std::size_t>(n % 2), call);
+    }
+    std::this_thread::sleep_for(milliseconds(500));
+    std::size_t before = 0;
+    fleet.at_site([&](site& it) {
+        for (const auto& engine : it.engines)
+            before += engine->runs().size();
+    });
+    std::this_thread::sleep_for(milliseconds(400));
+    fleet.at_site([&](site& it) {
+        std::size_t after = 0;
+        for (const auto& engine : it.engines) {
+            after += engine->runs().size();
+            cr_expect_eq(engine->working(), 0, "an engine still works for a caller that left");
+        }
+        cr_expect_eq(after, before, "a request was sent on after its caller had left");
+    });
+}
+
+// A key that was taken away must not run later than the bound, also at an instance that the store turns away.
+Test(platform, revoked_key_does_not_run_at_an_instance_without_a_proof)
+{
+    platform_fleet fleet(1);
+    cr_assert(fleet.wait_ready());
+    cr_expect_eq(fleet.ask(0, plain_call("lookup", 1)).status, 200);
+    fleet.at_site([](site& it) {
+        it.state.set_mode(store_mode::silent);
+        it.config["tenants"][0]["apiKeys"] = {"another-key"};
+        it.publish_config();
+    });
+    std::this_thread::sleep_for(milliseconds(5'200));
+    const auto answer = fleet.ask(0, plain_call("lookup", 2));
+    cr_expect_eq(answer.status, 503);
+    cr_expect_neq(answer.header("Retry-After"), "");
+    cr_expect_eq(fleet.ask(0, plain_call("open", 3)).status, 200, "a route without keys goes on");
+    cr_expect_not(fleet.is_ready(0));
+    fleet.at_site([](site& it) { it.state.set_mode(store_mode::serving); });
+    const bool denied = fleet.eventually([&fleet](site&) { return true; }) && [&] {
+        for (int n = 0; n < 100; ++n) {
+            if (fleet.ask(0, plain_call("lookup", 10 + n)).status == 401)
+                return true;
+            std::this_thread::sleep_for(milliseconds(50));
+        }
+        return false;
+    }();
+    cr_expect(denied);
+}
+
+// Guards against a change that is seen late: by a silent watch, or by history that the store dropped.
+Test(platform, changes_are_in_force_in_time_whatever_the_watch_does)
+{
+    platform_fleet fleet(2);
+    cr_assert(fleet.wait_ready());
+    const std::vector<std::function<void(site&)>> troubles{
+        [](site&) {}, [](site& it) { it.state.set_mode(store_mode::silent_watches); },
+        [](site& it) { it.state.forget_history(); }};
+    int n = 0;
+    for (const auto& trouble : troubles) {
+        ++n;
+        const std::string prefix = fmt::format("/new{}/", n);
+        fleet.at_site([&](site& it) {
+            auto route = it.config["routes"][2];
+            route["name"] = prefix;
+            route["prefix"] = prefix;
+            it.config["routes"].push_back(route);
+            it.publish_config();
+            trouble(it);
+        });
+        std::this_thread::sleep_for(milliseconds(1'900));
+        for (std::size_t instance = 0; instance < 2; ++instance) {
+            auto call = plain_call("lookup", 100 * n + static_cast<int>(instance));
+            call.path = prefix + "x";
+            cr_expect_eq(fleet.ask(instance, call).status, 200, "trouble %d at instance %zu", n, instance);
+        }
+        fleet.at_site([](site& it) { it.state.set_mode(store_mode::serving); });
+    }
+}
+
+Test(platform, draining_endpoint_gets_no_new_work)
+{
+    platform_fleet fleet(1);
+    cr_assert(fleet.wait_ready());
+    fleet.at_site([](site& it) { it.state.put("servers/i-plain-0", it.plain[0]->entry("draining")); });
+    std::this_thread::sleep_for(milliseconds(1'900));
+    std::size_t before = 0;
+    fleet.at_site([&](site& it) { before = it.plain[0]->runs().size(); });
+    for (int n = 0; n < 20; ++n)
+        cr_expect_eq(fleet.ask(0, plain_call("lookup", n)).status, 200);
+    fleet.at_site([&](site& it) { cr_expect_eq(it.plain[0]->runs().size(), before); });
+}
+
+Test(platform, unknown_route_and_key_are_denied_only_with_a_proof)
+{
+    platform_fleet fleet(1);
+    cr_assert(fleet.wait_ready());
+    auto call = plain_call("nowhere", 1);
+    cr_expect_eq(fleet.ask(0, call).status, 404);
+    call = plain_call("lookup", 2);
+    call.key = "stranger";
+    cr_expect_eq(fleet.ask(0, call).status, 401);
+    call.key = "";
+    cr_expect_eq(fleet.ask(0, call).status, 401);
+    fleet.at_site([](site& it) { it.state.set_mode(store_mode::silent); });
+    std::this_thread::sleep_for(milliseconds(2'500));
+    call = plain_call("nowhere", 3);
+    cr_expect_eq(fleet.ask(0, call).status, 503, "the route may be new");
+}
+
+// Guards against streams that a planned stop cuts and against requests that it refuses.
+Test(platform, planned_stop_cuts_nothing)
+{
+    site_options options;
+    options.events = 60;
+    options.event_gap = milliseconds(25);
+    platform_fleet fleet(2, options);
+    cr_assert(fleet.wait_ready());
+    std::vector<std::future<platform_answer>> answers;
+    for (int n = 0; n < 30; ++n)
+        answers.push_back(fleet.send(0, stream_call(n)));
+    std::this_thread::sleep_for(milliseconds(300));
+    fleet.signal(0, SIGTERM);
+    std::this_thread::sleep_for(milliseconds(200));
+    cr_expect_not(fleet.is_ready(0));
+    for (int n = 30; n < 40; ++n)
+        answers.push_back(fleet.send(0, stream_call(n)));
+    for (auto& it : answers) {
+        const auto answer = it.get();
+        cr_expect_eq(answer.status, 200);
+        cr_expect(answer.whole);
+    }
+    cr_expect_eq(fleet.wait_exit(0, seconds(9)), 0);
+}
+
+// The instance that runs a pool is killed while orders wait there: another one runs them within a second.
+Test(platform, orders_move_when_the_responsible_instance_dies)
+{
+    site_options options;
+    options.stage_call = milliseconds(120);
+    platform_fleet fleet(3, options);
+    cr_assert(fleet.wait_ready());
+    std::this_thread::sleep_for(milliseconds(700));
+    std::vector<std::future<platform_answer>> answers;
+    for (int n = 0; n < 24; ++n)
+        answers.push_back(fleet.send(0, stream_call(n)));
+    std::this_thread::sleep_for(milliseconds(60));
+    fleet.signal(1, SIGKILL);
+    fleet.signal(2, SIGKILL);
+    for (auto& it : answers) {
+        const auto answer = it.get();
+        cr_expect_eq(answer.status, 200, "%s", answer.body.c_str());
+        cr_expect(answer.whole);
+    }
+}
+
+// A new instance learns the state from its peers while the store is away.
+Test(platform, instance_starts_without_the_store)
+{
+    platform_fleet fleet(3);
+    cr_assert(fleet.wait_ready());
+    fleet.signal(2, SIGKILL);
+    fleet.at_site([](site& it) { it.state.set_mode(store_mode::refusing); });
+    fleet.start(2);
+    cr_expect(fleet.wait_ready(seconds(3)));
+    cr_expect_eq(fleet.ask(2, plain_call("lookup", 1)).status, 200);
+}
+
+// Stage endpoints that refuse, fail or break off: the pieces are made elsewhere.
+Test(platform, pieces_are_made_again_after_failures)
+{
+    platform_fleet fleet(2);
+    cr_assert(fleet.wait_ready());
+    int n = 0;
+    for (const auto how : {behaviour::refuse, behaviour::fail, behaviour::cut_answer}) {
+        fleet.at_site([how](site& it) { it.first_stage[0]->behave(how, 2); });
+        for (int k = 0; k < 6; ++k) {
+            const auto answer = fleet.ask(static_cast<std::size_t>(k % 2), stream_call(++n));
+            cr_expect_eq(answer.status, 200, "%s", answer.body.c_str());
+            cr_expect(answer.whole);
+        }
+    }
+}
--- a/utils/platformkit/endpoints.cpp
+++ b/utils/platformkit/endpoints.cpp
@@ -117,7 +117,9 @@
     }
     const std::size_t run = runs_.size();
     runs_.push_back(record_of(io.message()));
+    ++working_;
     co_await (work(io, run, how) || io.closed());
+    --working_;
 }
 
 awaitable<void> service_endpoint::work(http::exchange& io, std::size_t run, behaviour how)
--- a/utils/platformkit/endpoints.hpp
+++ b/utils/platformkit/endpoints.hpp
@@ -76,6 +76,9 @@
 
     const std::vector<run_record>& runs() const { return runs_; }
 
+    /// Requests that it works on now.
+    std::size_t working() const { return working_; }
+
     /// The entry by which the endpoint is listed.
     std::string entry(const std::string& state = "ready") const;
 
@@ -94,6 +97,7 @@
     std::size_t count_{0};
     std::size_t fail_every_{0};
     std::size_t served_{0};
+    std::size_t working_{0};
     std::vector<run_record> runs_;
     std::unique_ptr<http::server> server_;
 };
