--- a/include/limpetlock/gateway/piece_queue.hpp
+++ b/include/limpetlock/gateway/piece_queue.hpp
@@ -26,6 +26,8 @@
     time_point wanted_by{}; ///< results by this time let the request meet its objective
     std::string domain;     ///< where the results will be fetched
     std::uint64_t result_bytes{0}; ///< of one piece
+    /// Bytes that endpoints fetch for these pieces, and from them. They are dear across failure domains.
+    std::uint64_t transfer_bytes{0};
     int priority{0};
     double worth{1}; ///< of the request per piece, in relation to other requests
 };
@@ -42,12 +44,12 @@
     std::size_t size{1};
     double call_ms{0};
     double piece_ms{0};
-    /// Pieces with results of this size wait a little for an endpoint in their own domain, because results
-    /// that cross domains are dear.
-    std::uint64_t local_result_bytes{100'000};
-    duration local_patience{250};
-    /// They wait for this part of their slack at most.
-    double local_slack_share{0.33};
+    /// Pieces wait for an endpoint in their own domain, because results that cross domains are dear: up to
+    /// this long for each megabyte of transfers, and in all.
+    double local_ms_per_mb{250};
+    duration local_patience{600};
+    /// While they can be in time, they wait for this part of their slack at most.
+    double local_slack_share{0.4};
     /// Every n-th batch begins with the pieces that wait longest, so that nothing is passed over for ever.
     std::uint32_t oldest_first_every{4};
 };
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -26,6 +26,7 @@
 
 constexpr duration ping_interval{300};
 constexpr duration ping_timeout{700};
+constexpr duration spread_interval{60};
 constexpr duration pull_timeout{1'000};
 
 /// In a fleet up to this size every instance pings every other one; in a larger one, this many a round.
@@ -90,6 +91,7 @@
 void fleet::start()
 {
     asio::co_spawn(executor_, ping_loop(), asio::detached);
+    asio::co_spawn(executor_, spread_loop(), asio::detached);
 }
 
 /// Gives the peer node the addresses of all known instances and of the seeds that are none of them.
@@ -159,6 +161,8 @@
     wire::member_ping_message body;
     body.own = to_message(view_.own(), duration{0});
     body.known = news_for_peers(sent);
+    body.state_revision = state_.copy().revision();
+    body.table_revision = state_.table_revision();
     message.__set_member_ping(body);
     peer::call_error error;
     const auto reply = co_await node_.call(to, std::move(message), sent + ping_timeout, error);
@@ -171,16 +175,37 @@
 void fleet::take_pong(const std::string& from, const wire::member_pong_message& it, time_point sent)
 {
     learn(it.own, it.known, boot_clock::now());
-    const bool newer = it.table_revision > state_.table_revision() ||
-                       it.state_revision > state_.copy().revision();
     if (it.proof_age_ms >= 0)
         state_.prove({it.table_revision, sent - duration(it.proof_age_ms)});
+    pull_when_newer(from, it.table_revision, it.state_revision);
+}
+
+void fleet::pull_when_newer(const std::string& from, std::int64_t table_revision, std::int64_t state_revision)
+{
+    const bool newer = table_revision > state_.table_revision() || state_revision > state_.copy().revision();
     if (!newer || pulling_)
         return;
     pulling_ = true;
     asio::co_spawn(executor_, pull(from), asio::detached);
 }
 
+/// Pings at once when something new is known, so that it spreads faster than by the regular rounds.
+awaitable<void> fleet::spread_loop()
+{
+    asio::steady_timer timer(executor_);
+    std::int64_t told = 0;
+    for (;;) {
+        timer.expires_after(spread_interval);
+        co_await timer.async_wait(quiet);
+        const std::int64_t known = std::max(state_.table_revision(), state_.copy().revision());
+        if (known <= told)
+            continue;
+        told = known;
+        for (auto& to : ping_targets(boot_clock::now()))
+            asio::co_spawn(executor_, ping(std::move(to)), asio::detached);
+    }
+}
+
 awaitable<void> fleet::pull(std::string from)
 {
     const time_point sent = boot_clock::now();
@@ -260,6 +285,9 @@
     wire::frame reply;
     if (message.__isset.member_ping) {
         learn(message.member_ping.own, message.member_ping.known, now);
+        if (links_.contains(message.member_ping.own.name))
+            pull_when_newer(message.member_ping.own.name, message.member_ping.table_revision,
+                            message.member_ping.state_revision);
         reply.__set_member_pong(make_pong(now));
         co_return reply;
     }
--- a/lib/gateway/fleet.hpp
+++ b/lib/gateway/fleet.hpp
@@ -48,6 +48,7 @@
 
 private:
     boost::asio::awaitable<void> ping_loop();
+    boost::asio::awaitable<void> spread_loop();
     boost::asio::awaitable<void> ping(std::string to);
     boost::asio::awaitable<void> pull(std::string from);
     boost::asio::awaitable<std::optional<wire::frame>> answer(wire::frame message);
@@ -58,6 +59,7 @@
     void learn(const wire::member_message& own, const std::vector<wire::member_message>& known,
                time_point now);
     void take_pong(const std::string& from, const wire::member_pong_message& it, time_point sent);
+    void pull_when_newer(const std::string& from, std::int64_t table_revision, std::int64_t state_revision);
     void refresh_links(time_point now);
 
     boost::asio::any_io_executor executor_;
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -22,6 +22,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <csignal>
 #include <random>
 #include <utility>
@@ -49,6 +50,9 @@
 /// The fleet learns of a stop by the pings of this time; the responsible pools are then served elsewhere.
 constexpr duration proof_reserve{300};
 
+/// Instances that watch the store at the same time. Three, so that one may die and one be cut off.
+constexpr std::size_t watching_instances = 3;
+
 constexpr duration connect_timeout{350};
 constexpr std::size_t idle_connections = 8;
 
@@ -63,6 +67,16 @@
     return out;
 }
 
+/// Endpoints of plain services reset connections beyond a cap for all instances together, so that each
+/// instance keeps one idle connection at most.
+http::client_limits service_limits()
+{
+    auto out = endpoint_limits();
+    out.idle_per_address = 1;
+    out.idle_timeout = duration(1'000);
+    return out;
+}
+
 lifecycle::stop_settings stop_settings_of(const operating_bounds& bounds)
 {
     lifecycle::stop_settings out;
@@ -84,14 +98,15 @@
     impl(gateway_settings its_settings, std::unique_ptr<dialect> its_names, settings_source its_reload)
         : settings(std::move(its_settings)), names(std::move(its_names)), reload(std::move(its_reload)),
           state(*names, callbacks()), client(io.get_executor(), endpoint_limits()),
-          reader(io.get_executor(), settings, *names, state, metrics),
+          services(io.get_executor(), service_limits()),
+          reader(io.get_executor(), settings, *names, state, metrics, [this] { return reader_role(); }),
           releaser(io.get_executor(), *names, client),
           orders(io.get_executor(), *names, client, releaser, metrics,
                  [this](const std::vector<result_group>& used) { give_back(used); }),
           peers(io.get_executor(), settings, random_life(), state, peer_handlers()),
           returns(io.get_executor(), peers, orders, releaser),
           chain(io.get_executor(), peers, orders, returns),
-          handler({*names, settings, state, book, chain, returns, peers, client, metrics}),
+          handler({*names, settings, state, book, chain, returns, peers, client, services, metrics}),
           stop(stop_settings_of(settings.bounds)), signals(io, SIGTERM, SIGINT), hangups(io, SIGHUP)
     {
         open_listeners();
@@ -113,6 +128,18 @@
         return out;
     }
 
+    /// A few instances watch the store; the others learn of changes from their peers.
+    store_reader::role reader_role()
+    {
+        const time_point now = boot_clock::now();
+        const auto live = peers.view().live(now, true);
+        const auto order = by_responsibility("watch", live);
+        const auto end = order.begin() + static_cast<std::ptrdiff_t>(std::min(watching_instances, order.size()));
+        const bool watches =
+            std::any_of(order.begin(), end, [this](const member& it) { return it.name == settings.name; });
+        return {watches, live.size()};
+    }
+
     fleet::handlers peer_handlers()
     {
         fleet::handlers out;
@@ -141,6 +168,7 @@
         order.result_bytes = static_cast<std::uint64_t>(std::max<std::int64_t>(0, it.result_bytes));
         order.priority = it.priority;
         order.worth = it.worth;
+        order.transfer_bytes = static_cast<std::uint64_t>(std::max<std::int64_t>(0, it.transfer_bytes));
         const auto result = co_await orders.run(it.pool, std::move(order), order_hold);
         wire::stage_result_message out;
         out.status = static_cast<std::int32_t>(result.how);
@@ -308,6 +336,7 @@
     endpoint_book book;
     published_state state;
     http::client client;
+    http::client services;
     store_reader reader;
     result_releaser releaser;
     feeder orders;
--- a/lib/gateway/piece_queue.cpp
+++ b/lib/gateway/piece_queue.cpp
@@ -37,6 +37,19 @@
     return out;
 }
 
+/// How long an order waits for an endpoint in its own domain.
+duration local_patience(const stage_order& it, time_point queued, const batch_options& options, bool late)
+{
+    constexpr double bytes_per_mb = 1e6;
+    const double wanted = static_cast<double>(it.transfer_bytes) / bytes_per_mb * options.local_ms_per_mb;
+    double out = std::min(wanted, static_cast<double>(options.local_patience.count()));
+    if (!late) {
+        const duration slack = it.wanted_by - time_of(options, it.pieces.size()) - queued;
+        out = std::min(out, static_cast<double>(slack.count()) * options.local_slack_share);
+    }
+    return duration(static_cast<std::int64_t>(std::max(0.0, out)));
+}
+
 } // namespace
 
 void piece_queue::push(queued_piece it)
@@ -66,13 +79,8 @@
         return std::tie(late_a, end_a) < std::tie(late_b, end_b);
     });
     const auto waits_for_local = [&](const waiting_order& it) {
-        if (it.order->result_bytes < options.local_result_bytes || it.order->domain.empty() ||
-            it.order->domain == domain)
-            return false;
-        const auto slack = static_cast<double>((it.order->wanted_by - least - it.queued).count());
-        const auto patience = std::min<double>(static_cast<double>(options.local_patience.count()),
-                                               slack * options.local_slack_share);
-        if (static_cast<double>((now - it.queued).count()) >= patience)
+        if (it.order->domain.empty() || it.order->domain == domain ||
+            now - it.queued >= local_patience(*it.order, it.queued, options, is_late(it)))
             return false;
         return std::find(other_domains.begin(), other_domains.end(), it.order->domain) != other_domains.end();
     };
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -41,6 +41,10 @@
 /// factor.
 constexpr double backlog_factor = 1.0;
 
+/// An engine without a queue has fetched its inputs this long after the request was sent, before it reads the
+/// prompt. Their room is free then.
+constexpr duration input_fetch_time{80};
+
 constexpr std::size_t max_answer_bytes = std::size_t{8} * 1024 * 1024;
 
 /// Endpoints that refuse or can't be reached, tried one after the other for one request.
@@ -211,6 +215,7 @@
     it.wish.pool = it.pool;
     it.wish.domain = parts_.settings.domain;
     it.wish.affinity = affinity_of(it.request);
+    it.wish.domain_shares = stage_shares(it);
     if (parts_.book.members(it.pool).empty())
         co_return refuse(it, 503, "no endpoint", first_retry_after);
     bool ready = true;
@@ -219,6 +224,22 @@
     co_return ready;
 }
 
+/// Failure domains get work in relation to their part of the stage pool that is scarcest there, since results
+/// are dear to fetch from another domain. Empty for a route without stages.
+std::map<std::string, double, std::less<>> request_handler::stage_shares(const job& it) const
+{
+    std::map<std::string, double, std::less<>> out;
+    if (it.way->stages.empty())
+        return out;
+    for (const auto& domain : parts_.book.domains(it.pool)) {
+        double share = 1;
+        for (const auto& stage : it.way->stages)
+            share = std::min(share, parts_.book.domain_share(stage.pool, domain));
+        out.emplace(domain, share);
+    }
+    return out;
+}
+
 awaitable<bool> request_handler::run_stages(job& it)
 {
     const auto& stages = it.way->stages;
@@ -242,7 +263,7 @@
         outcome = co_await run_chain(it);
     it.stages_done = boot_clock::now();
     if (outcome.how == stage_end::done) {
-        it.inputs = held_results(parts_.returns, std::move(outcome.inputs));
+        it.inputs = std::make_shared<held_results>(parts_.returns, std::move(outcome.inputs));
         co_return true;
     }
     co_return refuse(it, 503, fmt::format("stages {}: {}", to_string(outcome.how), outcome.reason),
@@ -308,7 +329,7 @@
                                      {"end", std::string(to_string(last.how))},
                                      {"reason", last.reason}});
         bool again = may_send_again(it, last);
-        const bool needs_inputs = !it.way->stages.empty() && it.inputs.handles().empty();
+        const bool needs_inputs = !it.way->stages.empty() && it.inputs->handles().empty();
         if (again && (last.how == send_end::inputs_gone || needs_inputs))
             again = co_await remake_inputs(it);
         if (!again)
@@ -329,7 +350,7 @@
     const bool first = !std::exchange(it.stages_rerun, true);
     if (!first)
         co_return false;
-    it.inputs.release();
+    it.inputs->release();
     it.wish.tried.clear();
     co_return co_await run_stages(it);
 }
@@ -356,7 +377,7 @@
     extra.time_left = std::max(duration{1}, it.deadline - now);
     extra.endpoint_id = to.target.id;
     extra.team = it.team;
-    extra.inputs = it.inputs.handles();
+    extra.inputs = it.inputs->handles();
     if (it.way->generation)
         extra.priority = std::clamp(it.priority, 0, 9);
     extra.resume_after = it.framing.last_id();
@@ -366,8 +387,15 @@
     };
     const auto reuse = it.way->repeatable ? http::reuse::pooled : http::reuse::fresh;
     http::call_error error;
-    const auto answer = co_await parts_.client.open_answer(to.target.address, std::move(message), it.deadline,
-                                                           reuse, error, std::move(mine));
+    asio::steady_timer fetched(it.executor, input_fetch_time);
+    if (!parts_.book.has_queue(to.target.id, now))
+        fetched.async_wait([inputs = it.inputs](const boost::system::error_code& ec) {
+            if (!ec)
+                inputs->release();
+        });
+    http::client& client = it.way->stream ? parts_.engines : parts_.services;
+    const auto answer = co_await client.open_answer(to.target.address, std::move(message), it.deadline, reuse,
+                                                    error, std::move(mine));
     send_result out;
     if (!answer) {
         out = failed_send(error);
@@ -394,7 +422,7 @@
     }
     const bool success = answer->status() >= 200 && answer->status() < 300;
     if (success)
-        it.inputs.release();
+        it.inputs->release();
     if (success && it.way->stream)
         out = co_await relay_stream(it, *answer);
     else
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -36,7 +36,8 @@
     stage_chain& chain;
     result_returns& returns;
     fleet& peers;
-    http::client& client;
+    http::client& engines; ///< for streams, on a new connection each
+    http::client& services;
     metrics::registry& metrics;
 };
 
@@ -64,6 +65,7 @@
     bool refuse(job& it, int status, std::string_view reason, duration retry_after);
     boost::asio::awaitable<void> run(job& it);
     boost::asio::awaitable<bool> prepare(job& it);
+    std::map<std::string, double, std::less<>> stage_shares(const job& it) const;
     boost::asio::awaitable<bool> run_stages(job& it);
     boost::asio::awaitable<stage_outcome> run_chain(job& it);
     boost::asio::awaitable<void> forward(job& it);
--- a/lib/gateway/request_job.hpp
+++ b/lib/gateway/request_job.hpp
@@ -23,12 +23,6 @@
     }
     held_results(const held_results&) = delete;
     held_results& operator=(const held_results&) = delete;
-    held_results(held_results&& it) noexcept { swap(it); }
-    held_results& operator=(held_results&& it) noexcept
-    {
-        swap(it);
-        return *this;
-    }
     ~held_results() { release(); }
 
     std::vector<std::string> handles() const
@@ -47,12 +41,6 @@
     }
 
 private:
-    void swap(held_results& it) noexcept
-    {
-        std::swap(returns_, it.returns_);
-        groups_.swap(it.groups_);
-    }
-
     result_returns* returns_{nullptr};
     std::vector<result_group> groups_;
 };
@@ -113,7 +101,7 @@
     std::string pool;
     endpoint_wish wish;
     stage_work work;
-    held_results inputs;
+    std::shared_ptr<held_results> inputs{std::make_shared<held_results>()};
     event_framing framing;
     std::size_t sendings{0};
     bool stages_rerun{false};
--- a/lib/gateway/result_releaser.cpp
+++ b/lib/gateway/result_releaser.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 /// Releases are gathered for this long. A result occupies room at its maker until then.
-constexpr duration flush_delay{25};
+constexpr duration flush_delay{12};
 constexpr duration call_timeout{600};
 
 } // namespace
--- a/lib/gateway/result_returns.cpp
+++ b/lib/gateway/result_returns.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 /// Returns are gathered for this long. A result occupies room at its maker until then.
-constexpr duration flush_delay{25};
+constexpr duration flush_delay{10};
 constexpr duration call_timeout{400};
 
 } // namespace
--- a/lib/gateway/stage_chain.cpp
+++ b/lib/gateway/stage_chain.cpp
@@ -90,6 +90,7 @@
     out.result_bytes = static_cast<std::int64_t>(it.result_bytes);
     out.priority = it.priority;
     out.worth = it.worth;
+    out.transfer_bytes = static_cast<std::int64_t>(it.transfer_bytes);
     return out;
 }
 
@@ -211,6 +212,20 @@
         return true;
     }
 
+    /// Every piece fetches all inputs, and every piece of a following stage all results.
+    std::uint64_t transfer_bytes(std::size_t index) const
+    {
+        std::uint64_t fetchers = 0;
+        for (std::size_t n = 0; n < work.stages.size(); ++n)
+            for (const auto need : work.stages[n].needs)
+                fetchers += need == index ? work.pieces[n] : 0;
+        std::uint64_t inputs = 0;
+        for (const auto need : work.stages[index].needs)
+            inputs += work.pieces[need] * work.stages[need].result_bytes;
+        const std::uint64_t results = work.stages[index].result_bytes * std::max<std::uint64_t>(1, fetchers);
+        return work.pieces[index] * (results + inputs);
+    }
+
     std::vector<result_group> inputs_of(std::size_t index) const
     {
         std::vector<result_group> out;
@@ -354,6 +369,7 @@
     order.wanted_by = state->work.wanted_by - state->after[index];
     order.domain = state->work.domain;
     order.result_bytes = spec.result_bytes;
+    order.transfer_bytes = state->transfer_bytes(index);
     order.priority = state->work.priority;
     order.worth = state->work.worth;
     auto result = co_await self.place_order(state, index, std::move(order));
--- a/lib/gateway/store_reader.cpp
+++ b/lib/gateway/store_reader.cpp
@@ -22,10 +22,21 @@
 
 constexpr auto quiet = asio::as_tuple(asio::use_awaitable);
 
-/// A proof this old is renewed; proofs of peers count, so that one read serves many instances. Jitter keeps
-/// the instances from reading at the same moment.
+/// An instance that watches renews a proof of this age; the proofs of peers count, so that one read serves
+/// many instances. Jitter keeps the instances from reading at the same moment.
 constexpr duration proof_renewal{750};
 constexpr int proof_jitter_ms = 300;
+
+/// The others renew a proof later, at this part of the time in which a table has to be in force: proofs take
+/// a few rounds of pings to reach every instance of a large fleet.
+constexpr double follower_renewal = 0.6;
+
+/// In a fleet up to this size every instance renews like one that watches.
+constexpr std::size_t small_fleet = 8;
+
+/// An instance that doesn't watch lists the endpoints itself when no peer told it of them for this long.
+constexpr duration follower_patience{1'500};
+constexpr duration role_check_interval{150};
 constexpr duration proof_check_interval{60};
 
 constexpr duration read_timeout{900};
@@ -52,10 +63,12 @@
 } // namespace
 
 store_reader::store_reader(asio::any_io_executor executor, const gateway_settings& settings,
-                           const dialect& names, published_state& state, metrics::registry& metrics)
+                           const dialect& names, published_state& state, metrics::registry& metrics,
+                           std::function<role()> present_role)
     : executor_(std::move(executor)), store_(settings.store), names_(names), state_(state),
       client_(executor_, store_limits()),
       random_(static_cast<std::minstd_rand::result_type>(hash64(settings.name))),
+      role_(std::move(present_role)), table_in_force_(settings.bounds.table_in_force),
       calls_(metrics.get_counter("limpetlock_store_calls_total", "calls to the platform's store")),
       failures_(metrics.get_counter("limpetlock_store_failures_total", "store calls without a usable answer"))
 {
@@ -106,6 +119,16 @@
     co_return answer;
 }
 
+duration store_reader::next_renewal()
+{
+    const auto now = role_();
+    const duration jitter(static_cast<int>(random_() % proof_jitter_ms));
+    if (now.watches || now.instances <= small_fleet)
+        return proof_renewal + jitter;
+    return duration(static_cast<std::int64_t>(static_cast<double>(table_in_force_.count()) * follower_renewal)) +
+           2 * jitter;
+}
+
 awaitable<void> store_reader::prove_loop()
 {
     duration renewal = proof_renewal;
@@ -121,7 +144,7 @@
             const bool listed = co_await list_endpoints();
             behind_ = !listed;
         }
-        renewal = proof_renewal + duration(static_cast<int>(random_() % proof_jitter_ms));
+        renewal = next_renewal();
         co_await pause(ok ? proof_check_interval : retry_pause);
     }
 }
@@ -192,7 +215,14 @@
 {
     duration wait = first_watch_pause;
     bool listed = false;
+    const time_point started = boot_clock::now();
     for (;;) {
+        const bool alone = state_.copy().revision() == 0 && boot_clock::now() - started > follower_patience;
+        if (!role_().watches && !alone) {
+            listed = state_.copy().revision() > 0;
+            co_await pause(role_check_interval);
+            continue;
+        }
         if (!listed)
             listed = co_await list_endpoints();
         store_answer how = store_answer::refused;
--- a/lib/gateway/store_reader.hpp
+++ b/lib/gateway/store_reader.hpp
@@ -14,14 +14,22 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <random>
 
 namespace limpetlock::gateway {
 
 class store_reader {
 public:
+    /// Whether this instance is one of those that watch for all, and how many there are in all.
+    struct role {
+        bool watches{true};
+        std::size_t instances{1};
+    };
+
     store_reader(boost::asio::any_io_executor executor, const gateway_settings& settings,
-                 const dialect& names, published_state& state, metrics::registry& metrics);
+                 const dialect& names, published_state& state, metrics::registry& metrics,
+                 std::function<role()> present_role);
 
     void start();
 
@@ -33,6 +41,7 @@
     boost::asio::awaitable<store_answer> watch_once();
     boost::asio::awaitable<std::optional<http::response>> call(http::request message, duration timeout);
     boost::asio::awaitable<void> pause(duration length);
+    duration next_renewal();
     void note_answer(bool answered, const std::string& what, const std::string& reason);
 
     boost::asio::any_io_executor executor_;
@@ -41,6 +50,8 @@
     published_state& state_;
     http::client client_;
     std::minstd_rand random_;
+    std::function<role()> role_;
+    duration table_in_force_;
     metrics::counter& calls_;
     metrics::counter& failures_;
     bool reachable_{false};
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -136,6 +136,8 @@
 struct member_ping_message {
   1: member_message own;
   2: list<member_message> known;
+  3: i64 state_revision;  // as in member_pong_message
+  4: i64 table_revision;
 }
 
 struct member_pong_message {
@@ -184,6 +186,7 @@
   10: i64 result_bytes;   // of one piece
   11: i32 priority;
   12: double worth;       // relative worth of one piece
+  13: i64 transfer_bytes; // fetched for these pieces and from them
 }
 
 struct piece_result_message {
