--- a/include/limpetlock/gateway/piece_queue.hpp
+++ b/include/limpetlock/gateway/piece_queue.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -54,15 +55,18 @@
     std::uint32_t oldest_first_every{4};
 };
 
+/// For each failure domain the times until its endpoints are free, the soonest first.
+using domain_free_times = std::map<std::string, std::vector<duration>, std::less<>>;
+
 class piece_queue {
 public:
     void push(queued_piece it);
 
-    /// Takes the pieces of the next batch for an endpoint in `domain`. `other_domains` have an
-    /// endpoint that may soon take pieces. Pieces whose deadline can't be met are not taken, nor
+    /// Takes the pieces of the next batch for an endpoint in `domain`. Pieces of another domain are left to its
+    /// endpoints when those will be free within their patience. Pieces whose deadline can't be met are not taken, nor
     /// are those whose results don't fit into `room` bytes.
     std::vector<queued_piece> take_batch(const batch_options& options, std::string_view domain,
-                                         const std::vector<std::string>& other_domains, std::uint64_t room,
+                                         const domain_free_times& free, std::uint64_t room,
                                          time_point now);
 
     /// Drops the pieces that can't be done before their deadline and returns them.
--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -83,7 +83,7 @@
     };
 
     target* pick(time_point now, const std::vector<std::string>& passed);
-    std::vector<std::string> domains_besides(std::string_view domain, time_point now) const;
+    domain_free_times free_times(time_point now) const;
     bool usable(const target& it, time_point now) const;
     void punish(target& it, duration base, time_point now);
     std::uint64_t room_of(const target& it) const;
--- a/lib/gateway/piece_queue.cpp
+++ b/lib/gateway/piece_queue.cpp
@@ -61,7 +61,7 @@
 /// late already, by their deadline. Late ones are worth little, and serving them first would make the others
 /// late as well.
 std::vector<queued_piece> piece_queue::take_batch(const batch_options& options, std::string_view domain,
-                                                  const std::vector<std::string>& other_domains,
+                                                  const domain_free_times& free,
                                                   std::uint64_t room, time_point now)
 {
     auto orders = orders_of(waiting_);
@@ -78,18 +78,27 @@
         const auto end_b = late_b ? b.order->deadline : b.order->wanted_by;
         return std::tie(late_a, end_a) < std::tie(late_b, end_b);
     });
+    std::map<std::string_view, std::size_t> pieces_ahead;
+    const duration full_call = time_of(options, options.size);
     const auto waits_for_local = [&](const waiting_order& it) {
-        if (it.order->domain.empty() || it.order->domain == domain ||
-            now - it.queued >= local_patience(*it.order, it.queued, options, is_late(it)))
+        const std::size_t ahead = std::exchange(pieces_ahead[it.order->domain],
+                                                pieces_ahead[it.order->domain] + it.pieces);
+        const auto home = free.find(it.order->domain);
+        if (it.order->domain == domain || home == free.end() || home->second.empty())
             return false;
-        return std::find(other_domains.begin(), other_domains.end(), it.order->domain) != other_domains.end();
+        const std::size_t calls = ahead / options.size;
+        const std::size_t servers = home->second.size();
+        const duration start =
+            home->second[calls % servers] + full_call * static_cast<std::int64_t>(calls / servers);
+        return now + start < it.queued + local_patience(*it.order, it.queued, options, is_late(it));
     };
     std::size_t places = options.size;
     std::map<const stage_order*, std::size_t> chosen;
     for (const auto& it : orders) {
         if (places == 0)
             break;
-        if (it.order->deadline < now + least || waits_for_local(it))
+        const bool local_soon = waits_for_local(it);
+        if (it.order->deadline < now + least || local_soon)
             continue;
         // An order is split only when it could never fit.
         if (it.pieces > places && it.pieces <= options.size)
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -83,13 +83,14 @@
     return !it.busy && it.avoid_until <= now;
 }
 
-/// Domains with another endpoint that is free now.
-std::vector<std::string> stage_dispatcher::domains_besides(std::string_view domain, time_point now) const
+domain_free_times stage_dispatcher::free_times(time_point now) const
 {
-    std::vector<std::string> out;
+    domain_free_times out;
     for (const auto& [id, it] : endpoints_)
-        if (it.who.domain != domain && it.avoid_until <= now && it.slowness < slow_limit)
-            out.push_back(it.who.domain);
+        if (it.avoid_until <= now && it.slowness < slow_limit)
+            out[it.who.domain].push_back(it.busy ? std::max(duration{0}, it.busy_until - now) : duration{0});
+    for (auto& [domain, times] : out)
+        std::sort(times.begin(), times.end());
     return out;
 }
 
@@ -121,8 +122,7 @@
         target* const to = pick(now, passed);
         if (to == nullptr)
             return std::nullopt;
-        auto pieces = queue_.take_batch(options_, to->who.domain, domains_besides(to->who.domain, now),
-                                        room_of(*to), now);
+        auto pieces = queue_.take_batch(options_, to->who.domain, free_times(now), room_of(*to), now);
         if (pieces.empty()) {
             passed.push_back(to->who.id);
             continue;
