--- a/include/limpetlock/gateway/endpoint_book.hpp
+++ b/include/limpetlock/gateway/endpoint_book.hpp
@@ -31,8 +31,6 @@
     std::uint64_t affinity{0}; ///< hash that prefers the same endpoint each time; 0 for none
     std::string domain;        ///< preferred failure domain
     std::vector<std::string> tried;
-    /// Share of the keys that each failure domain gets; empty for equal endpoints.
-    std::map<std::string, double, std::less<>> domain_shares;
 };
 
 class endpoint_book {
@@ -51,12 +49,6 @@
     /// All endpoints of a pool that take new work.
     std::vector<endpoint> members(std::string_view pool) const;
 
-    /// Part of the endpoints of a pool that a failure domain has.
-    double domain_share(std::string_view pool, std::string_view domain) const;
-
-    /// Failure domains in which a pool has endpoints.
-    std::vector<std::string> domains(std::string_view pool) const;
-
     /// Whether requests wait at the endpoint, by its last report.
     bool has_queue(const std::string& id, time_point now) const;
 
@@ -78,12 +70,10 @@
     };
 
     double load_of(const seen& it, time_point now) const;
-    double weight_of(const endpoint_wish& wish, const endpoint& it) const;
     void punish(seen& it, duration base, time_point now);
 
     std::map<std::string, seen, std::less<>> endpoints_;
     std::map<std::string, std::vector<std::string>, std::less<>> pools_;
-    std::map<std::string, std::map<std::string, std::size_t, std::less<>>, std::less<>> domains_;
 };
 
 } // namespace limpetlock::gateway
--- a/lib/gateway/endpoint_book.cpp
+++ b/lib/gateway/endpoint_book.cpp
@@ -3,7 +3,6 @@
 #include <limpetlock/support/hash.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -36,23 +35,12 @@
 /// Load, in places, that a call to another failure domain must save.
 constexpr double domain_cost = 0.02;
 
-/// Weight of an endpoint whose domain has no share, so that it can still be chosen.
-constexpr double least_weight = 1e-6;
-
-/// Weighted rendezvous hashing.
-double affinity_score(const std::string& id, const endpoint_wish& wish, double weight)
-{
-    const double point = (static_cast<double>(hash64(id, wish.affinity) >> 11) + 0.5) * 0x1p-53;
-    return -weight / std::log(point);
-}
-
 } // namespace
 
 void endpoint_book::adopt(const std::vector<endpoint>& endpoints, time_point now)
 {
     std::map<std::string, seen, std::less<>> next;
     pools_.clear();
-    domains_.clear();
     for (const auto& it : endpoints) {
         const auto found = endpoints_.find(it.id);
         const bool same = found != endpoints_.end() && found->second.who.started_ms == it.started_ms &&
@@ -60,10 +48,8 @@
         seen entry = same ? found->second : seen{};
         entry.who = it;
         next.emplace(it.id, std::move(entry));
-        if (it.leaving)
-            continue;
-        pools_[it.pool].push_back(it.id);
-        ++domains_[it.pool][it.domain];
+        if (!it.leaving)
+            pools_[it.pool].push_back(it.id);
     }
     // Requests in progress at endpoints that left the list still end.
     for (auto& [id, it] : endpoints_)
@@ -97,10 +83,10 @@
         const bool avoided = it.avoid_until > now;
         const double load = load_of(it, now);
         const bool crowded = wish.affinity != 0 && load > affinity_load_limit;
-        // The highest score wins, so that each key keeps its endpoint while the list changes.
+        // The largest hash wins, so that each key keeps its endpoint while the list changes.
         double rank = 0;
         if (wish.affinity != 0 && !crowded)
-            rank = -affinity_score(id, wish, weight_of(wish, it.who));
+            rank = -static_cast<double>(hash64(id, wish.affinity));
         else
             rank = load + (it.who.domain == wish.domain ? 0 : domain_cost) +
                    static_cast<double>(hash64(id, static_cast<std::uint64_t>(to_ms(now))) >> 40) * 1e-10;
@@ -115,39 +101,6 @@
     return best->who;
 }
 
-/// Weight of one endpoint, so that its domain gets its share of the keys.
-double endpoint_book::weight_of(const endpoint_wish& wish, const endpoint& it) const
-{
-    const auto share = wish.domain_shares.find(it.domain);
-    if (share == wish.domain_shares.end())
-        return wish.domain_shares.empty() ? 1 : least_weight;
-    const auto pool = domains_.find(it.pool);
-    const auto count = pool == domains_.end() ? std::size_t{1} : pool->second.find(it.domain)->second;
-    return std::max(least_weight, share->second / static_cast<double>(count));
-}
-
-double endpoint_book::domain_share(std::string_view pool, std::string_view domain) const
-{
-    const auto found = domains_.find(pool);
-    if (found == domains_.end())
-        return 0;
-    const auto count = found->second.find(domain);
-    std::size_t all = 0;
-    for (const auto& [name, n] : found->second)
-        all += n;
-    return count == found->second.end() ? 0 : static_cast<double>(count->second) / static_cast<double>(all);
-}
-
-std::vector<std::string> endpoint_book::domains(std::string_view pool) const
-{
-    std::vector<std::string> out;
-    const auto found = domains_.find(pool);
-    if (found != domains_.end())
-        for (const auto& [name, n] : found->second)
-            out.push_back(name);
-    return out;
-}
-
 bool endpoint_book::has_queue(const std::string& id, time_point now) const
 {
     const auto it = endpoints_.find(id);
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -215,7 +215,6 @@
     it.wish.pool = it.pool;
     it.wish.domain = parts_.settings.domain;
     it.wish.affinity = affinity_of(it.request);
-    it.wish.domain_shares = stage_shares(it);
     if (parts_.book.members(it.pool).empty())
         co_return refuse(it, 503, "no endpoint", first_retry_after);
     bool ready = true;
@@ -224,22 +223,6 @@
     co_return ready;
 }
 
-/// Failure domains get work in relation to their part of the stage pool that is scarcest there, since results
-/// are dear to fetch from another domain. Empty for a route without stages.
-std::map<std::string, double, std::less<>> request_handler::stage_shares(const job& it) const
-{
-    std::map<std::string, double, std::less<>> out;
-    if (it.way->stages.empty())
-        return out;
-    for (const auto& domain : parts_.book.domains(it.pool)) {
-        double share = 1;
-        for (const auto& stage : it.way->stages)
-            share = std::min(share, parts_.book.domain_share(stage.pool, domain));
-        out.emplace(domain, share);
-    }
-    return out;
-}
-
 awaitable<bool> request_handler::run_stages(job& it)
 {
     const auto& stages = it.way->stages;
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -65,7 +65,6 @@
     bool refuse(job& it, int status, std::string_view reason, duration retry_after);
     boost::asio::awaitable<void> run(job& it);
     boost::asio::awaitable<bool> prepare(job& it);
-    std::map<std::string, double, std::less<>> stage_shares(const job& it) const;
     boost::asio::awaitable<bool> run_stages(job& it);
     boost::asio::awaitable<stage_outcome> run_chain(job& it);
     boost::asio::awaitable<void> forward(job& it);
