--- a/include/limpetlock/gateway/piece_queue.hpp
+++ b/include/limpetlock/gateway/piece_queue.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -29,6 +30,7 @@
     std::uint64_t result_bytes{0}; ///< of one piece
     /// Bytes that endpoints fetch for these pieces, and from them. They are dear across failure domains.
     std::uint64_t transfer_bytes{0};
+    std::vector<std::string> next_pools; ///< of the stages that follow
     int priority{0};
     double worth{1}; ///< of the request per piece, in relation to other requests
 };
@@ -58,6 +60,9 @@
 /// For each failure domain the times until its endpoints are free, the soonest first.
 using domain_free_times = std::map<std::string, std::vector<duration>, std::less<>>;
 
+/// Whether an order should wait although an endpoint is free.
+using order_filter = std::function<bool(const stage_order&)>;
+
 class piece_queue {
 public:
     void push(queued_piece it);
@@ -67,7 +72,7 @@
     /// are those whose results don't fit into `room` bytes.
     std::vector<queued_piece> take_batch(const batch_options& options, std::string_view domain,
                                          const domain_free_times& free, std::uint64_t room,
-                                         time_point now);
+                                         const order_filter& held, time_point now);
 
     /// Drops the pieces that can't be done before their deadline and returns them.
     std::vector<queued_piece> expire(const batch_options& options, time_point now);
--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -36,8 +36,9 @@
     void submit(const std::shared_ptr<const stage_order>& order, time_point now);
     void cancel(std::string_view request_id, std::uint32_t stage) { queue_.cancel(request_id, stage); }
 
-    /// The next call to make now; nullopt when nothing waits or no endpoint is free.
-    std::optional<stage_dispatch> next(time_point now);
+    /// The next call to make now; nullopt when nothing waits or no endpoint is free. Orders that `held` names
+    /// are left waiting.
+    std::optional<stage_dispatch> next(time_point now, const order_filter& held = {});
 
     /// Records the end of a call. What becomes of its pieces is up to the caller.
     void finished(std::uint64_t call, call_outcome how, time_point now);
@@ -87,6 +88,7 @@
     bool usable(const target& it, time_point now) const;
     void punish(target& it, duration base, time_point now);
     std::uint64_t room_of(const target& it) const;
+    void note_batch(std::size_t pieces);
 
     stage_figures figures_;
     batch_options options_;
@@ -94,6 +96,7 @@
     std::map<std::string, target, std::less<>> endpoints_;
     std::map<std::uint64_t, running_call> calls_;
     std::uint64_t last_call_{0};
+    double usual_pieces_{0}; ///< pieces of a call while more wait than fit
 };
 
 } // namespace limpetlock::gateway
--- a/lib/gateway/feeder.cpp
+++ b/lib/gateway/feeder.cpp
@@ -34,6 +34,9 @@
 /// links of stage endpoints.
 constexpr duration input_fetch_time{70};
 
+/// A pool is congested when it needs longer than this for what waits and runs there: a call and a half.
+constexpr duration congested_backlog{550};
+
 std::vector<std::string> handles_of(const std::vector<result_group>& groups)
 {
     std::vector<std::string> out;
@@ -46,8 +49,8 @@
 
 /// An order of this or another instance and the results so far.
 struct feeder::open_order {
-    open_order(stage_order it, std::string its_pool, const asio::any_io_executor& executor)
-        : order(std::make_shared<const stage_order>(std::move(it))), pool(std::move(its_pool)),
+    open_order(stage_order it, pool_key its_pool, const asio::any_io_executor& executor)
+        : order(std::make_shared<const stage_order>(std::move(it))), where(std::move(its_pool)),
           results(order->pieces.size()), have(order->pieces.size(), false), done(executor),
           missing(order->pieces.size())
     {
@@ -64,7 +67,7 @@
     }
 
     std::shared_ptr<const stage_order> order;
-    std::string pool;
+    pool_key where;
     std::vector<piece_result> results;
     std::vector<bool> have;
     asio::steady_timer done; ///< cancelled when the order ends
@@ -100,23 +103,56 @@
     }));
 }
 
-void feeder::configure(const routing_table& table, const std::vector<endpoint>& endpoints)
+void feeder::configure(std::shared_ptr<const routing_table> table, std::vector<endpoint> endpoints)
 {
-    for (const auto& [name, it] : table.pools) {
-        if (!it.stage)
-            continue;
-        auto& state = pools_[name];
-        if (!state)
-            state = std::make_unique<pool_state>();
-        std::vector<endpoint> members;
-        std::copy_if(endpoints.begin(), endpoints.end(), std::back_inserter(members),
-                     [&name = name](const endpoint& e) { return e.pool == name; });
-        state->result_lifetime = it.stage->result_lifetime;
-        state->dispatcher.configure(*it.stage, std::move(members));
-        pump(name);
+    table_ = std::move(table);
+    endpoints_ = std::move(endpoints);
+    for (const auto& [where, state] : pools_) {
+        configure(where, *state);
+        pump(where);
     }
 }
 
+void feeder::configure(const pool_key& where, pool_state& state)
+{
+    const pool* const it = table_ ? table_->find_pool(where.pool) : nullptr;
+    if (it == nullptr || !it->stage)
+        return;
+    std::vector<endpoint> members;
+    std::copy_if(endpoints_.begin(), endpoints_.end(), std::back_inserter(members), [&where](const endpoint& e) {
+        return e.pool == where.pool && (where.group.empty() || e.domain == where.group);
+    });
+    state.result_lifetime = it->stage->result_lifetime;
+    state.dispatcher.configure(*it->stage, std::move(members));
+}
+
+/// nullptr for a pool that the table doesn't hold.
+feeder::pool_state* feeder::find_pool(const pool_key& where)
+{
+    const auto found = pools_.find(where);
+    if (found != pools_.end())
+        return found->second.get();
+    const pool* const it = table_ ? table_->find_pool(where.pool) : nullptr;
+    if (it == nullptr || !it->stage)
+        return nullptr;
+    auto state = std::make_unique<pool_state>();
+    configure(where, *state);
+    return pools_.emplace(where, std::move(state)).first->second.get();
+}
+
+/// The first stage of a request waits while a later one is congested: what it makes would wait there, occupy
+/// room at its maker and expire.
+bool feeder::is_held(const std::string& group, const stage_order& order, time_point now) const
+{
+    if (!order.inputs.empty())
+        return false;
+    return std::any_of(order.next_pools.begin(), order.next_pools.end(), [&](const std::string& name) {
+        const auto it = pools_.find({group, name});
+        return it != pools_.end() && it->second->dispatcher.has_endpoints() &&
+               it->second->dispatcher.backlog(now) > congested_backlog;
+    });
+}
+
 awaitable<void> feeder::tick_loop()
 {
     asio::steady_timer timer(executor_);
@@ -124,28 +160,28 @@
         timer.expires_after(tick_interval);
         co_await timer.async_wait(quiet);
         expire(boot_clock::now());
-        for (const auto& [name, state] : pools_)
+        for (const auto& [where, state] : pools_)
             if (state->dispatcher.waiting() > 0)
-                pump(name);
+                pump(where);
     }
 }
 
-awaitable<order_result> feeder::run(std::string pool, stage_order order, duration patience)
+awaitable<order_result> feeder::run(pool_key where, stage_order order, duration patience)
 {
     order_result out;
-    const auto found = pools_.find(pool);
-    if (found == pools_.end() || !found->second->dispatcher.has_endpoints()) {
-        out.reason = "no endpoints in pool " + pool;
+    pool_state* const state = find_pool(where);
+    if (state == nullptr || !state->dispatcher.has_endpoints()) {
+        out.reason = "no endpoints in pool " + where.pool;
         co_return out;
     }
     const time_point now = boot_clock::now();
     const order_key key{order.request_id, order.stage};
     auto& slot = orders_[key];
     if (!slot || slot->cancelled) {
-        slot = std::make_shared<open_order>(std::move(order), pool, executor_);
-        found->second->dispatcher.submit(slot->order, now);
+        slot = std::make_shared<open_order>(std::move(order), where, executor_);
+        state->dispatcher.submit(slot->order, now);
         slot->last_asked = now;
-        pump(pool);
+        pump(where);
     }
     const auto it = slot;
     it->last_asked = now;
@@ -158,7 +194,7 @@
         co_await it->done.async_wait(quiet);
     }
     it->last_asked = boot_clock::now();
-    out.backlog = found->second->dispatcher.backlog(it->last_asked);
+    out.backlog = state->dispatcher.backlog(it->last_asked);
     if (it->cancelled) {
         out.reason = "cancelled";
         co_return out;
@@ -183,18 +219,27 @@
     it->cancelled = true;
     it->done.cancel();
     release(it->handles());
-    if (const auto pool = pools_.find(it->pool); pool != pools_.end())
+    if (const auto pool = pools_.find(it->where); pool != pools_.end())
         pool->second->dispatcher.cancel(request_id, stage);
 }
 
-void feeder::pump(const std::string& pool)
+void feeder::pump(const pool_key& where)
+{
+    auto& state = *pools_.at(where);
+    const time_point now = boot_clock::now();
+    const order_filter held = [&](const stage_order& it) { return is_held(where.group, it, now); };
+    while (auto call = state.dispatcher.next(now, held))
+        asio::co_spawn(executor_, make_call(where, std::move(*call)), asio::detached);
+}
+
+void feeder::pump_group(const std::string& group)
 {
-    auto& state = *pools_.at(pool);
-    while (auto call = state.dispatcher.next(boot_clock::now()))
-        asio::co_spawn(executor_, make_call(pool, std::move(*call)), asio::detached);
+    for (const auto& [where, state] : pools_)
+        if (where.group == group && state->dispatcher.waiting() > 0)
+            pump(where);
 }
 
-awaitable<void> feeder::make_call(std::string pool, stage_dispatch call)
+awaitable<void> feeder::make_call(pool_key where, stage_dispatch call)
 {
     const time_point started = boot_clock::now();
     std::vector<stage_item> items;
@@ -209,7 +254,7 @@
     const auto answer = co_await client_.call(call.to.address, names_.stage_call(items, call.to.id),
                                               call.give_up, http::reuse::fresh, error);
     const time_point now = boot_clock::now();
-    auto& state = *pools_.at(pool);
+    auto& state = *pools_.at(where);
     auto how = call_outcome::broken;
     std::optional<std::vector<piece_result>> results;
     if (answer) {
@@ -226,7 +271,7 @@
         how = call_outcome::unreachable;
     }
     state.dispatcher.finished(call.call, how, now);
-    log::info("stage_call", {{"pool", pool},
+    log::info("stage_call", {{"pool", where.pool},
                              {"endpoint", call.to.id},
                              {"pieces", fmt::to_string(items.size())},
                              {"requests", fmt::format("{}", items.front().request_id)},
@@ -234,12 +279,12 @@
                              {"status", answer ? fmt::to_string(answer->status) : error.reason},
                              {"waiting", fmt::to_string(state.dispatcher.waiting())}});
     if (results) {
-        note_results(pool, call, *results, now);
+        note_results(where, call, *results, now);
         take_results(state, call, *results);
     } else {
         requeue(state, std::move(call.pieces), answer ? "refused" : error.reason);
     }
-    pump(pool);
+    pump_group(where.group);
 }
 
 /// Orders of the call that have inputs.
@@ -274,17 +319,17 @@
 }
 
 /// Results occupy room until they are released or expire; failed pieces occupy none.
-void feeder::note_results(const std::string& pool, const stage_dispatch& call,
+void feeder::note_results(const pool_key& where, const stage_dispatch& call,
                           const std::vector<piece_result>& results, time_point now)
 {
-    auto& state = *pools_.at(pool);
+    auto& state = *pools_.at(where);
     for (std::size_t n = 0; n < results.size(); ++n) {
         const std::uint64_t bytes = call.pieces[n].order->result_bytes;
         if (results[n].handle.empty())
             state.dispatcher.free_room(call.to.id, bytes);
         else
             kept_.insert_or_assign(results[n].handle,
-                                   kept_result{pool, call.to.id, bytes, now + state.result_lifetime});
+                                   kept_result{where, call.to.id, bytes, now + state.result_lifetime});
     }
 }
 
@@ -293,7 +338,7 @@
     const auto it = kept_.find(handle);
     if (it == kept_.end())
         return false;
-    const auto pool = pools_.find(it->second.pool);
+    const auto pool = pools_.find(it->second.where);
     if (pool != pools_.end())
         pool->second->dispatcher.free_room(it->second.endpoint_id, it->second.bytes);
     kept_.erase(it);
@@ -387,7 +432,7 @@
             continue;
         log::info("stage_order_abandoned", {{"request", order->order->request_id},
                                             {"stage", fmt::to_string(order->order->stage)},
-                                            {"pool", order->pool}});
+                                            {"pool", order->where.pool}});
         const std::string id = order->order->request_id;
         cancel(id, order->order->stage);
     }
--- a/lib/gateway/feeder.hpp
+++ b/lib/gateway/feeder.hpp
@@ -35,6 +35,14 @@
     duration backlog{0}; ///< time that the pool needs for what waits now
 };
 
+/// A stage pool, or the part of it in one failure domain.
+struct pool_key {
+    std::string group; ///< failure domain; empty for the whole pool
+    std::string pool;
+
+    friend auto operator<=>(const pool_key&, const pool_key&) = default;
+};
+
 class feeder {
 public:
     /// Takes the inputs of an order when the endpoint has fetched them.
@@ -45,11 +53,11 @@
     ~feeder();
 
     /// Takes the stage pools of a table and the endpoints that serve them.
-    void configure(const routing_table& table, const std::vector<endpoint>& endpoints);
+    void configure(std::shared_ptr<const routing_table> table, std::vector<endpoint> endpoints);
 
     /// Submits an order, or joins it when it was submitted before, and waits up to `patience` for its
     /// results. The results of an order that nobody asks for again are released.
-    boost::asio::awaitable<order_result> run(std::string pool, stage_order order, duration patience);
+    boost::asio::awaitable<order_result> run(pool_key where, stage_order order, duration patience);
 
     void cancel(const std::string& request_id, std::uint32_t stage);
 
@@ -65,15 +73,19 @@
     using order_key = std::pair<std::string, std::uint32_t>;
 
     boost::asio::awaitable<void> tick_loop();
-    boost::asio::awaitable<void> make_call(std::string pool, stage_dispatch call);
+    boost::asio::awaitable<void> make_call(pool_key where, stage_dispatch call);
     boost::asio::awaitable<void> give_inputs_back(std::vector<std::shared_ptr<open_order>> orders);
     std::vector<std::shared_ptr<open_order>> note_started(const stage_dispatch& call);
-    void pump(const std::string& pool);
+    pool_state* find_pool(const pool_key& where);
+    void configure(const pool_key& where, pool_state& state);
+    bool is_held(const std::string& group, const stage_order& order, time_point now) const;
+    void pump(const pool_key& where);
+    void pump_group(const std::string& group);
     void take_results(pool_state& at, stage_dispatch& call, const std::vector<piece_result>& results);
     void requeue(pool_state& at, std::vector<queued_piece> pieces, std::string_view reason);
     void put_back(pool_state& at, const std::string& endpoint_id, queued_piece piece, time_point now);
     void settle(const queued_piece& piece, piece_result result);
-    void note_results(const std::string& pool, const stage_dispatch& call,
+    void note_results(const pool_key& where, const stage_dispatch& call,
                       const std::vector<piece_result>& results, time_point now);
     bool forget_result(const std::string& handle);
     void expire(time_point now);
@@ -86,12 +98,14 @@
     metrics::counter& calls_;
     metrics::counter& pieces_;
     metrics::counter& repeated_;
-    std::map<std::string, std::unique_ptr<pool_state>, std::less<>> pools_;
+    std::shared_ptr<const routing_table> table_;
+    std::vector<endpoint> endpoints_;
+    std::map<pool_key, std::unique_ptr<pool_state>> pools_;
     std::map<order_key, std::shared_ptr<open_order>> orders_;
 
     /// A result that occupies room at its maker.
     struct kept_result {
-        std::string pool;
+        pool_key where;
         std::string endpoint_id;
         std::uint64_t bytes{0};
         time_point expires{};
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -105,7 +105,7 @@
                  [this](const std::vector<result_group>& used) { give_back(used); }),
           peers(io.get_executor(), settings, random_life(), state, peer_handlers()),
           returns(io.get_executor(), peers, orders, releaser),
-          chain(io.get_executor(), peers, orders, returns),
+          chain(io.get_executor(), peers, orders, returns, book),
           handler({*names, settings, state, book, chain, returns, peers, client, services, metrics}),
           stop(stop_settings_of(settings.bounds)), signals(io, SIGTERM, SIGINT), hangups(io, SIGHUP)
     {
@@ -116,14 +116,14 @@
     {
         published_state::callbacks out;
         out.on_table = [this](const std::shared_ptr<const routing_table>& it) {
-            orders.configure(*it, endpoints);
+            orders.configure(it, endpoints);
             set_caller_limits(it->limits);
         };
         out.on_endpoints = [this](const std::vector<endpoint>& it) {
             endpoints = it;
             book.adopt(it, boot_clock::now());
             if (const auto table = state.table())
-                orders.configure(*table, endpoints);
+                orders.configure(table, endpoints);
         };
         return out;
     }
@@ -168,8 +168,10 @@
         order.result_bytes = static_cast<std::uint64_t>(std::max<std::int64_t>(0, it.result_bytes));
         order.priority = it.priority;
         order.worth = it.worth;
+        order.next_pools = it.next_pools;
         order.transfer_bytes = static_cast<std::uint64_t>(std::max<std::int64_t>(0, it.transfer_bytes));
-        const auto result = co_await orders.run(it.pool, std::move(order), order_hold);
+        pool_key where{it.group, it.pool};
+        const auto result = co_await orders.run(std::move(where), std::move(order), order_hold);
         wire::stage_result_message out;
         out.status = static_cast<std::int32_t>(result.how);
         out.reason = result.reason;
--- a/lib/gateway/piece_queue.cpp
+++ b/lib/gateway/piece_queue.cpp
@@ -62,7 +62,8 @@
 /// late as well.
 std::vector<queued_piece> piece_queue::take_batch(const batch_options& options, std::string_view domain,
                                                   const domain_free_times& free,
-                                                  std::uint64_t room, time_point now)
+                                                  std::uint64_t room, const order_filter& held,
+                                                  time_point now)
 {
     auto orders = orders_of(waiting_);
     const duration least = time_of(options, 1);
@@ -98,7 +99,7 @@
         if (places == 0)
             break;
         const bool local_soon = waits_for_local(it);
-        if (it.order->deadline < now + least || local_soon)
+        if (it.order->deadline < now + least || local_soon || (held && held(*it.order)))
             continue;
         // An order is split only when it could never fit.
         if (it.pieces > places && it.pieces <= options.size)
--- a/lib/gateway/stage_chain.cpp
+++ b/lib/gateway/stage_chain.cpp
@@ -35,9 +35,9 @@
 /// the stage would end. It covers the wait for a free endpoint.
 constexpr duration align_margin{150};
 
-/// A pool with this many endpoints has one responsible instance for each failure domain; a smaller one has
-/// one for all, which forms fuller batches.
-constexpr std::size_t endpoints_for_domains = 12;
+/// A site with this many endpoints in its stage pools has one responsible instance for each failure domain; a
+/// smaller one has one for all, which forms fuller batches.
+constexpr std::size_t endpoints_for_domains = 24;
 
 /// What is known of a backlog says nothing after this.
 constexpr duration backlog_lifetime{1'500};
@@ -70,10 +70,10 @@
     return out;
 }
 
-wire::stage_order_message to_message(const stage_order& it, const std::string& pool, time_point now)
+wire::stage_order_message to_message(const stage_order& it, const pool_key& where, time_point now)
 {
     wire::stage_order_message out;
-    out.pool = pool;
+    out.pool = where.pool;
     out.request_id = it.request_id;
     out.stage = static_cast<std::int32_t>(it.stage);
     out.pieces.assign(it.pieces.begin(), it.pieces.end());
@@ -91,6 +91,8 @@
     out.priority = it.priority;
     out.worth = it.worth;
     out.transfer_bytes = static_cast<std::int64_t>(it.transfer_bytes);
+    out.group = where.group;
+    out.next_pools = it.next_pools;
     return out;
 }
 
@@ -212,6 +214,21 @@
         return true;
     }
 
+    /// Pools of the stages that directly or indirectly follow.
+    std::vector<std::string> next_pools(std::size_t index) const
+    {
+        std::vector<std::string> out;
+        std::vector<bool> follows(work.stages.size(), false);
+        follows[index] = true;
+        for (std::size_t n = index + 1; n < work.stages.size(); ++n)
+            for (const auto need : work.stages[n].needs)
+                if (follows[need] && work.pieces[n] > 0 && !follows[n]) {
+                    follows[n] = true;
+                    out.push_back(work.stages[n].pool);
+                }
+        return out;
+    }
+
     /// Every piece fetches all inputs, and every piece of a following stage all results.
     std::uint64_t transfer_bytes(std::size_t index) const
     {
@@ -268,8 +285,8 @@
 };
 
 stage_chain::stage_chain(asio::any_io_executor executor, fleet& peers, feeder& local,
-                         result_returns& returns)
-    : executor_(std::move(executor)), fleet_(peers), feeder_(local), returns_(returns)
+                         result_returns& returns, const endpoint_book& book)
+    : executor_(std::move(executor)), fleet_(peers), feeder_(local), returns_(returns), book_(book)
 {
 }
 
@@ -370,6 +387,7 @@
     order.domain = state->work.domain;
     order.result_bytes = spec.result_bytes;
     order.transfer_bytes = state->transfer_bytes(index);
+    order.next_pools = state->next_pools(index);
     order.priority = state->work.priority;
     order.worth = state->work.worth;
     auto result = co_await self.place_order(state, index, std::move(order));
@@ -404,18 +422,29 @@
     state->notify();
 }
 
+/// One instance runs all stage pools of a small site, so that it sees a later stage's queue when it begins an
+/// earlier one. On a large site each failure domain has one, for the endpoints there.
+std::string stage_chain::group_of(const run_state& state) const
+{
+    std::size_t endpoints = 0;
+    for (const auto& [name, it] : state.table->pools)
+        if (it.stage)
+            endpoints += book_.members(name).size();
+    return endpoints >= endpoints_for_domains ? state.work.domain : std::string();
+}
+
 /// Places the order at the responsible instance; when that one is silent or refuses, at the next one.
 awaitable<order_result> stage_chain::place_order(std::shared_ptr<run_state> state, std::size_t index,
                                                  stage_order order)
 {
-    const std::string pool = state->work.stages[index].pool;
+    pool_key where{group_of(*state), state->work.stages[index].pool};
     order_result last;
     last.reason = "no instance runs the pool";
     std::vector<std::string> tried;
     for (std::size_t n = 0; n < max_places && !state->abandoned; ++n) {
         const time_point now = boot_clock::now();
         std::string place = fleet_.view().own().name;
-        for (const auto& it : by_responsibility(pool, fleet_.view().live(now, true)))
+        for (const auto& it : by_responsibility("stages/" + where.group, fleet_.view().live(now, true)))
             if (std::find(tried.begin(), tried.end(), it.name) == tried.end()) {
                 place = it.name;
                 break;
@@ -425,16 +454,22 @@
         tried.push_back(place);
         state->placed_at[index] = place;
         stage_order copy = order;
-        auto result = co_await order_at(state, place, pool, std::move(copy));
+        pool_key part = where;
+        auto result = co_await order_at(state, place, std::move(part), std::move(copy));
         if (result && result->how == order_result::status::done)
             co_return std::move(*result);
         if (result)
             last = std::move(*result);
         log::warning("stage_order_moved", {{"request", order.request_id},
                                            {"stage", fmt::to_string(order.stage)},
-                                           {"pool", pool},
+                                           {"pool", where.pool},
                                            {"from", place},
                                            {"reason", result ? last.reason : "no answer"}});
+        // The domain may have no endpoint of the pool left; those of other domains are open to everyone.
+        if (result && !where.group.empty()) {
+            where.group.clear();
+            tried.clear();
+        }
     }
     last.how = order_result::status::refused;
     co_return last;
@@ -442,7 +477,7 @@
 
 /// Asks one instance until the order ends. nullopt when the instance is silent.
 awaitable<std::optional<order_result>> stage_chain::order_at(std::shared_ptr<run_state> state,
-                                                             std::string name, std::string pool,
+                                                             std::string name, pool_key where,
                                                              stage_order order)
 {
     const bool local = name == fleet_.view().own().name;
@@ -453,17 +488,18 @@
         result.reset();
         if (local) {
             stage_order copy = order;
-            result = co_await feeder_.run(pool, std::move(copy), order_patience);
+            pool_key place = where;
+            result = co_await feeder_.run(std::move(place), std::move(copy), order_patience);
         } else {
             wire::frame message;
-            message.__set_stage_order(to_message(order, pool, now));
+            message.__set_stage_order(to_message(order, where, now));
             auto reply = co_await fleet_.call(name, std::move(message), now + order_patience + order_slack);
             if (reply && reply->__isset.stage_result)
                 result = from_message(reply->stage_result, pieces);
         }
         if (!result)
             co_return std::nullopt;
-        note_backlog(pool, result->backlog, boot_clock::now());
+        note_backlog(where.pool, result->backlog, boot_clock::now());
         if (result->how != order_result::status::in_progress)
             break;
     }
--- a/lib/gateway/stage_chain.hpp
+++ b/lib/gateway/stage_chain.hpp
@@ -7,6 +7,7 @@
 #include "fleet.hpp"
 #include "result_returns.hpp"
 
+#include <limpetlock/gateway/endpoint_book.hpp>
 #include <limpetlock/gateway/model.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -46,7 +47,7 @@
 class stage_chain {
 public:
     stage_chain(boost::asio::any_io_executor executor, fleet& peers, feeder& local,
-                result_returns& returns);
+                result_returns& returns, const endpoint_book& book);
 
     /// Whoever gives up the returned coroutine cancels what it has ordered. The caller gives the inputs back.
     boost::asio::awaitable<stage_outcome> run(stage_work work,
@@ -68,10 +69,11 @@
     boost::asio::awaitable<order_result> place_order(std::shared_ptr<run_state> state, std::size_t index,
                                                      stage_order order);
     boost::asio::awaitable<std::optional<order_result>>
-    order_at(std::shared_ptr<run_state> state, std::string name, std::string pool, stage_order order);
+    order_at(std::shared_ptr<run_state> state, std::string name, pool_key where, stage_order order);
     void note_backlog(const std::string& pool, duration backlog, time_point now);
     boost::asio::awaitable<void> cancel_at(std::string name, std::string request_id, std::uint32_t stage);
     void give_up(run_state& state);
+    std::string group_of(const run_state& state) const;
 
     struct known_backlog {
         duration length{0};
@@ -82,6 +84,7 @@
     fleet& fleet_;
     feeder& feeder_;
     result_returns& returns_;
+    const endpoint_book& book_;
     std::map<std::string, known_backlog, std::less<>> backlogs_;
 };
 
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -28,6 +28,9 @@
 /// An endpoint that is slower than this takes a call only when no other one is free soon.
 constexpr double slow_limit = 1.8;
 
+/// Weight of one call in the usual number of pieces.
+constexpr double usual_pieces_weight = 0.1;
+
 constexpr double bytes_per_mb = 1e6;
 
 /// Part of an endpoint's room that is planned with; sizes of results are approximate.
@@ -115,20 +118,21 @@
     return best;
 }
 
-std::optional<stage_dispatch> stage_dispatcher::next(time_point now)
+std::optional<stage_dispatch> stage_dispatcher::next(time_point now, const order_filter& held)
 {
     std::vector<std::string> passed;
     while (!queue_.empty()) {
         target* const to = pick(now, passed);
         if (to == nullptr)
             return std::nullopt;
-        auto pieces = queue_.take_batch(options_, to->who.domain, free_times(now), room_of(*to), now);
+        auto pieces = queue_.take_batch(options_, to->who.domain, free_times(now), room_of(*to), held, now);
         if (pieces.empty()) {
             passed.push_back(to->who.id);
             continue;
         }
         const duration expected(static_cast<std::int64_t>(
             static_cast<double>(call_time(pieces.size()).count()) * std::max(1.0, to->slowness)));
+        note_batch(pieces.size());
         to->busy = true;
         to->busy_until = now + expected;
         const duration patience(
@@ -166,6 +170,15 @@
     queue_.push(std::move(it));
 }
 
+/// A call that leaves pieces behind shows how many fit: the batch, or less when room is short.
+void stage_dispatcher::note_batch(std::size_t pieces)
+{
+    if (usual_pieces_ <= 0)
+        usual_pieces_ = static_cast<double>(options_.size);
+    if (queue_.size() >= options_.size / 2 || pieces == options_.size)
+        usual_pieces_ += usual_pieces_weight * (static_cast<double>(pieces) - usual_pieces_);
+}
+
 void stage_dispatcher::punish(target& it, duration base, time_point now)
 {
     const auto factor = std::int64_t{1} << std::min<std::uint32_t>(it.failures, 4);
@@ -223,7 +236,7 @@
     }
     if (speed <= 0)
         return duration(std::chrono::seconds(60));
-    const auto batch = static_cast<double>(options_.size);
+    const auto batch = std::max(1.0, usual_pieces_ > 0 ? usual_pieces_ : static_cast<double>(options_.size));
     const double calls = std::ceil(static_cast<double>(queue_.size()) / batch);
     const double work = running_ms + calls * figures_.call_ms +
                         static_cast<double>(queue_.size()) * figures_.piece_ms;
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -187,6 +187,8 @@
   11: i32 priority;
   12: double worth;       // relative worth of one piece
   13: i64 transfer_bytes; // fetched for these pieces and from them
+  14: string group;       // failure domain whose endpoints are used; empty for all
+  15: list<string> next_pools; // of the stages that follow
 }
 
 struct piece_result_message {
