--- a/lib/gateway/feeder.cpp
+++ b/lib/gateway/feeder.cpp
@@ -32,10 +32,10 @@
 
 /// An endpoint has fetched the inputs of a call this long after the call was sent: a megabyte or two over the
 /// links of stage endpoints.
-constexpr duration input_fetch_time{70};
+constexpr duration input_fetch_time{40};
 
 /// A pool is congested when it needs longer than this for what waits and runs there: a call and a half.
-constexpr duration congested_backlog{550};
+constexpr duration congested_backlog{1'200};
 
 std::vector<std::string> handles_of(const std::vector<result_group>& groups)
 {
--- a/lib/gateway/piece_queue.cpp
+++ b/lib/gateway/piece_queue.cpp
@@ -95,23 +95,32 @@
     };
     std::size_t places = options.size;
     std::map<const stage_order*, std::size_t> chosen;
-    for (const auto& it : orders) {
-        if (places == 0)
-            break;
-        const bool local_soon = waits_for_local(it);
-        if (it.order->deadline < now + least || local_soon || (held && held(*it.order)))
-            continue;
+    const auto choose = [&](const waiting_order& it) {
         // An order is split only when it could never fit.
-        if (it.pieces > places && it.pieces <= options.size)
-            continue;
+        if (places == 0 || (it.pieces > places && it.pieces <= options.size))
+            return;
         const std::size_t count = std::min(places, it.pieces);
         const std::uint64_t bytes = it.order->result_bytes * count;
         if (bytes > room)
-            continue;
+            return;
         chosen.emplace(it.order, count);
         places -= count;
         room -= bytes;
+    };
+    std::vector<waiting_order> elsewhere;
+    for (const auto& it : orders) {
+        const bool local_soon = waits_for_local(it);
+        if (it.order->deadline < now + least || (held && held(*it.order)))
+            continue;
+        if (local_soon)
+            elsewhere.push_back(it);
+        else
+            choose(it);
     }
+    // A fixed cost of the call that more pieces share is worth more than locality once the pool is short.
+    if (!chosen.empty() && waiting_.size() > options.crowded_pieces)
+        for (const auto& it : elsewhere)
+            choose(it);
     std::vector<queued_piece> out;
     for (auto it = waiting_.begin(); it != waiting_.end() && out.size() < options.size;) {
         const auto wanted = chosen.find(it->order.get());
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -43,7 +43,7 @@
 
 /// An engine without a queue has fetched its inputs this long after the request was sent, before it reads the
 /// prompt. Their room is free then.
-constexpr duration input_fetch_time{80};
+constexpr duration input_fetch_time{45};
 
 constexpr std::size_t max_answer_bytes = std::size_t{8} * 1024 * 1024;
 
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -28,6 +28,9 @@
 /// An endpoint that is slower than this takes a call only when no other one is free soon.
 constexpr double slow_limit = 1.8;
 
+/// A pool in which more than this many batches wait is short of endpoints.
+constexpr std::size_t crowded_batches = 1;
+
 /// Weight of one call in the usual number of pieces.
 constexpr double usual_pieces_weight = 0.1;
 
@@ -37,7 +40,7 @@
 constexpr double bytes_per_mb = 1e6;
 
 /// Part of an endpoint's room that is planned with; sizes of results are approximate.
-constexpr double usable_room = 0.95;
+constexpr double usable_room = 1.0;
 
 } // namespace
 
@@ -47,6 +50,7 @@
     options_.size = std::max<std::uint32_t>(1, figures.batch);
     options_.call_ms = figures.call_ms;
     options_.piece_ms = figures.piece_ms;
+    options_.crowded_pieces = options_.size * crowded_batches;
     std::map<std::string, target, std::less<>> next;
     for (auto& it : endpoints) {
         if (it.leaving)
