Admit by what goes ahead of a request; hold first stages by all that waits

Late and held work counted as backlog, so that short requests were refused for queues that they would have passed.

--- a/include/limpetlock/gateway/piece_queue.hpp
+++ b/include/limpetlock/gateway/piece_queue.hpp
@@ -82,6 +82,9 @@
     /// Drops the pieces of an order.
     void cancel(std::string_view request_id, std::uint32_t stage);
 
+    /// Pieces that are wanted at that time or later and are not held.
+    std::size_t count_in_time(time_point wanted, const order_filter& held) const;
+
     bool empty() const { return waiting_.empty(); }
     std::size_t size() const { return waiting_.size(); }
 
--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -55,9 +55,12 @@
 
     std::vector<queued_piece> expire(time_point now) { return queue_.expire(options_, now); }
 
-    /// Time that the pool needs for what waits and runs now.
+    /// Time that the pool needs for all that runs and waits now.
     duration backlog(time_point now) const;
 
+    /// The same for what goes before a new order: orders that `held` names and late ones don't.
+    duration backlog_ahead(time_point now, const order_filter& held) const;
+
     /// Expected time of a call with this many pieces.
     duration call_time(std::size_t pieces) const;
 
@@ -89,6 +92,7 @@
     void punish(target& it, duration base, time_point now);
     std::uint64_t room_of(const target& it) const;
     void note_batch(std::size_t pieces);
+    duration time_for(std::size_t waiting, time_point now) const;
 
     stage_figures figures_;
     batch_options options_;
--- a/lib/gateway/feeder.cpp
+++ b/lib/gateway/feeder.cpp
@@ -35,7 +35,7 @@
 constexpr duration input_fetch_time{40};
 
 /// A pool is congested when it needs longer than this for what waits and runs there: a call and a half.
-constexpr duration congested_backlog{1'200};
+constexpr duration congested_backlog{700};
 
 std::vector<std::string> handles_of(const std::vector<result_group>& groups)
 {
@@ -194,7 +194,8 @@
         co_await it->done.async_wait(quiet);
     }
     it->last_asked = boot_clock::now();
-    out.backlog = state->dispatcher.backlog(it->last_asked);
+    const order_filter held = [&](const stage_order& one) { return is_held(where.group, one, it->last_asked); };
+    out.backlog = state->dispatcher.backlog_ahead(it->last_asked, held);
     if (it->cancelled) {
         out.reason = "cancelled";
         co_return out;
--- a/lib/gateway/piece_queue.cpp
+++ b/lib/gateway/piece_queue.cpp
@@ -152,6 +152,13 @@
     return out;
 }
 
+std::size_t piece_queue::count_in_time(time_point wanted, const order_filter& held) const
+{
+    return static_cast<std::size_t>(std::count_if(waiting_.begin(), waiting_.end(), [&](const queued_piece& it) {
+        return it.order->wanted_by >= wanted && !(held && held(*it.order));
+    }));
+}
+
 void piece_queue::cancel(std::string_view request_id, std::uint32_t stage)
 {
     waiting_.remove_if([&](const queued_piece& it) {
--- a/lib/gateway/stage_chain.cpp
+++ b/lib/gateway/stage_chain.cpp
@@ -33,7 +33,7 @@
 
 /// A stage beside the chain begins when the chain is expected to reach its last stage this much later than
 /// the stage would end. It covers the wait for a free endpoint.
-constexpr duration align_margin{150};
+constexpr duration align_margin{250};
 
 /// A site with this many endpoints in its stage pools has one responsible instance for each failure domain; a
 /// smaller one has one for all, which forms fuller batches.
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -231,6 +231,17 @@
 }
 
 duration stage_dispatcher::backlog(time_point now) const
+{
+    return time_for(queue_.size(), now);
+}
+
+duration stage_dispatcher::backlog_ahead(time_point now, const order_filter& held) const
+{
+    return time_for(queue_.count_in_time(now + call_time(1), held), now);
+}
+
+/// Time for the running calls and this many pieces.
+duration stage_dispatcher::time_for(std::size_t waiting, time_point now) const
 {
     double speed = 0;
     double running_ms = 0;
@@ -244,9 +255,8 @@
     if (speed <= 0)
         return unknown_backlog;
     const auto batch = std::max(1.0, usual_pieces_ > 0 ? usual_pieces_ : static_cast<double>(options_.size));
-    const double calls = std::ceil(static_cast<double>(queue_.size()) / batch);
-    const double work = running_ms + calls * figures_.call_ms +
-                        static_cast<double>(queue_.size()) * figures_.piece_ms;
+    const auto pieces = static_cast<double>(waiting);
+    const double work = running_ms + std::ceil(pieces / batch) * figures_.call_ms + pieces * figures_.piece_ms;
     return duration(static_cast<std::int64_t>(work / speed));
 }
 
