--- a/include/limpetlock/gateway/piece_queue.hpp
+++ b/include/limpetlock/gateway/piece_queue.hpp
@@ -53,6 +53,8 @@
     duration local_patience{600};
     /// While they can be in time, they wait for this part of their slack at most.
     double local_slack_share{0.4};
+    /// An order goes before another one of the next lower priority unless that one is wanted earlier by more.
+    duration priority_lead{800};
     /// While more pieces than this wait, a call also takes pieces that wait for an endpoint of their own domain.
     std::size_t crowded_pieces{SIZE_MAX};
     /// Every n-th batch begins with the pieces that wait longest, so that nothing is passed over for ever.
--- a/lib/gateway/piece_queue.cpp
+++ b/lib/gateway/piece_queue.cpp
@@ -15,6 +15,8 @@
         static_cast<std::int64_t>(options.call_ms + options.piece_ms * static_cast<double>(pieces)));
 }
 
+constexpr std::int64_t lowest_priority = 9;
+
 /// Pieces of one order that wait together.
 struct waiting_order {
     const stage_order* order{nullptr};
@@ -57,8 +59,8 @@
     waiting_.push_back(std::move(it));
 }
 
-/// Orders that can still be in time go first, the one with the least slack at the front; then those that are
-/// late already, by their deadline. Late ones are worth little, and serving them first would make the others
+/// Orders that can still be in time go first, the one with the least slack at the front, with a lead for more
+/// urgent ones; then those that are late already, by their deadline. Late ones are worth little, and serving them first would make the others
 /// late as well.
 std::vector<queued_piece> piece_queue::take_batch(const batch_options& options, std::string_view domain,
                                                   const domain_free_times& free,
@@ -70,13 +72,16 @@
     const bool oldest_first =
         options.oldest_first_every > 0 && batches_ % options.oldest_first_every == options.oldest_first_every - 1;
     const auto is_late = [&](const waiting_order& it) { return it.order->wanted_by < now + least; };
+    const auto lead = [&](const waiting_order& it) {
+        return options.priority_lead * std::clamp<std::int64_t>(it.order->priority, 0, lowest_priority);
+    };
     std::sort(orders.begin(), orders.end(), [&](const waiting_order& a, const waiting_order& b) {
         if (oldest_first)
             return a.queued < b.queued;
         const bool late_a = is_late(a);
         const bool late_b = is_late(b);
-        const auto end_a = late_a ? a.order->deadline : a.order->wanted_by;
-        const auto end_b = late_b ? b.order->deadline : b.order->wanted_by;
+        const auto end_a = (late_a ? a.order->deadline : a.order->wanted_by) + lead(a);
+        const auto end_b = (late_b ? b.order->deadline : b.order->wanted_by) + lead(b);
         return std::tie(late_a, end_a) < std::tie(late_b, end_b);
     });
     std::map<std::string_view, std::size_t> pieces_ahead;
--- a/unittests/gateway/dispatch_test.cpp
+++ b/unittests/gateway/dispatch_test.cpp
@@ -46,6 +46,7 @@
     std::int64_t deadline_ms{10'000};
     std::string domain{"a"};
     std::uint64_t bytes{1'000};
+    int priority{0};
 };
 
 std::shared_ptr<const stage_order> make_order(const order_spec& it)
@@ -57,6 +58,7 @@
     out->wanted_by = at(it.wanted_ms);
     out->deadline = at(it.deadline_ms);
     out->domain = it.domain;
+    out->priority = it.priority;
     out->result_bytes = it.bytes;
     out->transfer_bytes = it.bytes * it.pieces;
     return out;
@@ -111,6 +113,23 @@
     cr_expect_eq(requests_in(call->pieces), (std::set<std::string>{"in-time"}));
 }
 
+// Pattern: less urgent requests with a later objective that have waited long crowd out urgent ones.
+Test(stage_dispatcher, urgent_work_has_a_bounded_lead)
+{
+    stage_dispatcher it;
+    it.configure(figures(1), {endpoint_named("one")});
+    it.submit(make_order({"background", 1, 2'000, 10'000, "a", 1'000, 2}), at(0));
+    it.submit(make_order({"urgent", 1, 2'500, 10'000, "a", 1'000, 0}), at(1));
+    auto call = it.next(at(1));
+    cr_assert(call.has_value());
+    cr_expect_eq(requests_in(call->pieces), (std::set<std::string>{"urgent"}));
+    it.finished(call->call, call_outcome::answered, at(250));
+    it.submit(make_order({"later", 1, 6'000, 10'000, "a", 1'000, 0}), at(251));
+    call = it.next(at(251));
+    cr_assert(call.has_value());
+    cr_expect_eq(requests_in(call->pieces), (std::set<std::string>{"background"}));
+}
+
 Test(stage_dispatcher, late_work_is_not_passed_over_for_ever)
 {
     stage_dispatcher it;
