--- a/include/limpetlock/gateway/model.hpp
+++ b/include/limpetlock/gateway/model.hpp
@@ -45,6 +45,7 @@
     duration timeout{0};   ///< longest time until the final answer
     duration objective{0}; ///< answer or first event within this time earns full credit
     duration gap_objective{0};
+    duration patience{0}; ///< callers leave a stream without a first event after this; 0 when unknown
     std::vector<pool_share> targets;
     std::vector<stage_spec> stages;
 
--- a/lib/gateway/piece_queue.cpp
+++ b/lib/gateway/piece_queue.cpp
@@ -17,6 +17,9 @@
 
 constexpr std::int64_t lowest_priority = 9;
 
+/// Late work of a higher priority has a lead of this many times the usual one.
+constexpr std::int64_t late_lead = 4;
+
 /// Pieces of one order that wait together.
 struct waiting_order {
     const stage_order* order{nullptr};
@@ -60,7 +63,7 @@
 }
 
 /// Orders that can still be in time go first, the one with the least slack at the front, with a lead for more
-/// urgent ones; then those that are late already, by their deadline. Late ones are worth little, and serving them first would make the others
+/// urgent ones; then those that are late already. Late ones are worth little, and serving them first would make the others
 /// late as well.
 std::vector<queued_piece> piece_queue::take_batch(const batch_options& options, std::string_view domain,
                                                   const domain_free_times& free,
@@ -80,8 +83,8 @@
             return a.queued < b.queued;
         const bool late_a = is_late(a);
         const bool late_b = is_late(b);
-        const auto end_a = (late_a ? a.order->deadline : a.order->wanted_by) + lead(a);
-        const auto end_b = (late_b ? b.order->deadline : b.order->wanted_by) + lead(b);
+        const auto end_a = a.order->wanted_by + lead(a) * (late_a ? late_lead : 1);
+        const auto end_b = b.order->wanted_by + lead(b) * (late_b ? late_lead : 1);
         return std::tie(late_a, end_a) < std::tie(late_b, end_b);
     });
     std::map<std::string_view, std::size_t> pieces_ahead;
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -234,6 +234,8 @@
     it.work.pieces = it.request.stage_pieces;
     it.work.key = it.request.piece_key;
     it.work.deadline = it.deadline - engine_first_event;
+    if (it.way->patience > duration{0})
+        it.work.deadline = std::min(it.work.deadline, it.arrival + it.way->patience - engine_first_event);
     it.work.wanted_by = it.arrival + it.way->objective - engine_first_event;
     it.work.priority = it.priority;
     if (const auto engine = parts_.book.choose(it.wish, it.arrival))
