--- a/include/limpetlock/gateway/settings.hpp
+++ b/include/limpetlock/gateway/settings.hpp
@@ -30,7 +30,8 @@
     std::string name;
     std::string domain;
     http::address caller;  ///< listener for callers
-    http::address ready;   ///< listener for readiness checks and metrics
+    http::address ready;   ///< listener for readiness checks
+    http::address metrics; ///< listener for metrics
     http::address peer;    ///< listener for other instances
     http::address store;   ///< the platform's published state
     std::vector<http::address> seeds;
--- a/include/limpetlock/support/log.hpp
+++ b/include/limpetlock/support/log.hpp
@@ -1,7 +1,9 @@
 /// \file
-/// Structured log lines to standard error: one line per change of state, written as key=value pairs.
+/// Structured log lines to standard output: one line for each decision and change of state, written as
+/// key=value pairs.
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -20,9 +22,12 @@
 /// Parses a level name; false for an unknown one.
 bool set_level(std::string_view name);
 
-/// Writes `ts=... level=... event=... key=value ...` as one write to standard error.
+/// Writes `ts=... level=... event=... key=value ...` as one write to standard output. Never waits.
 void line(level severity, std::string_view event, std::initializer_list<field> fields = {});
 
+/// Lines that standard output did not take at once.
+std::uint64_t dropped();
+
 inline void info(std::string_view event, std::initializer_list<field> fields = {})
 {
     line(level::info, event, fields);
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -53,6 +53,9 @@
 /// Instances that watch the store at the same time. Three, so that one may die and one be cut off.
 constexpr std::size_t watching_instances = 3;
 
+/// The settings file may change without a signal.
+constexpr duration settings_interval{2'000};
+
 constexpr duration connect_timeout{350};
 constexpr std::size_t idle_connections = 8;
 
@@ -215,6 +218,9 @@
         ready = std::make_unique<http::server>(
             io.get_executor(), settings.ready.host, settings.ready.port, http::server_limits{},
             [this](http::exchange& it) -> awaitable<void> { co_await serve_ready(it); });
+        metrics_page = std::make_unique<http::server>(
+            io.get_executor(), settings.metrics.host, settings.metrics.port, http::server_limits{},
+            [this](http::exchange& it) -> awaitable<void> { co_await serve_metrics(it); });
     }
 
     /// Why the instance is not ready; empty when it is.
@@ -233,20 +239,27 @@
 
     awaitable<void> serve_ready(http::exchange& it)
     {
-        const std::string& target = it.message().target;
         http::response answer;
         if (names->is_readiness_check(it.message())) {
             const std::string reason = not_ready_because(boot_clock::now());
             note_readiness(reason);
             answer = http::json_response(reason.empty() ? 200 : 503, reason.empty() ? "{}" : "{\"ready\":false}");
-        } else if (target == "/metrics") {
-            answer = {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.render()};
         } else {
             answer = http::json_response(404, "{\"error\":\"no such page\"}");
         }
         co_await it.respond(std::move(answer));
     }
 
+    awaitable<void> serve_metrics(http::exchange& it)
+    {
+        http::response answer = http::json_response(404, "{\"error\":\"no such page\"}");
+        if (it.message().target == "/metrics") {
+            dropped_lines.set(static_cast<std::int64_t>(log::dropped()));
+            answer = {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.render()};
+        }
+        co_await it.respond(std::move(answer));
+    }
+
     void note_readiness(const std::string& reason)
     {
         if (reason == last_readiness)
@@ -273,15 +286,37 @@
         hangups.async_wait([this](const boost::system::error_code& ec, int) {
             if (ec)
                 return;
-            std::string reason;
-            const auto next = reload(reason);
-            if (next)
-                settings.seeds = next->seeds;
-            log::info("settings_reloaded", {{"ok", next ? "yes" : "no"}, {"reason", reason.empty() ? "-" : reason}});
+            take_settings(true);
             watch_hangups();
         });
     }
 
+    /// Addresses and bounds hold for the life of the process; the seeds may change. A change without a signal
+    /// is told only when there is one.
+    void take_settings(bool asked)
+    {
+        std::string reason;
+        const auto next = reload(reason);
+        const bool changed = next && next->seeds != settings.seeds;
+        if (changed)
+            settings.seeds = next->seeds;
+        if (asked || changed)
+            log::info("settings_reloaded", {{"ok", next ? "yes" : "no"},
+                                            {"seeds", fmt::to_string(settings.seeds.size())},
+                                            {"changed", changed ? "yes" : "no"},
+                                            {"reason", reason.empty() ? "-" : reason}});
+    }
+
+    awaitable<void> settings_loop()
+    {
+        asio::steady_timer timer(io);
+        for (;;) {
+            timer.expires_after(settings_interval);
+            co_await timer.async_wait(quiet);
+            take_settings(false);
+        }
+    }
+
     awaitable<void> stop_loop()
     {
         asio::steady_timer timer(io);
@@ -317,6 +352,7 @@
         peers.start();
         watch_signals();
         watch_hangups();
+        asio::co_spawn(io, settings_loop(), asio::detached);
         log::info("started", {{"instance", settings.name},
                               {"failure_domain", settings.domain},
                               {"caller", fmt::format("{}:{}", settings.caller.host, settings.caller.port)},
@@ -334,6 +370,8 @@
     settings_source reload;
     asio::io_context io{1};
     metrics::registry metrics;
+    metrics::gauge& dropped_lines{
+        metrics.get_gauge("limpetlock_log_lines_dropped", "log lines that standard output did not take")};
     std::vector<endpoint> endpoints;
     endpoint_book book;
     published_state state;
@@ -348,6 +386,7 @@
     request_handler handler;
     std::unique_ptr<http::server> caller;
     std::unique_ptr<http::server> ready;
+    std::unique_ptr<http::server> metrics_page;
     lifecycle::stop_sequence stop;
     asio::signal_set signals;
     asio::signal_set hangups;
--- a/lib/support/log.cpp
+++ b/lib/support/log.cpp
@@ -3,10 +3,13 @@
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <array>
 #include <atomic>
 #include <chrono>
-#include <cstdio>
+#include <cstdint>
 #include <iterator>
 
 namespace limpetlock::log {
@@ -16,6 +19,7 @@
 constexpr std::array<std::string_view, 4> level_names{"debug", "info", "warning", "error"};
 
 std::atomic<level> lowest_level{level::info};
+std::atomic<std::uint64_t> dropped_lines{0};
 
 bool needs_quotes(std::string_view text)
 {
@@ -37,8 +41,23 @@
     buf.push_back('"');
 }
 
+/// Writes without waiting: a line that standard output can't take at once is dropped and counted. Lines of up
+/// to PIPE_BUF bytes are written whole or not at all.
+void write_line(std::string_view text)
+{
+    pollfd out{STDOUT_FILENO, POLLOUT, 0};
+    const bool writable = poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0;
+    if (!writable || write(STDOUT_FILENO, text.data(), text.size()) < 0)
+        dropped_lines.fetch_add(1, std::memory_order_relaxed);
+}
+
 } // namespace
 
+std::uint64_t dropped()
+{
+    return dropped_lines.load(std::memory_order_relaxed);
+}
+
 void set_level(level lowest)
 {
     lowest_level = lowest;
@@ -73,7 +92,7 @@
         append_value(buf, value);
     }
     buf.push_back('\n');
-    std::fwrite(buf.data(), 1, buf.size(), stderr);
+    write_line(std::string_view(buf.data(), buf.size()));
 }
 
 } // namespace limpetlock::log
