Close a connection after an answer that began before the stop; refuse what arrives while draining

The header of a stream that began before the stop promised to keep the connection, so its caller sent the next request there, which could not end before the kill.

--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -337,8 +337,10 @@
         using lifecycle::stop_action;
         if (it == stop_action::announce)
             peers.announce_stop();
-        if (it == stop_action::refuse_new_work)
+        if (it == stop_action::refuse_new_work) {
+            handler.refuse_new_work();
             caller->stop_accepting();
+        }
         if (it != stop_action::close)
             co_return;
         asio::steady_timer timer(io, close_grace);
--- a/lib/http/connection.cpp
+++ b/lib/http/connection.cpp
@@ -129,6 +129,7 @@
     void expire_after(duration wait) { timer_.set(deadline_timer::after(wait), shared_from_this()); }
     bool gone();
     bool has_unread_bytes();
+    bool ends_with_listener();
     void reset_on_close();
     void close_socket();
 
@@ -187,7 +188,7 @@
         next = co_await self->read_request();
     while (next) {
         co_await self->serve();
-        next = self->complete_ && self->keep_alive_;
+        next = self->complete_ && self->keep_alive_ && !self->ends_with_listener();
         if (next)
             next = co_await self->read_request();
     }
@@ -236,6 +237,13 @@
     return buffer_.size() > 0 || look_at_peer(socket_) == peer_state::pending;
 }
 
+/// A listener that stops closes a connection after its answer, also when the header of the answer was sent
+/// before the stop and promised to keep it. A request that is there already is still served.
+bool caller_connection::ends_with_listener()
+{
+    return core_->stopping && !has_unread_bytes();
+}
+
 asio::awaitable<bool> caller_connection::read_request()
 {
     bool ok = co_await wait_for_request();
--- a/unittests/http/server_test.cpp
+++ b/unittests/http/server_test.cpp
@@ -367,6 +367,36 @@
     }));
 }
 
+/// Streams one chunk, waits for release and ends the stream.
+asio::awaitable<void> stream_until_released(exchange& io)
+{
+    bool ok = co_await io.begin_stream(200, {});
+    if (ok)
+        ok = co_await io.write("begun");
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (released == 0) {
+        timer.expires_after(1ms);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    co_await io.finish();
+}
+
+// Guards against requests that a stopping process takes on a connection whose answer began before the stop: the
+// header of that answer promised to keep the connection, and its next request could not end in time.
+Test(server, connection_closes_after_a_stream_that_began_before_the_stop)
+{
+    fixture it(stream_until_released);
+    raw_peer busy(it.host.port());
+    busy.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(busy.read_until("begun").find("Connection: close") == std::string::npos);
+    it.host.stop_accepting();
+    released = 1;
+    busy.read_until("0\r\n\r\n");
+    const auto ended = std::chrono::steady_clock::now();
+    cr_assert_eq(busy.read_all(), "");
+    cr_assert(std::chrono::steady_clock::now() - ended < 200ms);
+}
+
 // Guards against an address fault that is found only at the first request, or that names nothing.
 Test(server, address_in_use_throws)
 {
