--- a/include/limpetlock/gateway/model.hpp
+++ b/include/limpetlock/gateway/model.hpp
@@ -54,12 +54,12 @@
 
 /// Figures of one endpoint of a stage pool.
 struct stage_figures {
-    std::uint32_t calls{1};    ///< calls that run at the same time
-    std::uint32_t queue{0};    ///< calls that may wait
-    std::uint32_t batch{1};    ///< pieces in one call
-    double call_ms{0};         ///< fixed cost of a call
-    double piece_ms{0};        ///< cost of each piece
-    double result_room_mb{0};  ///< memory for results that wait to be fetched
+    std::uint32_t calls{1};   ///< calls that run at the same time
+    std::uint32_t queue{0};   ///< calls that may wait
+    std::uint32_t batch{1};   ///< pieces in one call
+    double call_ms{0};        ///< fixed cost of a call
+    double piece_ms{0};       ///< cost of each piece
+    double result_room_mb{0}; ///< memory for results that wait to be fetched
     duration result_lifetime{0};
 
     friend bool operator==(const stage_figures&, const stage_figures&) = default;
@@ -157,8 +157,8 @@
     duration time_left{0};
     std::string endpoint_id;
     std::optional<std::string> team;
-    std::optional<int> priority;              ///< 0 (first) to 9
-    std::vector<std::string> inputs;          ///< handles of the stage results
+    std::optional<int> priority;               ///< 0 (first) to 9
+    std::vector<std::string> inputs;           ///< handles of the stage results
     std::optional<std::uint64_t> resume_after; ///< id of the last event that the caller has
 };
 
--- a/include/limpetlock/gateway/piece_queue.hpp
+++ b/include/limpetlock/gateway/piece_queue.hpp
@@ -24,9 +24,9 @@
     std::vector<std::uint32_t> pieces;
     std::string key;
     std::vector<result_group> inputs;
-    time_point deadline{};  ///< after this the results are of no use
-    time_point wanted_by{}; ///< results by this time let the request meet its objective
-    std::string domain;     ///< where the results will be fetched
+    time_point deadline{};         ///< after this the results are of no use
+    time_point wanted_by{};        ///< results by this time let the request meet its objective
+    std::string domain;            ///< where the results will be fetched
     std::uint64_t result_bytes{0}; ///< of one piece
     /// Bytes that endpoints fetch for these pieces, and from them. They are dear across failure domains.
     std::uint64_t transfer_bytes{0};
@@ -55,7 +55,8 @@
     double local_slack_share{0.4};
     /// An order goes before another one of the next lower priority unless that one is wanted earlier by more.
     duration priority_lead{800};
-    /// While more pieces than this wait, a call also takes pieces that wait for an endpoint of their own domain.
+    /// While more pieces than this wait, a call also takes pieces that wait for an endpoint of their own
+    /// domain.
     std::size_t crowded_pieces{SIZE_MAX};
     /// Every n-th batch begins with the pieces that wait longest, so that nothing is passed over for ever.
     std::uint32_t oldest_first_every{4};
@@ -71,9 +72,9 @@
 public:
     void push(queued_piece it);
 
-    /// Takes the pieces of the next batch for an endpoint in `domain`. Pieces of another domain are left to its
-    /// endpoints when those will be free within their patience. Pieces whose deadline can't be met are not taken, nor
-    /// are those whose results don't fit into `room` bytes.
+    /// Takes the pieces of the next batch for an endpoint in `domain`. Pieces of another domain are left to
+    /// its endpoints when those will be free within their patience. Pieces whose deadline can't be met are
+    /// not taken, nor are those whose results don't fit into `room` bytes.
     std::vector<queued_piece> take_batch(const batch_options& options, std::string_view domain,
                                          const domain_free_times& free, std::uint64_t room,
                                          const order_filter& held, time_point now);
--- a/include/limpetlock/gateway/retry_share.hpp
+++ b/include/limpetlock/gateway/retry_share.hpp
@@ -12,9 +12,9 @@
 
 struct retry_share_options {
     double ratio{0.2};
-    double extra{0};          ///< over all instances
+    double extra{0}; ///< over all instances
     duration window{10'000};
-    double safety{0.5};       ///< part of the share that is spent, since windows of instances are not aligned
+    double safety{0.5}; ///< part of the share that is spent, since windows of instances are not aligned
 
     friend bool operator==(const retry_share_options&, const retry_share_options&) = default;
 };
--- a/include/limpetlock/gateway/settings.hpp
+++ b/include/limpetlock/gateway/settings.hpp
@@ -35,8 +35,8 @@
     http::address peer;    ///< listener for other instances
     http::address store;   ///< the platform's published state
     std::vector<http::address> seeds;
-    std::int64_t capacity{1000};  ///< thousandths of a core
-    double store_reads{0};        ///< reading calls a second for all instances together
+    std::int64_t capacity{1000}; ///< thousandths of a core
+    double store_reads{0};       ///< reading calls a second for all instances together
     operating_bounds bounds;
 
     friend bool operator==(const gateway_settings&, const gateway_settings&) = default;
--- a/include/limpetlock/peer/node.hpp
+++ b/include/limpetlock/peer/node.hpp
@@ -22,7 +22,7 @@
     std::string host; ///< IP number
     std::uint16_t port{0};
 
-    friend auto operator<=>(const address&, const address&) = default;
+    friend auto operator<=>(const address&, const address&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 enum class errc { none, unknown_peer, refused, closed, timeout };
--- a/lib/gateway/endpoint_book.cpp
+++ b/lib/gateway/endpoint_book.cpp
@@ -1,5 +1,4 @@
 #include <limpetlock/gateway/endpoint_book.hpp>
-
 #include <limpetlock/support/hash.hpp>
 
 #include <algorithm>
--- a/lib/gateway/event_framing.cpp
+++ b/lib/gateway/event_framing.cpp
@@ -28,7 +28,8 @@
 {
     buffer_.append(bytes);
     std::size_t whole = 0;
-    for (auto end = buffer_.find('\n', scanned_); end != std::string::npos; end = buffer_.find('\n', scanned_)) {
+    for (auto end = buffer_.find('\n', scanned_); end != std::string::npos;
+         end = buffer_.find('\n', scanned_)) {
         std::string_view line(buffer_.data() + scanned_, end - scanned_);
         if (line.ends_with('\r'))
             line.remove_suffix(1);
--- a/lib/gateway/feeder.cpp
+++ b/lib/gateway/feeder.cpp
@@ -119,9 +119,10 @@
     if (it == nullptr || !it->stage)
         return;
     std::vector<endpoint> members;
-    std::copy_if(endpoints_.begin(), endpoints_.end(), std::back_inserter(members), [&where](const endpoint& e) {
-        return e.pool == where.pool && (where.group.empty() || e.domain == where.group);
-    });
+    std::copy_if(endpoints_.begin(), endpoints_.end(), std::back_inserter(members),
+                 [&where](const endpoint& e) {
+                     return e.pool == where.pool && (where.group.empty() || e.domain == where.group);
+                 });
     state.result_lifetime = it->stage->result_lifetime;
     state.dispatcher.configure(*it->stage, std::move(members));
 }
@@ -194,7 +195,9 @@
         co_await it->done.async_wait(quiet);
     }
     it->last_asked = boot_clock::now();
-    const order_filter held = [&](const stage_order& one) { return is_held(where.group, one, it->last_asked); };
+    const order_filter held = [&](const stage_order& one) {
+        return is_held(where.group, one, it->last_asked);
+    };
     out.backlog = state->dispatcher.backlog_ahead(it->last_asked, held);
     if (it->cancelled) {
         out.reason = "cancelled";
@@ -283,7 +286,7 @@
         note_results(where, call, *results, now);
         take_results(state, call, *results);
     } else {
-        requeue(state, std::move(call.pieces), answer ? "refused" : error.reason);
+        requeue(state, call.pieces, answer ? "refused" : error.reason);
     }
     pump_group(where.group);
 }
@@ -367,7 +370,7 @@
             settle(call.pieces[n], results[n]);
     }
     if (!again.empty())
-        requeue(at, std::move(again), "piece failed");
+        requeue(at, again, "piece failed");
 }
 
 /// Lets a piece wait again for which the endpoint had no room.
@@ -380,10 +383,10 @@
     at.dispatcher.out_of_room(endpoint_id, std::move(piece), now);
 }
 
-void feeder::requeue(pool_state& at, std::vector<queued_piece> pieces, std::string_view reason)
+void feeder::requeue(pool_state& at, const std::vector<queued_piece>& pieces, std::string_view reason)
 {
     const time_point now = boot_clock::now();
-    for (auto& it : pieces) {
+    for (const auto& it : pieces) {
         if (!orders_.contains({it.order->request_id, it.order->stage}))
             continue;
         repeated_.add();
--- a/lib/gateway/feeder.hpp
+++ b/lib/gateway/feeder.hpp
@@ -40,7 +40,7 @@
     std::string group; ///< failure domain; empty for the whole pool
     std::string pool;
 
-    friend auto operator<=>(const pool_key&, const pool_key&) = default;
+    friend auto operator<=>(const pool_key&, const pool_key&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 class feeder {
@@ -51,6 +51,8 @@
     feeder(boost::asio::any_io_executor executor, const dialect& names, http::client& client,
            result_releaser& releaser, metrics::registry& metrics, used_inputs on_used);
     ~feeder();
+    feeder(const feeder&) = delete;
+    feeder& operator=(const feeder&) = delete;
 
     /// Takes the stage pools of a table and the endpoints that serve them.
     void configure(std::shared_ptr<const routing_table> table, std::vector<endpoint> endpoints);
@@ -82,7 +84,7 @@
     void pump(const pool_key& where);
     void pump_group(const std::string& group);
     void take_results(pool_state& at, stage_dispatch& call, const std::vector<piece_result>& results);
-    void requeue(pool_state& at, std::vector<queued_piece> pieces, std::string_view reason);
+    void requeue(pool_state& at, const std::vector<queued_piece>& pieces, std::string_view reason);
     void put_back(pool_state& at, const std::string& endpoint_id, queued_piece piece, time_point now);
     void settle(const queued_piece& piece, piece_result result);
     void note_results(const pool_key& where, const stage_dispatch& call,
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -296,8 +296,8 @@
         co_return reply;
     }
     if (message.__isset.stage_order) {
-        auto result = co_await on_.on_order(std::move(message.stage_order));
-        reply.__set_stage_result(std::move(result));
+        const auto result = co_await on_.on_order(std::move(message.stage_order));
+        reply.__set_stage_result(result);
         co_return reply;
     }
     if (message.__isset.stage_cancel)
--- a/lib/gateway/fleet_view.cpp
+++ b/lib/gateway/fleet_view.cpp
@@ -1,5 +1,4 @@
 #include <limpetlock/gateway/fleet_view.hpp>
-
 #include <limpetlock/support/hash.hpp>
 
 #include <algorithm>
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -137,7 +137,8 @@
         const time_point now = boot_clock::now();
         const auto live = peers.view().live(now, true);
         const auto order = by_responsibility("watch", live);
-        const auto end = order.begin() + static_cast<std::ptrdiff_t>(std::min(watching_instances, order.size()));
+        const auto end =
+            order.begin() + static_cast<std::ptrdiff_t>(std::min(watching_instances, order.size()));
         const bool watches =
             std::any_of(order.begin(), end, [this](const member& it) { return it.name == settings.name; });
         return {watches, live.size()};
@@ -243,7 +244,8 @@
         if (names->is_readiness_check(it.message())) {
             const std::string reason = not_ready_because(boot_clock::now());
             note_readiness(reason);
-            answer = http::json_response(reason.empty() ? 200 : 503, reason.empty() ? "{}" : "{\"ready\":false}");
+            answer =
+                http::json_response(reason.empty() ? 200 : 503, reason.empty() ? "{}" : "{\"ready\":false}");
         } else {
             answer = http::json_response(404, "{\"error\":\"no such page\"}");
         }
@@ -264,7 +266,8 @@
     {
         if (reason == last_readiness)
             return;
-        log::info("readiness", {{"ready", reason.empty() ? "yes" : "no"}, {"reason", reason.empty() ? "-" : reason}});
+        log::info("readiness",
+                  {{"ready", reason.empty() ? "yes" : "no"}, {"reason", reason.empty() ? "-" : reason}});
         last_readiness = reason;
     }
 
@@ -321,7 +324,8 @@
     {
         asio::steady_timer timer(io);
         for (;;) {
-            for (const auto it : stop.step(boot_clock::now(), handler.in_flight() + orders.open_orders(), true)) {
+            for (const auto it :
+                 stop.step(boot_clock::now(), handler.in_flight() + orders.open_orders(), true)) {
                 log::info("stop", {{"action", std::string(lifecycle::to_string(it))},
                                    {"in_flight", fmt::to_string(handler.in_flight())},
                                    {"orders", fmt::to_string(orders.open_orders())}});
--- a/lib/gateway/piece_queue.cpp
+++ b/lib/gateway/piece_queue.cpp
@@ -63,17 +63,16 @@
 }
 
 /// Orders that can still be in time go first, the one with the least slack at the front, with a lead for more
-/// urgent ones; then those that are late already. Late ones are worth little, and serving them first would make the others
-/// late as well.
+/// urgent ones; then those that are late already. Late ones are worth little, and serving them first would
+/// make the others late as well.
 std::vector<queued_piece> piece_queue::take_batch(const batch_options& options, std::string_view domain,
-                                                  const domain_free_times& free,
-                                                  std::uint64_t room, const order_filter& held,
-                                                  time_point now)
+                                                  const domain_free_times& free, std::uint64_t room,
+                                                  const order_filter& held, time_point now)
 {
     auto orders = orders_of(waiting_);
     const duration least = time_of(options, 1);
-    const bool oldest_first =
-        options.oldest_first_every > 0 && batches_ % options.oldest_first_every == options.oldest_first_every - 1;
+    const bool oldest_first = options.oldest_first_every > 0 &&
+                              batches_ % options.oldest_first_every == options.oldest_first_every - 1;
     const auto is_late = [&](const waiting_order& it) { return it.order->wanted_by < now + least; };
     const auto lead = [&](const waiting_order& it) {
         return options.priority_lead * std::clamp<std::int64_t>(it.order->priority, 0, lowest_priority);
@@ -90,8 +89,8 @@
     std::map<std::string_view, std::size_t> pieces_ahead;
     const duration full_call = time_of(options, options.size);
     const auto waits_for_local = [&](const waiting_order& it) {
-        const std::size_t ahead = std::exchange(pieces_ahead[it.order->domain],
-                                                pieces_ahead[it.order->domain] + it.pieces);
+        const std::size_t ahead =
+            std::exchange(pieces_ahead[it.order->domain], pieces_ahead[it.order->domain] + it.pieces);
         const auto home = free.find(it.order->domain);
         if (it.order->domain == domain || home == free.end() || home->second.empty())
             return false;
@@ -162,9 +161,10 @@
 
 std::size_t piece_queue::count_in_time(time_point wanted, const order_filter& held) const
 {
-    return static_cast<std::size_t>(std::count_if(waiting_.begin(), waiting_.end(), [&](const queued_piece& it) {
-        return it.order->wanted_by >= wanted && !(held && held(*it.order));
-    }));
+    return static_cast<std::size_t>(
+        std::count_if(waiting_.begin(), waiting_.end(), [&](const queued_piece& it) {
+            return it.order->wanted_by >= wanted && !(held && held(*it.order));
+        }));
 }
 
 void piece_queue::cancel(std::string_view request_id, std::uint32_t stage)
--- a/lib/gateway/published_state.cpp
+++ b/lib/gateway/published_state.cpp
@@ -1,5 +1,4 @@
 #include <limpetlock/gateway/published_state.hpp>
-
 #include <limpetlock/support/log.hpp>
 
 #include <fmt/format.h>
@@ -35,7 +34,8 @@
 
 void published_state::adopt_listing(std::vector<state_item> items, std::int64_t revision, time_point now)
 {
-    std::erase_if(items, [this](const state_item& it) { return !it.key.starts_with(names_.endpoint_prefix()); });
+    std::erase_if(items,
+                  [this](const state_item& it) { return !it.key.starts_with(names_.endpoint_prefix()); });
     if (copy_.adopt_listing(names_.endpoint_prefix(), std::move(items), revision))
         decode_endpoints(now);
 }
@@ -51,11 +51,12 @@
         log::error("table_rejected", {{"revision", fmt::to_string(it->revision)}, {"reason", reason}});
         return;
     }
-    log::info("table_in_force", {{"version", fmt::to_string(table->version)},
-                                 {"revision", fmt::to_string(it->revision)},
-                                 {"routes", fmt::to_string(table->routes.size())},
-                                 {"keys", fmt::to_string(table->teams_by_key.size())},
-                                 {"proof_age_ms", fmt::to_string(proof_age(now).value_or(duration(-1)).count())}});
+    log::info("table_in_force",
+              {{"version", fmt::to_string(table->version)},
+               {"revision", fmt::to_string(it->revision)},
+               {"routes", fmt::to_string(table->routes.size())},
+               {"keys", fmt::to_string(table->teams_by_key.size())},
+               {"proof_age_ms", fmt::to_string(proof_age(now).value_or(duration(-1)).count())}});
     table_revision_ = it->revision;
     table_ = std::make_shared<const routing_table>(std::move(*table));
     calls_.on_table(table_);
@@ -74,9 +75,9 @@
             std::string reason;
             entry = {it->revision, names_.read_endpoint(it->key, it->value, reason)};
             if (!entry.meaning)
-                log::warning("endpoint_entry_rejected", {{"key", it->key},
-                                                         {"revision", fmt::to_string(it->revision)},
-                                                         {"reason", reason}});
+                log::warning(
+                    "endpoint_entry_rejected",
+                    {{"key", it->key}, {"revision", fmt::to_string(it->revision)}, {"reason", reason}});
         }
         if (entry.meaning)
             out.push_back(*entry.meaning);
@@ -105,9 +106,8 @@
             continue;
         }
         const auto [since, added] = missing_since_.try_emplace(it.id, now);
-        const bool reused = std::any_of(present.begin(), present.end(), [&it](const endpoint& other) {
-            return other.address == it.address;
-        });
+        const bool reused = std::any_of(present.begin(), present.end(),
+                                        [&it](const endpoint& other) { return other.address == it.address; });
         if ((unsettled || !added) && !reused && now - since->second < removal_grace)
             next.push_back(it);
         else
@@ -149,9 +149,8 @@
 
 void published_state::settle_removals(time_point now)
 {
-    const bool due = std::any_of(missing_since_.begin(), missing_since_.end(), [now](const auto& it) {
-        return now - it.second >= removal_grace;
-    });
+    const bool due = std::any_of(missing_since_.begin(), missing_since_.end(),
+                                 [now](const auto& it) { return now - it.second >= removal_grace; });
     if (due)
         decode_endpoints(now);
 }
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -78,8 +78,7 @@
 };
 
 request_handler::request_handler(const handler_parts& parts)
-    : parts_(parts),
-      random_(static_cast<std::minstd_rand::result_type>(hash64(parts.settings.name, 2))),
+    : parts_(parts), random_(static_cast<std::minstd_rand::result_type>(hash64(parts.settings.name, 2))),
       repeats_(parts.metrics.get_counter("limpetlock_repeats_total", "requests sent to a second endpoint")),
       given_up_(parts.metrics.get_counter("limpetlock_callers_gone_total",
                                           "requests whose caller left before the answer"))
@@ -116,8 +115,7 @@
 
 duration request_handler::retry_after(const job& it, time_point now)
 {
-    const duration backlog =
-        it.table ? parts_.chain.backlog(it.work, *it.table, now) : duration{0};
+    const duration backlog = it.table ? parts_.chain.backlog(it.work, *it.table, now) : duration{0};
     const auto jitter = static_cast<std::int64_t>(random_() % 300);
     return std::min(longest_retry_after, std::max(first_retry_after, backlog / 2) + duration(jitter));
 }
@@ -241,7 +239,8 @@
     if (const auto engine = parts_.book.choose(it.wish, it.arrival))
         it.work.domain = engine->domain;
     const duration least = stage_chain::least_time(it.work, *it.table);
-    const auto backlog = static_cast<double>(parts_.chain.backlog(it.work, *it.table, it.arrival).count()) * backlog_factor;
+    const auto backlog =
+        static_cast<double>(parts_.chain.backlog(it.work, *it.table, it.arrival).count()) * backlog_factor;
     if (it.arrival + least + duration(static_cast<std::int64_t>(backlog)) > it.work.deadline)
         co_return refuse(it, 503, "stages can't be done in time", retry_after(it, it.arrival));
     auto outcome = co_await run_chain(it);
@@ -349,7 +348,8 @@
     if (it.refusal.status != 0)
         return;
     if (it.runs == 0)
-        refuse(it, 503, last.reason.empty() ? "no endpoint" : last.reason, retry_after(it, boot_clock::now()));
+        refuse(it, 503, last.reason.empty() ? "no endpoint" : last.reason,
+               retry_after(it, boot_clock::now()));
     else if (last.how == send_end::timeout)
         refuse(it, 504, last.reason, duration{0});
     else
@@ -417,8 +417,7 @@
     co_return out;
 }
 
-awaitable<send_result> request_handler::relay_whole(job& it, http::answer_reader& from,
-                                                                     bool keep_errors)
+awaitable<send_result> request_handler::relay_whole(job& it, http::answer_reader& from, bool keep_errors)
 {
     send_result out;
     http::response whole{from.status(), parts_.names.answer_headers(from.headers()), {}};
@@ -496,7 +495,8 @@
         it.refusal.status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
     if (it.refusal.retry_after > duration{0})
         answer.headers.push_back(
-            {"Retry-After", fmt::format("{:.2f}", static_cast<double>(it.refusal.retry_after.count()) / 1000)});
+            {"Retry-After",
+             fmt::format("{:.2f}", static_cast<double>(it.refusal.retry_after.count()) / 1000)});
     if (refusing_)
         answer.headers.push_back({"Connection", "close"});
     it.status = it.refusal.status;
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -48,6 +48,8 @@
 public:
     explicit request_handler(const handler_parts& parts);
     ~request_handler();
+    request_handler(const request_handler&) = delete;
+    request_handler& operator=(const request_handler&) = delete;
 
     boost::asio::awaitable<void> serve(http::exchange& io);
 
--- a/lib/gateway/request_job.cpp
+++ b/lib/gateway/request_job.cpp
@@ -17,7 +17,8 @@
     out.reason = error.reason;
     if (!error.sent) {
         out.how = send_end::not_sent;
-        out.outcome = error.code == http::errc::cancelled ? send_outcome::cancelled : send_outcome::unreachable;
+        out.outcome =
+            error.code == http::errc::cancelled ? send_outcome::cancelled : send_outcome::unreachable;
         return out;
     }
     const bool timeout = error.code == http::errc::timeout;
--- a/lib/gateway/stage_chain.cpp
+++ b/lib/gateway/stage_chain.cpp
@@ -192,7 +192,10 @@
         return true;
     }
 
-    bool complete() const { return std::all_of(ended.begin(), ended.end(), [](bool it) { return it; }); }
+    bool complete() const
+    {
+        return std::all_of(ended.begin(), ended.end(), [](bool it) { return it; });
+    }
 
     /// Whether a stage that takes part in this request needs the results of the given one.
     bool followed(std::size_t index) const
@@ -258,7 +261,7 @@
     std::vector<result_group> results;
     std::vector<bool> ended;
     std::vector<std::string> placed_at; ///< instance that holds the open order of a stage; empty for none
-    asio::steady_timer progress; ///< never expires; cancelled to wake those who wait for a stage
+    asio::steady_timer progress;        ///< never expires; cancelled to wake those who wait for a stage
     std::uint64_t changes{0};
     stage_end how{stage_end::done};
     std::string reason;
@@ -284,8 +287,8 @@
     std::shared_ptr<run_state> state_;
 };
 
-stage_chain::stage_chain(asio::any_io_executor executor, fleet& peers, feeder& local,
-                         result_returns& returns, const endpoint_book& book)
+stage_chain::stage_chain(asio::any_io_executor executor, fleet& peers, feeder& local, result_returns& returns,
+                         const endpoint_book& book)
     : executor_(std::move(executor)), fleet_(peers), feeder_(local), returns_(returns), book_(book)
 {
 }
@@ -401,7 +404,9 @@
             failure = it.failure == piece_failure::none ? piece_failure::error : it.failure;
     }
     const bool done = result.how == order_result::status::done && failure == piece_failure::none;
-    if (state->abandoned || !done)
+    if (done && !state->abandoned)
+        state->results[index] = std::move(made);
+    else
         self.returns_.give_back(std::move(made));
     if (state->abandoned)
         co_return;
@@ -414,7 +419,6 @@
                     fmt::format("piece of stage {}: {}", index, to_string(failure)));
         co_return;
     }
-    state->results[index] = std::move(made);
     state->ended[index] = true;
     // Whoever ran this stage gave its inputs back once they were fetched.
     for (const auto need : spec.needs)
@@ -477,9 +481,8 @@
 }
 
 /// Asks one instance until the order ends. nullopt when the instance is silent.
-awaitable<std::optional<order_result>> stage_chain::order_at(std::shared_ptr<run_state> state,
-                                                             std::string name, pool_key where,
-                                                             stage_order order)
+awaitable<std::optional<order_result>>
+stage_chain::order_at(std::shared_ptr<run_state> state, std::string name, pool_key where, stage_order order)
 {
     const bool local = name == fleet_.view().own().name;
     const std::size_t pieces = order.pieces.size();
--- a/lib/gateway/stage_chain.hpp
+++ b/lib/gateway/stage_chain.hpp
@@ -46,12 +46,11 @@
 
 class stage_chain {
 public:
-    stage_chain(boost::asio::any_io_executor executor, fleet& peers, feeder& local,
-                result_returns& returns, const endpoint_book& book);
+    stage_chain(boost::asio::any_io_executor executor, fleet& peers, feeder& local, result_returns& returns,
+                const endpoint_book& book);
 
     /// Whoever gives up the returned coroutine cancels what it has ordered. The caller gives the inputs back.
-    boost::asio::awaitable<stage_outcome> run(stage_work work,
-                                              std::shared_ptr<const routing_table> table);
+    boost::asio::awaitable<stage_outcome> run(stage_work work, std::shared_ptr<const routing_table> table);
 
     /// Expected time of the stages of a request when nothing waits.
     static duration least_time(const stage_work& work, const routing_table& table);
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -116,8 +116,8 @@
     }
     if (best == nullptr || best->slowness < slow_limit)
         return best;
-    const auto done = now + duration(static_cast<std::int64_t>(
-                                static_cast<double>(call_time(1).count()) * best->slowness));
+    const auto done =
+        now + duration(static_cast<std::int64_t>(static_cast<double>(call_time(1).count()) * best->slowness));
     for (const auto& [id, it] : endpoints_)
         if (it.busy && it.slowness < slow_limit && it.avoid_until <= now &&
             std::max(it.busy_until, now) + call_time(1) < done)
@@ -256,7 +256,8 @@
         return unknown_backlog;
     const auto batch = std::max(1.0, usual_pieces_ > 0 ? usual_pieces_ : static_cast<double>(options_.size));
     const auto pieces = static_cast<double>(waiting);
-    const double work = running_ms + std::ceil(pieces / batch) * figures_.call_ms + pieces * figures_.piece_ms;
+    const double work =
+        running_ms + std::ceil(pieces / batch) * figures_.call_ms + pieces * figures_.piece_ms;
     return duration(static_cast<std::int64_t>(work / speed));
 }
 
--- a/lib/gateway/store_reader.cpp
+++ b/lib/gateway/store_reader.cpp
@@ -125,7 +125,8 @@
     const duration jitter(static_cast<int>(random_() % proof_jitter_ms));
     if (now.watches || now.instances <= small_fleet)
         return proof_renewal + jitter;
-    return duration(static_cast<std::int64_t>(static_cast<double>(table_in_force_.count()) * follower_renewal)) +
+    return duration(
+               static_cast<std::int64_t>(static_cast<double>(table_in_force_.count()) * follower_renewal)) +
            2 * jitter;
 }
 
--- a/lib/http/connection.cpp
+++ b/lib/http/connection.cpp
@@ -355,8 +355,7 @@
         return refuse_with(431, "too_large",
                            "header over " + std::to_string(limits_.header_bytes) + " bytes");
     if (ec == beast::http::error::body_limit)
-        return refuse_with(413, "too_large",
-                           "body over " + std::to_string(limits_.body_bytes) + " bytes");
+        return refuse_with(413, "too_large", "body over " + std::to_string(limits_.body_bytes) + " bytes");
     if (ec == asio::error::timed_out && !broken_ && socket_.is_open())
         return refuse_with(408, "bad_request", "request not received in time");
     if (ec.category() == beast::http::make_error_code(beast::http::error::bad_method).category())
--- a/lib/peer/node.cpp
+++ b/lib/peer/node.cpp
@@ -367,7 +367,8 @@
             co_return std::move(it->reply);
         if (const auto again = peers.find(to); again != peers.end())
             again->second.waiting.erase(correlation);
-        if (!it->lost && !cancel->cancelled && boot_clock::now() - std::max(link->last_received, sent_at) >= silent_link_timeout)
+        if (!it->lost && !cancel->cancelled &&
+            boot_clock::now() - std::max(link->last_received, sent_at) >= silent_link_timeout)
             link->close();
         error = it->lost ? call_error{errc::closed, fmt::format("connection to {} lost", to), true}
                          : call_error{errc::timeout, fmt::format("no reply from {} in time", to), true};
--- a/lib/support/log.cpp
+++ b/lib/support/log.cpp
@@ -2,7 +2,6 @@
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
-
 #include <poll.h>
 #include <unistd.h>
 
--- a/test/platform/platform_fleet.cpp
+++ b/test/platform/platform_fleet.cpp
@@ -6,16 +6,16 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
+#include <fcntl.h>
 #include <fmt/format.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include <cerrno>
 #include <csignal>
 #include <cstdlib>
-#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
-#include <sys/wait.h>
-#include <unistd.h>
 #include <utility>
 
 namespace limpetlock::test {
@@ -160,10 +160,10 @@
     http::call_error error;
     const http::address to{address_, port(instance, 1)};
     http::request message{"GET", "/v1/readyz", {}, {}};
-    auto reply = asio::co_spawn(io_,
-                                client_->call(to, std::move(message), boot_clock::now() + duration(300),
-                                              http::reuse::fresh, error),
-                                asio::use_future);
+    auto reply = asio::co_spawn(
+        io_,
+        client_->call(to, std::move(message), boot_clock::now() + duration(300), http::reuse::fresh, error),
+        asio::use_future);
     const auto answer = reply.get();
     return answer && answer->status == 200;
 }
--- a/test/platform/platform_fleet.hpp
+++ b/test/platform/platform_fleet.hpp
@@ -8,13 +8,13 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <sys/types.h>
 
 #include <chrono>
 #include <functional>
 #include <future>
 #include <memory>
 #include <string>
-#include <sys/types.h>
 #include <thread>
 #include <vector>
 
@@ -26,7 +26,10 @@
     std::string body;
     bool whole{false}; ///< the answer came to its end
 
-    std::string header(std::string_view name) const { return std::string(http::find(headers, name).value_or("")); }
+    std::string header(std::string_view name) const
+    {
+        return std::string(http::find(headers, name).value_or(""));
+    }
 };
 
 struct platform_call {
@@ -55,7 +58,10 @@
     bool is_ready(std::size_t instance);
 
     std::future<platform_answer> send(std::size_t instance, platform_call call);
-    platform_answer ask(std::size_t instance, platform_call call) { return send(instance, std::move(call)).get(); }
+    platform_answer ask(std::size_t instance, platform_call call)
+    {
+        return send(instance, std::move(call)).get();
+    }
 
     void start(std::size_t instance);
     void signal(std::size_t instance, int number);
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -18,6 +18,9 @@
 
 namespace {
 
+/// Requests that one test sends at most.
+constexpr std::size_t most_answers = 128;
+
 std::string id_of(int n)
 {
     return fmt::format("{:016x}", n + 0x1000);
@@ -56,29 +59,30 @@
 {
     std::size_t out = 0;
     for (const auto& it : endpoints)
-        out += static_cast<std::size_t>(std::count_if(it->runs().begin(), it->runs().end(),
-                                                      [&id](const auto& run) { return run.request_id == id; }));
+        out += static_cast<std::size_t>(std::count_if(
+            it->runs().begin(), it->runs().end(), [&id](const auto& run) { return run.request_id == id; }));
     return out;
 }
 
 } // namespace
 
-// Many requests at once over three instances: every answer is whole and its own, batches hold pieces of several
-// requests, and no result stays behind at its maker.
+// Many requests at once over three instances: every answer is whole and its own, batches hold pieces of
+// several requests, and no result stays behind at its maker.
 Test(platform, streams_over_stages_are_whole)
 {
     platform_fleet fleet(3);
     cr_assert(fleet.wait_ready());
-    constexpr int requests = 120;
+    constexpr std::size_t requests = 120;
     std::vector<std::future<platform_answer>> answers;
-    for (int n = 0; n < requests; ++n)
-        answers.push_back(fleet.send(static_cast<std::size_t>(n % 3), stream_call(n)));
-    for (int n = 0; n < requests; ++n) {
-        const auto it = answers[static_cast<std::size_t>(n)].get();
-        cr_expect_eq(it.status, 200, "request %d: %s", n, it.body.c_str());
+    answers.reserve(most_answers);
+    for (std::size_t n = 0; n < requests; ++n)
+        answers.push_back(fleet.send(n % 3, stream_call(static_cast<int>(n))));
+    for (std::size_t n = 0; n < requests; ++n) {
+        const auto it = answers[n].get();
+        cr_expect_eq(it.status, 200, "request %zu: %s", n, it.body.c_str());
         cr_expect(it.whole);
         cr_expect_eq(it.body, whole_stream(8));
-        cr_expect_eq(it.header("Limpetlock-Request-Id"), id_of(n));
+        cr_expect_eq(it.header("Limpetlock-Request-Id"), id_of(static_cast<int>(n)));
     }
     fleet.at_site([](site& it) {
         std::size_t calls = 0;
@@ -115,9 +119,9 @@
 {
     platform_fleet fleet(1);
     cr_assert(fleet.wait_ready());
-    const std::vector<std::pair<behaviour, int>> cases{{behaviour::cut_answer, 502}, {behaviour::unstamped, 502},
-                                                       {behaviour::hang, 504},       {behaviour::fail, 500},
-                                                       {behaviour::refuse, 503},     {behaviour::wrong_endpoint, 503}};
+    const std::vector<std::pair<behaviour, int>> cases{
+        {behaviour::cut_answer, 502}, {behaviour::unstamped, 502}, {behaviour::hang, 504},
+        {behaviour::fail, 500},       {behaviour::refuse, 503},    {behaviour::wrong_endpoint, 503}};
     int n = 0;
     for (const auto& [how, status] : cases) {
         fleet.at_site([how = how](site& it) {
@@ -334,6 +338,7 @@
     platform_fleet fleet(2, options);
     cr_assert(fleet.wait_ready());
     std::vector<std::future<platform_answer>> answers;
+    answers.reserve(most_answers);
     for (int n = 0; n < 30; ++n)
         answers.push_back(fleet.send(0, stream_call(n)));
     std::this_thread::sleep_for(milliseconds(300));
@@ -359,6 +364,7 @@
     cr_assert(fleet.wait_ready());
     std::this_thread::sleep_for(milliseconds(700));
     std::vector<std::future<platform_answer>> answers;
+    answers.reserve(most_answers);
     for (int n = 0; n < 24; ++n)
         answers.push_back(fleet.send(0, stream_call(n)));
     std::this_thread::sleep_for(milliseconds(60));
--- a/unittests/gateway/names_fake.hpp
+++ b/unittests/gateway/names_fake.hpp
@@ -51,7 +51,8 @@
         return gateway::store_answer::ok;
     }
 
-    std::optional<gateway::routing_table> read_table(const std::string& value, std::string& reason) const override
+    std::optional<gateway::routing_table> read_table(const std::string& value,
+                                                     std::string& reason) const override
     {
         gateway::routing_table out;
         const auto [end, ec] = std::from_chars(value.data(), value.data() + value.size(), out.version);
--- a/unittests/gateway/state_test.cpp
+++ b/unittests/gateway/state_test.cpp
@@ -1,11 +1,11 @@
+#include "names_fake.hpp"
+
 #include <limpetlock/gateway/event_framing.hpp>
 #include <limpetlock/gateway/fleet_view.hpp>
 #include <limpetlock/gateway/published_state.hpp>
 #include <limpetlock/gateway/replica.hpp>
 #include <limpetlock/gateway/retry_share.hpp>
 
-#include "names_fake.hpp"
-
 #include <criterion/criterion.h>
 
 #include <algorithm>
@@ -34,8 +34,9 @@
 /// A published state that records what it tells.
 struct watched_state {
     watched_state()
-        : state(names, {[this](const std::shared_ptr<const routing_table>& it) { versions.push_back(it->version); },
-                        [this](const std::vector<endpoint>& it) { endpoints = it; }})
+        : state(names,
+                {[this](const std::shared_ptr<const routing_table>& it) { versions.push_back(it->version); },
+                 [this](const std::vector<endpoint>& it) { endpoints = it; }})
     {
     }
 
@@ -284,7 +285,8 @@
 {
     std::string all;
     for (int n = 1; n <= 20; ++n)
-        all += "id: " + std::to_string(n) + "\ndata: x" + std::string(static_cast<std::size_t>(n), 'y') + "\n\n";
+        all +=
+            "id: " + std::to_string(n) + "\ndata: x" + std::string(static_cast<std::size_t>(n), 'y') + "\n\n";
     for (std::size_t step = 1; step < 40; ++step) {
         event_framing it;
         std::string out;
--- a/unittests/http/server_test.cpp
+++ b/unittests/http/server_test.cpp
@@ -381,8 +381,8 @@
     co_await io.finish();
 }
 
-// Guards against requests that a stopping process takes on a connection whose answer began before the stop: the
-// header of that answer promised to keep the connection, and its next request could not end in time.
+// Guards against requests that a stopping process takes on a connection whose answer began before the stop:
+// the header of that answer promised to keep the connection, and its next request could not end in time.
 Test(server, connection_closes_after_a_stream_that_began_before_the_stop)
 {
     fixture it(stream_until_released);
--- a/unittests/platform/platform_test.cpp
+++ b/unittests/platform/platform_test.cpp
@@ -46,20 +46,22 @@
 
 http::request caller_request()
 {
-    return {"POST", "/a/x?q=1", {{"Host", "h.example"},
-                                  {"Limpetlock-Request-Id", "9c41"},
-                                  {"Limpetlock-Deadline-Ms", "1500"},
-                                  {"Limpetlock-Pieces", "2,0"},
-                                  {"Limpetlock-Piece-Key", "pk"},
-                                  {"Limpetlock-Token-Count", "1460,80"},
-                                  {"Limpetlock-Prefix-Hash", "5c1e07a2:800,91bd3f06:410"},
-                                  {"Authorization", "Bearer k1"},
-                                  {"Limpetlock-Tenant", "forged"},
-                                  {"Kv-From", "10.0.0.1:80/x"},
-                                  {"Limpetlock-Pin-Ms", "100"},
-                                  {"Connection", "X-Hop"},
-                                  {"X-Hop", "1"},
-                                  {"X-Other", "kept"}},
+    return {"POST",
+            "/a/x?q=1",
+            {{"Host", "h.example"},
+             {"Limpetlock-Request-Id", "9c41"},
+             {"Limpetlock-Deadline-Ms", "1500"},
+             {"Limpetlock-Pieces", "2,0"},
+             {"Limpetlock-Piece-Key", "pk"},
+             {"Limpetlock-Token-Count", "1460,80"},
+             {"Limpetlock-Prefix-Hash", "5c1e07a2:800,91bd3f06:410"},
+             {"Authorization", "Bearer k1"},
+             {"Limpetlock-Tenant", "forged"},
+             {"Kv-From", "10.0.0.1:80/x"},
+             {"Limpetlock-Pin-Ms", "100"},
+             {"Connection", "X-Hop"},
+             {"X-Hop", "1"},
+             {"X-Other", "kept"}},
             "body"};
 }
 
@@ -160,21 +162,24 @@
 Test(platform_store, reads_items_pages_and_events)
 {
     gateway::state_page page;
-    const http::response item{200, {}, R"({"key":"a","value":"aGk=","rev":4,"created":4,"lease":0,"asOf":9})"};
+    const http::response item{
+        200, {}, R"({"key":"a","value":"aGk=","rev":4,"created":4,"lease":0,"asOf":9})"};
     cr_expect(names().read_item(item, page) == gateway::store_answer::ok);
     cr_expect_eq(page.items[0].value, "hi");
     cr_expect_eq(page.revision, 9);
     page = {};
     const http::response events{
-        200, {}, R"({"events":[{"key":"a","value":"","rev":5,"created":4,"lease":0},{"key":"b","rev":6,"deleted":true}],"asOf":6})"};
+        200,
+        {},
+        R"({"events":[{"key":"a","value":"","rev":5,"created":4,"lease":0},{"key":"b","rev":6,"deleted":true}],"asOf":6})"};
     cr_expect(names().read_events(events, page) == gateway::store_answer::ok);
     cr_expect_eq(page.items.size(), 2);
     cr_expect(page.items[1].removed);
     cr_expect(names().read_events({410, {}, "{}"}, page) == gateway::store_answer::history_lost);
     cr_expect(names().read_item({404, {}, "{}"}, page) == gateway::store_answer::absent);
     cr_expect(names().read_page({503, {}, "{}"}, page) == gateway::store_answer::refused);
-    cr_expect(names().read_page({200, {}, R"({"items":[{"key":"a","value":"***","rev":1}],"asOf":2})"}, page) ==
-              gateway::store_answer::malformed);
+    cr_expect(names().read_page({200, {}, R"({"items":[{"key":"a","value":"***","rev":1}],"asOf":2})"},
+                                page) == gateway::store_answer::malformed);
 }
 
 Test(platform_request, is_read_and_forwarded_without_headers_that_callers_may_not_set)
@@ -256,9 +261,10 @@
 Test(platform_decoders, random_damage_never_escapes)
 {
     std::mt19937 random(20261204);
-    const std::vector<std::string> texts{table_json().dump(), entry_json().dump(), settings_text,
-                                         R"({"items":[{"key":"a","value":"aGk=","rev":4}],"morePages":false,"asOf":9})",
-                                         R"({"items":[{"handle":"10.1.64.7:8080/91"},{"reason":"gone"}]})"};
+    const std::vector<std::string> texts{
+        table_json().dump(), entry_json().dump(), settings_text,
+        R"({"items":[{"key":"a","value":"aGk=","rev":4}],"morePages":false,"asOf":9})",
+        R"({"items":[{"handle":"10.1.64.7:8080/91"},{"reason":"gone"}]})"};
     for (int n = 0; n < 4000; ++n) {
         std::string text = texts[random() % texts.size()];
         for (unsigned k = 0; k < 1 + random() % 4; ++k) {
--- a/utils/platform-standin/main.cpp
+++ b/utils/platform-standin/main.cpp
@@ -1,10 +1,10 @@
 /// \file
 /// Runs a stand-in of the platform and drives one instance with streamed requests, to measure what an
 /// instance spends on them. Start the instance with LIMPETLOCK_CONFIG set to the file named here.
-#include <limpetlock/http/client.hpp>
-
 #include "platformkit/site.hpp"
 
+#include <limpetlock/http/client.hpp>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -159,7 +159,7 @@
     boost::asio::co_spawn(io, drive(io, client, count), boost::asio::detached);
     io.run();
     const std::chrono::duration<double> took = std::chrono::steady_clock::now() - started;
-    fmt::print("requests {} whole {} left {} bytes {} seconds {:.2f}\n", count.started, count.whole, count.left, count.bytes,
-               took.count());
+    fmt::print("requests {} whole {} left {} bytes {} seconds {:.2f}\n", count.started, count.whole,
+               count.left, count.bytes, took.count());
     return count.whole + count.left == count.started ? 0 : 1;
 }
--- a/utils/platformkit/endpoints.cpp
+++ b/utils/platformkit/endpoints.cpp
@@ -49,14 +49,10 @@
 std::string entry_of(const endpoint_options& it, const std::string& address, std::uint16_t port,
                      const std::string& state)
 {
-    return json{{"service", it.pool},
-                {"addr", fmt::format("{}:{}", address, port)},
-                {"zone", it.domain},
-                {"version", "v1"},
-                {"slots", it.slots},
-                {"state", state},
-                {"coldLeftMs", 0},
-                {"seq", 1},
+    return json{{"service", it.pool},       {"addr", fmt::format("{}:{}", address, port)},
+                {"zone", it.domain},        {"version", "v1"},
+                {"slots", it.slots},        {"state", state},
+                {"coldLeftMs", 0},          {"seq", 1},
                 {"born", 1'700'000'000'000}}
         .dump();
 }
@@ -91,9 +87,9 @@
 
 behaviour service_endpoint::next_behaviour()
 {
-    static constexpr std::array troubles{behaviour::refuse,     behaviour::fail,     behaviour::cut_answer,
-                                         behaviour::hang,       behaviour::wrong_id, behaviour::unstamped,
-                                         behaviour::cut_answer, behaviour::wrong_endpoint};
+    static constexpr std::array troubles{
+        behaviour::refuse,   behaviour::fail,      behaviour::cut_answer, behaviour::hang,
+        behaviour::wrong_id, behaviour::unstamped, behaviour::cut_answer, behaviour::wrong_endpoint};
     if (count_ > 0) {
         --count_;
         return how_;
@@ -223,8 +219,8 @@
         co_return;
     }
     busy_ = true;
-    asio::steady_timer timer(executor_, how == behaviour::hang ? std::chrono::milliseconds(hang_time)
-                                                                : options_.work);
+    asio::steady_timer timer(executor_,
+                             how == behaviour::hang ? std::chrono::milliseconds(hang_time) : options_.work);
     co_await timer.async_wait(quiet);
     busy_ = false;
     const json body = json::parse(io.message().body, nullptr, false);
@@ -250,8 +246,8 @@
     if (how == behaviour::cut_answer)
         co_return;
     const bool too_many = calls_.back().pieces > batch_;
-    http::response answer = too_many ? http::json_response(400, "{}")
-                                     : http::json_response(200, json{{"items", results}}.dump());
+    http::response answer =
+        too_many ? http::json_response(400, "{}") : http::json_response(200, json{{"items", results}}.dump());
     co_await io.respond(std::move(answer));
 }
 
--- a/utils/platformkit/endpoints.hpp
+++ b/utils/platformkit/endpoints.hpp
@@ -58,7 +58,8 @@
 /// A model engine (with events) or a plain service.
 class service_endpoint {
 public:
-    service_endpoint(boost::asio::any_io_executor executor, const std::string& address, endpoint_options options);
+    service_endpoint(boost::asio::any_io_executor executor, const std::string& address,
+                     endpoint_options options);
 
     const endpoint_options& options() const { return options_; }
     std::uint16_t port() const { return server_->port(); }
@@ -112,8 +113,8 @@
 /// A member of a stage pool: one call at a time, a fixed cost for each call.
 class stage_endpoint {
 public:
-    stage_endpoint(boost::asio::any_io_executor executor, const std::string& address, endpoint_options options,
-                   std::size_t batch, std::size_t room);
+    stage_endpoint(boost::asio::any_io_executor executor, const std::string& address,
+                   endpoint_options options, std::size_t batch, std::size_t room);
 
     std::uint16_t port() const { return server_->port(); }
     const endpoint_options& options() const { return options_; }
--- a/utils/platformkit/site.cpp
+++ b/utils/platformkit/site.cpp
@@ -30,10 +30,10 @@
 {
     const json stages = json::array({{{"service", "first"}, {"after", json::array()}, {"bytes", 8000}},
                                      {{"service", "second"}, {"after", {0}}, {"bytes", 8000}}});
-    json stream{{"name", "stream"},     {"host", site::host}, {"prefix", "/stream/"}, {"kind", "stream"},
-                {"timeoutMs", 5000},    {"goalMs", 1000},     {"priority", 0},        {"service", "engine"},
-                {"attempts", 1},        {"stages", stages},   {"public", false},      {"sticky", true},
-                {"resumable", false},   {"gapGoalMs", 400}};
+    json stream{{"name", "stream"},   {"host", site::host}, {"prefix", "/stream/"}, {"kind", "stream"},
+                {"timeoutMs", 5000},  {"goalMs", 1000},     {"priority", 0},        {"service", "engine"},
+                {"attempts", 1},      {"stages", stages},   {"public", false},      {"sticky", true},
+                {"resumable", false}, {"gapGoalMs", 400}};
     json resumable = stream;
     resumable["name"] = "resumable";
     resumable["prefix"] = "/resumable/";
@@ -59,10 +59,15 @@
     return {{"version", 1},
             {"routes", {stream, resumable, lookup, booking, open}},
             {"services",
-             {engine, {{"name", "plain"}, {"healthPath", "/healthz"}, {"maxConns", 48}},
-              stage_pool("first", it), stage_pool("second", it)}},
+             {engine,
+              {{"name", "plain"}, {"healthPath", "/healthz"}, {"maxConns", 48}},
+              stage_pool("first", it),
+              stage_pool("second", it)}},
             {"limits",
-             {{"headerBytes", 16384}, {"bodyBytes", 4194304}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}},
+             {{"headerBytes", 16384},
+              {"bodyBytes", 4194304},
+              {"headerTimeoutMs", 3000},
+              {"idleTimeoutMs", 15000}}},
             {"tenants", json::array({{{"name", site::team}, {"apiKeys", {site::key}}}})}};
 }
 
--- a/utils/platformkit/store.cpp
+++ b/utils/platformkit/store.cpp
@@ -67,8 +67,7 @@
 
 } // namespace
 
-store::store(asio::any_io_executor executor, const std::string& address)
-    : executor_(std::move(executor))
+store::store(asio::any_io_executor executor, const std::string& address) : executor_(std::move(executor))
 {
     server_ = std::make_unique<http::server>(executor_, address, 0, http::server_limits{},
                                              [this](http::exchange& io) { return serve(io); });
@@ -159,8 +158,8 @@
     const std::string target = io.message().target;
     const std::string prefix = parameter(target, "prefix");
     const std::int64_t after = number(parameter(target, "after"));
-    const auto until = std::chrono::steady_clock::now() +
-                       std::chrono::milliseconds(number(parameter(target, "waitMs")));
+    const auto until =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(number(parameter(target, "waitMs")));
     for (;;) {
         if (after + 1 < history_from_) {
             http::response gone = http::json_response(410, "{}");
