Remove what the gateway no longer uses

A factor of 1, a deadline and a usage figure that nobody reads, and a local name that hid a member; a comment said what its constant is not. Behaviour is unchanged.

--- a/include/limpetlock/gateway/endpoint_book.hpp
+++ b/include/limpetlock/gateway/endpoint_book.hpp
@@ -55,9 +55,6 @@
     /// Whether the endpoint is still listed and takes new work.
     bool takes_work(const std::string& id) const;
 
-    /// Share of the places of a pool that are taken, as far as it is known.
-    double usage(std::string_view pool, time_point now) const;
-
 private:
     struct seen {
         endpoint who;
--- a/lib/gateway/endpoint_book.cpp
+++ b/lib/gateway/endpoint_book.cpp
@@ -182,15 +182,4 @@
     return it != endpoints_.end() && !it->second.who.leaving;
 }
 
-double endpoint_book::usage(std::string_view pool, time_point now) const
-{
-    const auto found = pools_.find(pool);
-    if (found == pools_.end() || found->second.empty())
-        return 1;
-    double sum = 0;
-    for (const auto& id : found->second)
-        sum += std::min(1.0, load_of(endpoints_.at(id), now));
-    return sum / static_cast<double>(found->second.size());
-}
-
 } // namespace limpetlock::gateway
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -47,7 +47,7 @@
 /// After the last answer, the time for its bytes to leave before the process ends.
 constexpr duration close_grace{100};
 
-/// The fleet learns of a stop by the pings of this time; the responsible pools are then served elsewhere.
+/// Not ready this long before requests with a key are refused for want of a proof.
 constexpr duration proof_reserve{300};
 
 /// Instances that watch the store at the same time. Three, so that one may die and one be cut off.
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -37,10 +37,6 @@
 /// Time between the end of the stages and the first event at an idle engine.
 constexpr duration engine_first_event{120};
 
-/// A request for stages is refused at once when the pools' backlog exceeds the time that it has by this
-/// factor.
-constexpr double backlog_factor = 1.0;
-
 /// An engine without a queue has fetched its inputs this long after the request was sent, before it reads the
 /// prompt. Their room is free then.
 constexpr duration input_fetch_time{45};
@@ -146,7 +142,6 @@
                       : refuse(it, 503, "configuration may be old", first_retry_after);
     const duration time_left = std::min(it.request.time_left.value_or(it.way->timeout), it.way->timeout);
     it.deadline = it.arrival + time_left;
-    it.caller_deadline = it.arrival + it.request.time_left.value_or(it.way->timeout);
     return authorize(it);
 }
 
@@ -239,9 +234,8 @@
     if (const auto engine = parts_.book.choose(it.wish, it.arrival))
         it.work.domain = engine->domain;
     const duration least = stage_chain::least_time(it.work, *it.table);
-    const auto backlog =
-        static_cast<double>(parts_.chain.backlog(it.work, *it.table, it.arrival).count()) * backlog_factor;
-    if (it.arrival + least + duration(static_cast<std::int64_t>(backlog)) > it.work.deadline)
+    const duration backlog = parts_.chain.backlog(it.work, *it.table, it.arrival);
+    if (it.arrival + least + backlog > it.work.deadline)
         co_return refuse(it, 503, "stages can't be done in time", retry_after(it, it.arrival));
     auto outcome = co_await run_chain(it);
     if (outcome.how == stage_end::failed && boot_clock::now() + least < it.work.deadline)
--- a/lib/gateway/request_job.hpp
+++ b/lib/gateway/request_job.hpp
@@ -96,8 +96,7 @@
     std::optional<std::string> team;
     std::optional<duration> proof_age;
     int priority{0};
-    time_point deadline{};        ///< of the final answer
-    time_point caller_deadline{}; ///< the caller waits until then
+    time_point deadline{}; ///< of the final answer
     std::string pool;
     endpoint_wish wish;
     stage_work work;
--- a/lib/gateway/stage_chain.cpp
+++ b/lib/gateway/stage_chain.cpp
@@ -242,8 +242,8 @@
         std::uint64_t inputs = 0;
         for (const auto need : work.stages[index].needs)
             inputs += work.pieces[need] * work.stages[need].result_bytes;
-        const std::uint64_t results = work.stages[index].result_bytes * std::max<std::uint64_t>(1, fetchers);
-        return work.pieces[index] * (results + inputs);
+        const std::uint64_t made = work.stages[index].result_bytes * std::max<std::uint64_t>(1, fetchers);
+        return work.pieces[index] * (made + inputs);
     }
 
     std::vector<result_group> inputs_of(std::size_t index) const
