--- a/include/limpetlock/routing/retry_budget.hpp
+++ b/include/limpetlock/routing/retry_budget.hpp
@@ -43,8 +43,8 @@
 };
 
 /// Latency quantile over the last one to two windows, for the hedge delay of a stage.
-/// Hedge only while the queue in front of the pool is empty: else the second call takes the place of the
-/// first call of another request.
+/// Hedge only while the queue in front of the pool is empty and the pool has places to spare: else the second
+/// call takes the place of the first call of another request, here or at another instance.
 class hedge_delay {
 public:
     explicit hedge_delay(double quantile = 0.99, duration window = duration(10000));
--- a/utils/bench-policy/driver.cpp
+++ b/utils/bench-policy/driver.cpp
@@ -22,6 +22,7 @@
 constexpr std::int64_t usage_ms = 400;
 constexpr std::size_t endpoint_queue = 64; // waiting calls; the next one is answered "overloaded"
 constexpr int most_attempts = 3;
+constexpr double most_used_for_hedges = 0.7; // part of the places in use; above it nothing is hedged
 const admission::footprint one_call{{"model", 1}};
 
 time_point at(std::int64_t ms)
@@ -211,8 +212,11 @@
 {
     const auto request = calls_[id].request;
     auto& from = home(request);
-    // While work waits here, a second call would take the place of another request's first one.
-    if (!calls_[id].open || open_call_[request] != id || from.work->waiting() > 0 || !from.budget.try_hedge())
+    // While the pool has few free places, a second call would take the one of another request's first call,
+    // of this instance or of another one.
+    const bool crowded = from.work->waiting() > 0 ||
+                         from.gate.occupied("model") > most_used_for_hedges * from.gate.capacity("model");
+    if (!calls_[id].open || open_call_[request] != id || crowded || !from.budget.try_hedge())
         return;
     ++result_.hedges;
     hedged_call_[request] = id;
