Spread popular parts of prompts over several engines

Cause: affinity placed every request whose largest shared part is the same at one engine. Each part now has one copy for every eight engines, 16 at most, and the deepest shared part picks among them, so a session keeps its engine.

--- a/include/limpetlock/gateway/endpoint_book.hpp
+++ b/include/limpetlock/gateway/endpoint_book.hpp
@@ -28,9 +28,10 @@
 
 struct endpoint_wish {
     std::string pool;
-    std::uint64_t affinity{0}; ///< hash that prefers the same endpoint each time; 0 for none
+    std::uint64_t affinity{0}; ///< hash that prefers the same few endpoints each time; 0 for none
     std::string domain;        ///< preferred failure domain
     std::vector<std::string> tried;
+    std::uint64_t session{0}; ///< hash that prefers the same one of the few; 0 for the first of them
 };
 
 class endpoint_book {
@@ -66,7 +67,15 @@
         time_point load_at{};
     };
 
+    struct candidate {
+        const seen* it;
+        bool avoided;
+        bool crowded;
+        double load;
+    };
+
     double load_of(const seen& it, time_point now) const;
+    std::vector<candidate> candidates(const endpoint_wish& wish, time_point now) const;
     void punish(seen& it, duration base, time_point now);
 
     std::map<std::string, seen, std::less<>> endpoints_;
--- a/lib/gateway/endpoint_book.cpp
+++ b/lib/gateway/endpoint_book.cpp
@@ -31,6 +31,12 @@
 /// An endpoint with affinity is passed over when its places are used beyond this share.
 constexpr double affinity_load_limit = 0.85;
 
+/// A part of a prompt that many requests share is kept by one endpoint for each so many of its pool, up to
+/// the bound. A single one can't serve a part that a tenth of the requests begin with, and load reports are
+/// too rare at many instances to spread them in time.
+constexpr std::size_t endpoints_per_copy = 8;
+constexpr std::size_t most_copies = 16;
+
 /// Load, in places, that a call to another failure domain must save.
 constexpr double domain_cost = 0.02;
 
@@ -68,36 +74,57 @@
     return (load + it.error_share * error_cost) / std::max<double>(1, it.who.slots);
 }
 
-std::optional<endpoint> endpoint_book::choose(const endpoint_wish& wish, time_point now)
+std::vector<endpoint_book::candidate> endpoint_book::candidates(const endpoint_wish& wish,
+                                                                time_point now) const
 {
+    std::vector<candidate> out;
     const auto found = pools_.find(wish.pool);
     if (found == pools_.end())
-        return std::nullopt;
-    const seen* best = nullptr;
-    std::tuple<bool, bool, double> best_rank{};
+        return out;
     for (const auto& id : found->second) {
         if (std::find(wish.tried.begin(), wish.tried.end(), id) != wish.tried.end())
             continue;
         const seen& it = endpoints_.at(id);
-        const bool avoided = it.avoid_until > now;
         const double load = load_of(it, now);
-        const bool crowded = wish.affinity != 0 && load > affinity_load_limit;
-        // The largest hash wins, so that each key keeps its endpoint while the list changes.
-        double rank = 0;
-        if (wish.affinity != 0 && !crowded)
-            rank = -static_cast<double>(hash64(id, wish.affinity));
-        else
-            rank = load + (it.who.domain == wish.domain ? 0 : domain_cost) +
-                   static_cast<double>(hash64(id, static_cast<std::uint64_t>(to_ms(now))) >> 40) * 1e-10;
-        const std::tuple<bool, bool, double> key{avoided, crowded, rank};
-        if (best == nullptr || key < best_rank) {
-            best = &it;
-            best_rank = key;
-        }
+        out.push_back({&it, it.avoid_until > now, wish.affinity != 0 && load > affinity_load_limit, load});
     }
-    if (best == nullptr)
+    return out;
+}
+
+/// The largest hash wins, so that each key keeps its endpoints while the list changes.
+std::optional<endpoint> endpoint_book::choose(const endpoint_wish& wish, time_point now)
+{
+    auto all = candidates(wish, now);
+    if (all.empty())
         return std::nullopt;
-    return best->who;
+    const auto by_state = [](const candidate& a, const candidate& b) {
+        return std::tie(a.avoided, a.crowded) < std::tie(b.avoided, b.crowded);
+    };
+    const candidate best = *std::min_element(all.begin(), all.end(), by_state);
+    std::erase_if(all, [&](const candidate& it) { return by_state(best, it); });
+    if (wish.affinity == 0 || best.crowded) {
+        const auto cost = [&](const candidate& it) {
+            const double tie_break =
+                static_cast<double>(hash64(it.it->who.id, static_cast<std::uint64_t>(to_ms(now))) >> 40) *
+                1e-10;
+            return it.load + (it.it->who.domain == wish.domain ? 0 : domain_cost) + tie_break;
+        };
+        return std::min_element(all.begin(), all.end(),
+                                [&](const candidate& a, const candidate& b) { return cost(a) < cost(b); })
+            ->it->who;
+    }
+    const auto higher = [](std::uint64_t key) {
+        return [key](const candidate& a, const candidate& b) {
+            return hash64(a.it->who.id, key) > hash64(b.it->who.id, key);
+        };
+    };
+    const std::size_t spread = std::clamp<std::size_t>(pools_.at(wish.pool).size() / endpoints_per_copy, 1,
+                                                       std::min(most_copies, all.size()));
+    const auto end = all.begin() + static_cast<std::ptrdiff_t>(spread);
+    std::partial_sort(all.begin(), end, all.end(), higher(wish.affinity));
+    if (wish.session == 0)
+        return all.front().it->who;
+    return std::min_element(all.begin(), end, higher(wish.session))->it->who;
 }
 
 bool endpoint_book::has_queue(const std::string& id, time_point now) const
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -209,6 +209,7 @@
     it.wish.pool = it.pool;
     it.wish.domain = parts_.settings.domain;
     it.wish.affinity = affinity_of(it.request);
+    it.wish.session = session_of(it.request);
     if (parts_.book.members(it.pool).empty())
         co_return refuse(it, 503, "no endpoint", first_retry_after);
     bool ready = true;
--- a/lib/gateway/request_job.cpp
+++ b/lib/gateway/request_job.cpp
@@ -39,4 +39,9 @@
     return best->id;
 }
 
+std::uint64_t session_of(const caller_request& it)
+{
+    return it.prompt.size() < 2 ? 0 : it.prompt[it.prompt.size() - 2].id;
+}
+
 } // namespace limpetlock::gateway
--- a/lib/gateway/request_job.hpp
+++ b/lib/gateway/request_job.hpp
@@ -78,6 +78,9 @@
 /// one of several parts is the request's own and never reused. 0 for a request without a prompt.
 std::uint64_t affinity_of(const caller_request& it);
 
+/// The last part of a prompt that other requests may share; 0 when there is none.
+std::uint64_t session_of(const caller_request& it);
+
 struct request_handler::job {
     job(http::exchange& exchange, time_point now) : io(exchange), arrival(now) {}
 
