Hold first stages only for work that goes before them

The backlog is now what goes before the order by rank, and an order that would be late behind it is held too, since it would only make others late.

--- a/include/limpetlock/gateway/piece_queue.hpp
+++ b/include/limpetlock/gateway/piece_queue.hpp
@@ -68,6 +68,10 @@
 /// Whether an order should wait although an endpoint is free.
 using order_filter = std::function<bool(const stage_order&)>;
 
+/// Place in a queue; smaller ones go first. Orders that can still be in time go first, by the time at which
+/// they are wanted, with a lead for more urgent ones; then those that are late already.
+time_point queue_rank(time_point wanted_by, int priority, const batch_options& options, time_point now);
+
 class piece_queue {
 public:
     void push(queued_piece it);
@@ -88,6 +92,9 @@
     /// Pieces that are wanted at that time or later and are not held.
     std::size_t count_in_time(time_point wanted, const order_filter& held) const;
 
+    /// Ranks of all pieces, the first one in front.
+    std::vector<time_point> ranks(const batch_options& options, time_point now) const;
+
     bool empty() const { return waiting_.empty(); }
     std::size_t size() const { return waiting_.size(); }
 
--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -29,6 +29,28 @@
     time_point give_up{}; ///< the endpoint counts as hung after this
 };
 
+/// What runs and waits in a pool at one moment.
+class backlog_profile {
+public:
+    /// Time that the pool needs for what runs and for the pieces that go before the given rank.
+    duration before(time_point rank) const;
+
+    /// Time of a call with the usual number of pieces.
+    duration usual_call() const;
+
+private:
+    friend class stage_dispatcher;
+
+    std::vector<time_point> ranks_; ///< of the waiting pieces, in order
+    double speed_{0};               ///< usable endpoints, slow ones counting for less
+    double running_ms_{0};
+    double batch_{1}; ///< pieces of a usual call
+    double call_ms_{0};
+    double piece_ms_{0};
+
+    duration time_for(std::size_t pieces) const;
+};
+
 class stage_dispatcher {
 public:
     void configure(const stage_figures& figures, std::vector<endpoint> endpoints);
@@ -55,10 +77,11 @@
 
     std::vector<queued_piece> expire(time_point now) { return queue_.expire(options_, now); }
 
-    /// Time that the pool needs for all that runs and waits now.
-    duration backlog(time_point now) const;
+    backlog_profile profile(time_point now) const;
+    const batch_options& options() const { return options_; }
 
-    /// The same for what goes before a new order: orders that `held` names and late ones don't.
+    /// Time that the pool needs for what runs and goes before a new order: orders that `held` names and late
+    /// ones don't.
     duration backlog_ahead(time_point now, const order_filter& held) const;
 
     /// Expected time of a call with this many pieces.
@@ -92,7 +115,7 @@
     void punish(target& it, duration base, time_point now);
     std::uint64_t room_of(const target& it) const;
     void note_batch(std::size_t pieces);
-    duration time_for(std::size_t waiting, time_point now) const;
+    backlog_profile speed(time_point now) const;
 
     stage_figures figures_;
     batch_options options_;
--- a/lib/gateway/feeder.cpp
+++ b/lib/gateway/feeder.cpp
@@ -34,7 +34,8 @@
 /// links of stage endpoints.
 constexpr duration input_fetch_time{40};
 
-/// A pool is congested when it needs longer than this for what waits and runs there: a call and a half.
+/// A pool is congested for an order when it needs longer than this for what goes before it: a call and a
+/// half.
 constexpr duration congested_backlog{700};
 
 std::vector<std::string> handles_of(const std::vector<result_group>& groups)
@@ -141,17 +142,34 @@
     return pools_.emplace(where, std::move(state)).first->second.get();
 }
 
-/// The first stage of a request waits while a later one is congested: what it makes would wait there, occupy
-/// room at its maker and expire.
-bool feeder::is_held(const std::string& group, const stage_order& order, time_point now) const
+/// The first stage of a request waits while a later one is congested by work that goes before it there: what
+/// it makes would wait there, occupy room at its maker and expire. A request that would be late behind that
+/// work waits too: begun now, it would only make others late.
+order_filter feeder::hold_filter(const std::string& group, time_point now) const
 {
-    if (!order.inputs.empty())
+    const auto profiles = std::make_shared<std::map<std::string, backlog_profile>>();
+    return [this, group, now, profiles](const stage_order& order) {
+        if (!order.inputs.empty())
+            return false;
+        duration earlier{0};
+        const duration slack = order.wanted_by - now;
+        const duration limit = slack > duration{0} ? std::min(slack, congested_backlog) : congested_backlog;
+        for (const auto& name : order.next_pools) {
+            const auto it = pools_.find({group, name});
+            if (it == pools_.end() || !it->second->dispatcher.has_endpoints())
+                continue;
+            const auto& next = it->second->dispatcher;
+            auto known = profiles->find(name);
+            if (known == profiles->end())
+                known = profiles->emplace(name, next.profile(now)).first;
+            earlier += known->second.usual_call();
+            stage_order there = order;
+            const auto rank = queue_rank(order.wanted_by + earlier, order.priority, next.options(), now);
+            if (known->second.before(rank) > limit)
+                return true;
+        }
         return false;
-    return std::any_of(order.next_pools.begin(), order.next_pools.end(), [&](const std::string& name) {
-        const auto it = pools_.find({group, name});
-        return it != pools_.end() && it->second->dispatcher.has_endpoints() &&
-               it->second->dispatcher.backlog(now) > congested_backlog;
-    });
+    };
 }
 
 awaitable<void> feeder::tick_loop()
@@ -195,10 +213,7 @@
         co_await it->done.async_wait(quiet);
     }
     it->last_asked = boot_clock::now();
-    const order_filter held = [&](const stage_order& one) {
-        return is_held(where.group, one, it->last_asked);
-    };
-    out.backlog = state->dispatcher.backlog_ahead(it->last_asked, held);
+    out.backlog = state->dispatcher.backlog_ahead(it->last_asked, hold_filter(where.group, it->last_asked));
     if (it->cancelled) {
         out.reason = "cancelled";
         co_return out;
@@ -231,7 +246,7 @@
 {
     auto& state = *pools_.at(where);
     const time_point now = boot_clock::now();
-    const order_filter held = [&](const stage_order& it) { return is_held(where.group, it, now); };
+    const order_filter held = hold_filter(where.group, now);
     while (auto call = state.dispatcher.next(now, held))
         asio::co_spawn(executor_, make_call(where, std::move(*call)), asio::detached);
 }
--- a/lib/gateway/feeder.hpp
+++ b/lib/gateway/feeder.hpp
@@ -80,7 +80,7 @@
     std::vector<std::shared_ptr<open_order>> note_started(const stage_dispatch& call);
     pool_state* find_pool(const pool_key& where);
     void configure(const pool_key& where, pool_state& state);
-    bool is_held(const std::string& group, const stage_order& order, time_point now) const;
+    order_filter hold_filter(const std::string& group, time_point now) const;
     void pump(const pool_key& where);
     void pump_group(const std::string& group);
     void take_results(pool_state& at, stage_dispatch& call, const std::vector<piece_result>& results);
--- a/lib/gateway/piece_queue.cpp
+++ b/lib/gateway/piece_queue.cpp
@@ -27,6 +27,9 @@
     std::size_t pieces{0};
 };
 
+/// Rank of late work behind all that can be in time.
+constexpr duration late_rank{24 * 3'600'000};
+
 using iterator = std::list<queued_piece>::iterator;
 
 std::vector<waiting_order> orders_of(const std::list<queued_piece>& waiting)
@@ -57,14 +60,29 @@
 
 } // namespace
 
+/// Late orders are worth little, and serving them first would make the others late as well.
+time_point queue_rank(time_point wanted_by, int priority, const batch_options& options, time_point now)
+{
+    const bool late = wanted_by < now + time_of(options, 1);
+    const duration lead = options.priority_lead * std::clamp<std::int64_t>(priority, 0, lowest_priority);
+    return late ? wanted_by + lead * late_lead + late_rank : wanted_by + lead;
+}
+
+std::vector<time_point> piece_queue::ranks(const batch_options& options, time_point now) const
+{
+    std::vector<time_point> out;
+    out.reserve(waiting_.size());
+    for (const auto& it : waiting_)
+        out.push_back(queue_rank(it.order->wanted_by, it.order->priority, options, now));
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
 void piece_queue::push(queued_piece it)
 {
     waiting_.push_back(std::move(it));
 }
 
-/// Orders that can still be in time go first, the one with the least slack at the front, with a lead for more
-/// urgent ones; then those that are late already. Late ones are worth little, and serving them first would
-/// make the others late as well.
 std::vector<queued_piece> piece_queue::take_batch(const batch_options& options, std::string_view domain,
                                                   const domain_free_times& free, std::uint64_t room,
                                                   const order_filter& held, time_point now)
@@ -74,17 +92,11 @@
     const bool oldest_first = options.oldest_first_every > 0 &&
                               batches_ % options.oldest_first_every == options.oldest_first_every - 1;
     const auto is_late = [&](const waiting_order& it) { return it.order->wanted_by < now + least; };
-    const auto lead = [&](const waiting_order& it) {
-        return options.priority_lead * std::clamp<std::int64_t>(it.order->priority, 0, lowest_priority);
-    };
     std::sort(orders.begin(), orders.end(), [&](const waiting_order& a, const waiting_order& b) {
         if (oldest_first)
             return a.queued < b.queued;
-        const bool late_a = is_late(a);
-        const bool late_b = is_late(b);
-        const auto end_a = a.order->wanted_by + lead(a) * (late_a ? late_lead : 1);
-        const auto end_b = b.order->wanted_by + lead(b) * (late_b ? late_lead : 1);
-        return std::tie(late_a, end_a) < std::tie(late_b, end_b);
+        return queue_rank(a.order->wanted_by, a.order->priority, options, now) <
+               queue_rank(b.order->wanted_by, b.order->priority, options, now);
     });
     std::map<std::string_view, std::size_t> pieces_ahead;
     const duration full_call = time_of(options, options.size);
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -230,35 +230,53 @@
     }
 }
 
-duration stage_dispatcher::backlog(time_point now) const
+duration stage_dispatcher::backlog_ahead(time_point now, const order_filter& held) const
 {
-    return time_for(queue_.size(), now);
+    return speed(now).time_for(queue_.count_in_time(now + call_time(1), held));
 }
 
-duration stage_dispatcher::backlog_ahead(time_point now, const order_filter& held) const
+backlog_profile stage_dispatcher::profile(time_point now) const
 {
-    return time_for(queue_.count_in_time(now + call_time(1), held), now);
+    backlog_profile out = speed(now);
+    out.ranks_ = queue_.ranks(options_, now);
+    return out;
 }
 
-/// Time for the running calls and this many pieces.
-duration stage_dispatcher::time_for(std::size_t waiting, time_point now) const
+/// The profile without what waits.
+backlog_profile stage_dispatcher::speed(time_point now) const
 {
-    double speed = 0;
-    double running_ms = 0;
+    backlog_profile out;
     for (const auto& [id, it] : endpoints_) {
         if (it.avoid_until > now)
             continue;
-        speed += 1 / std::max(0.5, it.slowness);
+        out.speed_ += 1 / std::max(0.5, it.slowness);
         if (it.busy && it.busy_until > now)
-            running_ms += static_cast<double>((it.busy_until - now).count());
+            out.running_ms_ += static_cast<double>((it.busy_until - now).count());
     }
-    if (speed <= 0)
+    out.batch_ = std::max(1.0, usual_pieces_ > 0 ? usual_pieces_ : static_cast<double>(options_.size));
+    out.call_ms_ = figures_.call_ms;
+    out.piece_ms_ = figures_.piece_ms;
+    return out;
+}
+
+duration backlog_profile::before(time_point rank) const
+{
+    const auto end = std::lower_bound(ranks_.begin(), ranks_.end(), rank);
+    return time_for(static_cast<std::size_t>(end - ranks_.begin()));
+}
+
+duration backlog_profile::usual_call() const
+{
+    return duration(static_cast<std::int64_t>(call_ms_ + piece_ms_ * batch_));
+}
+
+duration backlog_profile::time_for(std::size_t pieces) const
+{
+    if (speed_ <= 0)
         return unknown_backlog;
-    const auto batch = std::max(1.0, usual_pieces_ > 0 ? usual_pieces_ : static_cast<double>(options_.size));
-    const auto pieces = static_cast<double>(waiting);
-    const double work =
-        running_ms + std::ceil(pieces / batch) * figures_.call_ms + pieces * figures_.piece_ms;
-    return duration(static_cast<std::int64_t>(work / speed));
+    const auto n = static_cast<double>(pieces);
+    const double work = running_ms_ + std::ceil(n / batch_) * call_ms_ + n * piece_ms_;
+    return duration(static_cast<std::int64_t>(work / speed_));
 }
 
 } // namespace limpetlock::gateway
--- a/unittests/gateway/dispatch_test.cpp
+++ b/unittests/gateway/dispatch_test.cpp
@@ -252,6 +252,21 @@
     cr_expect_lt(call->give_up, at(2'000));
 }
 
+// Pattern: much work that is wanted late fills a pool. What is wanted soon must not count it as a backlog, or
+// it is held back at its first stage for work that would let it pass.
+Test(stage_dispatcher, backlog_before_an_order_leaves_out_what_goes_behind_it)
+{
+    stage_dispatcher it;
+    it.configure(figures(), {endpoint_named("one")});
+    for (int n = 0; n < 10; ++n)
+        it.submit(make_order({"patient-" + std::to_string(n), 12, 5'000}), at(0));
+    const auto profile = it.profile(at(0));
+    const batch_options& options = it.options();
+    cr_expect_eq(profile.before(queue_rank(at(2'000), 0, options, at(0))), duration(0));
+    cr_expect_geq(profile.before(queue_rank(at(6'000), 0, options, at(0))), duration(3'000));
+    cr_expect_geq(profile.before(queue_rank(at(100), 0, options, at(0))), duration(3'000), "late already");
+}
+
 Test(endpoint_book, the_same_part_of_a_prompt_stays_at_its_engine)
 {
     endpoint_book it;
