Give work that is worth more a piece a lead in stage pools

In bursts both were late. An order's rank has now a lead of 500 ms for each doubling of tokens a piece; an output token counts for ten of the prompt. Ruled out: priorities. They come from the tenant and are equal for most work.

--- a/include/limpetlock/gateway/piece_queue.hpp
+++ b/include/limpetlock/gateway/piece_queue.hpp
@@ -32,7 +32,7 @@
     std::uint64_t transfer_bytes{0};
     std::vector<std::string> next_pools; ///< of the stages that follow
     int priority{0};
-    double worth{1}; ///< of the request per piece, in relation to other requests
+    double worth{0}; ///< tokens of the request for each of its pieces; 0 when unknown
 };
 
 /// A piece in the queue or in a call.
@@ -55,6 +55,9 @@
     double local_slack_share{0.4};
     /// An order goes before another one of the next lower priority unless that one is wanted earlier by more.
     duration priority_lead{800};
+    /// An order goes before another one that is worth half as much a piece unless that one is wanted earlier
+    /// by more. When a pool is short, the same calls then serve more of what callers wait for.
+    duration worth_lead{500};
     /// While more pieces than this wait, a call also takes pieces that wait for an endpoint of their own
     /// domain.
     std::size_t crowded_pieces{SIZE_MAX};
@@ -68,9 +71,10 @@
 /// Whether an order should wait although an endpoint is free.
 using order_filter = std::function<bool(const stage_order&)>;
 
-/// Place in a queue; smaller ones go first. Orders that can still be in time go first, by the time at which
-/// they are wanted, with a lead for more urgent ones; then those that are late already.
-time_point queue_rank(time_point wanted_by, int priority, const batch_options& options, time_point now);
+/// Place of an order in a queue; smaller ones go first. Orders that can still be in time go first, by the
+/// time at which they are wanted, with a lead for more urgent and more valuable ones; then those that are
+/// late already.
+time_point queue_rank(const stage_order& it, const batch_options& options, time_point now);
 
 class piece_queue {
 public:
--- a/lib/gateway/feeder.cpp
+++ b/lib/gateway/feeder.cpp
@@ -163,9 +163,11 @@
             if (known == profiles->end())
                 known = profiles->emplace(name, next.profile(now)).first;
             earlier += known->second.usual_call();
-            stage_order there = order;
-            const auto rank = queue_rank(order.wanted_by + earlier, order.priority, next.options(), now);
-            if (known->second.before(rank) > limit)
+            stage_order there;
+            there.wanted_by = order.wanted_by + earlier;
+            there.priority = order.priority;
+            there.worth = order.worth;
+            if (known->second.before(queue_rank(there, next.options(), now)) > limit)
                 return true;
         }
         return false;
--- a/lib/gateway/piece_queue.cpp
+++ b/lib/gateway/piece_queue.cpp
@@ -1,6 +1,7 @@
 #include <limpetlock/gateway/piece_queue.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <tuple>
 #include <utility>
@@ -17,6 +18,11 @@
 
 constexpr std::int64_t lowest_priority = 9;
 
+/// Bounds of the tokens for a piece that are told apart, and what stands for an unknown number.
+constexpr double least_worth = 64;
+constexpr double usual_worth = 1'024;
+constexpr double most_worth = 16'384;
+
 /// Late work of a higher priority has a lead of this many times the usual one.
 constexpr std::int64_t late_lead = 4;
 
@@ -61,11 +67,14 @@
 } // namespace
 
 /// Late orders are worth little, and serving them first would make the others late as well.
-time_point queue_rank(time_point wanted_by, int priority, const batch_options& options, time_point now)
+time_point queue_rank(const stage_order& it, const batch_options& options, time_point now)
 {
-    const bool late = wanted_by < now + time_of(options, 1);
-    const duration lead = options.priority_lead * std::clamp<std::int64_t>(priority, 0, lowest_priority);
-    return late ? wanted_by + lead * late_lead + late_rank : wanted_by + lead;
+    const bool late = it.wanted_by < now + time_of(options, 1);
+    const double worth = it.worth > 0 ? std::clamp(it.worth, least_worth, most_worth) : usual_worth;
+    const duration lead = options.priority_lead * std::clamp<std::int64_t>(it.priority, 0, lowest_priority) +
+                          duration(static_cast<std::int64_t>(static_cast<double>(options.worth_lead.count()) *
+                                                             std::log2(most_worth / worth)));
+    return late ? it.wanted_by + lead * late_lead + late_rank : it.wanted_by + lead;
 }
 
 std::vector<time_point> piece_queue::ranks(const batch_options& options, time_point now) const
@@ -73,7 +82,7 @@
     std::vector<time_point> out;
     out.reserve(waiting_.size());
     for (const auto& it : waiting_)
-        out.push_back(queue_rank(it.order->wanted_by, it.order->priority, options, now));
+        out.push_back(queue_rank(*it.order, options, now));
     std::sort(out.begin(), out.end());
     return out;
 }
@@ -95,8 +104,7 @@
     std::sort(orders.begin(), orders.end(), [&](const waiting_order& a, const waiting_order& b) {
         if (oldest_first)
             return a.queued < b.queued;
-        return queue_rank(a.order->wanted_by, a.order->priority, options, now) <
-               queue_rank(b.order->wanted_by, b.order->priority, options, now);
+        return queue_rank(*a.order, options, now) < queue_rank(*b.order, options, now);
     });
     std::map<std::string_view, std::size_t> pieces_ahead;
     const duration full_call = time_of(options, options.size);
--- a/lib/gateway/request_job.cpp
+++ b/lib/gateway/request_job.cpp
@@ -1,6 +1,8 @@
 #include "request_job.hpp"
 
+#include <algorithm>
 #include <array>
+#include <numeric>
 
 namespace limpetlock::gateway {
 
@@ -39,6 +41,14 @@
     return best->id;
 }
 
+double worth_of(const caller_request& it)
+{
+    constexpr double prompt_tokens_of_output = 10;
+    const double tokens = it.prompt_tokens + prompt_tokens_of_output * it.output_tokens;
+    const auto pieces = std::accumulate(it.stage_pieces.begin(), it.stage_pieces.end(), std::uint64_t{0});
+    return tokens / static_cast<double>(std::max<std::uint64_t>(1, pieces));
+}
+
 std::uint64_t session_of(const caller_request& it)
 {
     return it.prompt.size() < 2 ? 0 : it.prompt[it.prompt.size() - 2].id;
--- a/lib/gateway/request_job.hpp
+++ b/lib/gateway/request_job.hpp
@@ -81,6 +81,10 @@
 /// The last part of a prompt that other requests may share; 0 when there is none.
 std::uint64_t session_of(const caller_request& it);
 
+/// Size of a generation for each of its pieces, in prompt tokens. An output token counts for ten: it takes a
+/// step of the engine of its own.
+double worth_of(const caller_request& it);
+
 struct request_handler::job {
     job(http::exchange& exchange, time_point now) : io(exchange), arrival(now) {}
 
--- a/lib/gateway/stage_chain.hpp
+++ b/lib/gateway/stage_chain.hpp
@@ -31,7 +31,7 @@
     time_point wanted_by{}; ///< all stages done by this time let the request meet its objective
     std::string domain;
     int priority{0};
-    double worth{1};
+    double worth{0}; ///< tokens of the request for each of its pieces; 0 when unknown
 };
 
 enum class stage_end : std::uint8_t { done, late, unavailable, failed };
--- a/unittests/gateway/dispatch_test.cpp
+++ b/unittests/gateway/dispatch_test.cpp
@@ -47,6 +47,7 @@
     std::string domain{"a"};
     std::uint64_t bytes{1'000};
     int priority{0};
+    double worth{0};
 };
 
 std::shared_ptr<const stage_order> make_order(const order_spec& it)
@@ -59,6 +60,7 @@
     out->deadline = at(it.deadline_ms);
     out->domain = it.domain;
     out->priority = it.priority;
+    out->worth = it.worth;
     out->result_bytes = it.bytes;
     out->transfer_bytes = it.bytes * it.pieces;
     return out;
@@ -130,6 +132,24 @@
     cr_expect_eq(requests_in(call->pieces), (std::set<std::string>{"background"}));
 }
 
+// Pattern: a burst fills the stage pools, and small requests that need many pieces wait beside large ones.
+// First come, first served makes both late.
+Test(stage_dispatcher, work_that_is_worth_more_a_piece_has_a_bounded_lead)
+{
+    stage_dispatcher it;
+    it.configure(figures(4), {endpoint_named("one")});
+    it.submit(make_order({"small", 4, 3'000, 10'000, "a", 1'000, 0, 256}), at(0));
+    it.submit(make_order({"large", 4, 3'900, 10'000, "a", 1'000, 0, 1'024}), at(0));
+    const auto first = it.next(at(0));
+    cr_assert(first.has_value());
+    cr_expect(requests_in(first->pieces).contains("large"));
+    it.finished(first->call, call_outcome::answered, at(300));
+    it.submit(make_order({"later", 4, 5'000, 10'000, "a", 1'000, 0, 1'024}), at(300));
+    const auto second = it.next(at(300));
+    cr_assert(second.has_value());
+    cr_expect(requests_in(second->pieces).contains("small"), "wanted sooner by more than the lead");
+}
+
 Test(stage_dispatcher, late_work_is_not_passed_over_for_ever)
 {
     stage_dispatcher it;
@@ -261,10 +281,12 @@
     for (int n = 0; n < 10; ++n)
         it.submit(make_order({"patient-" + std::to_string(n), 12, 5'000}), at(0));
     const auto profile = it.profile(at(0));
-    const batch_options& options = it.options();
-    cr_expect_eq(profile.before(queue_rank(at(2'000), 0, options, at(0))), duration(0));
-    cr_expect_geq(profile.before(queue_rank(at(6'000), 0, options, at(0))), duration(3'000));
-    cr_expect_geq(profile.before(queue_rank(at(100), 0, options, at(0))), duration(3'000), "late already");
+    const auto before = [&](std::int64_t wanted_ms) {
+        return profile.before(queue_rank(*make_order({"new", 1, wanted_ms}), it.options(), at(0)));
+    };
+    cr_expect_eq(before(2'000), duration(0));
+    cr_expect_geq(before(6'000), duration(3'000));
+    cr_expect_geq(before(100), duration(3'000), "late already");
 }
 
 Test(endpoint_book, the_same_part_of_a_prompt_stays_at_its_engine)
