--- a/include/limpetlock/gateway/piece_queue.hpp
+++ b/include/limpetlock/gateway/piece_queue.hpp
@@ -57,7 +57,7 @@
     duration priority_lead{800};
     /// An order goes before another one that is worth half as much a piece unless that one is wanted earlier
     /// by more. When a pool is short, the same calls then serve more of what callers wait for.
-    duration worth_lead{1'000};
+    duration worth_lead{2'000};
     /// While more pieces than this wait, a call also takes pieces that wait for an endpoint of their own
     /// domain.
     std::size_t crowded_pieces{SIZE_MAX};
