--- a/include/limpetlock/gateway/endpoint_book.hpp
+++ b/include/limpetlock/gateway/endpoint_book.hpp
@@ -71,7 +71,8 @@
         const seen* it;
         bool avoided;
         bool crowded;
-        double load;
+        double load;        ///< part of its places that are in use
+        std::uint64_t rank; ///< hash for the present choice
     };
 
     double load_of(const seen& it, time_point now) const;
--- a/lib/gateway/endpoint_book.cpp
+++ b/lib/gateway/endpoint_book.cpp
@@ -86,7 +86,7 @@
             continue;
         const seen& it = endpoints_.at(id);
         const double load = load_of(it, now);
-        out.push_back({&it, it.avoid_until > now, wish.affinity != 0 && load > affinity_load_limit, load});
+        out.push_back({&it, it.avoid_until > now, wish.affinity != 0 && load > affinity_load_limit, load, 0});
     }
     return out;
 }
@@ -113,18 +113,18 @@
                                 [&](const candidate& a, const candidate& b) { return cost(a) < cost(b); })
             ->it->who;
     }
-    const auto higher = [](std::uint64_t key) {
-        return [key](const candidate& a, const candidate& b) {
-            return hash64(a.it->who.id, key) > hash64(b.it->who.id, key);
-        };
-    };
-    const std::size_t spread = std::clamp<std::size_t>(pools_.at(wish.pool).size() / endpoints_per_copy, 1,
+    for (auto& it : all)
+        it.rank = hash64(it.it->who.id, wish.affinity);
+    const auto higher = [](const candidate& a, const candidate& b) { return a.rank > b.rank; };
+    const std::size_t copies = std::clamp<std::size_t>(pools_.at(wish.pool).size() / endpoints_per_copy, 1,
                                                        std::min(most_copies, all.size()));
-    const auto end = all.begin() + static_cast<std::ptrdiff_t>(spread);
-    std::partial_sort(all.begin(), end, all.end(), higher(wish.affinity));
+    const auto end = all.begin() + static_cast<std::ptrdiff_t>(copies);
+    std::partial_sort(all.begin(), end, all.end(), higher);
     if (wish.session == 0)
         return all.front().it->who;
-    return std::min_element(all.begin(), end, higher(wish.session))->it->who;
+    for (auto it = all.begin(); it != end; ++it)
+        it->rank = hash64(it->it->who.id, wish.session);
+    return std::min_element(all.begin(), end, higher)->it->who;
 }
 
 bool endpoint_book::has_queue(const std::string& id, time_point now) const
