Add a soak of the gateway's processes under overlapping faults

Three instances, seeded series of pauses, kills, planned stops and restarts, store and endpoint troubles; callers check whole and own answers, at most one run of a booking, true refusals, no lost answer at a sound instance or before a planned stop, and recovery. Not in it yet: a proxy that delays, cuts one way or silences connections, and runs with many processes.

--- /dev/null
+++ b/test/platform/soak_test.cpp
@@ -0,0 +1,311 @@
+// A randomized soak of real processes: seeded series of overlapping faults while callers check what they get.
+// LIMPETLOCK_SOAK_SEEDS ("7" or "1-50") and LIMPETLOCK_SOAK_SECONDS choose other runs than the short one.
+#include "platform_fleet.hpp"
+
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <map>
+#include <sstream>
+#include <string>
+#include <thread>
+
+using namespace limpetlock::test;
+using limpetlock::platformkit::behaviour;
+using limpetlock::platformkit::site;
+using limpetlock::platformkit::store_mode;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::size_t instances = 3;
+constexpr milliseconds request_gap{15};
+
+/// The longest that an instance may take to answer: the time limit of a call, and the slack of its caller.
+constexpr milliseconds longest_answer{6'000};
+
+/// Within this time after the last fault everything is served again.
+constexpr seconds recovery{8};
+
+struct span {
+    steady_clock::time_point from;
+    steady_clock::time_point to;
+    bool planned; ///< a planned stop answers what it had taken before
+};
+
+struct sent_call {
+    platform_call call;
+    std::size_t instance;
+    steady_clock::time_point at;
+    std::future<platform_answer> answer;
+};
+
+/// One series of faults. Everything random comes from the seed; process times don't.
+class soak {
+public:
+    explicit soak(std::uint64_t seed) : random_(seed), fleet_(instances), disturbed_(instances) {}
+
+    void run(seconds length);
+
+private:
+    std::size_t pick(std::size_t n)
+    {
+        return boost::random::uniform_int_distribution<std::size_t>(0, n - 1)(random_);
+    }
+    void send_one();
+    void inject();
+    void disturb_instance(std::size_t which);
+    void disturb_endpoints();
+    void disturb_store();
+    void heal(bool all);
+    void check_recovery();
+    void check_answers();
+    void check_answer(const sent_call& sent, const platform_answer& it);
+    bool excused(const sent_call& it) const;
+
+    boost::random::mt19937_64 random_;
+    platform_fleet fleet_;
+    std::vector<std::vector<span>> disturbed_;
+    /// What ends a fault, by the time at which it is due.
+    std::multimap<steady_clock::time_point, std::function<void()>> heals_;
+    std::vector<sent_call> sent_;
+    std::uint64_t next_id_{1};
+};
+
+void soak::send_one()
+{
+    static constexpr std::array<const char*, 4> routes{"stream", "resumable", "booking", "lookup"};
+    const std::string route = routes.at(pick(routes.size()));
+    platform_call it;
+    it.path = "/" + route + "/x";
+    it.id = fmt::format("{:016x}", next_id_++);
+    it.prompt = fmt::format("1:50,{:x}:80,{:x}:30", pick(9) + 2, next_id_ + 1000);
+    if (route == "stream")
+        it.pieces = "2,1";
+    const std::size_t to = pick(instances);
+    auto answer = fleet_.send(to, it);
+    sent_.push_back({std::move(it), to, steady_clock::now(), std::move(answer)});
+}
+
+/// Pauses, kills or stops an instance, and lets it come back.
+void soak::disturb_instance(std::size_t which)
+{
+    auto& spans = disturbed_[which];
+    const auto now = steady_clock::now();
+    if (!spans.empty() && spans.back().to > now)
+        return;
+    const milliseconds length(200 + pick(1'200));
+    const std::size_t how = pick(3);
+    spans.push_back({now, steady_clock::time_point::max(), how == 2});
+    const auto back = [this, which] {
+        fleet_.start(which);
+        const auto until = steady_clock::now() + recovery;
+        while (!fleet_.is_ready(which) && steady_clock::now() < until)
+            std::this_thread::sleep_for(request_gap);
+        disturbed_[which].back().to = steady_clock::now();
+    };
+    if (how == 0) {
+        fleet_.signal(which, SIGSTOP);
+        heals_.emplace(now + length, [this, which] {
+            fleet_.signal(which, SIGCONT);
+            disturbed_[which].back().to = steady_clock::now() + seconds(1);
+        });
+    } else if (how == 1) {
+        fleet_.signal(which, SIGKILL);
+        heals_.emplace(now + length, back);
+    } else {
+        fleet_.signal(which, SIGTERM);
+        heals_.emplace(now + length, [this, which, back] {
+            cr_expect_eq(fleet_.wait_exit(which, seconds(10)), 0, "a planned stop ends with another code");
+            back();
+        });
+    }
+}
+
+void soak::disturb_endpoints()
+{
+    static constexpr std::array<behaviour, 6> ways{behaviour::refuse,     behaviour::fail,
+                                                   behaviour::cut_answer, behaviour::wrong_id,
+                                                   behaviour::unstamped,  behaviour::wrong_endpoint};
+    const auto how = ways.at(pick(ways.size()));
+    const std::size_t count = 1 + pick(6);
+    const std::size_t kind = pick(3);
+    fleet_.at_site([&](site& it) {
+        if (kind == 0)
+            it.plain[pick(it.plain.size())]->behave(how, count);
+        else if (kind == 1)
+            it.engines[pick(it.engines.size())]->behave(how, count);
+        else
+            it.first_stage[pick(it.first_stage.size())]->behave(behaviour::cut_answer, count);
+    });
+}
+
+void soak::disturb_store()
+{
+    static constexpr std::array<store_mode, 3> ways{store_mode::refusing, store_mode::silent,
+                                                    store_mode::silent_watches};
+    const auto how = ways.at(pick(ways.size()));
+    const bool forget = pick(2) == 0;
+    fleet_.at_site([&](site& it) {
+        it.state.set_mode(how);
+        if (forget)
+            it.state.forget_history();
+        if (how == store_mode::silent_watches)
+            it.publish_config();
+    });
+    heals_.emplace(steady_clock::now() + milliseconds(100 + pick(1'500)),
+                   [this] { fleet_.at_site([](site& it) { it.state.set_mode(store_mode::serving); }); });
+}
+
+void soak::inject()
+{
+    switch (pick(4)) {
+    case 0:
+    case 1:
+        return disturb_instance(pick(instances));
+    case 2:
+        return disturb_endpoints();
+    default:
+        return disturb_store();
+    }
+}
+
+void soak::heal(bool all)
+{
+    while (!heals_.empty() && (all || heals_.begin()->first <= steady_clock::now())) {
+        const auto action = heals_.begin()->second;
+        heals_.erase(heals_.begin());
+        action();
+    }
+}
+
+void soak::run(seconds length)
+{
+    cr_assert(fleet_.wait_ready());
+    const auto end = steady_clock::now() + length;
+    auto next_fault = steady_clock::now();
+    while (steady_clock::now() < end) {
+        send_one();
+        heal(false);
+        if (steady_clock::now() >= next_fault) {
+            inject();
+            next_fault = steady_clock::now() + milliseconds(100 + pick(500));
+        }
+        std::this_thread::sleep_for(request_gap);
+    }
+    heal(true);
+    check_recovery();
+    check_answers();
+}
+
+void soak::check_recovery()
+{
+    cr_expect(fleet_.wait_ready(recovery), "not all instances are ready again");
+    const auto until = steady_clock::now() + recovery;
+    std::size_t served = 0;
+    while (served < instances && steady_clock::now() < until) {
+        served = 0;
+        for (std::size_t n = 0; n < instances; ++n) {
+            platform_call it;
+            it.path = "/stream/x";
+            it.id = fmt::format("{:016x}", next_id_++);
+            it.pieces = "2,1";
+            it.prompt = "1:50,2:80,3:30";
+            const auto answer = fleet_.ask(n, it);
+            served += answer.status == 200 && answer.whole ? 1 : 0;
+        }
+    }
+    cr_expect_eq(served, instances, "streams are not served again");
+}
+
+/// Only a request at an instance that was killed, paused or away may stay without an answer.
+bool soak::excused(const sent_call& it) const
+{
+    const auto& spans = disturbed_[it.instance];
+    return std::any_of(spans.begin(), spans.end(), [&](const span& s) {
+        const auto latest = s.planned ? it.at : it.at + longest_answer;
+        return it.at <= s.to && latest >= s.from;
+    });
+}
+
+void soak::check_answer(const sent_call& sent, const platform_answer& it)
+{
+    const auto& id = sent.call.id;
+    cr_expect(it.status != 0 || excused(sent), "%s got no answer at a sound instance", id.c_str());
+    cr_expect(it.status < 400 || it.status >= 500, "%s was denied with %d", id.c_str(), it.status);
+    if (it.status != 200)
+        return;
+    cr_expect_eq(it.header("Limpetlock-Request-Id"), id);
+    std::string body = "answer to " + id;
+    if (sent.call.path.starts_with("/stream") || sent.call.path.starts_with("/resumable")) {
+        body.clear();
+        for (std::size_t n = 1; n <= 8; ++n)
+            body += fmt::format("id: {}\ndata: {}\n\n", n, std::string(55, 'x'));
+    }
+    if (it.whole)
+        cr_expect_eq(it.body, body, "%s: %s", id.c_str(), it.body.c_str());
+    else
+        cr_expect(body.starts_with(it.body), "%s: an answer that was cut isn't a part of the whole one",
+                  id.c_str());
+}
+
+void soak::check_answers()
+{
+    std::map<std::string, int> status;
+    for (auto& sent : sent_) {
+        const auto answer = sent.answer.get();
+        status[sent.call.id] = answer.status;
+        check_answer(sent, answer);
+    }
+    std::map<std::string, std::size_t> runs;
+    std::map<std::string, std::size_t> bookings;
+    fleet_.at_site([&](site& it) {
+        for (const auto* list : {&it.plain, &it.engines})
+            for (const auto& endpoint : *list)
+                for (const auto& run : endpoint->runs()) {
+                    ++runs[run.request_id];
+                    bookings[run.request_id] += run.target.starts_with("/booking/") ? 1 : 0;
+                }
+    });
+    for (const auto& [id, count] : bookings)
+        cr_expect_leq(count, 1, "booking %s ran %zu times", id.c_str(), count);
+    for (const auto& [id, code] : status)
+        cr_expect(code != 503 || runs[id] == 0 || bookings[id] == 0, "%s was refused and ran", id.c_str());
+}
+
+std::pair<std::uint64_t, std::uint64_t> chosen_seeds()
+{
+    const char* const text = std::getenv("LIMPETLOCK_SOAK_SEEDS");
+    std::uint64_t first = 1;
+    std::uint64_t last = 2;
+    if (text != nullptr) {
+        std::istringstream in(text);
+        char dash = 0;
+        in >> first;
+        if (!(in >> dash >> last))
+            last = first;
+    }
+    return {first, last};
+}
+
+} // namespace
+
+// Guards against doubled bookings, untrue refusals, lost and mixed answers, and a fleet that doesn't come
+// back, under faults that overlap.
+Test(soak, promises_hold_under_overlapping_faults, .timeout = 1'800)
+{
+    const char* const length = std::getenv("LIMPETLOCK_SOAK_SECONDS");
+    const auto [first, last] = chosen_seeds();
+    for (std::uint64_t seed = first; seed <= last; ++seed) {
+        cr_log_info("seed %lu", seed);
+        soak it(seed);
+        it.run(seconds(length == nullptr ? 5 : std::atoi(length)));
+    }
+}
