Report a call as cancelled when its socket was closed between two operations

The cancellation closes the socket after the write ended in the kernel and before the read began, and the read's error counted as a close by the endpoint. Nothing was said to be unsent that had been sent.

--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -48,9 +48,15 @@
     return (v6 ? '[' + to.host + ']' : to.host) + ':' + std::to_string(to.port);
 }
 
+/// Whether this side closed the socket: during the operation, or before it began.
+bool closed_here(const error_code& ec)
+{
+    return ec == asio::error::operation_aborted || ec == asio::error::bad_descriptor;
+}
+
 errc code_of(const error_code& ec)
 {
-    if (ec == asio::error::operation_aborted)
+    if (closed_here(ec))
         return errc::cancelled;
     if (ec == asio::error::timed_out)
         return errc::timeout;
@@ -204,7 +210,7 @@
     error.sent = n > 0;
     if (link_->timer.expired())
         co_return fail(errc::timeout, "request not sent in time");
-    if (ec == asio::error::operation_aborted)
+    if (closed_here(ec))
         co_return fail(errc::cancelled, "cancelled while sending");
     if (!ec)
         co_return true;
