--- a/include/limpetlock/gateway/instance.hpp
+++ b/include/limpetlock/gateway/instance.hpp
@@ -4,6 +4,7 @@
 
 #include <limpetlock/gateway/dialect.hpp>
 #include <limpetlock/gateway/settings.hpp>
+#include <limpetlock/lifecycle/stop_sequence.hpp>
 
 #include <functional>
 #include <memory>
@@ -12,8 +13,6 @@
 
 namespace limpetlock::gateway {
 
-enum class exit_reason : std::uint8_t { graceful, cut };
-
 /// Reads the settings again after a change; nullopt with a reason when they can't be used.
 using settings_source = std::function<std::optional<gateway_settings>(std::string& reason)>;
 
@@ -26,7 +25,7 @@
     instance& operator=(const instance&) = delete;
 
     /// Serves until a stop signal and the end of the requests in progress.
-    exit_reason run();
+    lifecycle::exit_reason run();
 
 private:
     struct impl;
--- a/include/limpetlock/gateway/piece_queue.hpp
+++ b/include/limpetlock/gateway/piece_queue.hpp
@@ -63,6 +63,12 @@
     std::size_t crowded_pieces{SIZE_MAX};
     /// Every n-th batch begins with the pieces that wait longest, so that nothing is passed over for ever.
     std::uint32_t oldest_first_every{4};
+
+    /// Expected time of a call with this many pieces.
+    duration call_time(std::size_t pieces) const
+    {
+        return duration(static_cast<std::int64_t>(call_ms + piece_ms * static_cast<double>(pieces)));
+    }
 };
 
 /// For each failure domain the times until its endpoints are free, the soonest first.
--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -85,7 +85,7 @@
     duration backlog_ahead(time_point now, const order_filter& held) const;
 
     /// Expected time of a call with this many pieces.
-    duration call_time(std::size_t pieces) const;
+    duration call_time(std::size_t pieces) const { return options_.call_time(pieces); }
 
     bool has_endpoints() const { return !endpoints_.empty(); }
     std::size_t waiting() const { return queue_.size(); }
--- a/include/limpetlock/lifecycle/stop_sequence.hpp
+++ b/include/limpetlock/lifecycle/stop_sequence.hpp
@@ -13,6 +13,9 @@
 
 enum class stop_state { running, announcing, draining, handing_over, stopped };
 
+/// How an instance ended.
+enum class exit_reason { graceful, cut };
+
 /// What the caller of step() does. Each action is given at most once.
 enum class stop_action {
     announce,        ///< Report not ready and tell the peers; go on accepting requests.
--- a/include/limpetlock/server/instance.hpp
+++ b/include/limpetlock/server/instance.hpp
@@ -2,15 +2,13 @@
 /// One running instance: all listeners, filters and controllers.
 #pragma once
 
+#include <limpetlock/lifecycle/stop_sequence.hpp>
 #include <limpetlock/server/settings.hpp>
 
 #include <memory>
 
 namespace limpetlock::server {
 
-/// How an instance ended.
-enum class exit_reason { graceful, cut };
-
 class instance {
 public:
     /// Binds all listeners. Throws std::runtime_error with the address and reason when one can't be bound.
@@ -20,7 +18,7 @@
     instance& operator=(const instance&) = delete;
 
     /// Serves until SIGTERM or SIGINT and then stops in the planned order.
-    exit_reason run();
+    lifecycle::exit_reason run();
 
 private:
     struct impl;
--- /dev/null
+++ b/include/limpetlock/support/sleep_for.hpp
@@ -0,0 +1,25 @@
+/// \file
+/// A pause of a coroutine.
+#pragma once
+
+#include <limpetlock/support/time.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace limpetlock {
+
+/// Waits for a time on the executor of the calling coroutine.
+inline boost::asio::awaitable<void> sleep_for(duration it)
+{
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    timer.expires_after(std::max(it, duration{0}));
+    co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+}
+
+} // namespace limpetlock
--- a/lib/gateway/endpoint_book.cpp
+++ b/lib/gateway/endpoint_book.cpp
@@ -1,3 +1,4 @@
+#include <limpetlock/gateway/back_off.hpp>
 #include <limpetlock/gateway/endpoint_book.hpp>
 #include <limpetlock/support/hash.hpp>
 
@@ -143,8 +144,7 @@
 
 void endpoint_book::punish(seen& it, duration base, time_point now)
 {
-    const auto factor = std::int64_t{1} << std::min<std::uint32_t>(it.failures, 4);
-    it.avoid_until = now + std::min(longest_pause, base * factor);
+    it.avoid_until = now + back_off(base, it.failures, longest_pause);
 }
 
 void endpoint_book::finished(const std::string& id, send_outcome how, time_point now)
--- a/lib/gateway/feeder.cpp
+++ b/lib/gateway/feeder.cpp
@@ -3,6 +3,7 @@
 #include "result_releaser.hpp"
 
 #include <limpetlock/support/log.hpp>
+#include <limpetlock/support/sleep_for.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -176,10 +177,8 @@
 
 awaitable<void> feeder::tick_loop()
 {
-    asio::steady_timer timer(executor_);
     for (;;) {
-        timer.expires_after(tick_interval);
-        co_await timer.async_wait(quiet);
+        co_await sleep_for(tick_interval);
         expire(boot_clock::now());
         for (const auto& [where, state] : pools_)
             if (state->dispatcher.waiting() > 0)
@@ -329,8 +328,7 @@
 {
     if (orders.empty())
         co_return;
-    asio::steady_timer timer(executor_, input_fetch_time);
-    co_await timer.async_wait(quiet);
+    co_await sleep_for(input_fetch_time);
     for (const auto& it : orders) {
         if (it->inputs_returned || it->cancelled || it->started < it->order->pieces.size())
             continue;
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -2,11 +2,10 @@
 
 #include <limpetlock/support/hash.hpp>
 #include <limpetlock/support/log.hpp>
+#include <limpetlock/support/sleep_for.hpp>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
@@ -22,8 +21,6 @@
 
 namespace {
 
-constexpr auto quiet = asio::as_tuple(asio::use_awaitable);
-
 constexpr duration ping_interval{300};
 constexpr duration ping_timeout{700};
 constexpr duration spread_interval{60};
@@ -134,15 +131,13 @@
 
 awaitable<void> fleet::ping_loop()
 {
-    asio::steady_timer timer(executor_);
     for (;;) {
         const time_point now = boot_clock::now();
         refresh_links(now);
         for (auto& to : ping_targets(now))
             asio::co_spawn(executor_, ping(std::move(to)), asio::detached);
         ++rounds_;
-        timer.expires_after(ping_interval);
-        co_await timer.async_wait(quiet);
+        co_await sleep_for(ping_interval);
     }
 }
 
@@ -192,11 +187,9 @@
 /// Pings at once when something new is known, so that it spreads faster than by the regular rounds.
 awaitable<void> fleet::spread_loop()
 {
-    asio::steady_timer timer(executor_);
     std::int64_t told = 0;
     for (;;) {
-        timer.expires_after(spread_interval);
-        co_await timer.async_wait(quiet);
+        co_await sleep_for(spread_interval);
         const std::int64_t known = std::max(state_.table_revision(), state_.copy().revision());
         if (known <= told)
             continue;
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -12,13 +12,12 @@
 #include <limpetlock/lifecycle/stop_sequence.hpp>
 #include <limpetlock/support/log.hpp>
 #include <limpetlock/support/metrics.hpp>
+#include <limpetlock/support/sleep_for.hpp>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
@@ -34,8 +33,6 @@
 
 namespace {
 
-constexpr auto quiet = asio::as_tuple(asio::use_awaitable);
-
 constexpr duration stop_step_interval{50};
 
 /// Two readiness checks, one a second, have to fail before the platform sends no new connections.
@@ -317,24 +314,20 @@
 
     awaitable<void> settings_loop()
     {
-        asio::steady_timer timer(io);
         for (;;) {
-            timer.expires_after(settings_interval);
-            co_await timer.async_wait(quiet);
+            co_await sleep_for(settings_interval);
             take_settings(false);
         }
     }
 
     awaitable<void> refuse_what_waits()
     {
-        asio::steady_timer timer(io, settings.bounds.stop - stop_reserve - last_refusals);
-        co_await timer.async_wait(quiet);
+        co_await sleep_for(stop_settings_of(settings.bounds).limit - last_refusals);
         handler.refuse_waiting();
     }
 
     awaitable<void> stop_loop()
     {
-        asio::steady_timer timer(io);
         for (;;) {
             for (const auto it :
                  stop.step(boot_clock::now(), handler.in_flight() + orders.open_orders(), true)) {
@@ -343,8 +336,7 @@
                                    {"orders", fmt::to_string(orders.open_orders())}});
                 co_await carry_out(it);
             }
-            timer.expires_after(stop_step_interval);
-            co_await timer.async_wait(quiet);
+            co_await sleep_for(stop_step_interval);
         }
     }
 
@@ -359,12 +351,11 @@
         }
         if (it != stop_action::close)
             co_return;
-        asio::steady_timer timer(io, close_grace);
-        co_await timer.async_wait(quiet);
+        co_await sleep_for(close_grace);
         io.stop();
     }
 
-    exit_reason run()
+    lifecycle::exit_reason run()
     {
         reader.start();
         peers.start();
@@ -377,7 +368,7 @@
                               {"seeds", fmt::to_string(settings.seeds.size())}});
         io.run();
         log::info("stopped", {{"requests_cut", fmt::to_string(stop.cut())}});
-        return stop.cut() > 0 ? exit_reason::cut : exit_reason::graceful;
+        return stop.cut() > 0 ? lifecycle::exit_reason::cut : lifecycle::exit_reason::graceful;
     }
 
     /// An order of another instance is answered after this long at the latest, done or not.
@@ -424,7 +415,7 @@
     kept.push_back(impl_.release());
 }
 
-exit_reason instance::run()
+lifecycle::exit_reason instance::run()
 {
     return impl_->run();
 }
--- a/lib/gateway/piece_queue.cpp
+++ b/lib/gateway/piece_queue.cpp
@@ -3,19 +3,12 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
-#include <tuple>
 #include <utility>
 
 namespace limpetlock::gateway {
 
 namespace {
 
-duration time_of(const batch_options& options, std::size_t pieces)
-{
-    return duration(
-        static_cast<std::int64_t>(options.call_ms + options.piece_ms * static_cast<double>(pieces)));
-}
-
 constexpr std::int64_t lowest_priority = 9;
 
 /// Bounds of the tokens for a piece that are told apart, and what stands for an unknown number.
@@ -31,21 +24,28 @@
     const stage_order* order{nullptr};
     time_point queued{};
     std::size_t pieces{0};
+    bool late{false};
+    time_point rank{};
 };
 
+bool is_late(const stage_order& it, const batch_options& options, time_point now)
+{
+    return it.wanted_by < now + options.call_time(1);
+}
+
 /// Rank of late work behind all that can be in time.
 constexpr duration late_rank{24 * 3'600'000};
 
-using iterator = std::list<queued_piece>::iterator;
-
-std::vector<waiting_order> orders_of(const std::list<queued_piece>& waiting)
+std::vector<waiting_order> orders_of(const std::list<queued_piece>& waiting, const batch_options& options,
+                                     time_point now)
 {
     std::vector<waiting_order> out;
     std::map<const stage_order*, std::size_t> index;
     for (const auto& it : waiting) {
         const auto [found, added] = index.try_emplace(it.order.get(), out.size());
         if (added)
-            out.push_back({it.order.get(), it.queued, 0});
+            out.push_back({it.order.get(), it.queued, 0, is_late(*it.order, options, now),
+                           queue_rank(*it.order, options, now)});
         ++out[found->second].pieces;
     }
     return out;
@@ -58,7 +58,7 @@
     const double wanted = static_cast<double>(it.transfer_bytes) / bytes_per_mb * options.local_ms_per_mb;
     double out = std::min(wanted, static_cast<double>(options.local_patience.count()));
     if (!late) {
-        const duration slack = it.wanted_by - time_of(options, it.pieces.size()) - queued;
+        const duration slack = it.wanted_by - options.call_time(it.pieces.size()) - queued;
         out = std::min(out, static_cast<double>(slack.count()) * options.local_slack_share);
     }
     return duration(static_cast<std::int64_t>(std::max(0.0, out)));
@@ -69,7 +69,7 @@
 /// Late orders are worth little, and serving them first would make the others late as well.
 time_point queue_rank(const stage_order& it, const batch_options& options, time_point now)
 {
-    const bool late = it.wanted_by < now + time_of(options, 1);
+    const bool late = is_late(it, options, now);
     const double worth = it.worth > 0 ? std::clamp(it.worth, least_worth, most_worth) : usual_worth;
     const duration lead = options.priority_lead * std::clamp<std::int64_t>(it.priority, 0, lowest_priority) +
                           duration(static_cast<std::int64_t>(static_cast<double>(options.worth_lead.count()) *
@@ -96,18 +96,15 @@
                                                   const domain_free_times& free, std::uint64_t room,
                                                   const order_filter& held, time_point now)
 {
-    auto orders = orders_of(waiting_);
-    const duration least = time_of(options, 1);
+    auto orders = orders_of(waiting_, options, now);
+    const duration least = options.call_time(1);
     const bool oldest_first = options.oldest_first_every > 0 &&
                               batches_ % options.oldest_first_every == options.oldest_first_every - 1;
-    const auto is_late = [&](const waiting_order& it) { return it.order->wanted_by < now + least; };
     std::sort(orders.begin(), orders.end(), [&](const waiting_order& a, const waiting_order& b) {
-        if (oldest_first)
-            return a.queued < b.queued;
-        return queue_rank(*a.order, options, now) < queue_rank(*b.order, options, now);
+        return oldest_first ? a.queued < b.queued : a.rank < b.rank;
     });
     std::map<std::string_view, std::size_t> pieces_ahead;
-    const duration full_call = time_of(options, options.size);
+    const duration full_call = options.call_time(options.size);
     const auto waits_for_local = [&](const waiting_order& it) {
         const std::size_t ahead =
             std::exchange(pieces_ahead[it.order->domain], pieces_ahead[it.order->domain] + it.pieces);
@@ -118,7 +115,7 @@
         const std::size_t servers = home->second.size();
         const duration start =
             home->second[calls % servers] + full_call * static_cast<std::int64_t>(calls / servers);
-        return now + start < it.queued + local_patience(*it.order, it.queued, options, is_late(it));
+        return now + start < it.queued + local_patience(*it.order, it.queued, options, it.late);
     };
     std::size_t places = options.size;
     std::map<const stage_order*, std::size_t> chosen;
@@ -136,6 +133,8 @@
     };
     std::vector<waiting_order> elsewhere;
     for (const auto& it : orders) {
+        if (places == 0)
+            break;
         const bool local_soon = waits_for_local(it);
         if (it.order->deadline < now + least || (held && held(*it.order)))
             continue;
@@ -166,7 +165,7 @@
 
 std::vector<queued_piece> piece_queue::expire(const batch_options& options, time_point now)
 {
-    const duration least = time_of(options, 1);
+    const duration least = options.call_time(1);
     std::vector<queued_piece> out;
     for (auto it = waiting_.begin(); it != waiting_.end();) {
         if (it->order->deadline >= now + least) {
--- a/lib/gateway/result_releaser.cpp
+++ b/lib/gateway/result_releaser.cpp
@@ -1,12 +1,10 @@
 #include "result_releaser.hpp"
 
 #include <limpetlock/support/log.hpp>
+#include <limpetlock/support/sleep_for.hpp>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
 #include <utility>
@@ -42,8 +40,7 @@
 
 awaitable<void> result_releaser::flush_later()
 {
-    asio::steady_timer timer(executor_, flush_delay);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await sleep_for(flush_delay);
     flushing_ = false;
     for (auto& [maker, handles] : std::exchange(pending_, {}))
         asio::co_spawn(executor_, send(maker, std::move(handles)), asio::detached);
--- a/lib/gateway/result_returns.cpp
+++ b/lib/gateway/result_returns.cpp
@@ -1,10 +1,9 @@
 #include "result_returns.hpp"
 
-#include <boost/asio/as_tuple.hpp>
+#include <limpetlock/support/sleep_for.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <utility>
 
@@ -40,8 +39,7 @@
 
 awaitable<void> result_returns::flush_later()
 {
-    asio::steady_timer timer(executor_, flush_delay);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await sleep_for(flush_delay);
     flushing_ = false;
     for (auto& [place, handles] : std::exchange(pending_, {})) {
         if (place == fleet_.view().own().name)
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -1,3 +1,4 @@
+#include <limpetlock/gateway/back_off.hpp>
 #include <limpetlock/gateway/stage_dispatcher.hpp>
 
 #include <algorithm>
@@ -39,9 +40,6 @@
 
 constexpr double bytes_per_mb = 1e6;
 
-/// Part of an endpoint's room that is planned with; sizes of results are approximate.
-constexpr double usable_room = 1.0;
-
 } // namespace
 
 void stage_dispatcher::configure(const stage_figures& figures, std::vector<endpoint> endpoints)
@@ -82,12 +80,6 @@
     return true;
 }
 
-duration stage_dispatcher::call_time(std::size_t pieces) const
-{
-    return duration(
-        static_cast<std::int64_t>(figures_.call_ms + figures_.piece_ms * static_cast<double>(pieces)));
-}
-
 bool stage_dispatcher::usable(const target& it, time_point now) const
 {
     return !it.busy && it.avoid_until <= now;
@@ -158,7 +150,7 @@
 {
     if (figures_.result_room_mb <= 0)
         return UINT64_MAX;
-    const auto all = static_cast<std::uint64_t>(figures_.result_room_mb * bytes_per_mb * usable_room);
+    const auto all = static_cast<std::uint64_t>(figures_.result_room_mb * bytes_per_mb);
     return all - std::min(all, it.held_bytes);
 }
 
@@ -188,8 +180,7 @@
 
 void stage_dispatcher::punish(target& it, duration base, time_point now)
 {
-    const auto factor = std::int64_t{1} << std::min<std::uint32_t>(it.failures, 4);
-    it.avoid_until = now + std::min(longest_pause, base * factor);
+    it.avoid_until = now + back_off(base, it.failures, longest_pause);
     ++it.failures;
 }
 
--- a/lib/gateway/store_reader.cpp
+++ b/lib/gateway/store_reader.cpp
@@ -2,8 +2,8 @@
 
 #include <limpetlock/support/hash.hpp>
 #include <limpetlock/support/log.hpp>
+#include <limpetlock/support/sleep_for.hpp>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -20,8 +20,6 @@
 
 namespace {
 
-constexpr auto quiet = asio::as_tuple(asio::use_awaitable);
-
 /// An instance that watches renews a proof of this age; the proofs of peers count, so that one read serves
 /// many instances. Jitter keeps the instances from reading at the same moment.
 constexpr duration proof_renewal{750};
@@ -80,12 +78,6 @@
     asio::co_spawn(executor_, watch_loop(), asio::detached);
 }
 
-awaitable<void> store_reader::pause(duration length)
-{
-    asio::steady_timer timer(executor_, length);
-    co_await timer.async_wait(quiet);
-}
-
 void store_reader::note_answer(bool answered, const std::string& what, const std::string& reason)
 {
     if (!answered) {
@@ -137,7 +129,7 @@
         const auto age = state_.proof_age(boot_clock::now());
         state_.settle_removals(boot_clock::now());
         if (age && *age < renewal && !behind_) {
-            co_await pause(proof_check_interval);
+            co_await sleep_for(proof_check_interval);
             continue;
         }
         const bool ok = co_await read_table();
@@ -146,7 +138,7 @@
             behind_ = !listed;
         }
         renewal = next_renewal();
-        co_await pause(ok ? proof_check_interval : retry_pause);
+        co_await sleep_for(ok ? proof_check_interval : retry_pause);
     }
 }
 
@@ -221,7 +213,7 @@
         const bool alone = state_.copy().revision() == 0 && boot_clock::now() - started > follower_patience;
         if (!role_().watches && !alone) {
             listed = state_.copy().revision() > 0;
-            co_await pause(role_check_interval);
+            co_await sleep_for(role_check_interval);
             continue;
         }
         if (!listed)
@@ -237,7 +229,7 @@
             log::info("watch_restarted", {{"after_revision", fmt::to_string(state_.copy().revision())}});
             listed = false;
         }
-        co_await pause(wait);
+        co_await sleep_for(wait);
         wait = std::min(longest_watch_pause, wait * 2);
     }
 }
--- a/lib/gateway/store_reader.hpp
+++ b/lib/gateway/store_reader.hpp
@@ -11,7 +11,6 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -40,7 +39,6 @@
     boost::asio::awaitable<bool> list_endpoints();
     boost::asio::awaitable<store_answer> watch_once();
     boost::asio::awaitable<std::optional<http::response>> call(http::request message, duration timeout);
-    boost::asio::awaitable<void> pause(duration length);
     duration next_renewal();
     void note_answer(bool answered, const std::string& what, const std::string& reason);
 
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -371,6 +371,19 @@
 
 using exchange_ptr = std::shared_ptr<client_exchange>;
 
+/// Runs work on the connection of an exchange. An exception ends the exchange, and the result is empty.
+template <typename T>
+asio::awaitable<T> run_work(exchange_ptr it, asio::awaitable<T> work)
+{
+    try {
+        auto cancel = it->canceller();
+        co_return co_await run_on(it->executor(), std::move(work), std::move(cancel));
+    } catch (const boost::system::system_error& failure) {
+        it->abandon(failure.code());
+    }
+    co_return T();
+}
+
 asio::awaitable<std::optional<response>> whole_answer(exchange_ptr it, std::string head, std::string body,
                                                       time_point deadline)
 {
@@ -387,8 +400,8 @@
 class stream_impl final : public event_stream {
 public:
     stream_impl(exchange_ptr source, std::size_t max_bytes)
-        : exchange_(std::move(source)), strand_(exchange_->executor()), status_(exchange_->status()),
-          headers_(exchange_->headers()), events_(max_bytes), max_bytes_(max_bytes)
+        : exchange_(std::move(source)), status_(exchange_->status()), headers_(exchange_->headers()),
+          events_(max_bytes), max_bytes_(max_bytes)
     {
     }
 
@@ -407,7 +420,6 @@
     std::optional<std::string> pop();
 
     exchange_ptr exchange_;
-    asio::any_io_executor strand_;
     int status_;
     header_list headers_;
     event_parser events_;
@@ -465,13 +477,8 @@
 {
     const bool readable = events_.empty() && !ended_ && !failed();
     if (readable) {
-        try {
-            auto work = read_event(*this, deadline);
-            auto cancel = exchange_->canceller();
-            co_await run_on(strand_, std::move(work), std::move(cancel));
-        } catch (const boost::system::system_error& it) {
-            exchange_->abandon(it.code());
-        }
+        auto work = read_event(*this, deadline);
+        co_await run_work(exchange_, std::move(work));
     }
     co_return pop();
 }
@@ -480,13 +487,8 @@
 {
     const bool readable = !ended_ && !failed();
     if (readable) {
-        try {
-            auto work = read_rest(*this, deadline);
-            auto cancel = exchange_->canceller();
-            co_await run_on(strand_, std::move(work), std::move(cancel));
-        } catch (const boost::system::system_error& it) {
-            exchange_->abandon(it.code());
-        }
+        auto work = read_rest(*this, deadline);
+        co_await run_work(exchange_, std::move(work));
     }
     co_return std::move(exchange_->body());
 }
@@ -494,8 +496,7 @@
 class reader_impl final : public answer_reader {
 public:
     explicit reader_impl(exchange_ptr source)
-        : exchange_(std::move(source)), strand_(exchange_->executor()), status_(exchange_->status()),
-          headers_(exchange_->headers())
+        : exchange_(std::move(source)), status_(exchange_->status()), headers_(exchange_->headers())
     {
     }
 
@@ -508,7 +509,6 @@
     static asio::awaitable<void> read_bytes_of(reader_impl& self, time_point deadline);
 
     exchange_ptr exchange_;
-    asio::any_io_executor strand_;
     int status_;
     header_list headers_;
     std::string bytes_;
@@ -533,13 +533,8 @@
     const bool readable = !ended_ && exchange_->error.code == errc::none;
     bytes_.clear();
     if (readable) {
-        try {
-            auto work = read_bytes_of(*this, deadline);
-            auto cancel = exchange_->canceller();
-            co_await run_on(strand_, std::move(work), std::move(cancel));
-        } catch (const boost::system::system_error& it) {
-            exchange_->abandon(it.code());
-        }
+        auto work = read_bytes_of(*this, deadline);
+        co_await run_work(exchange_, std::move(work));
     }
     if (bytes_.empty())
         co_return std::nullopt;
@@ -603,14 +598,8 @@
     const auto it = self->begin(to, message, deadline, policy, head, error);
     if (!it)
         co_return std::nullopt;
-    std::optional<response> result;
-    try {
-        auto cancel = it->canceller();
-        auto work = whole_answer(it, std::move(head), std::move(message.body), deadline);
-        result = co_await run_on(it->executor(), std::move(work), std::move(cancel));
-    } catch (const boost::system::system_error& failure) {
-        it->abandon(failure.code());
-    }
+    auto work = whole_answer(it, std::move(head), std::move(message.body), deadline);
+    auto result = co_await run_work(it, std::move(work));
     error = it->error;
     co_return result;
 }
@@ -624,14 +613,8 @@
     if (!it)
         co_return nullptr;
     it->stream_body();
-    bool started = false;
-    try {
-        auto cancel = it->canceller();
-        auto work = it->start(std::move(head), std::move(message.body), deadline);
-        started = co_await run_on(it->executor(), std::move(work), std::move(cancel));
-    } catch (const boost::system::system_error& failure) {
-        it->abandon(failure.code());
-    }
+    auto work = it->start(std::move(head), std::move(message.body), deadline);
+    const bool started = co_await run_work(it, std::move(work));
     error = it->error;
     if (!started)
         co_return nullptr;
@@ -649,14 +632,8 @@
         co_return nullptr;
     it->stream_body();
     it->set_filter(std::move(accept));
-    bool started = false;
-    try {
-        auto cancel = it->canceller();
-        auto work = it->start(std::move(head), std::move(message.body), deadline);
-        started = co_await run_on(it->executor(), std::move(work), std::move(cancel));
-    } catch (const boost::system::system_error& failure) {
-        it->abandon(failure.code());
-    }
+    auto work = it->start(std::move(head), std::move(message.body), deadline);
+    const bool started = co_await run_work(it, std::move(work));
     error = it->error;
     if (!started)
         co_return nullptr;
--- a/lib/server/instance.cpp
+++ b/lib/server/instance.cpp
@@ -313,7 +313,7 @@
         }
     }
 
-    exit_reason run()
+    lifecycle::exit_reason run()
     {
         start();
         log::info("started", {{"instance", parts.settings.name},
@@ -328,7 +328,7 @@
         for (auto& it : threads)
             it.join();
         log::info("stopped", {{"requests_cut", fmt::to_string(parts.stop.cut())}});
-        return was_cut() ? exit_reason::cut : exit_reason::graceful;
+        return was_cut() ? lifecycle::exit_reason::cut : lifecycle::exit_reason::graceful;
     }
 
     bool was_cut()
@@ -361,7 +361,7 @@
         kept.push_back(impl_.release());
 }
 
-exit_reason instance::run()
+lifecycle::exit_reason instance::run()
 {
     return impl_->run();
 }
--- a/lib/server/notification.hpp
+++ b/lib/server/notification.hpp
@@ -2,6 +2,7 @@
 /// One-shot wake-up of a coroutine from any thread.
 #pragma once
 
+#include <limpetlock/support/sleep_for.hpp>
 #include <limpetlock/support/time.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -11,7 +12,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <algorithm>
 #include <memory>
 
 namespace limpetlock::server {
@@ -52,12 +52,4 @@
     bool fired_{false};
 };
 
-/// Waits for a time on the executor of the calling coroutine.
-inline boost::asio::awaitable<void> sleep_for(duration it)
-{
-    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
-    timer.expires_after(std::max(it, duration{0}));
-    co_await timer.async_wait(use_tuple);
-}
-
 } // namespace limpetlock::server
--- a/tools/limpetlock/commands.cpp
+++ b/tools/limpetlock/commands.cpp
@@ -95,6 +95,19 @@
     return true;
 }
 
+/// Makes an instance and serves until it ends.
+template <typename Make>
+exit_code run_instance(const Make& make)
+{
+    try {
+        auto it = make();
+        return it.run() == lifecycle::exit_reason::cut ? exit_code::requests_cut : exit_code::success;
+    } catch (const std::exception& it) {
+        fmt::print(stderr, "limpetlock: {}\n", it.what());
+        return exit_code::failure;
+    }
+}
+
 } // namespace
 
 exit_code serve()
@@ -107,13 +120,7 @@
         print_errors(errors);
         return exit_code::invalid_input;
     }
-    try {
-        server::instance it(*settings);
-        return it.run() == server::exit_reason::cut ? exit_code::requests_cut : exit_code::success;
-    } catch (const std::exception& it) {
-        fmt::print(stderr, "limpetlock: {}\n", it.what());
-        return exit_code::failure;
-    }
+    return run_instance([&] { return server::instance(*settings); });
 }
 
 exit_code serve_platform()
@@ -125,13 +132,8 @@
         return exit_code::invalid_input;
     }
     log::install_crash_report();
-    try {
-        gateway::instance it(*settings, platform::make_dialect(), platform::load_settings);
-        return it.run() == gateway::exit_reason::cut ? exit_code::requests_cut : exit_code::success;
-    } catch (const std::exception& it) {
-        fmt::print(stderr, "limpetlock: {}\n", it.what());
-        return exit_code::failure;
-    }
+    return run_instance(
+        [&] { return gateway::instance(*settings, platform::make_dialect(), platform::load_settings); });
 }
 
 exit_code check()
