Log how a new table came and why a read of it failed, and measure the age of its proof at requests

The three hypotheses on the old configuration differ in what delays a table: a revision that was recorded without its table, a read or pull that failed, or one that was held up. Before, a failed read showed only as the first store_lost of an outage, and no line told by which way a table came. Now table_received names the way, table_read_failed and state_pull_failed the reason, the time and the age of the proof, watch_behind the two revisions, and the metrics show how old the proofs are that requests are decided with. No logic changes.

--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -217,8 +217,13 @@
     peer::call_error error;
     const auto reply = co_await messenger_.call(from, std::move(message), sent + pull_timeout, error);
     pulling_state_ = false;
-    if (!reply || !reply->__isset.state_push)
+    if (!reply || !reply->__isset.state_push) {
+        log::warning("state_pull_failed", {{"peer", from},
+                                           {"reason", error.reason.empty() ? "no state" : error.reason},
+                                           {"took_ms", fmt::to_string((boot_clock::now() - sent).count())},
+                                           {"table_revision", fmt::to_string(state_.table_revision())}});
         co_return;
+    }
     const auto& push = reply->state_push;
     std::vector<state_entry> entries;
     for (const auto& it : push.items)
@@ -233,6 +238,9 @@
     log::info("state_from_peer", {{"peer", from},
                                   {"revision", fmt::to_string(push.revision)},
                                   {"items", fmt::to_string(push.items.size())},
+                                  {"peer_table_revision", fmt::to_string(push.table_revision)},
+                                  {"table_revision", fmt::to_string(state_.table_revision())},
+                                  {"took_ms", fmt::to_string((now - sent).count())},
                                   {"proof_age_ms", fmt::to_string(push.proof_age_ms)}});
 }
 
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -101,7 +101,12 @@
       repeats_(
           dependencies.metrics.get_counter("limpetlock_repeats_total", "requests sent to a second endpoint")),
       callers_gone_(dependencies.metrics.get_counter("limpetlock_callers_gone_total",
-                                                     "requests whose caller left before the answer"))
+                                                     "requests whose caller left before the answer")),
+      unproven_tables_(dependencies.metrics.get_counter(
+          "limpetlock_requests_unproven_table_total",
+          "requests decided by a table whose proof was older than the bound for its adoption")),
+      proof_ages_(dependencies.metrics.get_summary("limpetlock_table_proof_age_ms",
+                                                   "age of the table's proof at the arrival of requests"))
 {
 }
 
@@ -158,7 +163,7 @@
     it.table = dependencies_.state.table();
     if (!it.table)
         return refuse(it, 503, "no configuration yet", max_retry_after / 2);
-    it.proof_age = dependencies_.state.proof_age(it.arrival);
+    record_proof_age(it);
     const bool proven = it.proof_age && *it.proof_age <= denial_proof_age;
     it.matched_route = it.table->find_route(it.request.host, it.request.path);
     if (it.matched_route == nullptr)
@@ -170,6 +175,15 @@
     return authorize(it);
 }
 
+void request_handler::record_proof_age(request_context& it)
+{
+    it.proof_age = dependencies_.state.proof_age(it.arrival);
+    if (it.proof_age)
+        proof_ages_.observe(static_cast<double>(it.proof_age->count()));
+    if (!it.proof_age || *it.proof_age > dependencies_.settings.bounds.table_adoption_time)
+        unproven_tables_.add();
+}
+
 /// Checks the API key. With strict key revocation, the proof of the table must be so recent that a revoked
 /// key can't be in the table any more.
 bool request_handler::authorize(request_context& it)
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -72,6 +72,7 @@
     /// Decodes the request, finds its route and checks its key. Returns false if the request is refused.
     bool resolve(request_context& it);
     bool authorize(request_context& it);
+    void record_proof_age(request_context& it);
     /// Sets the answer of a refused request; returns false.
     bool refuse(request_context& it, int status, std::string_view reason, duration retry_after);
     boost::asio::awaitable<void> run(request_context& it);
@@ -102,6 +103,8 @@
     std::set<boost::asio::steady_timer*> stage_timers_; ///< deadline timers of the requests whose stages run
     metrics::counter& repeats_;
     metrics::counter& callers_gone_;
+    metrics::counter& unproven_tables_;
+    metrics::summary& proof_ages_;
 };
 
 } // namespace limpetlock::gateway
--- a/lib/gateway/store_reader.cpp
+++ b/lib/gateway/store_reader.cpp
@@ -153,24 +153,50 @@
     const time_point sent = boot_clock::now();
     const std::int64_t known_revision = state_.entries().revision();
     const auto answer = co_await call(codec_.encode_key_read(codec_.table_key()), read_timeout);
-    if (!answer)
+    if (!answer) {
+        log_failed_read("no answer", sent);
         co_return false;
+    }
     state_page page;
     const auto status = codec_.decode_entry(*answer, page);
     if (status != store_answer_status::ok || page.entries.empty()) {
-        log::warning("table_unavailable", {{"status", fmt::to_string(answer->status)}});
+        log_failed_read(fmt::format("unusable answer with status {}", answer->status), sent);
         co_return false;
     }
     const std::int64_t revision = page.entries.front().revision;
-    state_.merge(std::move(page.entries), boot_clock::now());
+    merge(std::move(page.entries), "read");
     state_.record_proof({revision, sent});
     // The watch has had a whole proof interval to deliver the revision of the previous proof.
     watch_behind_ = known_revision > 0 && known_revision == state_.entries().revision() &&
                     store_revision_ > known_revision;
     store_revision_ = std::max(store_revision_, page.revision);
+    if (watch_behind_)
+        log::info("watch_behind", {{"revision", fmt::to_string(known_revision)},
+                                   {"store_revision", fmt::to_string(store_revision_)}});
     co_return true;
 }
 
+/// Merges entries, and logs a new table with the way by which it came.
+void store_reader::merge(std::vector<state_entry> entries, std::string_view source)
+{
+    const std::int64_t previous = state_.table_revision();
+    state_.merge(std::move(entries), boot_clock::now());
+    if (state_.table_revision() != previous)
+        log::info("table_received", {{"source", std::string(source)},
+                                     {"table_revision", fmt::to_string(state_.table_revision())},
+                                     {"state_revision", fmt::to_string(state_.entries().revision())}});
+}
+
+void store_reader::log_failed_read(const std::string& reason, time_point sent) const
+{
+    const time_point now = boot_clock::now();
+    log::warning("table_read_failed",
+                 {{"reason", reason},
+                  {"took_ms", fmt::to_string((now - sent).count())},
+                  {"table_revision", fmt::to_string(state_.table_revision())},
+                  {"proof_age_ms", fmt::to_string(state_.proof_age(now).value_or(duration(-1)).count())}});
+}
+
 awaitable<bool> store_reader::list_endpoints()
 {
     std::vector<state_entry> entries;
@@ -180,8 +206,11 @@
         const auto answer =
             co_await call(codec_.encode_range_read(codec_.endpoint_prefix(), after), list_timeout);
         state_page page;
-        if (!answer || codec_.decode_page(*answer, page) != store_answer_status::ok)
+        if (!answer || codec_.decode_page(*answer, page) != store_answer_status::ok) {
+            log::warning("listing_failed", {{"page", fmt::to_string(n)},
+                                            {"status", answer ? fmt::to_string(answer->status) : "-"}});
             co_return false;
+        }
         if (n == 0)
             first_revision = page.revision;
         for (auto& it : page.entries) {
@@ -208,7 +237,7 @@
     state_page page;
     const auto status = codec_.decode_events(*answer, page);
     if (status == store_answer_status::ok) {
-        state_.merge(std::move(page.entries), boot_clock::now());
+        merge(std::move(page.entries), "watch");
         state_.advance_revision(page.revision);
     }
     co_return status;
--- a/lib/gateway/store_reader.hpp
+++ b/lib/gateway/store_reader.hpp
@@ -14,6 +14,9 @@
 #include <cstdint>
 #include <functional>
 #include <random>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace limpetlock::gateway {
 
@@ -41,6 +44,8 @@
     boost::asio::awaitable<store_answer_status> watch_once();
     boost::asio::awaitable<std::optional<http::response>> call(http::request message, duration timeout);
     duration draw_proof_renewal_age();
+    void merge(std::vector<state_entry> entries, std::string_view source);
+    void log_failed_read(const std::string& reason, time_point sent) const;
     /// Counts a failed call, and logs when the store is lost or regained.
     void record_answer(bool answered, const std::string& target, const std::string& reason);
 
