--- a/utils/platformkit/store.cpp
+++ b/utils/platformkit/store.cpp
@@ -187,7 +187,10 @@
     const std::string& target = io.message().target;
     const bool is_watch = target.starts_with("/v1/kv-watch");
     ++calls_;
-    if (mode_ == store_mode::silent || (mode_ == store_mode::silent_watches && is_watch)) {
+    const bool lost = lost_answers_ > 0 && target.starts_with(lost_prefix_);
+    if (lost)
+        --lost_answers_;
+    if (lost || mode_ == store_mode::silent || (mode_ == store_mode::silent_watches && is_watch)) {
         co_await hang(io);
         co_return;
     }
--- a/utils/platformkit/store.hpp
+++ b/utils/platformkit/store.hpp
@@ -33,6 +33,14 @@
     void remove(const std::string& key);
     void set_mode(store_mode mode) { mode_ = mode; }
 
+    /// The next `count` requests whose target begins with the prefix get no answer for 30 s. Replaces an
+    /// earlier call.
+    void lose_answers(const std::string& target_prefix, std::size_t count)
+    {
+        lost_prefix_ = target_prefix;
+        lost_answers_ = count;
+    }
+
     /// Discards all past changes, so that a watch from an earlier revision gets status 410.
     void forget_history();
 
@@ -65,6 +73,8 @@
     std::int64_t revision_{1};
     std::int64_t first_history_revision_{1}; ///< earlier changes have been discarded
     store_mode mode_{store_mode::serving};
+    std::string lost_prefix_;
+    std::size_t lost_answers_{0};
     std::size_t calls_{0};
     std::set<boost::asio::steady_timer*> watches_;
     std::unique_ptr<http::server> server_;
