List the table together with the endpoints

Callers saw: a request handled by an older configuration than a confirmed one. Of the mechanisms found, this one delays a change the most. Cause: the listing after a lost history or a silent watch held endpoints only, and recorded its revision for the whole replica. A table that changed before that revision was then delivered neither by the watch, which goes on after it, nor by the pull of any peer that took the revision over. Each instance had to wait for its own read, 1.2 to 2.5 s after the last proof, and longer after a failed one. Why this works: a revision is recorded only after everything that the replica holds has been merged up to it. The table is listed first, so the first page's revision covers both. Same cause elsewhere: the pull of a whole state carries the table; no other place advances the revision.

--- a/lib/gateway/store_reader.cpp
+++ b/lib/gateway/store_reader.cpp
@@ -139,7 +139,7 @@
         }
         const bool ok = co_await read_table();
         if (ok && watch_behind_) {
-            const bool listed = co_await list_endpoints();
+            const bool listed = co_await list_state();
             watch_behind_ = !listed;
         }
         renewal = draw_proof_renewal_age();
@@ -197,21 +197,22 @@
                   {"proof_age_ms", fmt::to_string(state_.proof_age(now).value_or(duration(-1)).count())}});
 }
 
-awaitable<bool> store_reader::list_endpoints()
+/// Reads all entries under the prefix. Sets `first_revision` to the revision of the first page if it has
+/// none.
+awaitable<bool> store_reader::list_prefix(std::string prefix, std::vector<state_entry>& entries,
+                                          std::optional<std::int64_t>& first_revision)
 {
-    std::vector<state_entry> entries;
     std::string after;
-    std::int64_t first_revision = 0;
     for (int n = 0; n < max_pages; ++n) {
-        const auto answer =
-            co_await call(codec_.encode_range_read(codec_.endpoint_prefix(), after), list_timeout);
+        const auto answer = co_await call(codec_.encode_range_read(prefix, after), list_timeout);
         state_page page;
         if (!answer || codec_.decode_page(*answer, page) != store_answer_status::ok) {
-            log::warning("listing_failed", {{"page", fmt::to_string(n)},
+            log::warning("listing_failed", {{"prefix", prefix},
+                                            {"page", fmt::to_string(n)},
                                             {"status", answer ? fmt::to_string(answer->status) : "-"}});
             co_return false;
         }
-        if (n == 0)
+        if (!first_revision)
             first_revision = page.revision;
         for (auto& it : page.entries) {
             after = it.key;
@@ -220,10 +221,26 @@
         if (!page.more)
             break;
     }
+    co_return true;
+}
+
+/// Lists everything that the replica holds. A listing without the table would record a revision whose table
+/// neither the watch nor a peer delivers any more.
+awaitable<bool> store_reader::list_state()
+{
+    std::vector<state_entry> table;
+    std::vector<state_entry> endpoints;
+    std::optional<std::int64_t> first_revision;
+    bool ok = co_await list_prefix(codec_.table_key(), table, first_revision);
+    if (ok)
+        ok = co_await list_prefix(codec_.endpoint_prefix(), endpoints, first_revision);
+    if (!ok)
+        co_return false;
     // Later pages may have newer entries, but the listing as a whole is complete only up to the first page's
     // revision.
-    state_.apply_listing(std::move(entries), first_revision, boot_clock::now());
-    state_.advance_revision(first_revision);
+    merge(std::move(table), "listing");
+    state_.apply_listing(std::move(endpoints), *first_revision, boot_clock::now());
+    state_.advance_revision(*first_revision);
     co_return true;
 }
 
@@ -257,7 +274,7 @@
             continue;
         }
         if (!listed)
-            listed = co_await list_endpoints();
+            listed = co_await list_state();
         store_answer_status status = store_answer_status::refused;
         if (listed)
             status = co_await watch_once();
--- a/lib/gateway/store_reader.hpp
+++ b/lib/gateway/store_reader.hpp
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -40,7 +41,9 @@
     boost::asio::awaitable<void> proof_loop();
     boost::asio::awaitable<void> watch_loop();
     boost::asio::awaitable<bool> read_table();
-    boost::asio::awaitable<bool> list_endpoints();
+    boost::asio::awaitable<bool> list_state();
+    boost::asio::awaitable<bool> list_prefix(std::string prefix, std::vector<state_entry>& entries,
+                                             std::optional<std::int64_t>& first_revision);
     boost::asio::awaitable<store_answer_status> watch_once();
     boost::asio::awaitable<std::optional<http::response>> call(http::request message, duration timeout);
     duration draw_proof_renewal_age();
