Schedule the reads that prove the table by the bound for its adoption

Callers saw: a request handled by an older configuration than a confirmed one. Cause: the times of these reads weren't derived from the bound. A proof was renewed at an age of up to 1,050 ms (1,798 of 2,000 ms, 2,398 of 3,000 ms at instances that don't watch), a read without an answer took 900 ms and a pause 250 ms. Where no watch or peer brought a change, one lost answer exceeded a bound of 2,000 ms (2,248 ms) and one of 3,000 ms (3,608 ms). A listing on behalf of a silent watch ran in the same loop, 1,500 ms for each page, and no proof was renewed meanwhile. Listings run beside the reads.

--- /dev/null
+++ b/include/limpetlock/gateway/proof_schedule.hpp
@@ -0,0 +1,51 @@
+/// \file
+/// When an instance reads the routing table again to prove that it has the newest one.
+#pragma once
+
+#include <limpetlock/support/time.hpp>
+
+#include <cstddef>
+#include <optional>
+
+namespace limpetlock::gateway {
+
+/// Schedules the reads that renew the proof of the table. All times are shares of the bound within which a
+/// published table has to be in force, so that the table is in time although max_lost_reads reads in a row
+/// get no answer.
+class proof_schedule {
+public:
+    /// The number of lost answers in a row that don't delay a table beyond the bound.
+    static constexpr std::size_t max_lost_reads = 2;
+
+    /// `adoption_time` is the bound.
+    explicit proof_schedule(duration adoption_time) : adoption_time_(adoption_time)
+    {
+        draw_renewal_age(1, true);
+    }
+
+    /// Sets the age at which the proof is renewed next. `position` (0 to 1) is drawn at random, so that
+    /// instances don't read at the same time. An `eager` instance renews before the others, which then have
+    /// the proof from it.
+    void draw_renewal_age(double position, bool eager);
+
+    /// Whether to send a read. `proof_age` is nullopt if the table was never proven. The first reads overlap,
+    /// because an answer that is late may be lost; later ones follow one another.
+    bool is_read_due(std::optional<duration> proof_age, time_point now);
+
+    void begin_read(time_point now);
+    void end_read();
+
+    /// A read without an answer within this time has failed.
+    duration read_timeout() const;
+
+private:
+    duration share(double of_bound) const;
+
+    duration adoption_time_;
+    duration renewal_age_{0};
+    std::optional<time_point> last_read_; ///< time of the last read since the renewal became due
+    std::size_t reads_{0};                ///< reads since the renewal became due
+    std::size_t pending_{0};              ///< reads without an outcome yet
+};
+
+} // namespace limpetlock::gateway
--- a/lib/gateway/store_reader.cpp
+++ b/lib/gateway/store_reader.cpp
@@ -20,15 +20,6 @@
 
 namespace {
 
-/// Age of a proof at which an instance that watches the store renews it. The proofs of peers count, so that
-/// one read serves many instances. Jitter keeps the instances from reading at the same time.
-constexpr duration proof_renewal{750};
-constexpr int max_proof_jitter_ms = 300;
-
-/// The other instances renew a proof later, at this share of table_adoption_time: proofs take a few rounds of
-/// pings to reach every instance of a large fleet.
-constexpr double follower_renewal_share = 0.6;
-
 /// In a fleet up to this size every instance renews proofs as early as one that watches the store.
 constexpr std::size_t max_small_fleet_size = 8;
 
@@ -38,10 +29,9 @@
 constexpr duration role_check_interval{150};
 constexpr duration proof_check_interval{60};
 
-constexpr duration read_timeout{900};
 constexpr duration list_timeout{1'500};
-/// Delay after a failed read of the table.
-constexpr duration retry_back_off{250};
+/// Delay after a failed listing on behalf of a silent watch.
+constexpr duration listing_back_off{250};
 
 /// Time for which the store waits for a change before it answers a watch.
 constexpr duration watch_wait{8'000};
@@ -71,7 +61,7 @@
     : executor_(std::move(executor)), store_address_(settings.store_address), codec_(codec), state_(state),
       client_(executor_, store_limits()),
       random_(static_cast<std::minstd_rand::result_type>(hash64(settings.name))),
-      role_(std::move(current_role)), table_adoption_time_(settings.bounds.table_adoption_time),
+      role_(std::move(current_role)), schedule_(settings.bounds.table_adoption_time),
       calls_(metrics.get_counter("limpetlock_store_calls_total", "calls to the platform's store")),
       failures_(metrics.get_counter("limpetlock_store_failures_total", "store calls without a usable answer"))
 {
@@ -116,43 +106,54 @@
     co_return answer;
 }
 
-duration store_reader::draw_proof_renewal_age()
+void store_reader::draw_renewal_age()
 {
     const auto now = role_();
-    const duration jitter(static_cast<int>(random_() % max_proof_jitter_ms));
-    if (now.watches || now.instances <= max_small_fleet_size)
-        return proof_renewal + jitter;
-    return duration(static_cast<std::int64_t>(static_cast<double>(table_adoption_time_.count()) *
-                                              follower_renewal_share)) +
-           2 * jitter;
+    const double position = std::uniform_real_distribution<double>()(random_);
+    schedule_.draw_renewal_age(position, now.watches || now.instances <= max_small_fleet_size);
 }
 
 awaitable<void> store_reader::proof_loop()
 {
-    duration renewal = proof_renewal;
     for (;;) {
-        const auto age = state_.proof_age(boot_clock::now());
-        state_.remove_lapsed_endpoints(boot_clock::now());
-        if (age && *age < renewal && !watch_behind_) {
-            co_await sleep_for(proof_check_interval);
-            continue;
+        const time_point now = boot_clock::now();
+        state_.remove_lapsed_endpoints(now);
+        if (schedule_.is_read_due(state_.proof_age(now), now)) {
+            schedule_.begin_read(now);
+            asio::co_spawn(executor_, renew_proof(), asio::detached);
         }
-        const bool ok = co_await read_table();
-        if (ok && watch_behind_) {
-            const bool listed = co_await list_state();
-            watch_behind_ = !listed;
+        if (watch_behind_ && !listing_) {
+            listing_ = true;
+            asio::co_spawn(executor_, list_for_silent_watch(), asio::detached);
         }
-        renewal = draw_proof_renewal_age();
-        co_await sleep_for(ok ? proof_check_interval : retry_back_off);
+        co_await sleep_for(proof_check_interval);
     }
 }
 
+awaitable<void> store_reader::renew_proof()
+{
+    const bool renewed = co_await read_table();
+    schedule_.end_read();
+    if (renewed)
+        draw_renewal_age();
+}
+
+/// Runs beside the reads of the table, because a listing of many pages can take longer than a proof holds.
+awaitable<void> store_reader::list_for_silent_watch()
+{
+    const bool listed = co_await list_state();
+    watch_behind_ = !listed;
+    if (!listed)
+        co_await sleep_for(listing_back_off);
+    listing_ = false;
+}
+
 /// The read is linearizable: the answer reflects every table that was published before the request was sent.
 awaitable<bool> store_reader::read_table()
 {
     const time_point sent = boot_clock::now();
     const std::int64_t known_revision = state_.entries().revision();
-    const auto answer = co_await call(codec_.encode_key_read(codec_.table_key()), read_timeout);
+    const auto answer = co_await call(codec_.encode_key_read(codec_.table_key()), schedule_.read_timeout());
     if (!answer) {
         log_failed_read("no answer", sent);
         co_return false;
--- a/lib/gateway/store_reader.hpp
+++ b/lib/gateway/store_reader.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <limpetlock/gateway/platform_codec.hpp>
+#include <limpetlock/gateway/proof_schedule.hpp>
 #include <limpetlock/gateway/published_state.hpp>
 #include <limpetlock/gateway/settings.hpp>
 #include <limpetlock/http/client.hpp>
@@ -46,7 +47,9 @@
                                              std::optional<std::int64_t>& first_revision);
     boost::asio::awaitable<store_answer_status> watch_once();
     boost::asio::awaitable<std::optional<http::response>> call(http::request message, duration timeout);
-    duration draw_proof_renewal_age();
+    boost::asio::awaitable<void> renew_proof();
+    boost::asio::awaitable<void> list_for_silent_watch();
+    void draw_renewal_age();
     void merge(std::vector<state_entry> entries, std::string_view source);
     void log_failed_read(const std::string& reason, time_point sent) const;
     /// Counts a failed call, and logs when the store is lost or regained.
@@ -59,12 +62,13 @@
     http::client client_;
     std::minstd_rand random_;
     std::function<role()> role_;
-    duration table_adoption_time_;
+    proof_schedule schedule_;
     metrics::counter& calls_;
     metrics::counter& failures_;
     bool reachable_{false};
     std::int64_t store_revision_{0}; ///< highest revision in the store's answers so far
     bool watch_behind_{false};       ///< the last proof had a revision that the watch hadn't delivered
+    bool listing_{false};            ///< a listing on behalf of the watch runs
 };
 
 } // namespace limpetlock::gateway
