Confirm the table before a request is decided by an outdated one

Callers saw: a request handled by an older configuration than a confirmed one. Cause: only keys and denials needed a recent proof of the table. Any other request was decided by the table in force, however old its proof was. An instance that had been suspended, or whose loop was held up, served what waited in its sockets by the table from before, although the store would have answered at once. Why this works: such a request waits for the next read. It waits only until one has failed since the renewal was due, so that an outage of the store holds up no request: by then a proof is younger than 0.9 of the bound, and the first read has been given up. Same cause elsewhere: a key that isn't proven and an unknown route wait for the same read now instead of a 503 at once.

--- a/include/limpetlock/gateway/proof_schedule.hpp
+++ b/include/limpetlock/gateway/proof_schedule.hpp
@@ -33,7 +33,12 @@
     bool is_read_due(std::optional<duration> proof_age, time_point now);
 
     void begin_read(time_point now);
-    void end_read();
+    /// Records the end of a read and whether it renewed the proof.
+    void end_read(bool renewed);
+
+    /// Whether a request should wait for the next read before it is decided by the table: the proof is older
+    /// than it ever is while the store answers, and no read has failed since it was due.
+    bool needs_confirmation(std::optional<duration> proof_age) const;
 
     /// A read without an answer within this time has failed.
     duration read_timeout() const;
@@ -45,6 +50,7 @@
     duration renewal_age_{0};
     std::optional<time_point> last_read_; ///< time of the last read since the renewal became due
     std::size_t reads_{0};                ///< reads since the renewal became due
+    std::size_t failures_{0};             ///< failed ones of them
     std::size_t pending_{0};              ///< reads without an outcome yet
 };
 
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -112,8 +112,8 @@
           peers(io.get_executor(), settings, random_run_id(), state, peer_handlers()),
           returns(io.get_executor(), peers, scheduler, releaser),
           runner(io.get_executor(), peers, scheduler, returns, selector),
-          handler({*codec, settings, state, selector, runner, returns, peers, endpoint_client, service_client,
-                   metrics}),
+          handler({*codec, settings, state, reader, selector, runner, returns, peers, endpoint_client,
+                   service_client, metrics}),
           stop(stop_settings_of(settings.bounds)), signals(io, SIGTERM, SIGINT), hangups(io, SIGHUP)
     {
         open_listeners();
--- a/lib/gateway/proof_schedule.cpp
+++ b/lib/gateway/proof_schedule.cpp
@@ -18,6 +18,9 @@
 /// Eager instances renew at this age at the latest, however long the bound is.
 constexpr duration latest_eager_renewal{1'050};
 
+/// Above this share of the bound a proof is older than it can get while the store answers.
+constexpr double confirmation_age = 0.9;
+
 } // namespace
 
 duration proof_schedule::share(double of_bound) const
@@ -41,6 +44,7 @@
     if (proof_age && *proof_age < renewal_age_) {
         last_read_.reset();
         reads_ = 0;
+        failures_ = 0;
         return false;
     }
     if (!last_read_)
@@ -56,9 +60,16 @@
     ++pending_;
 }
 
-void proof_schedule::end_read()
+void proof_schedule::end_read(bool renewed)
 {
     --pending_;
+    if (!renewed)
+        ++failures_;
+}
+
+bool proof_schedule::needs_confirmation(std::optional<duration> proof_age) const
+{
+    return failures_ == 0 && (!proof_age || *proof_age > share(confirmation_age));
 }
 
 duration proof_schedule::read_timeout() const
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -102,6 +102,9 @@
           dependencies.metrics.get_counter("limpetlock_repeats_total", "requests sent to a second endpoint")),
       callers_gone_(dependencies.metrics.get_counter("limpetlock_callers_gone_total",
                                                      "requests whose caller left before the answer")),
+      confirmations_(dependencies.metrics.get_counter(
+          "limpetlock_table_confirmations_total",
+          "requests that waited for a read of the table because its proof was too old")),
       unproven_tables_(dependencies.metrics.get_counter(
           "limpetlock_requests_unproven_table_total",
           "requests decided by a table whose proof was older than the bound for its adoption")),
@@ -177,7 +180,7 @@
 
 void request_handler::record_proof_age(request_context& it)
 {
-    it.proof_age = dependencies_.state.proof_age(it.arrival);
+    it.proof_age = dependencies_.state.proof_age(boot_clock::now());
     if (it.proof_age)
         proof_ages_.observe(static_cast<double>(it.proof_age->count()));
     if (!it.proof_age || *it.proof_age > dependencies_.settings.bounds.table_adoption_time)
@@ -212,7 +215,9 @@
     using namespace asio::experimental::awaitable_operators;
     request_context it(io, boot_clock::now());
     ++in_flight_;
-    const bool accepted = resolve(it);
+    const bool present = co_await confirm_table(it);
+    it.caller_gone = !present;
+    const bool accepted = present && resolve(it);
     if (accepted) {
         it.executor = co_await asio::this_coro::executor;
         const auto first = co_await (run(it) || io.wait_closed());
@@ -226,6 +231,17 @@
     log_end(it);
 }
 
+awaitable<bool> request_handler::confirm_table(request_context& it)
+{
+    using namespace asio::experimental::awaitable_operators;
+    auto& reader = dependencies_.reader;
+    if (!dependencies_.state.table() || !reader.needs_confirmation(it.arrival))
+        co_return true;
+    confirmations_.add();
+    const auto first = co_await (reader.confirm_table() || it.io.wait_closed());
+    co_return first.index() == 0;
+}
+
 awaitable<void> request_handler::run(request_context& it)
 {
     bool ready = false;
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -5,6 +5,7 @@
 #include "fleet.hpp"
 #include "result_returns.hpp"
 #include "stage_runner.hpp"
+#include "store_reader.hpp"
 
 #include <limpetlock/gateway/endpoint_selector.hpp>
 #include <limpetlock/gateway/platform_codec.hpp>
@@ -33,6 +34,7 @@
     const platform_codec& codec;
     const gateway_settings& settings;
     published_state& state;
+    store_reader& reader;
     endpoint_selector& selector;
     stage_runner& runner;
     result_returns& returns;
@@ -69,6 +71,9 @@
     class attempt_guard;
     class timer_registration;
 
+    /// Waits until the table is confirmed, if it may have been replaced unnoticed. Returns false if the
+    /// caller left first.
+    boost::asio::awaitable<bool> confirm_table(request_context& it);
     /// Decodes the request, finds its route and checks its key. Returns false if the request is refused.
     bool resolve(request_context& it);
     bool authorize(request_context& it);
@@ -103,6 +108,7 @@
     std::set<boost::asio::steady_timer*> stage_timers_; ///< deadline timers of the requests whose stages run
     metrics::counter& repeats_;
     metrics::counter& callers_gone_;
+    metrics::counter& confirmations_;
     metrics::counter& unproven_tables_;
     metrics::summary& proof_ages_;
 };
--- a/lib/gateway/store_reader.cpp
+++ b/lib/gateway/store_reader.cpp
@@ -4,6 +4,7 @@
 #include <limpetlock/support/log.hpp>
 #include <limpetlock/support/sleep_for.hpp>
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -62,6 +63,7 @@
       client_(executor_, store_limits()),
       random_(static_cast<std::minstd_rand::result_type>(hash64(settings.name))),
       role_(std::move(current_role)), schedule_(settings.bounds.table_adoption_time),
+      read_ended_(executor_, asio::steady_timer::time_point::max()),
       calls_(metrics.get_counter("limpetlock_store_calls_total", "calls to the platform's store")),
       failures_(metrics.get_counter("limpetlock_store_failures_total", "store calls without a usable answer"))
 {
@@ -133,9 +135,16 @@
 awaitable<void> store_reader::renew_proof()
 {
     const bool renewed = co_await read_table();
-    schedule_.end_read();
+    schedule_.end_read(renewed);
     if (renewed)
         draw_renewal_age();
+    read_ended_.cancel();
+}
+
+awaitable<void> store_reader::confirm_table()
+{
+    while (needs_confirmation(boot_clock::now()))
+        co_await read_ended_.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
 /// Runs beside the reads of the table, because a listing of many pages can take longer than a proof holds.
--- a/lib/gateway/store_reader.hpp
+++ b/lib/gateway/store_reader.hpp
@@ -11,6 +11,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -38,6 +39,15 @@
 
     void start();
 
+    /// Whether a request should wait for confirm_table() before it is decided by the table.
+    bool needs_confirmation(time_point now) const
+    {
+        return schedule_.needs_confirmation(state_.proof_age(now));
+    }
+
+    /// Waits until the table is proven to be recent, or until a read of it has failed.
+    boost::asio::awaitable<void> confirm_table();
+
 private:
     boost::asio::awaitable<void> proof_loop();
     boost::asio::awaitable<void> watch_loop();
@@ -63,6 +73,7 @@
     std::minstd_rand random_;
     std::function<role()> role_;
     proof_schedule schedule_;
+    boost::asio::steady_timer read_ended_; ///< never expires; cancelled when a read ends
     metrics::counter& calls_;
     metrics::counter& failures_;
     bool reachable_{false};
--- a/unittests/gateway/adoption_test.cpp
+++ b/unittests/gateway/adoption_test.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -37,7 +38,7 @@
             }
             if (read->answered)
                 return read->ends;
-            it.end_read();
+            it.end_read(false);
             read = open.erase(read);
         }
         if (!it.is_read_due(duration(now), at(now)))
@@ -81,3 +82,20 @@
     cr_expect_leq(reads, 60'000 / it.read_timeout().count() + proof_schedule::max_lost_reads + 1);
     cr_expect_geq(reads, 60'000 / 2'000, "the store's return would be noticed late");
 }
+
+// Guards against requests that wait for a read although the store is known to be silent, and against requests
+// that are decided by a table from before a suspension of the process.
+Test(proof_schedule, requests_wait_only_until_a_read_has_failed)
+{
+    proof_schedule it{duration(2'000)};
+    cr_expect_not(it.needs_confirmation(duration(1'100)));
+    cr_expect(it.needs_confirmation(duration(5'000)));
+    cr_assert(it.is_read_due(duration(5'000), at(0)));
+    it.begin_read(at(0));
+    cr_expect(it.needs_confirmation(duration(5'010)));
+    it.end_read(false);
+    cr_expect_not(it.needs_confirmation(duration(5'700)));
+    cr_expect_not(it.is_read_due(duration(10), at(800)), "a peer's proof renews it as well");
+    cr_expect(it.needs_confirmation(duration(5'000)));
+    cr_expect(it.needs_confirmation(std::nullopt));
+}
