--- a/lib/gateway/request_context.cpp
+++ b/lib/gateway/request_context.cpp
@@ -49,6 +49,14 @@
     return tokens / static_cast<double>(std::max<std::uint64_t>(1, pieces));
 }
 
+std::vector<std::uint64_t> shared_parts(const caller_request& it)
+{
+    std::vector<std::uint64_t> out;
+    for (std::size_t n = 0; n + 1 < it.prompt.size(); ++n)
+        out.push_back(it.prompt[n].id);
+    return out;
+}
+
 std::uint64_t prompt_session(const caller_request& it)
 {
     return it.prompt.size() < 2 ? 0 : it.prompt[it.prompt.size() - 2].id;
--- a/lib/gateway/request_context.hpp
+++ b/lib/gateway/request_context.hpp
@@ -61,6 +61,8 @@
     attempt_outcome outcome{attempt_outcome::cancelled};
     std::string reason;
     http::response answer; ///< of failed_answer
+    int status{0};         ///< of the endpoint's answer; 0 if no header arrived
+    bool any_event{false}; ///< a whole event of the answer arrived
 };
 
 std::string_view to_string(attempt_end it);
@@ -79,6 +81,9 @@
 /// and never reused. 0 for a request without a prompt.
 std::uint64_t prompt_affinity(const caller_request& it);
 
+/// Ids of the parts of the prompt that other requests may share, that is all but the last.
+std::vector<std::uint64_t> shared_parts(const caller_request& it);
+
 /// Id of the last part of the prompt that other requests may share; 0 when there is none.
 std::uint64_t prompt_session(const caller_request& it);
 
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -50,6 +50,19 @@
 /// Limit of the attempts of one request, including those at endpoints that refuse or can't be reached.
 constexpr std::size_t max_attempts = 5;
 
+/// Parts of a prompt that a log line names.
+constexpr std::size_t max_logged_parts = 8;
+
+/// Ids of the parts that other requests may share, for a log line.
+std::string shared_parts_text(const caller_request& it)
+{
+    const auto parts = shared_parts(it);
+    if (parts.empty())
+        return "-";
+    const auto n = static_cast<std::ptrdiff_t>(std::min(parts.size(), max_logged_parts));
+    return fmt::format("{:x}", fmt::join(parts.begin(), parts.begin() + n, ","));
+}
+
 } // namespace
 
 /// Records an attempt at an endpoint in the endpoint selector. An attempt that is destroyed without an
@@ -378,7 +391,10 @@
         log::info("sending_failed", {{"request", it.request.id},
                                      {"endpoint", to->id},
                                      {"end", std::string(to_string(last.end))},
-                                     {"reason", last.reason}});
+                                     {"reason", last.reason},
+                                     {"status", fmt::to_string(last.status)},
+                                     {"any_event", last.any_event ? "yes" : "no"},
+                                     {"parts", shared_parts_text(it.request)}});
         bool again = may_retry(it, last);
         const bool needs_inputs = !it.matched_route->stages.empty() && it.inputs->handles().empty();
         if (again && (last.end == attempt_end::inputs_gone || needs_inputs))
@@ -482,6 +498,7 @@
         out = co_await relay_stream(it, *answer);
     else
         out = co_await relay_whole(it, *answer, !success);
+    out.status = answer->status();
     to.conclude(out.outcome, boot_clock::now());
     co_return out;
 }
@@ -526,6 +543,7 @@
 awaitable<attempt_result> request_handler::relay_stream(request_context& it, http::answer_reader& from)
 {
     attempt_result out;
+    bool any_event = false;
     bool ok = true;
     for (;;) {
         const auto bytes = co_await from.read(it.deadline);
@@ -534,6 +552,7 @@
         const std::string events = it.framing.feed(*bytes);
         if (events.empty())
             continue;
+        any_event = true;
         if (!it.streaming) {
             it.streaming = true;
             it.status = from.status();
@@ -559,6 +578,7 @@
     }
     it.framing.discard_pending();
     out = failed_attempt(from.error());
+    out.any_event = any_event;
     out.end = from.error().code == http::errc::timeout ? attempt_end::timeout : attempt_end::broken;
     co_return out;
 }
