--- a/utils/platformkit/endpoints.cpp
+++ b/utils/platformkit/endpoints.cpp
@@ -3,6 +3,8 @@
 #include "platform/platform.hpp"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -41,19 +43,20 @@
     out.resume_after = header_value(message, header::last_event_id);
     out.authorization = header_value(message, header::authorization);
     out.priority = header_value(message, header::request_priority);
+    out.prompt = header_value(message, header::prefix_hash);
     const std::string deadline = header_value(message, header::deadline_ms);
     std::from_chars(deadline.data(), deadline.data() + deadline.size(), out.deadline_ms);
     return out;
 }
 
 std::string make_entry(const endpoint_options& it, const std::string& address, std::uint16_t port,
-                       const std::string& state)
+                       const std::string& state, std::int64_t started_ms = 1'700'000'000'000)
 {
-    return json{{"service", it.pool},       {"addr", fmt::format("{}:{}", address, port)},
-                {"zone", it.domain},        {"version", "v1"},
-                {"slots", it.slots},        {"state", state},
-                {"coldLeftMs", 0},          {"seq", 1},
-                {"born", 1'700'000'000'000}}
+    return json{{"service", it.pool}, {"addr", fmt::format("{}:{}", address, port)},
+                {"zone", it.domain},  {"version", "v1"},
+                {"slots", it.slots},  {"state", state},
+                {"coldLeftMs", 0},    {"seq", 1},
+                {"born", started_ms}}
         .dump();
 }
 
@@ -70,13 +73,31 @@
                                    endpoint_options options)
     : executor_(std::move(executor)), address_(address), options_(std::move(options))
 {
-    server_ = std::make_unique<http::server>(executor_, address, 0, http::server_limits{},
+    listen(0);
+}
+
+void service_endpoint::listen(std::uint16_t port)
+{
+    server_ = std::make_unique<http::server>(executor_, address_, port, http::server_limits{},
                                              [this](http::exchange& io) { return serve(io); });
+    port_ = server_->port();
 }
 
 std::string service_endpoint::entry(const std::string& state) const
 {
-    return make_entry(options_, address_, port(), state);
+    return make_entry(options_, address_, port(), state, started_ms_);
+}
+
+awaitable<void> service_endpoint::crash()
+{
+    if (!server_)
+        co_return;
+    server_.reset();
+    co_await wait(downtime_);
+    ++started_ms_;
+    listen(port_);
+    if (on_restart_)
+        on_restart_();
 }
 
 awaitable<void> service_endpoint::wait(std::chrono::milliseconds length)
@@ -159,6 +180,13 @@
         ++next;
     const std::size_t cut_at = (options_.events + next) / 2;
     bool ok = co_await io.begin_stream(200, headers);
+    if (!deadly_part_.empty() &&
+        ("," + runs_[run].prompt).find("," + deadly_part_ + ":") != std::string::npos) {
+        co_await io.write("id: ");
+        co_await wait(std::chrono::milliseconds(10));
+        asio::co_spawn(executor_, crash(), asio::detached);
+        co_return;
+    }
     const std::string filler(options_.event_bytes, 'x');
     for (; ok && next <= options_.events; ++next) {
         const std::string event = fmt::format("id: {}\ndata: {}\n\n", next, filler);
--- a/utils/platformkit/endpoints.hpp
+++ b/utils/platformkit/endpoints.hpp
@@ -11,9 +11,11 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace limpetlock::platformkit {
@@ -40,6 +42,7 @@
     std::string resume_after;
     std::string authorization;
     std::string priority;
+    std::string prompt;          ///< parts of the prompt as stated in the request
     std::int64_t deadline_ms{0}; ///< as stated in the request
     bool finished{false};        ///< false while it runs, and for good if the caller closed the connection
 };
@@ -63,7 +66,7 @@
                      endpoint_options options);
 
     const endpoint_options& options() const { return options_; }
-    std::uint16_t port() const { return server_->port(); }
+    std::uint16_t port() const { return port_; }
     const std::string& address() const { return address_; }
 
     /// The next `count` requests end in the given way, later ones normally.
@@ -73,6 +76,18 @@
         behaviours_left_ = count;
     }
 
+    /// From now on the endpoint crashes when it begins to answer a request whose prompt has the part (its id
+    /// in hexadecimal): all connections are cut, and new ones refused for `downtime`. An empty id turns this
+    /// off.
+    void crash_on(std::string part, std::chrono::milliseconds downtime)
+    {
+        deadly_part_ = std::move(part);
+        downtime_ = downtime;
+    }
+
+    /// Called after the restart that follows a crash.
+    void on_restart(std::function<void()> action) { on_restart_ = std::move(action); }
+
     /// From now on every n-th request fails, in each of several ways in turn; 0 turns this off.
     void fail_every(std::size_t n) { fail_every_ = n; }
 
@@ -91,10 +106,17 @@
     boost::asio::awaitable<void> stream_events(http::exchange& io, std::size_t run, behaviour how,
                                                http::header_list headers);
     boost::asio::awaitable<void> wait(std::chrono::milliseconds length);
+    void listen(std::uint16_t port);
+    boost::asio::awaitable<void> crash();
 
     boost::asio::any_io_executor executor_;
     std::string address_;
     endpoint_options options_;
+    std::uint16_t port_{0};
+    std::int64_t started_ms_{1'700'000'000'000};
+    std::string deadly_part_;
+    std::chrono::milliseconds downtime_{0};
+    std::function<void()> on_restart_;
     behaviour behaviour_{behaviour::normal};
     std::size_t behaviours_left_{0};
     std::size_t fail_every_{0};
