Hold back requests with a part of a prompt that crashes engines

Callers saw: streams of one kind of request, and all others that were at the same engines, cut or answered 502, while engines crashed one after the other. Cause: nothing connected the crashes. Each attempt and each instance was judged by itself, so a request with the part was repeated at a second engine, and every further one was sent. Why this works: each sighting counts against all shared parts of the request, complete answers clear theirs, and of parts that can't be told apart only the combination is held back, so a part that sound requests share with the deadly one stays served. Two endpoints are enough. Peers have the evidence with the next ping, which a change sends at once.

--- /dev/null
+++ b/include/limpetlock/gateway/prompt_quarantine.hpp
@@ -0,0 +1,112 @@
+/// \file
+/// Finds the parts of prompts under which engines crash, and tells which requests to hold back.
+#pragma once
+
+#include <limpetlock/support/time.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace limpetlock::gateway {
+
+/// An engine that was lost when it began to answer a request.
+struct crash_sighting {
+    std::string endpoint;
+    std::int64_t started_ms{0}; ///< start of its process, as in endpoint::started_ms
+    std::string reporter;       ///< instance that had sent the request
+    time_point at{};
+
+    friend bool operator==(const crash_sighting&, const crash_sighting&) = default;
+};
+
+/// What is known of a part of a prompt under which an engine was lost.
+struct part_evidence {
+    std::uint64_t part{0};
+    std::vector<crash_sighting> crashes;  ///< ordered by endpoint and start
+    std::optional<time_point> answered{}; ///< time of the last complete answer to a request with the part
+
+    friend bool operator==(const part_evidence&, const part_evidence&) = default;
+};
+
+/// Collects evidence of all instances on the parts of prompts.
+///
+/// Each crash counts against all shared parts of the request that the engine had begun to answer. Complete
+/// answers clear the parts of their prompts. Parts that were present in the same crashes can't be told apart:
+/// only requests that have all of them are held back, until a crash or an answer tells them apart. Of parts
+/// that share some crashes, the one with the most explains those of the others.
+class prompt_quarantine {
+public:
+    /// A part is quarantined after it crashed this many endpoints.
+    static constexpr std::size_t min_crashed_endpoints = 2;
+
+    /// How long requests are held back after the last crash. The evidence is kept longer, so that a single
+    /// further crash renews the quarantine.
+    static constexpr duration quarantine_time{300'000};
+    static constexpr duration evidence_lifetime{600'000};
+
+    /// An answer clears its parts of later crashes for this long, and of all earlier ones.
+    static constexpr duration answer_memory{30'000};
+
+    // Bounds of what callers can make an instance remember.
+    static constexpr std::size_t max_parts_per_request = 64;
+    static constexpr std::size_t max_suspects = 512;
+    static constexpr std::size_t max_crashes_per_part = 8;
+    static constexpr std::size_t max_answered_parts = 4'096; ///< of each of two generations
+
+    /// A quarantined part of a request.
+    struct verdict {
+        part_evidence evidence;
+        duration time_left{0}; ///< until the end of the quarantine
+    };
+
+    /// Records the loss of an engine that had begun to answer a request with these shared parts.
+    void record_crash(const std::vector<std::uint64_t>& parts, const crash_sighting& crash);
+
+    /// Records a complete answer to a request with these shared parts.
+    void record_answer(const std::vector<std::uint64_t>& parts, time_point now);
+
+    /// Returns the part for which a request with these shared parts is held back; nullopt if it may run.
+    std::optional<verdict> find_quarantined(const std::vector<std::uint64_t>& parts, time_point now) const;
+
+    /// The evidence that peers may lack: what has changed lately, and the quarantined parts.
+    std::vector<part_evidence> evidence_for_peers(time_point now, std::size_t max_parts) const;
+
+    /// Merges evidence of a peer.
+    void merge(const part_evidence& evidence, time_point now);
+
+    /// Removes evidence at the end of its lifetime.
+    void remove_expired(time_point now);
+
+    /// Number of changes of the evidence.
+    std::uint64_t version() const { return version_; }
+
+    std::size_t suspect_count() const { return suspects_.size(); }
+
+private:
+    struct suspect {
+        part_evidence evidence;
+        time_point changed{};
+        bool quarantine_logged{false};
+    };
+
+    void update(std::uint64_t part, const std::vector<crash_sighting>& crashes,
+                std::optional<time_point> answered, time_point now);
+    void make_room();
+    void log_change(suspect& it, time_point now) const;
+    bool is_quarantined(const part_evidence& it, time_point now) const;
+    bool blocks(const part_evidence& it, const std::vector<std::uint64_t>& parts, time_point now) const;
+    std::optional<time_point> last_answer(std::uint64_t part) const;
+
+    std::map<std::uint64_t, suspect> suspects_; ///< by part
+    std::unordered_map<std::uint64_t, time_point> answers_;
+    std::unordered_map<std::uint64_t, time_point> older_answers_;
+    time_point generation_began_{};
+    std::uint64_t version_{0};
+};
+
+} // namespace limpetlock::gateway
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -40,6 +40,9 @@
 /// A seed that isn't the address of a known instance is pinged once in this many rounds.
 constexpr std::uint64_t rounds_between_seed_pings = 3;
 
+/// Parts of prompts whose evidence one ping or pong carries.
+constexpr std::size_t suspects_per_message = 24;
+
 const char* const seed_prefix = "seed/";
 
 wire::member_message to_message(const member& it, duration age)
@@ -65,6 +68,38 @@
     return out;
 }
 
+std::vector<wire::part_evidence_message> to_messages(const std::vector<part_evidence>& list, time_point now)
+{
+    std::vector<wire::part_evidence_message> out;
+    for (const auto& it : list) {
+        wire::part_evidence_message message;
+        message.part = static_cast<std::int64_t>(it.part);
+        message.answer_age_ms = it.answered ? std::max<std::int64_t>(0, (now - *it.answered).count()) : -1;
+        for (const auto& crash : it.crashes) {
+            wire::crash_sighting_message sighting;
+            sighting.endpoint = crash.endpoint;
+            sighting.started_ms = crash.started_ms;
+            sighting.reporter = crash.reporter;
+            sighting.age_ms = std::max<std::int64_t>(0, (now - crash.at).count());
+            message.crashes.push_back(std::move(sighting));
+        }
+        out.push_back(std::move(message));
+    }
+    return out;
+}
+
+part_evidence from_message(const wire::part_evidence_message& it, time_point now)
+{
+    part_evidence out;
+    out.part = static_cast<std::uint64_t>(it.part);
+    if (it.answer_age_ms >= 0)
+        out.answered = now - duration(it.answer_age_ms);
+    for (const auto& crash : it.crashes)
+        out.crashes.push_back({crash.endpoint, crash.started_ms, crash.reporter,
+                               now - duration(std::max<std::int64_t>(0, crash.age_ms))});
+    return out;
+}
+
 member own_member(const gateway_settings& it, std::int64_t run_id)
 {
     return {it.name, it.peer_address, it.domain, it.capacity_millicores, run_id, false};
@@ -80,9 +115,9 @@
 // The incarnation of the messenger is always 0: membership messages distinguish two processes of one name,
 // and an incarnation taken from a clock that was set back would shut out a new process.
 fleet::fleet(asio::any_io_executor executor, const gateway_settings& settings, std::int64_t run_id,
-             published_state& state, handlers its_handlers)
-    : executor_(std::move(executor)), settings_(settings), state_(state), handlers_(std::move(its_handlers)),
-      view_(own_member(settings, run_id)),
+             published_state& state, prompt_quarantine& quarantine, handlers its_handlers)
+    : executor_(std::move(executor)), settings_(settings), state_(state), quarantine_(quarantine),
+      handlers_(std::move(its_handlers)), view_(own_member(settings, run_id)),
       messenger_(executor_, settings.name, 0, to_peer(settings.peer_address),
                  [this](wire::frame message) { return answer(std::move(message)); }),
       random_(static_cast<std::minstd_rand::result_type>(hash64(settings.name, 1)))
@@ -140,6 +175,7 @@
     for (;;) {
         const time_point now = boot_clock::now();
         refresh_links(now);
+        quarantine_.remove_expired(now);
         for (auto& to : ping_targets(now))
             asio::co_spawn(executor_, ping(std::move(to)), asio::detached);
         ++ping_rounds_;
@@ -164,6 +200,7 @@
     body.known = members_for_peers(sent);
     body.state_revision = state_.entries().revision();
     body.table_revision = state_.table_revision();
+    body.suspects = to_messages(quarantine_.evidence_for_peers(sent, suspects_per_message), sent);
     message.__set_member_ping(body);
     peer::call_error error;
     const auto reply = co_await messenger_.call(to, std::move(message), sent + ping_timeout, error);
@@ -177,6 +214,7 @@
 void fleet::process_pong(const std::string& from, const wire::member_pong_message& it, time_point sent)
 {
     record_members(it.own, it.known, boot_clock::now());
+    merge_suspects(it.suspects, boot_clock::now());
     if (it.proof_age_ms >= 0)
         state_.record_proof({it.table_revision, sent - duration(it.proof_age_ms)});
     pull_if_newer(from, it.table_revision, it.state_revision);
@@ -192,16 +230,19 @@
     asio::co_spawn(executor_, pull(from), asio::detached);
 }
 
-/// Pings soon after a new revision arrived, so that it spreads faster than by the regular rounds.
+/// Pings soon after a new revision or new evidence arrived, so that it spreads faster than by the regular
+/// rounds.
 awaitable<void> fleet::spread_loop()
 {
     std::int64_t spread_revision = 0;
+    std::uint64_t spread_evidence = 0;
     for (;;) {
         co_await sleep_for(spread_interval);
         const std::int64_t known = std::max(state_.table_revision(), state_.entries().revision());
-        if (known <= spread_revision)
+        if (known <= spread_revision && quarantine_.version() == spread_evidence)
             continue;
-        spread_revision = known;
+        spread_revision = std::max(spread_revision, known);
+        spread_evidence = quarantine_.version();
         for (auto& to : ping_targets(boot_clock::now()))
             asio::co_spawn(executor_, ping(std::move(to)), asio::detached);
     }
@@ -252,9 +293,16 @@
     out.state_revision = state_.entries().revision();
     out.table_revision = state_.table_revision();
     out.proof_age_ms = state_.proof_age(now).value_or(duration(-1)).count();
+    out.suspects = to_messages(quarantine_.evidence_for_peers(now, suspects_per_message), now);
     return out;
 }
 
+void fleet::merge_suspects(const std::vector<wire::part_evidence_message>& list, time_point now)
+{
+    for (const auto& it : list)
+        quarantine_.merge(from_message(it, now), now);
+}
+
 wire::state_push_message fleet::make_push(std::int64_t after, time_point now) const
 {
     wire::state_push_message out;
@@ -294,6 +342,7 @@
     wire::frame reply;
     if (message.__isset.member_ping) {
         record_members(message.member_ping.own, message.member_ping.known, now);
+        merge_suspects(message.member_ping.suspects, now);
         if (links_.contains(message.member_ping.own.name))
             pull_if_newer(message.member_ping.own.name, message.member_ping.table_revision,
                           message.member_ping.state_revision);
--- a/lib/gateway/fleet.hpp
+++ b/lib/gateway/fleet.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <limpetlock/gateway/fleet_view.hpp>
+#include <limpetlock/gateway/prompt_quarantine.hpp>
 #include <limpetlock/gateway/published_state.hpp>
 #include <limpetlock/gateway/settings.hpp>
 #include <limpetlock/peer/generated/peer_types.h>
@@ -17,13 +18,15 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace limpetlock::gateway {
 
 namespace wire = peer::wire;
 
 /// Pings the other instances, which spreads the members of the fleet, the revisions of the published state
-/// and the proofs of its age, and pulls newer state from peers.
+/// and the proofs of its age, and the evidence on parts of prompts that crash engines. Pulls newer state from
+/// peers.
 class fleet {
 public:
     /// Handlers of the messages about stage tasks.
@@ -35,7 +38,7 @@
     };
 
     fleet(boost::asio::any_io_executor executor, const gateway_settings& settings, std::int64_t run_id,
-          published_state& state, handlers its_handlers);
+          published_state& state, prompt_quarantine& quarantine, handlers its_handlers);
 
     void start();
 
@@ -62,6 +65,7 @@
     wire::state_push_message make_push(std::int64_t after, time_point now) const;
     void record_members(const wire::member_message& own, const std::vector<wire::member_message>& known,
                         time_point now);
+    void merge_suspects(const std::vector<wire::part_evidence_message>& list, time_point now);
     void process_pong(const std::string& from, const wire::member_pong_message& it, time_point sent);
     void pull_if_newer(const std::string& from, std::int64_t table_revision, std::int64_t state_revision);
     void refresh_links(time_point now);
@@ -69,6 +73,7 @@
     boost::asio::any_io_executor executor_;
     const gateway_settings& settings_;
     published_state& state_;
+    prompt_quarantine& quarantine_;
     handlers handlers_;
     fleet_view view_;
     peer::messenger messenger_;
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -109,11 +109,11 @@
           releaser(io.get_executor(), *codec, endpoint_client),
           scheduler(io.get_executor(), *codec, endpoint_client, releaser, metrics,
                     [this](const std::vector<result_group>& used) { return_results(used); }),
-          peers(io.get_executor(), settings, random_run_id(), state, peer_handlers()),
+          peers(io.get_executor(), settings, random_run_id(), state, quarantine, peer_handlers()),
           returns(io.get_executor(), peers, scheduler, releaser),
           runner(io.get_executor(), peers, scheduler, returns, selector),
-          handler({*codec, settings, state, reader, selector, runner, returns, peers, endpoint_client,
-                   service_client, metrics}),
+          handler({*codec, settings, state, reader, quarantine, selector, runner, returns, peers,
+                   endpoint_client, service_client, metrics}),
           stop(stop_settings_of(settings.bounds)), signals(io, SIGTERM, SIGINT), hangups(io, SIGHUP)
     {
         open_listeners();
@@ -395,6 +395,7 @@
         metrics.get_gauge("limpetlock_log_lines_dropped", "log lines that standard output did not take")};
     std::vector<endpoint> endpoints;
     endpoint_selector selector;
+    prompt_quarantine quarantine;
     published_state state;
     http::client endpoint_client;
     http::client service_client;
--- /dev/null
+++ b/lib/gateway/prompt_quarantine.cpp
@@ -0,0 +1,220 @@
+#include <limpetlock/gateway/prompt_quarantine.hpp>
+#include <limpetlock/support/log.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace limpetlock::gateway {
+
+namespace {
+
+/// Changed evidence goes to peers for this long, which is enough rounds of pings for a fleet of hundreds.
+constexpr duration spread_time{5'000};
+
+bool same_crash(const crash_sighting& a, const crash_sighting& b)
+{
+    return a.endpoint == b.endpoint && a.started_ms == b.started_ms;
+}
+
+bool in_crash_order(const crash_sighting& a, const crash_sighting& b)
+{
+    return std::tie(a.endpoint, a.started_ms) < std::tie(b.endpoint, b.started_ms);
+}
+
+/// Crashes that no complete answer clears the part of.
+std::vector<crash_sighting> open_crashes(const part_evidence& it)
+{
+    std::vector<crash_sighting> out;
+    for (const auto& crash : it.crashes)
+        if (!it.answered || *it.answered + prompt_quarantine::answer_memory < crash.at)
+            out.push_back(crash);
+    return out;
+}
+
+time_point last_crash(const std::vector<crash_sighting>& crashes)
+{
+    time_point out{};
+    for (const auto& it : crashes)
+        out = std::max(out, it.at);
+    return out;
+}
+
+bool includes_crashes(const std::vector<crash_sighting>& all, const std::vector<crash_sighting>& some)
+{
+    return std::includes(all.begin(), all.end(), some.begin(), some.end(), in_crash_order);
+}
+
+} // namespace
+
+std::optional<time_point> prompt_quarantine::last_answer(std::uint64_t part) const
+{
+    for (const auto* generation : {&answers_, &older_answers_})
+        if (const auto it = generation->find(part); it != generation->end())
+            return it->second;
+    return std::nullopt;
+}
+
+void prompt_quarantine::record_crash(const std::vector<std::uint64_t>& parts, const crash_sighting& crash)
+{
+    const std::size_t n = std::min(parts.size(), max_parts_per_request);
+    for (std::size_t k = 0; k < n; ++k)
+        update(parts[k], {crash}, std::nullopt, crash.at);
+}
+
+void prompt_quarantine::record_answer(const std::vector<std::uint64_t>& parts, time_point now)
+{
+    if (answers_.size() >= max_answered_parts || now - generation_began_ > answer_memory) {
+        older_answers_ = std::exchange(answers_, {});
+        generation_began_ = now;
+    }
+    const std::size_t n = std::min(parts.size(), max_parts_per_request);
+    for (std::size_t k = 0; k < n; ++k) {
+        answers_[parts[k]] = now;
+        if (const auto it = suspects_.find(parts[k]);
+            it != suspects_.end() && !open_crashes(it->second.evidence).empty())
+            update(parts[k], {}, now, now);
+    }
+}
+
+void prompt_quarantine::merge(const part_evidence& evidence, time_point now)
+{
+    if (last_crash(evidence.crashes) + evidence_lifetime > now)
+        update(evidence.part, evidence.crashes, evidence.answered, now);
+}
+
+/// Adds crashes and an answer to what is known of a part, together with the answers that this instance has
+/// seen itself.
+void prompt_quarantine::update(std::uint64_t part, const std::vector<crash_sighting>& crashes,
+                               std::optional<time_point> answered, time_point now)
+{
+    if (!suspects_.contains(part))
+        make_room();
+    suspect& it = suspects_[part];
+    const part_evidence before = it.evidence;
+    it.evidence.part = part;
+    for (const auto& crash : crashes) {
+        auto& known = it.evidence.crashes;
+        if (std::any_of(known.begin(), known.end(),
+                        [&crash](const crash_sighting& other) { return same_crash(crash, other); }))
+            continue;
+        if (known.size() >= max_crashes_per_part)
+            known.erase(std::min_element(known.begin(), known.end(),
+                                         [](const auto& a, const auto& b) { return a.at < b.at; }));
+        known.insert(std::upper_bound(known.begin(), known.end(), crash, in_crash_order), crash);
+    }
+    const bool cleared_before = open_crashes(it.evidence).empty();
+    for (const auto& time : {answered, last_answer(part)})
+        if (time && (!it.evidence.answered || *time > *it.evidence.answered))
+            it.evidence.answered = time;
+    // A later answer tells peers nothing new once all crashes are cleared.
+    const bool known = it.evidence.crashes == before.crashes && cleared_before;
+    if (known || it.evidence == before)
+        return;
+    it.changed = now;
+    ++version_;
+    log_change(it, now);
+}
+
+/// Removes the suspect with the fewest crashes, the oldest of several, if there are too many.
+void prompt_quarantine::make_room()
+{
+    if (suspects_.size() < max_suspects)
+        return;
+    const auto weight = [](const auto& it) {
+        return std::make_tuple(it.second.evidence.crashes.size(), last_crash(it.second.evidence.crashes));
+    };
+    suspects_.erase(std::min_element(suspects_.begin(), suspects_.end(),
+                                     [&](const auto& a, const auto& b) { return weight(a) < weight(b); }));
+}
+
+void prompt_quarantine::log_change(suspect& it, time_point now) const
+{
+    std::string crashes;
+    for (const auto& crash : it.evidence.crashes)
+        crashes += fmt::format("{}{}@{}", crashes.empty() ? "" : ",", crash.endpoint, crash.reporter);
+    const bool quarantined = is_quarantined(it.evidence, now);
+    const auto& answered = it.evidence.answered;
+    if (quarantined || it.quarantine_logged)
+        log::warning("prompt_part_suspected",
+                     {{"part", fmt::format("{:x}", it.evidence.part)},
+                      {"quarantined", quarantined ? "yes" : "no"},
+                      {"crashes", crashes},
+                      {"answer_age_ms", answered ? fmt::to_string((now - *answered).count()) : "-"}});
+    else
+        log::info("prompt_part_suspected",
+                  {{"part", fmt::format("{:x}", it.evidence.part)},
+                   {"quarantined", "no"},
+                   {"crashes", crashes},
+                   {"answer_age_ms", answered ? fmt::to_string((now - *answered).count()) : "-"}});
+    it.quarantine_logged = quarantined;
+}
+
+bool prompt_quarantine::is_quarantined(const part_evidence& it, time_point now) const
+{
+    const auto crashes = open_crashes(it);
+    std::set<std::string_view> endpoints;
+    for (const auto& crash : crashes)
+        endpoints.insert(crash.endpoint);
+    return endpoints.size() >= min_crashed_endpoints && now - last_crash(crashes) < quarantine_time;
+}
+
+/// Whether a request with these parts is held back because of one of them.
+bool prompt_quarantine::blocks(const part_evidence& it, const std::vector<std::uint64_t>& parts,
+                               time_point now) const
+{
+    if (!is_quarantined(it, now))
+        return false;
+    const auto crashes = open_crashes(it);
+    for (const auto& [part, other] : suspects_) {
+        const auto others = open_crashes(other.evidence);
+        if (part == it.part || !includes_crashes(others, crashes))
+            continue;
+        const bool same = others.size() == crashes.size();
+        const bool present = std::find(parts.begin(), parts.end(), part) != parts.end();
+        if (!same || !present)
+            return false;
+    }
+    return true;
+}
+
+std::optional<prompt_quarantine::verdict>
+prompt_quarantine::find_quarantined(const std::vector<std::uint64_t>& parts, time_point now) const
+{
+    for (const auto part : parts) {
+        const auto it = suspects_.find(part);
+        if (it == suspects_.end() || !blocks(it->second.evidence, parts, now))
+            continue;
+        const auto& evidence = it->second.evidence;
+        return verdict{evidence, last_crash(open_crashes(evidence)) + quarantine_time - now};
+    }
+    return std::nullopt;
+}
+
+std::vector<part_evidence> prompt_quarantine::evidence_for_peers(time_point now, std::size_t max_parts) const
+{
+    std::vector<const suspect*> found;
+    for (const auto& [part, it] : suspects_)
+        if (now - it.changed < spread_time || is_quarantined(it.evidence, now))
+            found.push_back(&it);
+    std::sort(found.begin(), found.end(), [](const suspect* a, const suspect* b) {
+        return std::tie(a->changed, a->evidence.part) > std::tie(b->changed, b->evidence.part);
+    });
+    std::vector<part_evidence> out;
+    for (const auto* it : found)
+        if (out.size() < max_parts)
+            out.push_back(it->evidence);
+    return out;
+}
+
+void prompt_quarantine::remove_expired(time_point now)
+{
+    std::erase_if(suspects_, [now](const auto& it) {
+        return now - last_crash(it.second.evidence.crashes) >= evidence_lifetime;
+    });
+}
+
+} // namespace limpetlock::gateway
--- a/lib/gateway/request_context.hpp
+++ b/lib/gateway/request_context.hpp
@@ -63,6 +63,8 @@
     http::response answer; ///< of failed_answer
     int status{0};         ///< of the endpoint's answer; 0 if no header arrived
     bool any_event{false}; ///< a whole event of the answer arrived
+    /// The endpoint had begun a successful answer and ended the connection before a whole event of it.
+    bool lost_at_begin{false};
 };
 
 std::string_view to_string(attempt_end it);
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -115,6 +115,12 @@
           dependencies.metrics.get_counter("limpetlock_repeats_total", "requests sent to a second endpoint")),
       callers_gone_(dependencies.metrics.get_counter("limpetlock_callers_gone_total",
                                                      "requests whose caller left before the answer")),
+      quarantined_(dependencies.metrics.get_counter(
+          "limpetlock_requests_quarantined_total",
+          "requests held back because engines crashed on a part of their prompt")),
+      engines_lost_(dependencies.metrics.get_counter(
+          "limpetlock_engines_lost_at_begin_total",
+          "attempts whose engine was lost when it had begun to answer, before a whole event")),
       confirmations_(dependencies.metrics.get_counter(
           "limpetlock_table_confirmations_total",
           "requests that waited for a read of the table because its proof was too old")),
@@ -273,6 +279,8 @@
 /// Chooses the pool and sets the criteria for the endpoint, then runs the stages.
 awaitable<bool> request_handler::prepare(request_context& it)
 {
+    if (!passes_quarantine(it))
+        co_return false;
     it.pool = pick_pool(*it.matched_route);
     retry_share_of(it.pool).record_first_attempt(it.arrival);
     it.endpoint_criteria.pool = it.pool;
@@ -348,6 +356,40 @@
         it->cancel();
 }
 
+bool request_handler::passes_quarantine(request_context& it)
+{
+    const time_point now = boot_clock::now();
+    const auto found = dependencies_.quarantine.find_quarantined(shared_parts(it.request), now);
+    if (!found)
+        return true;
+    quarantined_.add();
+    log::info("request_quarantined", {{"request", it.request.id},
+                                      {"part", fmt::format("{:x}", found->evidence.part)},
+                                      {"crashes", fmt::to_string(found->evidence.crashes.size())},
+                                      {"attempts", fmt::to_string(it.attempts)},
+                                      {"time_left_ms", fmt::to_string(found->time_left.count())}});
+    const std::string_view reason = "engines crash on a part of the prompt";
+    if (it.possible_executions == 0)
+        return refuse(it, 503, reason, found->time_left);
+    return refuse(it, 502, reason, duration{0});
+}
+
+/// Engines crash when they begin to write an answer, so an attempt that got a header and then lost its
+/// connection before a whole event is evidence against the parts of its prompt. Other requests of the same
+/// engine have no header yet, or have had events.
+void request_handler::record_prompt_evidence(const request_context& it, const endpoint& to,
+                                             const attempt_result& last)
+{
+    const time_point now = boot_clock::now();
+    const auto parts = shared_parts(it.request);
+    if (last.end == attempt_end::delivered && last.outcome == attempt_outcome::answered)
+        dependencies_.quarantine.record_answer(parts, now);
+    if (!last.lost_at_begin || parts.empty())
+        return;
+    engines_lost_.add();
+    dependencies_.quarantine.record_crash(parts, {to.id, to.started_ms, dependencies_.settings.name, now});
+}
+
 /// Whether the request may be sent to another endpoint after this attempt. That depends on the route, on the
 /// number of attempts and on the pool's share of retries.
 bool request_handler::may_retry(request_context& it, const attempt_result& last)
@@ -376,6 +418,8 @@
 {
     attempt_result last;
     for (;;) {
+        if (!passes_quarantine(it))
+            break;
         const auto to = dependencies_.selector.select(it.endpoint_criteria, boot_clock::now());
         if (!to)
             break;
@@ -384,6 +428,7 @@
         it.endpoint_criteria.tried.push_back(to->id);
         it.endpoint_id = to->id;
         last = co_await run_attempt(it, attempt);
+        record_prompt_evidence(it, *to, last);
         if (last.end == attempt_end::delivered)
             co_return;
         if (may_have_run(last.end))
@@ -402,7 +447,7 @@
         if (!again)
             break;
     }
-    if (last.end == attempt_end::failed_answer && !it.streaming) {
+    if (last.end == attempt_end::failed_answer && !it.streaming && it.refusal.status == 0) {
         it.status = last.answer.status;
         http::response answer = std::move(last.answer);
         co_await it.io.respond(std::move(answer));
@@ -520,6 +565,7 @@
     }
     if (from.error().code != http::errc::none || whole.body.size() > max_answer_bytes) {
         out = failed_attempt(from.error());
+        out.lost_at_begin = !keep_answer && from.error().code == http::errc::closed;
         out.end = from.error().code == http::errc::timeout ? attempt_end::timeout : attempt_end::broken;
         co_return out;
     }
@@ -579,6 +625,9 @@
     it.framing.discard_pending();
     out = failed_attempt(from.error());
     out.any_event = any_event;
+    // A stream without a length or chunks that ends inside an event has no error.
+    const bool ended = from.error().code == http::errc::closed || from.error().code == http::errc::none;
+    out.lost_at_begin = ended && !any_event;
     out.end = from.error().code == http::errc::timeout ? attempt_end::timeout : attempt_end::broken;
     co_return out;
 }
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -9,6 +9,7 @@
 
 #include <limpetlock/gateway/endpoint_selector.hpp>
 #include <limpetlock/gateway/platform_codec.hpp>
+#include <limpetlock/gateway/prompt_quarantine.hpp>
 #include <limpetlock/gateway/published_state.hpp>
 #include <limpetlock/gateway/retry_share.hpp>
 #include <limpetlock/gateway/settings.hpp>
@@ -35,6 +36,7 @@
     const gateway_settings& settings;
     published_state& state;
     store_reader& reader;
+    prompt_quarantine& quarantine;
     endpoint_selector& selector;
     stage_runner& runner;
     result_returns& returns;
@@ -90,6 +92,9 @@
                                                        bool keep_answer);
     boost::asio::awaitable<attempt_result> relay_stream(request_context& it, http::answer_reader& from);
     boost::asio::awaitable<bool> rerun_stages(request_context& it);
+    /// Whether the request may be sent to an engine, by the parts of its prompt. Sets the refusal if not.
+    bool passes_quarantine(request_context& it);
+    void record_prompt_evidence(const request_context& it, const endpoint& to, const attempt_result& last);
     bool may_retry(request_context& it, const attempt_result& last);
     void refuse_after_attempts(request_context& it, const attempt_result& last);
     boost::asio::awaitable<void> answer_refusal(request_context& it);
@@ -108,6 +113,8 @@
     std::set<boost::asio::steady_timer*> stage_timers_; ///< deadline timers of the requests whose stages run
     metrics::counter& repeats_;
     metrics::counter& callers_gone_;
+    metrics::counter& quarantined_;
+    metrics::counter& engines_lost_;
     metrics::counter& confirmations_;
     metrics::counter& unproven_tables_;
     metrics::summary& proof_ages_;
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -133,11 +133,27 @@
   8: bool stopping;
 }
 
+/// An engine that was lost when it began to answer a request.
+struct crash_sighting_message {
+  1: string endpoint;
+  2: i64 started_ms;
+  3: string reporter;
+  4: i64 age_ms;
+}
+
+/// Evidence that engines crash on a part of a prompt.
+struct part_evidence_message {
+  1: i64 part;            // the bits of its unsigned id
+  2: list<crash_sighting_message> crashes;
+  3: i64 answer_age_ms;   // time since a complete answer to a request with it; -1 without one
+}
+
 struct member_ping_message {
   1: member_message own;
   2: list<member_message> known;
   3: i64 state_revision;  // as in member_pong_message
   4: i64 table_revision;
+  5: list<part_evidence_message> suspects;
 }
 
 struct member_pong_message {
@@ -146,6 +162,7 @@
   3: i64 state_revision;  // newest revision of the published state that the sender has
   4: i64 proof_age_ms;    // time since the table was known to be the newest; -1 if it never was
   5: i64 table_revision;  // revision of the sender's routing table
+  6: list<part_evidence_message> suspects;
 }
 
 struct state_pull_message {
