Give up answers that never end

Asked by the users: bytes that are no answer may come without end, in a head or a body, until the caller closes. Cause: a head was bounded, but an event without an end was buffered and a stream without events was passed on until the caller's deadline, the body of an answer to another request was read until then, and each of any number of whole answers could take 8 MB. Why this works: a stream makes progress only by an event with a new id, and is given up 256 KB after the last one; all whole answers together are bounded, with small ones exempt so that sound answers still fit; the connection is closed and the request goes on as after any broken answer. Bytes that hold no event are passed on only with the next event or at the sound end of the stream.

--- a/lib/gateway/event_framing.cpp
+++ b/lib/gateway/event_framing.cpp
@@ -8,9 +8,19 @@
 {
     buffer_.clear();
     scanned_ = 0;
+    complete_ = 0;
     event_id_.reset();
 }
 
+std::string event_framing::take_complete()
+{
+    std::string out = buffer_.substr(0, complete_);
+    buffer_.erase(0, complete_);
+    scanned_ -= complete_;
+    complete_ = 0;
+    return out;
+}
+
 void event_framing::parse_line(std::string_view line)
 {
     if (!line.starts_with("id:"))
@@ -38,14 +48,17 @@
             parse_line(line);
             continue;
         }
-        whole = scanned_;
-        if (event_id_)
+        complete_ = scanned_;
+        if (event_id_ && (!last_event_id_ || *event_id_ > *last_event_id_)) {
             last_event_id_ = event_id_;
+            whole = scanned_;
+        }
         event_id_.reset();
     }
     std::string out = buffer_.substr(0, whole);
     buffer_.erase(0, whole);
     scanned_ -= whole;
+    complete_ = complete_ > whole ? complete_ - whole : 0;
     return out;
 }
 
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -47,6 +47,14 @@
 
 constexpr std::size_t max_answer_bytes = std::size_t{8} * 1024 * 1024;
 
+/// Bytes of a stream in which an event with a new id has to come; beyond that it isn't an answer.
+constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
+
+/// Bound of the answers that are read whole, over all requests. Answers up to small_answer_bytes are read in
+/// any case.
+constexpr std::size_t max_buffered_bytes = std::size_t{32} * 1024 * 1024;
+constexpr std::size_t small_answer_bytes = std::size_t{256} * 1024;
+
 /// Limit of the attempts of one request, including those at endpoints that refuse or can't be reached.
 constexpr std::size_t max_attempts = 5;
 
@@ -92,6 +100,30 @@
     bool open_{true};
 };
 
+/// Counts the bytes of one buffered answer among those of all requests.
+class request_handler::buffer_share {
+public:
+    explicit buffer_share(std::size_t& total) : total_(total) {}
+    buffer_share(const buffer_share&) = delete;
+    buffer_share& operator=(const buffer_share&) = delete;
+    ~buffer_share() { total_ -= own_; }
+
+    void add(std::size_t n)
+    {
+        own_ += n;
+        total_ += n;
+    }
+
+    bool exceeds_bounds() const
+    {
+        return own_ > max_answer_bytes || (own_ > small_answer_bytes && total_ > max_buffered_bytes);
+    }
+
+private:
+    std::size_t& total_;
+    std::size_t own_{0};
+};
+
 /// Keeps a timer in a set during its own lifetime.
 class request_handler::timer_registration {
 public:
@@ -555,16 +587,18 @@
 {
     attempt_result out;
     http::response whole{from.status(), dependencies_.codec.forwarded_answer_headers(from.headers()), {}};
-    for (;;) {
+    buffer_share share(buffered_bytes_);
+    while (!share.exceeds_bounds()) {
         auto bytes = co_await from.read(it.deadline);
         if (!bytes)
             break;
         whole.body += *bytes;
-        if (whole.body.size() > max_answer_bytes)
-            break;
+        share.add(bytes->size());
     }
-    if (from.error().code != http::errc::none || whole.body.size() > max_answer_bytes) {
+    if (from.error().code != http::errc::none || share.exceeds_bounds()) {
         out = failed_attempt(from.error());
+        if (share.exceeds_bounds())
+            out.reason = fmt::format("answer not ended after {} bytes", whole.body.size());
         out.lost_at_begin = !keep_answer && from.error().code == http::errc::closed;
         out.end = from.error().code == http::errc::timeout ? attempt_end::timeout : attempt_end::broken;
         co_return out;
@@ -590,12 +624,16 @@
 {
     attempt_result out;
     bool any_event = false;
+    bool endless = false;
     bool ok = true;
     for (;;) {
         const auto bytes = co_await from.read(it.deadline);
         if (!bytes)
             break;
         const std::string events = it.framing.feed(*bytes);
+        endless = it.framing.buffered() > max_event_bytes;
+        if (endless)
+            break;
         if (events.empty())
             continue;
         any_event = true;
@@ -614,20 +652,24 @@
             co_return out;
         }
     }
-    const bool whole = from.error().code == http::errc::none && it.framing.pending() == 0 && it.streaming;
+    const bool whole =
+        from.error().code == http::errc::none && !endless && it.framing.pending() == 0 && it.streaming;
     if (whole) {
+        co_await it.io.write(it.framing.take_complete());
         co_await it.io.finish();
         out.end = attempt_end::delivered;
         out.outcome = attempt_outcome::answered;
         it.complete = true;
         co_return out;
     }
-    it.framing.discard_pending();
     out = failed_attempt(from.error());
+    if (endless)
+        out.reason = fmt::format("no event in {} bytes", it.framing.buffered());
+    it.framing.discard_pending();
     out.any_event = any_event;
     // A stream without a length or chunks that ends inside an event has no error.
     const bool ended = from.error().code == http::errc::closed || from.error().code == http::errc::none;
-    out.lost_at_begin = ended && !any_event;
+    out.lost_at_begin = ended && !endless && !any_event;
     out.end = from.error().code == http::errc::timeout ? attempt_end::timeout : attempt_end::broken;
     co_return out;
 }
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -72,6 +72,7 @@
     struct request_context;
     class attempt_guard;
     class timer_registration;
+    class buffer_share;
 
     /// Waits until the table is confirmed, if it may have been replaced unnoticed. Returns false if the
     /// caller left first.
@@ -108,6 +109,7 @@
     std::map<std::string, retry_share, std::less<>> retry_shares_;
     std::minstd_rand random_;
     std::size_t in_flight_{0};
+    std::size_t buffered_bytes_{0}; ///< of the answers that are read whole
     bool refusing_new_work_{false};
     bool stages_refused_{false};                        ///< no stages run any more
     std::set<boost::asio::steady_timer*> stage_timers_; ///< deadline timers of the requests whose stages run
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -268,9 +268,14 @@
     bool ok = !parser_->need_eof();
     if (!ok)
         co_return fail(errc::malformed, "answer to another request without an end");
+    std::size_t n = 0;
     while (ok && !parser_->is_done()) {
         ok = co_await parse_more(deadline);
+        n += parser_->get().body().size();
         parser_->get().body().clear();
+        if (n > limits_.body_bytes)
+            co_return fail(errc::too_large,
+                           "answer to another request over " + std::to_string(limits_.body_bytes) + " bytes");
     }
     co_return ok;
 }
--- a/test/platform/platform_fleet.cpp
+++ b/test/platform/platform_fleet.cpp
@@ -126,6 +126,15 @@
     }
 }
 
+std::size_t platform_fleet::peak_memory_kb(std::size_t instance) const
+{
+    std::ifstream file(fmt::format("/proc/{}/status", processes_[instance]));
+    for (std::string line; std::getline(file, line);)
+        if (line.starts_with("VmHWM:"))
+            return std::stoul(line.substr(6));
+    return 0;
+}
+
 int platform_fleet::wait_exit(std::size_t instance, std::chrono::milliseconds timeout)
 {
     const auto until = std::chrono::steady_clock::now() + timeout;
--- a/test/platform/platform_fleet.hpp
+++ b/test/platform/platform_fleet.hpp
@@ -71,6 +71,9 @@
     void start(std::size_t instance);
     void signal(std::size_t instance, int signal_number);
 
+    /// The most memory that the process has used, in kB.
+    std::size_t peak_memory_kb(std::size_t instance) const;
+
     /// Waits until a process ends. Returns its exit code, or -1 after a signal or the timeout.
     int wait_exit(std::size_t instance, std::chrono::milliseconds timeout);
 
--- a/unittests/gateway/state_test.cpp
+++ b/unittests/gateway/state_test.cpp
@@ -285,6 +285,23 @@
     cr_expect_eq(*it.last_event_id(), 3);
 }
 
+// Guards against bytes without an event being passed on as an answer, and against a comment or last event
+// without an id that is lost at the end of a stream.
+Test(event_framing, events_without_a_new_id_are_held_back)
+{
+    event_framing it;
+    cr_expect_eq(it.feed(": nothing\n\n\n\n"), "");
+    cr_expect_eq(it.pending(), 0);
+    cr_expect_gt(it.buffered(), 0);
+    cr_expect_eq(it.feed("id: 1\ndata: a\n\nid: 1\ndata: a\n\n"), ": nothing\n\n\n\nid: 1\ndata: a\n\n");
+    cr_expect_eq(it.take_complete(), "id: 1\ndata: a\n\n");
+    cr_expect_eq(it.feed("data: end\n\nid"), "");
+    cr_expect_eq(it.pending(), 2);
+    cr_expect_eq(it.take_complete(), "data: end\n\n");
+    cr_expect_eq(it.feed(": 2\n\n"), "id: 2\n\n");
+    cr_expect_eq(it.buffered(), 0);
+}
+
 Test(event_framing, any_cut_of_the_bytes_gives_the_same_stream)
 {
     std::string all;
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -372,6 +372,46 @@
     }
 }
 
+// Guards against a call that reads a head, or the answer to another request, that never ends, until its
+// deadline.
+Test(client, answers_without_end_are_given_up_and_closed)
+{
+    const std::string other = "HTTP/1.1 200 OK\r\nX-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string block = "1000\r\n" + std::string(4'096, 'x') + "\r\n";
+    const std::pair<std::string, std::string> cases[] = {
+        {"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
+        {"", std::string(1'000, 'x')},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "extension;"},
+        {other, block},
+    };
+    fixture it;
+    for (const auto& [begin, repeated] : cases) {
+        std::promise<void> closed;
+        const scripted_endpoint endpoint([&, begin = begin, repeated = repeated](tcp::acceptor& acceptor) {
+            raw_connection connection(acceptor);
+            connection.read_until("\r\n\r\n");
+            connection.send(begin);
+            while (connection.send(repeated))
+                ;
+            closed.set_value();
+        });
+        call_error error;
+        answer_filter only_own = [](const header_list& headers) { return !find_header(headers, "X-Id"); };
+        const auto began = boot_clock::now();
+        const auto answer = it.threads.run(it.caller.open_answer(
+            endpoint.listen_address(), {}, test_deadline(), connection_policy::fresh, error, only_own));
+        if (answer)
+            it.threads.run(answer->read(test_deadline()));
+        const auto code = answer ? answer->error().code : error.code;
+        cr_expect(code == errc::too_large || code == errc::malformed, "%.40s: %d", repeated.c_str(),
+                  static_cast<int>(code));
+        cr_expect_lt((boot_clock::now() - began).count(), 2'000, "%.40s", repeated.c_str());
+        cr_expect(closed.get_future().wait_for(std::chrono::seconds(2)) == std::future_status::ready,
+                  "%.40s: still open", repeated.c_str());
+    }
+}
+
 // Guards against losing the body of an error answer to a stream request, and against an event without a
 // bound.
 Test(client, stream_error_body_is_read_and_events_are_bounded)
--- a/utils/platformkit/endpoints.cpp
+++ b/utils/platformkit/endpoints.cpp
@@ -155,6 +155,12 @@
         runs_[run].finished = true;
         co_return;
     }
+    if (how == behaviour::endless_body || how == behaviour::endless_events) {
+        co_await io.begin_stream(200, headers);
+        const std::string text = how == behaviour::endless_events ? "\n: nothing\n\n" : "nothing ";
+        co_await write_endlessly(io, text);
+        co_return;
+    }
     if (options_.events > 0) {
         co_await stream_events(io, run, how, std::move(headers));
         co_return;
@@ -169,6 +175,18 @@
     runs_[run].finished = true;
 }
 
+awaitable<void> service_endpoint::write_endlessly(http::exchange& io, std::string text)
+{
+    std::string chunk;
+    while (chunk.size() < 64 * 1024)
+        chunk += text;
+    bool ok = true;
+    while (ok) {
+        ok = co_await io.write(chunk);
+        endless_bytes_ += ok ? chunk.size() : 0;
+    }
+}
+
 awaitable<void> service_endpoint::stream_events(http::exchange& io, std::size_t run, behaviour how,
                                                 http::header_list headers)
 {
--- a/utils/platformkit/endpoints.hpp
+++ b/utils/platformkit/endpoints.hpp
@@ -29,7 +29,9 @@
     hang,              ///< never answers
     wrong_id,          ///< answers with the id of another request
     without_signature, ///< answers without its signature
-    wrong_endpoint     ///< refuses as another endpoint that now has the address
+    wrong_endpoint,    ///< refuses as another endpoint that now has the address
+    endless_body,      ///< answers with bytes without a line end, until the caller closes the connection
+    endless_events     ///< answers with events that hold nothing, until the caller closes the connection
 };
 
 /// One request that an endpoint began to run.
@@ -93,6 +95,9 @@
 
     const std::vector<run_record>& runs() const { return runs_; }
 
+    /// Bytes of endless answers that were sent.
+    std::size_t endless_bytes() const { return endless_bytes_; }
+
     /// Number of requests that run at present.
     std::size_t running_requests() const { return running_requests_; }
 
@@ -108,6 +113,8 @@
     boost::asio::awaitable<void> wait(std::chrono::milliseconds length);
     void listen(std::uint16_t port);
     boost::asio::awaitable<void> crash();
+    /// Writes the text again and again until the caller closes the connection.
+    boost::asio::awaitable<void> write_endlessly(http::exchange& io, std::string text);
 
     boost::asio::any_io_executor executor_;
     std::string address_;
@@ -121,6 +128,7 @@
     std::size_t behaviours_left_{0};
     std::size_t fail_every_{0};
     std::size_t served_{0};
+    std::size_t endless_bytes_{0};
     std::size_t running_requests_{0};
     std::vector<run_record> runs_;
     std::unique_ptr<http::server> server_;
--- a/utils/platformkit/site.cpp
+++ b/utils/platformkit/site.cpp
@@ -140,7 +140,7 @@
                   {"revokeMs", 5000},
                   {"budgetRatio", 0.2},
                   {"budgetWindowS", 10},
-                  {"budgetExtra", 52},
+                  {"budgetExtra", options.retry_extra},
                   {"recoverS", 12}}},
                 {"provider", {{"addr", at(state.port())}, {"readsPerS", 2000}}}}
         .dump();
--- a/utils/platformkit/site.hpp
+++ b/utils/platformkit/site.hpp
@@ -27,6 +27,7 @@
     std::chrono::milliseconds stage_call_time{20}; ///< time that each stage call takes
     std::size_t max_batch_pieces{8};               ///< pieces of one stage call
     std::size_t result_capacity{64};               ///< results that one stage endpoint stores
+    int retry_extra{52};                           ///< retries of all instances beyond the ratio
 };
 
 /// The servers of the platform and its configuration.
