--- a/test/platform/soak_test.cpp
+++ b/test/platform/soak_test.cpp
@@ -95,7 +95,9 @@
     platform_call it;
     it.path = "/" + route + "/x";
     it.request_id = fmt::format("{:016x}", next_id_++);
-    it.prefix_hashes = fmt::format("1:50,{:x}:80,{:x}:30", pick(9) + 2, next_id_ + 1000);
+    const bool deadly = pick(25) == 0;
+    it.prefix_hashes =
+        fmt::format("1:50,{}{:x}:80,{:x}:30", deadly ? "dead:40," : "", pick(9) + 2, next_id_ + 1000);
     if (route == "stream")
         it.pieces = "2,1";
     const std::size_t to = pick(instances);
@@ -141,12 +143,14 @@
 
 void soak::disturb_endpoints()
 {
-    static constexpr std::array<behaviour, 6> behaviours{behaviour::refuse,
+    static constexpr std::array<behaviour, 8> behaviours{behaviour::refuse,
                                                          behaviour::fail,
                                                          behaviour::cut_answer,
                                                          behaviour::wrong_id,
                                                          behaviour::without_signature,
-                                                         behaviour::wrong_endpoint};
+                                                         behaviour::wrong_endpoint,
+                                                         behaviour::endless_body,
+                                                         behaviour::endless_events};
     const auto how = behaviours.at(pick(behaviours.size()));
     const std::size_t count = 1 + pick(6);
     const std::size_t kind = pick(3);
@@ -166,8 +170,10 @@
                                                      store_mode::silent_watches};
     const auto how = modes.at(pick(modes.size()));
     const bool forget = pick(2) == 0;
+    const std::size_t lost = pick(4);
     fleet_.with_site([&](site& it) {
         it.state.set_mode(how);
+        it.state.lose_answers("/v1/", lost);
         if (forget)
             it.state.forget_history();
         if (how == store_mode::silent_watches)
@@ -217,6 +223,13 @@
 void soak::run(seconds run_time)
 {
     cr_assert(fleet_.wait_ready());
+    fleet_.with_site([](site& it) {
+        for (const auto& engine : it.engines) {
+            engine->crash_on("dead", milliseconds(500));
+            engine->on_restart(
+                [&it, &engine] { it.state.put("servers/" + engine->options().id, engine->entry()); });
+        }
+    });
     const auto end = steady_clock::now() + run_time;
     auto next_fault = steady_clock::now();
     while (steady_clock::now() < end) {
