Wait for a table that is still arriving instead of reading it again

Callers saw: a request handled by an older configuration than a confirmed one. The answer with a table of 1,800 routes has 434 KB, 0.35 s of a link of 10 Mbit/s that has nothing else to carry: repeated reads took the link from one another and from requests, and a table that takes longer than 900 ms could never be read. Why this works: the time limit of the schedule is that of the header; a read that arrives may take the whole bound, and holds up the next.

--- a/include/limpetlock/gateway/proof_schedule.hpp
+++ b/include/limpetlock/gateway/proof_schedule.hpp
@@ -33,15 +33,20 @@
     bool is_read_due(std::optional<duration> proof_age, time_point now);
 
     void begin_read(time_point now);
-    /// Records the end of a read and whether it renewed the proof.
-    void end_read(bool renewed);
+    /// Records that the answer to a read has begun to arrive. A large table takes a small instance's link for
+    /// a while, so the read is neither repeated nor given up then.
+    void record_header() { ++arriving_; }
+    /// Records the end of a read, whether it renewed the proof, and whether its answer had begun to arrive.
+    void end_read(bool renewed, bool had_header);
 
     /// Whether a request should wait for the next read before it is decided by the table: the proof is older
     /// than it ever is while the store answers, and no read has failed since it was due.
     bool needs_confirmation(std::optional<duration> proof_age) const;
 
-    /// A read without an answer within this time has failed.
-    duration read_timeout() const;
+    /// A read without the header of its answer within this time has failed.
+    duration header_timeout() const;
+    /// A read without the whole answer within this time has failed.
+    duration read_timeout() const { return adoption_time_; }
 
 private:
     duration share(double of_bound) const;
@@ -52,6 +57,7 @@
     std::size_t reads_{0};                ///< reads since the renewal became due
     std::size_t failures_{0};             ///< failed ones of them
     std::size_t pending_{0};              ///< reads without an outcome yet
+    std::size_t arriving_{0};             ///< pending reads whose answer has begun to arrive
 };
 
 } // namespace limpetlock::gateway
--- a/lib/gateway/proof_schedule.cpp
+++ b/lib/gateway/proof_schedule.cpp
@@ -13,7 +13,7 @@
 constexpr double min_eager_renewal_age = 0.375;
 constexpr double max_eager_renewal_age = 0.525;
 constexpr double read_interval = 0.12;
-constexpr double read_time = 0.3;
+constexpr double header_time = 0.3;
 
 /// Eager instances renew at this age at the latest, however long the bound is.
 constexpr duration latest_eager_renewal{1'050};
@@ -49,6 +49,8 @@
     }
     if (!last_read_)
         return true;
+    if (arriving_ > 0)
+        return false;
     const bool may_overlap = reads_ <= max_lost_reads;
     return now - *last_read_ >= share(read_interval) && (may_overlap || pending_ == 0);
 }
@@ -60,9 +62,11 @@
     ++pending_;
 }
 
-void proof_schedule::end_read(bool renewed)
+void proof_schedule::end_read(bool renewed, bool had_header)
 {
     --pending_;
+    if (had_header)
+        --arriving_;
     if (!renewed)
         ++failures_;
 }
@@ -72,9 +76,9 @@
     return failures_ == 0 && (!proof_age || *proof_age > share(confirmation_age));
 }
 
-duration proof_schedule::read_timeout() const
+duration proof_schedule::header_timeout() const
 {
-    return share(read_time);
+    return share(header_time);
 }
 
 } // namespace limpetlock::gateway
--- a/lib/gateway/store_reader.cpp
+++ b/lib/gateway/store_reader.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
@@ -46,10 +47,13 @@
 /// Limit of the pages of one listing. The store sends up to 500 entries per page.
 constexpr int max_pages = 64;
 
+/// The store sends values of up to 1 MB, in base64.
+constexpr std::size_t max_table_answer_bytes = std::size_t{4} * 1024 * 1024;
+
 http::client_limits store_limits()
 {
     http::client_limits out;
-    out.body_bytes = std::size_t{4} * 1024 * 1024;
+    out.body_bytes = max_table_answer_bytes;
     out.idle_timeout = duration(5'000);
     return out;
 }
@@ -90,6 +94,18 @@
         log::warning("store_lost", {{"call", target}, {"reason", reason}});
 }
 
+/// Whether the call has an answer other than a refusal. Records the outcome.
+bool store_reader::is_usable(const std::optional<http::response>& answer, const http::call_error& error,
+                             const std::string& target)
+{
+    const bool usable = answer && answer->status != 429 && answer->status < 500;
+    const std::string reason = answer ? fmt::format("status {}", answer->status) : error.reason;
+    // A pooled connection that the store closed while idle says nothing about the store.
+    if (!error.stale)
+        record_answer(usable, target, reason);
+    return usable;
+}
+
 awaitable<std::optional<http::response>> store_reader::call(http::request message, duration timeout)
 {
     http::call_error error;
@@ -97,13 +113,38 @@
     calls_.add();
     auto answer = co_await client_.call(store_address_, std::move(message), boot_clock::now() + timeout,
                                         http::connection_policy::pooled, error);
-    const bool refused = answer && (answer->status == 429 || answer->status >= 500);
-    const bool usable = answer && !refused;
-    const std::string reason = answer ? fmt::format("status {}", answer->status) : error.reason;
-    // A pooled connection that the store closed while idle says nothing about the store.
-    if (!error.stale)
-        record_answer(usable, target, reason);
-    if (!usable)
+    if (!is_usable(answer, error, target))
+        co_return std::nullopt;
+    co_return answer;
+}
+
+awaitable<std::optional<http::response>> store_reader::call_for_table(bool& had_header)
+{
+    const time_point sent = boot_clock::now();
+    http::request message = codec_.encode_key_read(codec_.table_key());
+    const std::string target = message.target;
+    http::call_error error;
+    http::answer_filter any;
+    calls_.add();
+    const auto reader =
+        co_await client_.open_answer(store_address_, std::move(message), sent + schedule_.header_timeout(),
+                                     http::connection_policy::pooled, error, std::move(any));
+    std::optional<http::response> answer;
+    if (reader) {
+        had_header = true;
+        schedule_.record_header();
+        answer = http::response{reader->status(), reader->headers(), {}};
+        for (bool more = true; more && answer->body.size() <= max_table_answer_bytes;) {
+            auto bytes = co_await reader->read(sent + schedule_.read_timeout());
+            more = bytes.has_value();
+            if (more)
+                answer->body += *bytes;
+        }
+        error = reader->error();
+        if (error.code != http::errc::none || answer->body.size() > max_table_answer_bytes)
+            answer.reset();
+    }
+    if (!is_usable(answer, error, target))
         co_return std::nullopt;
     co_return answer;
 }
@@ -134,8 +175,9 @@
 
 awaitable<void> store_reader::renew_proof()
 {
-    const bool renewed = co_await read_table();
-    schedule_.end_read(renewed);
+    bool had_header = false;
+    const bool renewed = co_await read_table(had_header);
+    schedule_.end_read(renewed, had_header);
     if (renewed)
         draw_renewal_age();
     read_ended_.cancel();
@@ -143,8 +185,14 @@
 
 awaitable<void> store_reader::confirm_table()
 {
-    while (needs_confirmation(boot_clock::now()))
-        co_await read_ended_.async_wait(asio::as_tuple(asio::use_awaitable));
+    using namespace asio::experimental::awaitable_operators;
+    asio::steady_timer longest_wait(executor_, schedule_.header_timeout());
+    while (needs_confirmation(boot_clock::now())) {
+        const auto first = co_await (read_ended_.async_wait(asio::as_tuple(asio::use_awaitable)) ||
+                                     longest_wait.async_wait(asio::as_tuple(asio::use_awaitable)));
+        if (first.index() == 1)
+            co_return;
+    }
 }
 
 /// Runs beside the reads of the table, because a listing of many pages can take longer than a proof holds.
@@ -158,11 +206,11 @@
 }
 
 /// The read is linearizable: the answer reflects every table that was published before the request was sent.
-awaitable<bool> store_reader::read_table()
+awaitable<bool> store_reader::read_table(bool& had_header)
 {
     const time_point sent = boot_clock::now();
     const std::int64_t known_revision = state_.entries().revision();
-    const auto answer = co_await call(codec_.encode_key_read(codec_.table_key()), schedule_.read_timeout());
+    const auto answer = co_await call_for_table(had_header);
     if (!answer) {
         log_failed_read("no answer", sent);
         co_return false;
--- a/lib/gateway/store_reader.hpp
+++ b/lib/gateway/store_reader.hpp
@@ -45,13 +45,18 @@
         return schedule_.needs_confirmation(state_.proof_age(now));
     }
 
-    /// Waits until the table is proven to be recent, or until a read of it has failed.
+    /// Waits until the table is proven to be recent, until a read of it has failed, or for as long as a read
+    /// waits for its header.
     boost::asio::awaitable<void> confirm_table();
 
 private:
     boost::asio::awaitable<void> proof_loop();
     boost::asio::awaitable<void> watch_loop();
-    boost::asio::awaitable<bool> read_table();
+    /// Sets `had_header` when the answer has begun to arrive.
+    boost::asio::awaitable<bool> read_table(bool& had_header);
+    boost::asio::awaitable<std::optional<http::response>> call_for_table(bool& had_header);
+    bool is_usable(const std::optional<http::response>& answer, const http::call_error& error,
+                   const std::string& target);
     boost::asio::awaitable<bool> list_state();
     boost::asio::awaitable<bool> list_prefix(std::string prefix, std::vector<state_entry>& entries,
                                              std::optional<std::int64_t>& first_revision);
--- a/test/platform/adoption_test.cpp
+++ b/test/platform/adoption_test.cpp
@@ -81,6 +81,30 @@
                      "instance %zu", n);
 }
 
+// Guards against a large configuration that no instance ever adopts, because its reads are given up while
+// they still arrive over a slow link, and against reads that take the link from one another.
+Test(adoption, large_configuration_is_in_force_in_time_over_a_slow_link)
+{
+    platform_fleet fleet(1);
+    cr_assert(fleet.wait_ready());
+    // The first change ends the watch that waits already.
+    fleet.with_site([&](site& it) {
+        it.state.set_mode(store_mode::silent_watches);
+        publish_route(it, "/first/");
+        it.state.set_body_time(milliseconds(650));
+    });
+    std::this_thread::sleep_for(adoption_time);
+    std::size_t calls = 0;
+    fleet.with_site([&](site& it) {
+        publish_route(it, "/second/");
+        calls = it.state.calls();
+    });
+    std::this_thread::sleep_for(adoption_time);
+    cr_expect_eq(fleet.send_and_wait(0, call_to("/second/x", 1)).status, 200);
+    fleet.with_site([&](site& it) { calls = it.state.calls() - calls; });
+    cr_expect_leq(calls, 6, "%zu calls for one change", calls);
+}
+
 // Guards against a request that runs by a configuration that was replaced while the instance was suspended.
 // The request waits in the socket, so that the instance has it before it can read the newer configuration.
 Test(adoption, suspended_instance_confirms_its_configuration_before_it_serves)
--- a/unittests/gateway/adoption_test.cpp
+++ b/unittests/gateway/adoption_test.cpp
@@ -38,14 +38,14 @@
             }
             if (read->answered)
                 return read->ends;
-            it.end_read(false);
+            it.end_read(false, false);
             read = open.erase(read);
         }
         if (!it.is_read_due(duration(now), at(now)))
             continue;
         it.begin_read(at(now));
         const bool answered = reads++ >= lost;
-        const std::int64_t length = answered ? answer_ms : refused ? 5 : it.read_timeout().count();
+        const std::int64_t length = answered ? answer_ms : refused ? 5 : it.header_timeout().count();
         open.push_back({now, now + length, answered});
     }
     return 60'000;
@@ -79,7 +79,7 @@
     proof_schedule it{duration(2'000)};
     std::size_t reads = 0;
     first_answer(it, 1'000, false, 50, 60, reads);
-    cr_expect_leq(reads, 60'000 / it.read_timeout().count() + proof_schedule::max_lost_reads + 1);
+    cr_expect_leq(reads, 60'000 / it.header_timeout().count() + proof_schedule::max_lost_reads + 1);
     cr_expect_geq(reads, 60'000 / 2'000, "the store's return would be noticed late");
 }
 
@@ -93,9 +93,22 @@
     cr_assert(it.is_read_due(duration(5'000), at(0)));
     it.begin_read(at(0));
     cr_expect(it.needs_confirmation(duration(5'010)));
-    it.end_read(false);
+    it.end_read(false, false);
     cr_expect_not(it.needs_confirmation(duration(5'700)));
     cr_expect_not(it.is_read_due(duration(10), at(800)), "a peer's proof renews it as well");
     cr_expect(it.needs_confirmation(duration(5'000)));
     cr_expect(it.needs_confirmation(std::nullopt));
 }
+
+// Guards against reads of a large table over a slow link that take it from one another.
+Test(proof_schedule, read_is_not_repeated_while_its_answer_arrives)
+{
+    proof_schedule it{duration(3'000)};
+    cr_assert(it.is_read_due(duration(2'000), at(0)));
+    it.begin_read(at(0));
+    it.record_header();
+    cr_expect_not(it.is_read_due(duration(2'500), at(500)));
+    cr_expect_not(it.is_read_due(duration(3'500), at(1'500)));
+    it.end_read(false, true);
+    cr_expect(it.is_read_due(duration(3'600), at(1'600)));
+}
--- a/utils/platformkit/store.cpp
+++ b/utils/platformkit/store.cpp
@@ -152,6 +152,20 @@
     co_await io.respond(std::move(answer));
 }
 
+awaitable<void> store::send_slowly(http::exchange& io, http::response answer)
+{
+    constexpr std::size_t parts = 10;
+    const std::size_t step = answer.body.size() / parts + 1;
+    bool ok = co_await io.begin_stream(answer.status, answer.headers);
+    for (std::size_t from = 0; ok && from < answer.body.size(); from += step) {
+        asio::steady_timer timer(executor_, body_time_ / parts);
+        co_await timer.async_wait(as_tuple_awaitable);
+        ok = co_await io.write(std::string_view(answer.body).substr(from, step));
+    }
+    if (ok)
+        co_await io.finish();
+}
+
 awaitable<void> store::serve_watch(http::exchange& io)
 {
     const std::string target = io.message().target;
@@ -205,6 +219,10 @@
         answer = read_key(target);
     else if (target.starts_with("/v1/kv-range"))
         answer = read_range(target);
+    if (body_time_.count() > 0 && mode_ != store_mode::refusing && target.starts_with("/v1/kv-key")) {
+        co_await send_slowly(io, std::move(answer));
+        co_return;
+    }
     co_await io.respond(std::move(answer));
 }
 
--- a/utils/platformkit/store.hpp
+++ b/utils/platformkit/store.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json_fwd.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -33,6 +34,10 @@
     void remove(const std::string& key);
     void set_mode(store_mode mode) { mode_ = mode; }
 
+    /// From now on the body of the answer to a read of one key takes this long after its header, as over a
+    /// slow link.
+    void set_body_time(std::chrono::milliseconds length) { body_time_ = length; }
+
     /// The next `count` requests whose target begins with the prefix get no answer for 30 s. Replaces an
     /// earlier call.
     void lose_answers(const std::string& target_prefix, std::size_t count)
@@ -59,6 +64,7 @@
     boost::asio::awaitable<void> serve(http::exchange& io);
     boost::asio::awaitable<void> serve_watch(http::exchange& io);
     boost::asio::awaitable<void> hang(http::exchange& io);
+    boost::asio::awaitable<void> send_slowly(http::exchange& io, http::response answer);
     http::response read_key(const std::string& target) const;
     http::response read_range(const std::string& target) const;
     static nlohmann::json to_json(const change& it);
@@ -73,6 +79,7 @@
     std::int64_t revision_{1};
     std::int64_t first_history_revision_{1}; ///< earlier changes have been discarded
     store_mode mode_{store_mode::serving};
+    std::chrono::milliseconds body_time_{0};
     std::string lost_prefix_;
     std::size_t lost_answers_{0};
     std::size_t calls_{0};
