Compress the table between instances

Callers saw: a request handled by an older configuration than a confirmed one, on an installation with 70 instances, most of them with a link of 10 Mbit/s. Cause: each instance pulls the whole table from a peer and hands it to further ones. A copy of a table of 1,800 routes (326 KB) takes the link of a small instance for a quarter of a second. Several copies at once exceeded the second that a pull may last, pings and stage tasks behind them timed out, proofs got old, and more instances read the store, which filled the same links. A puller says that it accepts them, so instances of two versions understand each other. The decompressed size is bounded. The log has both sizes. Ruled out: pulling from the large instances only, which helps only where there are some.

--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -1,5 +1,6 @@
 #include "fleet.hpp"
 
+#include <limpetlock/support/compression.hpp>
 #include <limpetlock/support/hash.hpp>
 #include <limpetlock/support/log.hpp>
 #include <limpetlock/support/sleep_for.hpp>
@@ -37,6 +38,13 @@
 /// Number of other instances whose entries one ping or pong carries.
 constexpr std::size_t members_per_message = 12;
 
+/// Values of this size and more are compressed for peers: a large table would take the links of small
+/// instances for longer than a pull may last.
+constexpr std::size_t min_compressed_bytes = 4'096;
+
+/// Bound of a decompressed value. The store's values have up to 1 MB.
+constexpr std::size_t max_value_bytes = std::size_t{4} * 1024 * 1024;
+
 /// A seed that isn't the address of a known instance is pinged once in this many rounds.
 constexpr std::uint64_t rounds_between_seed_pings = 3;
 
@@ -254,6 +262,7 @@
     wire::frame message;
     wire::state_pull_message body;
     body.after_revision = state_.entries().revision();
+    body.accepts_compressed = true;
     message.__set_state_pull(body);
     peer::call_error error;
     const auto reply = co_await messenger_.call(from, std::move(message), sent + pull_timeout, error);
@@ -266,13 +275,15 @@
         co_return;
     }
     const auto& push = reply->state_push;
-    std::vector<state_entry> entries;
-    for (const auto& it : push.items)
-        entries.push_back({it.key, it.value, it.revision, it.removed});
+    auto entries = decode_items(push);
+    if (!entries) {
+        log::error("state_push_rejected", {{"peer", from}, {"reason", "a value can't be decompressed"}});
+        co_return;
+    }
     const time_point now = boot_clock::now();
     if (push.whole)
-        state_.apply_listing(std::vector<state_entry>(entries), push.revision, now);
-    state_.merge(std::move(entries), now);
+        state_.apply_listing(std::vector<state_entry>(*entries), push.revision, now);
+    state_.merge(std::move(*entries), now);
     state_.advance_revision(push.revision);
     if (push.proof_age_ms >= 0)
         state_.record_proof({push.table_revision, sent - duration(push.proof_age_ms)});
@@ -303,14 +314,27 @@
         quarantine_.merge(from_message(it, now), now);
 }
 
-wire::state_push_message fleet::make_push(std::int64_t after, time_point now) const
+const std::string& fleet::compressed_value(const state_entry& it)
+{
+    if (last_compressed_.key != it.key || last_compressed_.revision != it.revision) {
+        last_compressed_ = {it.key, it.revision, compress(it.value)};
+        log::info("value_compressed", {{"key", it.key},
+                                       {"revision", fmt::to_string(it.revision)},
+                                       {"bytes", fmt::to_string(it.value.size())},
+                                       {"compressed_bytes", fmt::to_string(last_compressed_.bytes.size())}});
+    }
+    return last_compressed_.bytes;
+}
+
+wire::state_push_message fleet::make_push(const wire::state_pull_message& pull, time_point now)
 {
     wire::state_push_message out;
     bool whole = false;
-    for (const auto& it : state_.entries().changes_after(after, whole)) {
+    for (const auto& it : state_.entries().changes_after(pull.after_revision, whole)) {
         wire::state_item_message item;
         item.key = it.key;
-        item.value = it.value;
+        item.compressed = pull.accepts_compressed && it.value.size() >= min_compressed_bytes;
+        item.value = item.compressed ? compressed_value(it) : it.value;
         item.revision = it.revision;
         item.removed = it.removed;
         out.items.push_back(std::move(item));
@@ -322,6 +346,23 @@
     return out;
 }
 
+std::optional<std::vector<state_entry>> fleet::decode_items(const wire::state_push_message& push)
+{
+    std::vector<state_entry> out;
+    for (const auto& it : push.items) {
+        state_entry entry{it.key, it.value, it.revision, it.removed};
+        if (it.compressed) {
+            auto value = decompress(it.value, max_value_bytes);
+            if (!value)
+                return std::nullopt;
+            entry.value = std::move(*value);
+            last_compressed_ = {it.key, it.revision, it.value};
+        }
+        out.push_back(std::move(entry));
+    }
+    return out;
+}
+
 void fleet::record_members(const wire::member_message& own, const std::vector<wire::member_message>& known,
                            time_point now)
 {
@@ -350,7 +391,7 @@
         co_return reply;
     }
     if (message.__isset.state_pull) {
-        reply.__set_state_push(make_push(message.state_pull.after_revision, now));
+        reply.__set_state_push(make_push(message.state_pull, now));
         co_return reply;
     }
     if (message.__isset.stage_order) {
--- a/lib/gateway/fleet.hpp
+++ b/lib/gateway/fleet.hpp
@@ -62,7 +62,11 @@
     std::vector<std::string> ping_targets(time_point now);
     wire::member_pong_message make_pong(time_point now) const;
     std::vector<wire::member_message> members_for_peers(time_point now) const;
-    wire::state_push_message make_push(std::int64_t after, time_point now) const;
+    wire::state_push_message make_push(const wire::state_pull_message& pull, time_point now);
+    /// Returns the compressed value of an entry, and keeps it for the next pulls.
+    const std::string& compressed_value(const state_entry& it);
+    /// Decodes the entries of a push. Returns nullopt if a value can't be decompressed.
+    std::optional<std::vector<state_entry>> decode_items(const wire::state_push_message& push);
     void record_members(const wire::member_message& own, const std::vector<wire::member_message>& known,
                         time_point now);
     void merge_suspects(const std::vector<wire::part_evidence_message>& list, time_point now);
@@ -81,6 +85,13 @@
     std::map<std::string, peer::address> links_; ///< by name of the instance or of the seed
     std::uint64_t ping_rounds_{0};
     bool pulling_state_{false};
+    /// An entry's value as it was compressed here or by a peer.
+    struct compressed_entry {
+        std::string key;
+        std::int64_t revision{0};
+        std::string bytes;
+    };
+    compressed_entry last_compressed_;
 };
 
 } // namespace limpetlock::gateway
--- a/lib/gateway/published_state.cpp
+++ b/lib/gateway/published_state.cpp
@@ -54,6 +54,7 @@
     log::info("table_in_force",
               {{"version", fmt::to_string(table->version)},
                {"revision", fmt::to_string(it->revision)},
+               {"bytes", fmt::to_string(it->value.size())},
                {"routes", fmt::to_string(table->routes.size())},
                {"keys", fmt::to_string(table->teams_by_key.size())},
                {"proof_age_ms", fmt::to_string(proof_age(now).value_or(duration(-1)).count())}});
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -167,6 +167,7 @@
 
 struct state_pull_message {
   1: i64 after_revision;
+  2: bool accepts_compressed; // the sender can decompress values
 }
 
 struct state_item_message {
@@ -174,6 +175,7 @@
   2: string value;
   3: i64 revision;
   4: bool removed;
+  5: bool compressed;     // the value is in the zlib format
 }
 
 struct state_push_message {
--- a/unittests/support/support_test.cpp
+++ b/unittests/support/support_test.cpp
@@ -1,3 +1,4 @@
+#include <limpetlock/support/compression.hpp>
 #include <limpetlock/support/hash.hpp>
 #include <limpetlock/support/snapshot_cell.hpp>
 
@@ -46,3 +47,20 @@
     cr_assert_eq(torn.load(), 0);
     cr_assert_eq(cell.load()->a, 200);
 }
+
+// Guards against a value of a peer that takes more memory than allowed, or that is taken for whole although
+// it is cut.
+Test(compression, result_is_bounded_and_cut_input_is_rejected)
+{
+    std::string text;
+    for (int n = 0; n < 20'000; ++n)
+        text += "route-" + std::to_string(n * 7919 % 1'000) + ";";
+    const std::string bytes = compress(text);
+    cr_expect_lt(4 * bytes.size(), text.size());
+    cr_expect(decompress(bytes, text.size()) == text);
+    cr_expect_not(decompress(bytes, text.size() - 1).has_value());
+    cr_expect_not(decompress(std::string_view(bytes).substr(0, bytes.size() / 2), 1 << 20).has_value());
+    cr_expect_not(decompress("not compressed", 1 << 20).has_value());
+    cr_expect(decompress(compress(""), 100) == "");
+    cr_expect(decompress(compress(std::string(1 << 20, 'x')), 1 << 20) == std::string(1 << 20, 'x'));
+}
