--- a/include/limpetlock/gateway/event_framing.hpp
+++ b/include/limpetlock/gateway/event_framing.hpp
@@ -10,8 +10,8 @@
 
 namespace limpetlock::gateway {
 
-/// Buffers the bytes of a stream until an event with a new id is complete. The bytes themselves are unchanged.
-/// Events without a new id, such as comments, are held back until one follows or the stream ends.
+/// Buffers the bytes of a stream until an event with a new id is complete. The bytes themselves are
+/// unchanged. Events without a new id, such as comments, are held back until one follows or the stream ends.
 class event_framing {
 public:
     /// Adds bytes and returns the complete events up to the last one with a new id; the rest stays buffered.
--- a/test/platform/endless_test.cpp
+++ b/test/platform/endless_test.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 /// The least memory of an instance on the platform is 160 MB. Answers without end may take half of it.
-constexpr std::size_t max_memory_kb = 80 * 1024;
+constexpr std::size_t max_memory_kb = std::size_t{80} * 1024;
 constexpr int calls_at_once = 24;
 
 /// Sends calls at once and returns the number of complete answers. Each prompt has shared parts of its own,
--- a/utils/platformkit/endpoints.cpp
+++ b/utils/platformkit/endpoints.cpp
@@ -178,7 +178,7 @@
 awaitable<void> service_endpoint::write_endlessly(http::exchange& io, std::string text)
 {
     std::string chunk;
-    while (chunk.size() < 64 * 1024)
+    while (chunk.size() < std::size_t{64} * 1024)
         chunk += text;
     bool ok = true;
     while (ok) {
