--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -10,7 +10,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -45,16 +44,6 @@
 /// before it reads the prompt. Their storage at the producers can be freed then.
 constexpr duration input_fetch_time{45};
 
-constexpr std::size_t max_answer_bytes = std::size_t{8} * 1024 * 1024;
-
-/// Bytes of a stream in which an event with a new id has to come; beyond that it isn't an answer.
-constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
-
-/// Bound of the answers that are read whole, over all requests. Answers up to small_answer_bytes are read in
-/// any case.
-constexpr std::size_t max_buffered_bytes = std::size_t{32} * 1024 * 1024;
-constexpr std::size_t small_answer_bytes = std::size_t{256} * 1024;
-
 /// Limit of the attempts of one request, including those at endpoints that refuse or can't be reached.
 constexpr std::size_t max_attempts = 5;
 
@@ -100,30 +89,6 @@
     bool open_{true};
 };
 
-/// Counts the bytes of one buffered answer among those of all requests.
-class request_handler::buffer_share {
-public:
-    explicit buffer_share(std::size_t& total) : total_(total) {}
-    buffer_share(const buffer_share&) = delete;
-    buffer_share& operator=(const buffer_share&) = delete;
-    ~buffer_share() { total_ -= own_; }
-
-    void add(std::size_t n)
-    {
-        own_ += n;
-        total_ += n;
-    }
-
-    bool exceeds_bounds() const
-    {
-        return own_ > max_answer_bytes || (own_ > small_answer_bytes && total_ > max_buffered_bytes);
-    }
-
-private:
-    std::size_t& total_;
-    std::size_t own_{0};
-};
-
 /// Keeps a timer in a set during its own lifetime.
 class request_handler::timer_registration {
 public:
@@ -580,148 +545,4 @@
     co_return out;
 }
 
-/// Reads the whole answer and relays it to the caller. With `keep_answer`, stores it in the result instead,
-/// since another attempt may follow.
-awaitable<attempt_result> request_handler::relay_whole(request_context& it, http::answer_reader& from,
-                                                       bool keep_answer)
-{
-    attempt_result out;
-    http::response whole{from.status(), dependencies_.codec.forwarded_answer_headers(from.headers()), {}};
-    buffer_share share(buffered_bytes_);
-    while (!share.exceeds_bounds()) {
-        auto bytes = co_await from.read(it.deadline);
-        if (!bytes)
-            break;
-        whole.body += *bytes;
-        share.add(bytes->size());
-    }
-    if (from.error().code != http::errc::none || share.exceeds_bounds()) {
-        out = failed_attempt(from.error());
-        if (share.exceeds_bounds())
-            out.reason = fmt::format("answer not ended after {} bytes", whole.body.size());
-        out.lost_at_begin = !keep_answer && from.error().code == http::errc::closed;
-        out.end = from.error().code == http::errc::timeout ? attempt_end::timeout : attempt_end::broken;
-        co_return out;
-    }
-    if (keep_answer) {
-        out.end = attempt_end::failed_answer;
-        out.outcome = from.status() >= 500 ? attempt_outcome::endpoint_error : attempt_outcome::answered;
-        out.reason = fmt::format("status {}", from.status());
-        out.answer = std::move(whole);
-        co_return out;
-    }
-    it.status = whole.status;
-    it.first_byte = boot_clock::now();
-    co_await it.io.respond(std::move(whole));
-    out.end = attempt_end::delivered;
-    out.outcome = attempt_outcome::answered;
-    co_return out;
-}
-
-/// Relays the complete events of a stream to the caller. When the connection to the endpoint fails, the part
-/// of an event that has arrived is discarded.
-awaitable<attempt_result> request_handler::relay_stream(request_context& it, http::answer_reader& from)
-{
-    attempt_result out;
-    bool any_event = false;
-    bool endless = false;
-    bool ok = true;
-    for (;;) {
-        const auto bytes = co_await from.read(it.deadline);
-        if (!bytes)
-            break;
-        const std::string events = it.framing.feed(*bytes);
-        endless = it.framing.buffered() > max_event_bytes;
-        if (endless)
-            break;
-        if (events.empty())
-            continue;
-        any_event = true;
-        if (!it.streaming) {
-            it.streaming = true;
-            it.status = from.status();
-            it.first_byte = boot_clock::now();
-            ok = co_await it.io.begin_stream(from.status(),
-                                             dependencies_.codec.forwarded_answer_headers(from.headers()));
-        }
-        if (ok)
-            ok = co_await it.io.write(events);
-        if (!ok) {
-            out.end = attempt_end::delivered;
-            out.reason = "caller gone";
-            co_return out;
-        }
-    }
-    const bool whole =
-        from.error().code == http::errc::none && !endless && it.framing.pending() == 0 && it.streaming;
-    if (whole) {
-        co_await it.io.write(it.framing.take_complete());
-        co_await it.io.finish();
-        out.end = attempt_end::delivered;
-        out.outcome = attempt_outcome::answered;
-        it.complete = true;
-        co_return out;
-    }
-    out = failed_attempt(from.error());
-    if (endless)
-        out.reason = fmt::format("no event in {} bytes", it.framing.buffered());
-    it.framing.discard_pending();
-    out.any_event = any_event;
-    // A stream without a length or chunks that ends inside an event has no error.
-    const bool ended = from.error().code == http::errc::closed || from.error().code == http::errc::none;
-    out.lost_at_begin = ended && !endless && !any_event;
-    out.end = from.error().code == http::errc::timeout ? attempt_end::timeout : attempt_end::broken;
-    co_return out;
-}
-
-awaitable<void> request_handler::answer_refusal(request_context& it)
-{
-    const nlohmann::json body{{"error", {{"status", it.refusal.status}, {"reason", it.refusal.reason}}}};
-    http::response answer = http::json_response(
-        it.refusal.status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
-    if (it.refusal.retry_after > duration{0})
-        answer.headers.push_back(
-            {"Retry-After",
-             fmt::format("{:.2f}", static_cast<double>(it.refusal.retry_after.count()) / 1000)});
-    if (refusing_new_work_)
-        answer.headers.push_back({"Connection", "close"});
-    it.status = it.refusal.status;
-    co_await it.io.respond(std::move(answer));
-}
-
-void request_handler::log_end(const request_context& it)
-{
-    const time_point now = boot_clock::now();
-    const auto since = [&it](time_point t) {
-        return t == time_point{} ? std::string("-") : fmt::to_string((t - it.arrival).count());
-    };
-    log::info("request", {{"id", it.request.id},
-                          {"route", it.matched_route == nullptr ? "-" : it.matched_route->name},
-                          {"team", it.team.value_or("-")},
-                          {"status", fmt::to_string(it.status)},
-                          {"complete", it.complete || (it.status != 0 && !it.streaming) ? "yes" : "no"},
-                          {"caller_gone", it.caller_gone ? "yes" : "no"},
-                          {"reason", it.refusal.reason.empty() ? "-" : it.refusal.reason},
-                          {"endpoint", it.endpoint_id.empty() ? "-" : it.endpoint_id},
-                          {"sendings", fmt::to_string(it.attempts)},
-                          {"stages_ms", since(it.stages_done)},
-                          {"first_ms", since(it.first_byte)},
-                          {"took_ms", since(now)},
-                          {"table", it.table ? fmt::to_string(it.table->version) : "-"},
-                          {"proof_age_ms", it.proof_age ? fmt::to_string(it.proof_age->count()) : "-"}});
-    count_end(it, now);
-}
-
-void request_handler::count_end(const request_context& it, time_point now)
-{
-    const std::string name = it.matched_route == nullptr ? "none" : it.matched_route->name;
-    dependencies_.metrics
-        .get_counter("limpetlock_requests_total", "requests by route and status",
-                     {{"route", name}, {"status", fmt::to_string(it.status)}})
-        .add();
-    dependencies_.metrics
-        .get_summary("limpetlock_request_ms", "time to the end of the answer", {{"route", name}})
-        .observe(static_cast<double>((now - it.arrival).count()));
-}
-
 } // namespace limpetlock::gateway
--- a/test/platform/adoption_test.cpp
+++ b/test/platform/adoption_test.cpp
@@ -105,6 +105,28 @@
     cr_expect_leq(calls, 6, "%zu calls for one change", calls);
 }
 
+// Guards against a large configuration that reaches only the instances that watch the store. Reads get no
+// answer here, so the others have it from peers, which compress it.
+Test(adoption, large_configuration_is_in_force_in_time_at_instances_that_do_not_watch)
+{
+    constexpr std::size_t instances = 10;
+    platform_fleet fleet(instances);
+    cr_assert(fleet.wait_ready(milliseconds(10'000)));
+    fleet.with_site([](site& it) {
+        for (int n = 0; n < 500; ++n) {
+            auto route = it.config["routes"][2];
+            route["name"] = route["prefix"] = fmt::format("/filler{}/", n);
+            it.config["routes"].push_back(route);
+        }
+        it.state.lose_answers("/v1/kv-key", all_answers);
+        publish_route(it, "/new/");
+    });
+    std::this_thread::sleep_for(adoption_time);
+    for (std::size_t n = 0; n < instances; ++n)
+        cr_expect_eq(fleet.send_and_wait(n, call_to("/new/x", static_cast<int>(n))).status, 200,
+                     "instance %zu", n);
+}
+
 // Guards against a request that runs by a configuration that was replaced while the instance was suspended.
 // The request waits in the socket, so that the instance has it before it can read the newer configuration.
 Test(adoption, suspended_instance_confirms_its_configuration_before_it_serves)
