Log the limits that endpoints state, and when an attempt was sent

The adapter decodes Server-Limit, stated_limits records the newest statement of each endpoint from the answers of all three paths to one (requests, stage calls, releases of results), and each change is one line with the reporter and its age. Nothing is decided by it yet.

--- a/include/limpetlock/gateway/model.hpp
+++ b/include/limpetlock/gateway/model.hpp
@@ -187,6 +187,9 @@
     bool closing{false};         ///< the endpoint closes the connection
     std::optional<std::string> request_id;
     std::optional<load_report> load;
+    /// Requests a second that the endpoint takes from all instances together; nullopt if it states no limit.
+    std::optional<double> max_rate;
+    bool malformed_max_rate{false}; ///< it states a limit that can't be read
 
     friend bool operator==(const answer_metadata&, const answer_metadata&) = default;
 };
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -9,6 +9,7 @@
 #include <limpetlock/gateway/endpoint_selector.hpp>
 #include <limpetlock/gateway/instance.hpp>
 #include <limpetlock/gateway/published_state.hpp>
+#include <limpetlock/gateway/stated_limits.hpp>
 #include <limpetlock/lifecycle/stop_sequence.hpp>
 #include <limpetlock/support/log.hpp>
 #include <limpetlock/support/metrics.hpp>
@@ -103,16 +104,17 @@
 struct instance::impl {
     impl(gateway_settings its_settings, std::unique_ptr<platform_codec> its_codec, settings_loader its_reload)
         : settings(std::move(its_settings)), codec(std::move(its_codec)), reload(std::move(its_reload)),
-          state(*codec, callbacks()), endpoint_client(io.get_executor(), endpoint_limits()),
+          limits(settings.name), state(*codec, callbacks()),
+          endpoint_client(io.get_executor(), endpoint_limits()),
           service_client(io.get_executor(), service_limits()),
           reader(io.get_executor(), settings, *codec, state, metrics, [this] { return reader_role(); }),
-          releaser(io.get_executor(), *codec, endpoint_client),
-          scheduler(io.get_executor(), *codec, endpoint_client, releaser, metrics,
+          releaser(io.get_executor(), *codec, endpoint_client, limits),
+          scheduler(io.get_executor(), *codec, endpoint_client, releaser, limits, metrics,
                     [this](const std::vector<result_group>& used) { return_results(used); }),
           peers(io.get_executor(), settings, random_run_id(), state, quarantine, peer_handlers()),
           returns(io.get_executor(), peers, scheduler, releaser),
           runner(io.get_executor(), peers, scheduler, returns, selector),
-          handler({*codec, settings, state, reader, quarantine, selector, runner, returns, peers,
+          handler({*codec, settings, state, reader, quarantine, selector, limits, runner, returns, peers,
                    endpoint_client, service_client, metrics}),
           stop(stop_settings_of(settings.bounds)), signals(io, SIGTERM, SIGINT), hangups(io, SIGHUP)
     {
@@ -129,6 +131,7 @@
         out.on_endpoints = [this](const std::vector<endpoint>& it) {
             endpoints = it;
             selector.set_endpoints(it, boot_clock::now());
+            limits.set_endpoints(it);
             if (const auto table = state.table())
                 scheduler.configure(table, endpoints);
         };
@@ -267,6 +270,7 @@
         http::response answer = http::json_response(404, "{\"error\":\"no such page\"}");
         if (it.message().target == "/metrics") {
             dropped_lines.set(static_cast<std::int64_t>(log::dropped_line_count()));
+            limits_in_force.set(static_cast<std::int64_t>(limits.count()));
             answer = {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.render()};
         }
         co_await it.respond(std::move(answer));
@@ -393,8 +397,11 @@
     metrics::registry metrics;
     metrics::gauge& dropped_lines{
         metrics.get_gauge("limpetlock_log_lines_dropped", "log lines that standard output did not take")};
+    metrics::gauge& limits_in_force{metrics.get_gauge(
+        "limpetlock_endpoint_limits", "endpoints that limit the rate of requests, as far as known here")};
     std::vector<endpoint> endpoints;
     endpoint_selector selector;
+    stated_limits limits;
     prompt_quarantine quarantine;
     published_state state;
     http::client endpoint_client;
--- a/lib/gateway/request_answer.cpp
+++ b/lib/gateway/request_answer.cpp
@@ -177,6 +177,7 @@
                           {"endpoint", it.endpoint_id.empty() ? "-" : it.endpoint_id},
                           {"sendings", fmt::to_string(it.attempts)},
                           {"stages_ms", since(it.stages_done)},
+                          {"sent_ms", since(it.last_sent)},
                           {"first_ms", since(it.first_byte)},
                           {"took_ms", since(now)},
                           {"table", it.table ? fmt::to_string(it.table->version) : "-"},
--- a/lib/gateway/request_context.hpp
+++ b/lib/gateway/request_context.hpp
@@ -128,6 +128,7 @@
     int status{0};
     std::string endpoint_id;
     time_point stages_done{}; ///< when the stages ended
+    time_point last_sent{};   ///< when the last attempt began
     time_point first_byte{};  ///< when the first bytes of the answer arrived
     refusal_answer refusal;
 };
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -484,6 +484,7 @@
 awaitable<attempt_result> request_handler::run_attempt(request_context& it, attempt_guard& to)
 {
     const time_point now = boot_clock::now();
+    it.last_sent = now;
     forwarding_metadata extra;
     extra.time_left = std::max(duration{1}, it.deadline - now);
     extra.endpoint_id = to.target.id;
@@ -518,6 +519,8 @@
     const auto metadata = dependencies_.codec.decode_answer_metadata(answer->status(), answer->headers());
     if (metadata.load)
         dependencies_.selector.record_load(to.target.id, *metadata.load, boot_clock::now());
+    dependencies_.limits.record_answer(to.target.id, metadata, metadata.has_signature || metadata.not_run,
+                                       now, boot_clock::now());
     if (metadata.not_run || metadata.wrong_endpoint) {
         out.end = metadata.inputs_gone ? attempt_end::inputs_gone : attempt_end::not_run;
         out.outcome = metadata.inputs_gone      ? attempt_outcome::answered
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -13,6 +13,7 @@
 #include <limpetlock/gateway/published_state.hpp>
 #include <limpetlock/gateway/retry_share.hpp>
 #include <limpetlock/gateway/settings.hpp>
+#include <limpetlock/gateway/stated_limits.hpp>
 #include <limpetlock/http/client.hpp>
 #include <limpetlock/http/server.hpp>
 #include <limpetlock/support/metrics.hpp>
@@ -38,6 +39,7 @@
     store_reader& reader;
     prompt_quarantine& quarantine;
     endpoint_selector& selector;
+    stated_limits& limits;
     stage_runner& runner;
     result_returns& returns;
     fleet& peers;
--- a/lib/gateway/result_releaser.cpp
+++ b/lib/gateway/result_releaser.cpp
@@ -23,8 +23,8 @@
 } // namespace
 
 result_releaser::result_releaser(asio::any_io_executor executor, const platform_codec& codec,
-                                 http::client& client)
-    : executor_(std::move(executor)), codec_(codec), client_(client)
+                                 http::client& client, stated_limits& limits)
+    : executor_(std::move(executor)), codec_(codec), client_(client), limits_(limits)
 {
 }
 
@@ -51,10 +51,14 @@
 awaitable<void> result_releaser::send(http::address producer, std::vector<std::string> handles)
 {
     http::call_error error;
-    const auto answer =
-        co_await client_.call(producer, codec_.encode_release_call(handles), boot_clock::now() + call_timeout,
-                              http::connection_policy::pooled, error);
-    if (!answer)
+    const time_point sent = boot_clock::now();
+    const std::string endpoint_id = limits_.endpoint_at(producer);
+    const auto answer = co_await client_.call(producer, codec_.encode_release_call(handles),
+                                              sent + call_timeout, http::connection_policy::pooled, error);
+    if (answer)
+        limits_.record_answer(endpoint_id, codec_.decode_answer_metadata(answer->status, answer->headers),
+                              answer->status == 200, sent, boot_clock::now());
+    else
         log::info("release_failed", {{"maker", fmt::format("{}:{}", producer.host, producer.port)},
                                      {"results", fmt::to_string(handles.size())},
                                      {"reason", error.reason}});
--- a/lib/gateway/result_releaser.hpp
+++ b/lib/gateway/result_releaser.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <limpetlock/gateway/platform_codec.hpp>
+#include <limpetlock/gateway/stated_limits.hpp>
 #include <limpetlock/http/client.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -17,7 +18,8 @@
 /// Gathers releases for a short time, so that one call to a producer covers several results.
 class result_releaser {
 public:
-    result_releaser(boost::asio::any_io_executor executor, const platform_codec& codec, http::client& client);
+    result_releaser(boost::asio::any_io_executor executor, const platform_codec& codec, http::client& client,
+                    stated_limits& limits);
 
     /// Queues results for release at their producers. Malformed handles are ignored.
     void release(const std::vector<std::string>& handles);
@@ -29,6 +31,7 @@
     boost::asio::any_io_executor executor_;
     const platform_codec& codec_;
     http::client& client_;
+    stated_limits& limits_;
     std::map<http::address, std::vector<std::string>> pending_;
     bool flushing_{false};
 };
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -88,9 +88,9 @@
 };
 
 stage_scheduler::stage_scheduler(asio::any_io_executor executor, const platform_codec& codec,
-                                 http::client& client, result_releaser& releaser, metrics::registry& metrics,
-                                 inputs_fetched_handler on_inputs_fetched)
-    : executor_(std::move(executor)), codec_(codec), client_(client), releaser_(releaser),
+                                 http::client& client, result_releaser& releaser, stated_limits& limits,
+                                 metrics::registry& metrics, inputs_fetched_handler on_inputs_fetched)
+    : executor_(std::move(executor)), codec_(codec), client_(client), releaser_(releaser), limits_(limits),
       on_inputs_fetched_(std::move(on_inputs_fetched)),
       calls_(metrics.get_counter("limpetlock_stage_calls_total", "calls to endpoints of stage pools")),
       pieces_(metrics.get_counter("limpetlock_stage_pieces_total", "pieces sent in stage calls")),
@@ -288,6 +288,7 @@
         const auto metadata = codec_.decode_answer_metadata(answer->status, answer->headers);
         if (answer->status == 200)
             results = codec_.decode_stage_answer(answer->body, pieces.size());
+        limits_.record_answer(call.to.id, metadata, results || metadata.not_run, started, now);
         if (results)
             outcome = call_outcome::answered;
         else if (metadata.wrong_endpoint)
--- a/lib/gateway/stage_scheduler.hpp
+++ b/lib/gateway/stage_scheduler.hpp
@@ -4,6 +4,7 @@
 
 #include <limpetlock/gateway/platform_codec.hpp>
 #include <limpetlock/gateway/stage_dispatcher.hpp>
+#include <limpetlock/gateway/stated_limits.hpp>
 #include <limpetlock/http/client.hpp>
 #include <limpetlock/support/metrics.hpp>
 
@@ -49,7 +50,7 @@
     using inputs_fetched_handler = std::function<void(const std::vector<result_group>&)>;
 
     stage_scheduler(boost::asio::any_io_executor executor, const platform_codec& codec, http::client& client,
-                    result_releaser& releaser, metrics::registry& metrics,
+                    result_releaser& releaser, stated_limits& limits, metrics::registry& metrics,
                     inputs_fetched_handler on_inputs_fetched);
     ~stage_scheduler();
     stage_scheduler(const stage_scheduler&) = delete;
@@ -100,6 +101,7 @@
     const platform_codec& codec_;
     http::client& client_;
     result_releaser& releaser_;
+    stated_limits& limits_;
     inputs_fetched_handler on_inputs_fetched_;
     metrics::counter& calls_;
     metrics::counter& pieces_;
--- a/unittests/platform/platform_test.cpp
+++ b/unittests/platform/platform_test.cpp
@@ -236,6 +236,14 @@
     cr_expect_not(codec().decode_answer_metadata(503, {}).not_run);
     cr_expect(codec().decode_answer_metadata(421, {}).wrong_endpoint);
     cr_expect(codec().decode_answer_metadata(409, {{"Limpetlock-Not-Run", "1"}}).inputs_gone);
+    const auto limited =
+        codec().decode_answer_metadata(200, {{"Server-Limit", "1.4"}, {"Server-Limit", "2"}});
+    cr_expect_eq(limited.max_rate.value_or(-1), 1.4);
+    for (const auto* malformed : {"-1", "", "1e", "inf", "nan", "1,4"}) {
+        const auto it = codec().decode_answer_metadata(200, {{"Server-Limit", malformed}});
+        cr_expect(it.malformed_max_rate && !it.max_rate, "%s", malformed);
+    }
+    cr_expect_not(codec().decode_answer_metadata(200, {}).malformed_max_rate);
     const auto load = codec().decode_answer_metadata(200, {{"Limpetlock-Server-Load", "3,1,8"}}).load;
     cr_assert(load.has_value());
     cr_expect_eq(load->waiting, 1);
