--- a/utils/platformkit/endpoints.cpp
+++ b/utils/platformkit/endpoints.cpp
@@ -69,6 +69,12 @@
 
 } // namespace
 
+void request_limit::add_to(http::header_list& headers) const
+{
+    if (!rate_.empty())
+        headers.push_back({std::string(header::server_limit), rate_});
+}
+
 service_endpoint::service_endpoint(asio::any_io_executor executor, const std::string& address,
                                    endpoint_options options)
     : executor_(std::move(executor)), address_(address), options_(std::move(options))
@@ -125,11 +131,13 @@
 awaitable<void> service_endpoint::serve(http::exchange& io)
 {
     using namespace asio::experimental::awaitable_operators;
+    limit.record_arrival();
     const behaviour how = next_behaviour();
     const std::string expected = header_value(io.message(), header::expect_instance);
     const bool other = how == behaviour::wrong_endpoint || (!expected.empty() && expected != options_.id);
     if (other || how == behaviour::refuse) {
         http::response answer = not_run(other ? 421 : 503);
+        limit.add_to(answer.headers);
         co_await io.respond(std::move(answer));
         co_return;
     }
@@ -149,6 +157,7 @@
     if (how != behaviour::without_signature)
         headers.push_back({std::string(header::stamp), "stamp-" + options_.id});
     headers.push_back({std::string(header::server_load), fmt::format("1,0,{}", options_.slots)});
+    limit.add_to(headers);
     if (how == behaviour::fail) {
         http::response answer{500, headers, "failed"};
         co_await io.respond(std::move(answer));
@@ -248,8 +257,10 @@
 
 awaitable<void> stage_endpoint::serve(http::exchange& io)
 {
+    limit.record_arrival();
     if (io.message().target == "/v1/stage-free") {
         http::response answer = release(io.message().body);
+        limit.add_to(answer.headers);
         co_await io.respond(std::move(answer));
         co_return;
     }
@@ -263,6 +274,7 @@
         --behaviours_left_;
     if (busy_ || how == behaviour::refuse) {
         http::response full = not_run(503);
+        limit.add_to(full.headers);
         co_await io.respond(std::move(full));
         co_return;
     }
@@ -296,6 +308,7 @@
     const bool too_many = calls_.back().pieces > max_batch_pieces_;
     http::response answer =
         too_many ? http::json_response(400, "{}") : http::json_response(200, json{{"items", results}}.dump());
+    limit.add_to(answer.headers);
     co_await io.respond(std::move(answer));
 }
 
--- a/utils/platformkit/endpoints.hpp
+++ b/utils/platformkit/endpoints.hpp
@@ -61,6 +61,23 @@
     std::size_t event_bytes{55}; ///< data of one event
 };
 
+/// Times at which an endpoint received requests, refused ones included, and the limit that it states in its
+/// answers.
+class request_limit {
+public:
+    /// From now on answers state this limit, as the platform writes it. An empty text states none.
+    void state(std::string rate) { rate_ = std::move(rate); }
+
+    void record_arrival() { arrivals_.push_back(std::chrono::steady_clock::now()); }
+    const std::vector<std::chrono::steady_clock::time_point>& arrivals() const { return arrivals_; }
+
+    void add_to(http::header_list& headers) const;
+
+private:
+    std::string rate_;
+    std::vector<std::chrono::steady_clock::time_point> arrivals_;
+};
+
 /// A model engine (if endpoint_options::events is above 0) or a plain service.
 class service_endpoint {
 public:
@@ -95,6 +112,8 @@
 
     const std::vector<run_record>& runs() const { return runs_; }
 
+    request_limit limit;
+
     /// Bytes of endless answers that were sent.
     std::size_t endless_bytes() const { return endless_bytes_; }
 
@@ -156,6 +175,9 @@
     }
     const std::vector<stage_record>& calls() const { return calls_; }
 
+    /// Counts stage calls and releases.
+    request_limit limit;
+
     /// Number of results that were not released.
     std::size_t held_results() const { return held_results_.size(); }
     std::string entry(const std::string& state = "ready") const;
