Send limited endpoints no more than they state, by permits of one instance

Callers saw: no failures yet; an endpoint that said it takes 1.4 requests a second got 15 in 4 s (allowed 13) and went on getting 3.6 a second, which is how an endpoint in need is lost. Cause: no code read the limit, at any path to an endpoint: an endpoint with one was selected by affinity and load like any other. Ruled out: repeats (each request has one attempt), planned stops and changes of the configuration (later, or without an effect). Why this works: one instance, found by rendezvous hashing, issues a permit for each request to an endpoint, so no two instances spend what they saved in the same burst. At most three permits are saved, and an instance that becomes responsible begins with none. What the endpoint can't take goes to others before anything waits; what none can take is refused at once, urgent requests and small teams last, with the time of the next permit. Pings carry limits and their ends. Stage calls and releases take permits of the scheduling instance.

--- a/include/limpetlock/gateway/endpoint_selector.hpp
+++ b/include/limpetlock/gateway/endpoint_selector.hpp
@@ -43,10 +43,20 @@
     /// have another address.
     void set_endpoints(const std::vector<endpoint>& endpoints, time_point now);
 
-    /// Returns the endpoint for a request; nullopt if the pool has none that wasn't tried. Endpoints that are
-    /// backed off after failures are selected only if there is no other.
+    /// Returns the endpoint for a request; nullopt if the pool has none that wasn't tried and isn't held
+    /// back. Endpoints that are backed off after failures are selected only if there is no other.
     std::optional<endpoint> select(const selection_criteria& criteria, time_point now);
 
+    /// Leaves the endpoint out of the selection until then, since it has no permit for a request.
+    void hold_back(const std::string& id, time_point until);
+
+    /// The endpoint for a request among those that are held back: the one with the least time left. nullopt
+    /// if there is none.
+    std::optional<endpoint> next_held_back(const selection_criteria& criteria, time_point now) const;
+
+    /// For how long the endpoint is held back yet.
+    duration time_held_back(const std::string& id, time_point now) const;
+
     /// Counts an attempt as in flight until end_attempt.
     void begin_attempt(const std::string& id, time_point now);
     void end_attempt(const std::string& id, attempt_outcome outcome, time_point now);
@@ -69,6 +79,7 @@
         std::uint32_t failures{0};  ///< failed attempts since the last answer
         double error_share{0};      ///< moving average of errors, 0 to 1
         time_point avoid_until{};   ///< end of its back-off
+        time_point held_until{};    ///< not selected before
         load_report load;
         time_point load_at{}; ///< time of the load report
     };
@@ -83,6 +94,8 @@
     };
 
     double load_of(const endpoint_state& it, time_point now) const;
+    /// The endpoints of the pool that weren't tried.
+    std::vector<const endpoint_state*> untried(const selection_criteria& criteria) const;
     std::vector<candidate> candidates(const selection_criteria& criteria, time_point now) const;
     void penalize(endpoint_state& it, duration base, time_point now);
 
--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -70,6 +70,9 @@
     /// Records the end of a call. The owner decides whether its pieces are retried.
     void finish_call(std::uint64_t call, call_outcome outcome, time_point now);
 
+    /// Makes no calls to the endpoint until then.
+    void hold_back(std::string_view endpoint_id, time_point until);
+
     /// Records that the endpoint no longer stores results of this size.
     void release_result_bytes(std::string_view endpoint_id, std::uint64_t bytes);
 
@@ -107,7 +110,7 @@
         endpoint listed; ///< its entry in the list of endpoints
         bool busy{false};
         time_point busy_until{};       ///< expected end of its call
-        time_point avoid_until{};      ///< end of its back-off
+        time_point avoid_until{};      ///< end of its back-off, or of a wait for a permit
         std::uint32_t failures{0};     ///< failed calls since the last answer
         std::uint64_t stored_bytes{0}; ///< of results that are stored or being produced
         double slowness{1};            ///< moving average of the ratio of measured to expected call time
--- a/include/limpetlock/gateway/stated_limits.hpp
+++ b/include/limpetlock/gateway/stated_limits.hpp
@@ -43,6 +43,20 @@
     void record_answer(const std::string& endpoint_id, const answer_metadata& answer, bool genuine,
                        time_point sent, time_point now);
 
+    /// Merges a statement that a peer knows.
+    void merge(limit_statement it, time_point now);
+
+    /// Up to `max_statements` of the limits in force and of those that ended within end_memory. Successive
+    /// calls return the others, too.
+    std::vector<limit_statement> statements_for_peers(time_point now, std::size_t max_statements);
+
+    /// Number of changes of limits.
+    std::uint64_t version() const { return version_; }
+
+    /// The end of a limit is told to peers for this long, so that a peer that still has the limit learns of
+    /// it.
+    static constexpr duration end_memory{30'000};
+
     /// The limit in force of an endpoint; nullptr if it has none.
     const limit_statement* find(std::string_view endpoint_id) const;
 
@@ -59,6 +73,8 @@
     std::map<std::string, endpoint, std::less<>> listed_;
     std::map<http::address, std::string> ids_;
     std::map<std::string, limit_statement, std::less<>> statements_;
+    std::uint64_t version_{0};
+    std::string last_told_; ///< endpoint of the last statement that was returned for peers
 };
 
 } // namespace limpetlock::gateway
--- a/lib/gateway/endpoint_selector.cpp
+++ b/lib/gateway/endpoint_selector.cpp
@@ -76,24 +76,58 @@
     return (load + it.error_share * error_cost) / std::max<double>(1, it.listed.slots);
 }
 
-std::vector<endpoint_selector::candidate> endpoint_selector::candidates(const selection_criteria& criteria,
-                                                                        time_point now) const
+std::vector<const endpoint_selector::endpoint_state*>
+endpoint_selector::untried(const selection_criteria& criteria) const
 {
-    std::vector<candidate> out;
+    std::vector<const endpoint_state*> out;
     const auto found = pools_.find(criteria.pool);
     if (found == pools_.end())
         return out;
-    for (const auto& id : found->second) {
-        if (std::find(criteria.tried.begin(), criteria.tried.end(), id) != criteria.tried.end())
+    for (const auto& id : found->second)
+        if (std::find(criteria.tried.begin(), criteria.tried.end(), id) == criteria.tried.end())
+            out.push_back(&endpoints_.at(id));
+    return out;
+}
+
+std::vector<endpoint_selector::candidate> endpoint_selector::candidates(const selection_criteria& criteria,
+                                                                        time_point now) const
+{
+    std::vector<candidate> out;
+    for (const auto* it : untried(criteria)) {
+        if (it->held_until > now)
             continue;
-        const endpoint_state& it = endpoints_.at(id);
-        const double load = load_of(it, now);
+        const double load = load_of(*it, now);
         out.push_back(
-            {&it, it.avoid_until > now, criteria.affinity_hash != 0 && load > affinity_load_limit, load, 0});
+            {it, it->avoid_until > now, criteria.affinity_hash != 0 && load > affinity_load_limit, load, 0});
     }
     return out;
 }
 
+void endpoint_selector::hold_back(const std::string& id, time_point until)
+{
+    const auto it = endpoints_.find(id);
+    if (it != endpoints_.end())
+        it->second.held_until = until;
+}
+
+std::optional<endpoint> endpoint_selector::next_held_back(const selection_criteria& criteria,
+                                                          time_point now) const
+{
+    const endpoint_state* best = nullptr;
+    for (const auto* it : untried(criteria))
+        if (it->held_until > now && (best == nullptr || it->held_until < best->held_until))
+            best = it;
+    if (best == nullptr)
+        return std::nullopt;
+    return best->listed;
+}
+
+duration endpoint_selector::time_held_back(const std::string& id, time_point now) const
+{
+    const auto it = endpoints_.find(id);
+    return it == endpoints_.end() ? duration{0} : std::max(duration{0}, it->second.held_until - now);
+}
+
 /// Endpoints with affinity are selected by rendezvous hashing, so most hashes keep their endpoints when the
 /// list changes.
 std::optional<endpoint> endpoint_selector::select(const selection_criteria& criteria, time_point now)
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <utility>
 #include <vector>
@@ -51,6 +52,9 @@
 /// Parts of prompts whose evidence one ping or pong carries.
 constexpr std::size_t suspects_per_message = 24;
 
+/// Limits of endpoints that one ping or pong carries.
+constexpr std::size_t limits_per_message = 24;
+
 const char* const seed_prefix = "seed/";
 
 wire::member_message to_message(const member& it, duration age)
@@ -108,6 +112,34 @@
     return out;
 }
 
+std::vector<wire::endpoint_limit_message> to_messages(const std::vector<limit_statement>& list,
+                                                      time_point now)
+{
+    std::vector<wire::endpoint_limit_message> out;
+    for (const auto& it : list) {
+        wire::endpoint_limit_message message;
+        message.endpoint = it.endpoint;
+        message.started_ms = it.started_ms;
+        message.max_rate = it.max_rate.value_or(-1);
+        message.reporter = it.reporter;
+        message.age_ms = std::max<std::int64_t>(0, (now - it.at).count());
+        out.push_back(std::move(message));
+    }
+    return out;
+}
+
+limit_statement from_message(const wire::endpoint_limit_message& it, time_point now)
+{
+    limit_statement out;
+    out.endpoint = it.endpoint;
+    out.started_ms = it.started_ms;
+    if (std::isfinite(it.max_rate) && it.max_rate >= 0)
+        out.max_rate = it.max_rate;
+    out.reporter = it.reporter;
+    out.at = now - duration(std::max<std::int64_t>(0, it.age_ms));
+    return out;
+}
+
 member own_member(const gateway_settings& it, std::int64_t run_id)
 {
     return {it.name, it.peer_address, it.domain, it.capacity_millicores, run_id, false};
@@ -123,9 +155,10 @@
 // The incarnation of the messenger is always 0: membership messages distinguish two processes of one name,
 // and an incarnation taken from a clock that was set back would shut out a new process.
 fleet::fleet(asio::any_io_executor executor, const gateway_settings& settings, std::int64_t run_id,
-             published_state& state, prompt_quarantine& quarantine, handlers its_handlers)
+             published_state& state, prompt_quarantine& quarantine, stated_limits& limits,
+             handlers its_handlers)
     : executor_(std::move(executor)), settings_(settings), state_(state), quarantine_(quarantine),
-      handlers_(std::move(its_handlers)), view_(own_member(settings, run_id)),
+      limits_(limits), handlers_(std::move(its_handlers)), view_(own_member(settings, run_id)),
       messenger_(executor_, settings.name, 0, to_peer(settings.peer_address),
                  [this](wire::frame message) { return answer(std::move(message)); }),
       random_(static_cast<std::minstd_rand::result_type>(hash64(settings.name, 1)))
@@ -209,6 +242,7 @@
     body.state_revision = state_.entries().revision();
     body.table_revision = state_.table_revision();
     body.suspects = to_messages(quarantine_.evidence_for_peers(sent, suspects_per_message), sent);
+    body.limits = to_messages(limits_.statements_for_peers(sent, limits_per_message), sent);
     message.__set_member_ping(body);
     peer::call_error error;
     const auto reply = co_await messenger_.call(to, std::move(message), sent + ping_timeout, error);
@@ -223,6 +257,7 @@
 {
     record_members(it.own, it.known, boot_clock::now());
     merge_suspects(it.suspects, boot_clock::now());
+    merge_limits(it.limits, boot_clock::now());
     if (it.proof_age_ms >= 0)
         state_.record_proof({it.table_revision, sent - duration(it.proof_age_ms)});
     pull_if_newer(from, it.table_revision, it.state_revision);
@@ -238,19 +273,22 @@
     asio::co_spawn(executor_, pull(from), asio::detached);
 }
 
-/// Pings soon after a new revision or new evidence arrived, so that it spreads faster than by the regular
-/// rounds.
+/// Pings soon after a new revision, new evidence or another limit arrived, so that it spreads faster than by
+/// the regular rounds.
 awaitable<void> fleet::spread_loop()
 {
     std::int64_t spread_revision = 0;
     std::uint64_t spread_evidence = 0;
+    std::uint64_t spread_limits = 0;
     for (;;) {
         co_await sleep_for(spread_interval);
         const std::int64_t known = std::max(state_.table_revision(), state_.entries().revision());
-        if (known <= spread_revision && quarantine_.version() == spread_evidence)
+        if (known <= spread_revision && quarantine_.version() == spread_evidence &&
+            limits_.version() == spread_limits)
             continue;
         spread_revision = std::max(spread_revision, known);
         spread_evidence = quarantine_.version();
+        spread_limits = limits_.version();
         for (auto& to : ping_targets(boot_clock::now()))
             asio::co_spawn(executor_, ping(std::move(to)), asio::detached);
     }
@@ -296,7 +334,7 @@
                                   {"proof_age_ms", fmt::to_string(push.proof_age_ms)}});
 }
 
-wire::member_pong_message fleet::make_pong(time_point now) const
+wire::member_pong_message fleet::make_pong(time_point now)
 {
     wire::member_pong_message out;
     out.own = to_message(view_.own(), duration{0});
@@ -305,9 +343,16 @@
     out.table_revision = state_.table_revision();
     out.proof_age_ms = state_.proof_age(now).value_or(duration(-1)).count();
     out.suspects = to_messages(quarantine_.evidence_for_peers(now, suspects_per_message), now);
+    out.limits = to_messages(limits_.statements_for_peers(now, limits_per_message), now);
     return out;
 }
 
+void fleet::merge_limits(const std::vector<wire::endpoint_limit_message>& list, time_point now)
+{
+    for (const auto& it : list)
+        limits_.merge(from_message(it, now), now);
+}
+
 void fleet::merge_suspects(const std::vector<wire::part_evidence_message>& list, time_point now)
 {
     for (const auto& it : list)
@@ -384,6 +429,7 @@
     if (message.__isset.member_ping) {
         record_members(message.member_ping.own, message.member_ping.known, now);
         merge_suspects(message.member_ping.suspects, now);
+        merge_limits(message.member_ping.limits, now);
         if (links_.contains(message.member_ping.own.name))
             pull_if_newer(message.member_ping.own.name, message.member_ping.table_revision,
                           message.member_ping.state_revision);
@@ -394,6 +440,16 @@
         reply.__set_state_push(make_push(message.state_pull, now));
         co_return reply;
     }
+    if (message.__isset.permit_request) {
+        const auto& it = message.permit_request;
+        const permit given =
+            handlers_.on_permit_request({it.endpoint, it.max_rate, duration(it.max_wait_ms), it.team});
+        wire::permit_reply_message body;
+        body.granted = given.granted;
+        body.wait_ms = given.wait.count();
+        reply.__set_permit_reply(body);
+        co_return reply;
+    }
     if (message.__isset.stage_order) {
         const auto result = co_await handlers_.on_stage_task(std::move(message.stage_order));
         reply.__set_stage_result(result);
--- a/lib/gateway/fleet.hpp
+++ b/lib/gateway/fleet.hpp
@@ -3,9 +3,11 @@
 #pragma once
 
 #include <limpetlock/gateway/fleet_view.hpp>
+#include <limpetlock/gateway/permit_issuer.hpp>
 #include <limpetlock/gateway/prompt_quarantine.hpp>
 #include <limpetlock/gateway/published_state.hpp>
 #include <limpetlock/gateway/settings.hpp>
+#include <limpetlock/gateway/stated_limits.hpp>
 #include <limpetlock/peer/generated/peer_types.h>
 #include <limpetlock/peer/messenger.hpp>
 
@@ -25,20 +27,22 @@
 namespace wire = peer::wire;
 
 /// Pings the other instances, which spreads the members of the fleet, the revisions of the published state
-/// and the proofs of its age, and the evidence on parts of prompts that crash engines. Pulls newer state from
-/// peers.
+/// and the proofs of its age, the evidence on parts of prompts that crash engines, and the limits that
+/// endpoints state. Pulls newer state from peers.
 class fleet {
 public:
-    /// Handlers of the messages about stage tasks.
+    /// Handlers of the messages about stage tasks and permits.
     struct handlers {
         std::function<boost::asio::awaitable<wire::stage_result_message>(wire::stage_order_message)>
             on_stage_task;
         std::function<void(const wire::stage_cancel_message&)> on_stage_cancel;
         std::function<void(const wire::stage_release_message&)> on_result_release;
+        std::function<permit(const permit_request&)> on_permit_request;
     };
 
     fleet(boost::asio::any_io_executor executor, const gateway_settings& settings, std::int64_t run_id,
-          published_state& state, prompt_quarantine& quarantine, handlers its_handlers);
+          published_state& state, prompt_quarantine& quarantine, stated_limits& limits,
+          handlers its_handlers);
 
     void start();
 
@@ -60,7 +64,7 @@
     boost::asio::awaitable<void> pull(std::string from);
     boost::asio::awaitable<std::optional<wire::frame>> answer(wire::frame message);
     std::vector<std::string> ping_targets(time_point now);
-    wire::member_pong_message make_pong(time_point now) const;
+    wire::member_pong_message make_pong(time_point now);
     std::vector<wire::member_message> members_for_peers(time_point now) const;
     wire::state_push_message make_push(const wire::state_pull_message& pull, time_point now);
     /// Returns the compressed value of an entry, and keeps it for the next pulls.
@@ -70,6 +74,7 @@
     void record_members(const wire::member_message& own, const std::vector<wire::member_message>& known,
                         time_point now);
     void merge_suspects(const std::vector<wire::part_evidence_message>& list, time_point now);
+    void merge_limits(const std::vector<wire::endpoint_limit_message>& list, time_point now);
     void process_pong(const std::string& from, const wire::member_pong_message& it, time_point sent);
     void pull_if_newer(const std::string& from, std::int64_t table_revision, std::int64_t state_revision);
     void refresh_links(time_point now);
@@ -78,6 +83,7 @@
     const gateway_settings& settings_;
     published_state& state_;
     prompt_quarantine& quarantine_;
+    stated_limits& limits_;
     handlers handlers_;
     fleet_view view_;
     peer::messenger messenger_;
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -1,4 +1,5 @@
 #include "fleet.hpp"
+#include "permits.hpp"
 #include "request_handler.hpp"
 #include "result_releaser.hpp"
 #include "result_returns.hpp"
@@ -8,6 +9,7 @@
 
 #include <limpetlock/gateway/endpoint_selector.hpp>
 #include <limpetlock/gateway/instance.hpp>
+#include <limpetlock/gateway/permit_issuer.hpp>
 #include <limpetlock/gateway/published_state.hpp>
 #include <limpetlock/gateway/stated_limits.hpp>
 #include <limpetlock/lifecycle/stop_sequence.hpp>
@@ -108,14 +110,15 @@
           endpoint_client(io.get_executor(), endpoint_limits()),
           service_client(io.get_executor(), service_limits()),
           reader(io.get_executor(), settings, *codec, state, metrics, [this] { return reader_role(); }),
-          releaser(io.get_executor(), *codec, endpoint_client, limits),
-          scheduler(io.get_executor(), *codec, endpoint_client, releaser, limits, metrics,
+          releaser(io.get_executor(), *codec, endpoint_client, limits, issuer),
+          scheduler(io.get_executor(), *codec, endpoint_client, releaser, limits, issuer, metrics,
                     [this](const std::vector<result_group>& used) { return_results(used); }),
-          peers(io.get_executor(), settings, random_run_id(), state, quarantine, peer_handlers()),
+          peers(io.get_executor(), settings, random_run_id(), state, quarantine, limits, peer_handlers()),
+          endpoint_permits(peers, limits, issuer, metrics),
           returns(io.get_executor(), peers, scheduler, releaser),
           runner(io.get_executor(), peers, scheduler, returns, selector),
-          handler({*codec, settings, state, reader, quarantine, selector, limits, runner, returns, peers,
-                   endpoint_client, service_client, metrics}),
+          handler({*codec, settings, state, reader, quarantine, selector, limits, endpoint_permits, runner,
+                   returns, peers, endpoint_client, service_client, metrics}),
           stop(stop_settings_of(settings.bounds)), signals(io, SIGTERM, SIGINT), hangups(io, SIGHUP)
     {
         open_listeners();
@@ -161,6 +164,9 @@
         out.on_result_release = [this](const wire::stage_release_message& it) {
             scheduler.release(it.handles);
         };
+        out.on_permit_request = [this](const permit_request& it) {
+            return endpoint_permits.answer(it, boot_clock::now());
+        };
         return out;
     }
 
@@ -402,6 +408,7 @@
     std::vector<endpoint> endpoints;
     endpoint_selector selector;
     stated_limits limits;
+    permit_issuer issuer;
     prompt_quarantine quarantine;
     published_state state;
     http::client endpoint_client;
@@ -410,6 +417,7 @@
     result_releaser releaser;
     stage_scheduler scheduler;
     fleet peers;
+    permits endpoint_permits;
     result_returns returns;
     stage_runner runner;
     request_handler handler;
--- /dev/null
+++ b/lib/gateway/permits.cpp
@@ -0,0 +1,70 @@
+#include "permits.hpp"
+
+#include <utility>
+
+namespace limpetlock::gateway {
+
+using boost::asio::awaitable;
+
+namespace {
+
+/// The responsible instance answers within this time, or another one becomes responsible.
+constexpr duration request_timeout{250};
+
+/// How long the endpoint is avoided when the responsible instance didn't answer.
+constexpr duration unanswered_wait{300};
+
+constexpr const char* metric_name = "limpetlock_permits_total";
+constexpr const char* metric_help = "requests for permits to send to an endpoint with a limit";
+
+} // namespace
+
+permits::permits(fleet& peers, const stated_limits& limits, permit_issuer& issuer, metrics::registry& metrics)
+    : fleet_(peers), limits_(limits), issuer_(issuer),
+      granted_(metrics.get_counter(metric_name, metric_help, {{"outcome", "granted"}})),
+      denied_(metrics.get_counter(metric_name, metric_help, {{"outcome", "denied"}})),
+      unanswered_(metrics.get_counter(metric_name, metric_help, {{"outcome", "unanswered"}}))
+{
+}
+
+permit permits::answer(const permit_request& it, time_point now)
+{
+    issuer_.remove_expired(now);
+    // This instance may know a newer limit than the one that asks.
+    permit_request known = it;
+    if (const auto* statement = limits_.find(it.endpoint))
+        known.max_rate = *statement->max_rate;
+    return issuer_.request(known, now);
+}
+
+awaitable<permit> permits::acquire(permit_request it)
+{
+    const time_point now = boot_clock::now();
+    const auto live = fleet_.view().live_instances(now, true);
+    const auto ranked = by_responsibility("limit/" + it.endpoint, live);
+    permit out;
+    if (ranked.empty() || ranked.front().name == fleet_.view().own().name) {
+        out = answer(it, now);
+    } else {
+        wire::frame message;
+        wire::permit_request_message body;
+        body.endpoint = it.endpoint;
+        body.max_rate = it.max_rate;
+        body.max_wait_ms = it.max_wait.count();
+        body.team = it.team;
+        message.__set_permit_request(body);
+        std::string responsible = ranked.front().name;
+        const auto reply =
+            co_await fleet_.call(std::move(responsible), std::move(message), now + request_timeout);
+        if (!reply || !reply->__isset.permit_reply) {
+            unanswered_.add();
+            out.wait = unanswered_wait;
+            co_return out;
+        }
+        out = {reply->permit_reply.granted, duration(reply->permit_reply.wait_ms)};
+    }
+    (out.granted ? granted_ : denied_).add();
+    co_return out;
+}
+
+} // namespace limpetlock::gateway
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -34,7 +34,6 @@
 /// older proof, a newer table may already have it, so the answer asks the caller to retry.
 constexpr duration denial_proof_age{1'500};
 
-constexpr duration min_retry_after{300};
 constexpr duration max_retry_after{2'000};
 
 /// Time from the end of the stages to the first event of an idle engine.
@@ -118,6 +117,9 @@
       engines_lost_(dependencies.metrics.get_counter(
           "limpetlock_engines_lost_at_begin_total",
           "attempts whose engine was lost when it had begun to answer, before a whole event")),
+      limited_(dependencies.metrics.get_counter(
+          "limpetlock_requests_limited_total",
+          "requests refused because the endpoints of their pool take no more for their limits")),
       confirmations_(dependencies.metrics.get_counter(
           "limpetlock_table_confirmations_total",
           "requests that waited for a read of the table because its proof was too old")),
@@ -286,8 +288,10 @@
     it.endpoint_criteria.session_hash = prompt_session(it.request);
     if (dependencies_.selector.available_endpoints(it.pool).empty())
         co_return refuse(it, 503, "no endpoint", min_retry_after);
-    bool ready = true;
-    if (!it.matched_route->stages.empty())
+    if (it.matched_route->stages.empty())
+        co_return true;
+    bool ready = co_await reserve_permit(it);
+    if (ready)
         ready = co_await run_stages(it);
     co_return ready;
 }
@@ -309,7 +313,9 @@
     it.plan.priority = it.priority;
     it.plan.tokens_per_piece = tokens_per_piece(it.request);
     // The stages run in the failure domain of the engine that the request would go to now.
-    if (const auto engine = dependencies_.selector.select(it.endpoint_criteria, it.arrival))
+    if (it.permit)
+        it.plan.domain = it.permit->to.domain;
+    else if (const auto engine = dependencies_.selector.select(it.endpoint_criteria, it.arrival))
         it.plan.domain = engine->domain;
     const duration min_time = stage_runner::minimum_time(it.plan, *it.table);
     const duration backlog = dependencies_.runner.backlog(it.plan, *it.table, it.arrival);
@@ -417,7 +423,7 @@
     for (;;) {
         if (!passes_quarantine(it))
             break;
-        const auto to = dependencies_.selector.select(it.endpoint_criteria, boot_clock::now());
+        const auto to = co_await select_endpoint(it);
         if (!to)
             break;
         attempt_guard attempt(dependencies_.selector, *to, boot_clock::now());
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "fleet.hpp"
+#include "permits.hpp"
 #include "result_returns.hpp"
 #include "stage_runner.hpp"
 #include "store_reader.hpp"
@@ -40,6 +41,7 @@
     prompt_quarantine& quarantine;
     endpoint_selector& selector;
     stated_limits& limits;
+    permits& endpoint_permits;
     stage_runner& runner;
     result_returns& returns;
     fleet& peers;
@@ -48,6 +50,13 @@
     metrics::registry& metrics;
 };
 
+/// An endpoint to which a request may be sent, and when.
+struct held_permit {
+    endpoint to;
+    time_point from{};
+    time_point until{};
+};
+
 enum class attempt_end : std::uint8_t;
 struct attempt_result;
 
@@ -73,6 +82,10 @@
 private:
     struct request_context;
     class attempt_guard;
+
+    /// Least time after which a refused request may come back.
+    static constexpr duration min_retry_after{300};
+
     class timer_registration;
     class buffer_share;
 
@@ -90,6 +103,14 @@
     boost::asio::awaitable<bool> run_stages(request_context& it);
     boost::asio::awaitable<stage_outcome> run_plan(request_context& it);
     boost::asio::awaitable<void> forward(request_context& it);
+    /// Returns the endpoint for the next attempt, once it may be sent there. nullopt if there is none, or if
+    /// those that are left have no permit in time; the request is refused then.
+    boost::asio::awaitable<std::optional<endpoint>> select_endpoint(request_context& it);
+    boost::asio::awaitable<std::optional<held_permit>> find_permitted_endpoint(request_context& it);
+    boost::asio::awaitable<bool> reserve_permit(request_context& it);
+    bool is_pool_limited(const std::string& pool) const;
+    static duration max_permit_wait(const request_context& it, time_point now);
+    void refuse_without_permit(request_context& it);
     boost::asio::awaitable<attempt_result> run_attempt(request_context& it, attempt_guard& to);
     boost::asio::awaitable<attempt_result> relay_whole(request_context& it, http::answer_reader& from,
                                                        bool keep_answer);
@@ -119,6 +140,7 @@
     metrics::counter& callers_gone_;
     metrics::counter& quarantined_;
     metrics::counter& engines_lost_;
+    metrics::counter& limited_;
     metrics::counter& confirmations_;
     metrics::counter& unproven_tables_;
     metrics::summary& proof_ages_;
--- /dev/null
+++ b/lib/gateway/request_permit.cpp
@@ -0,0 +1,140 @@
+#include "request_context.hpp"
+#include "request_handler.hpp"
+
+#include <limpetlock/support/log.hpp>
+#include <limpetlock/support/sleep_for.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <string>
+
+namespace limpetlock::gateway {
+
+using boost::asio::awaitable;
+
+namespace {
+
+/// Most permits that one request asks for before it takes an endpoint without a limit or is refused.
+constexpr std::size_t max_permit_requests = 3;
+
+/// A permit can be used for this long. Requests that come late by up to this time don't make the endpoint
+/// exceed its limit within the window in which the platform counts.
+constexpr duration permit_lifetime{2'000};
+
+/// Part of the latency objective, and of the time until the deadline, for which a request of the most urgent
+/// priority waits for a permit. Less urgent requests wait for less, so they leave the permits of the near
+/// future to more urgent ones.
+constexpr int objective_divisor = 2;
+constexpr int deadline_divisor = 4;
+
+/// Endpoints that a log line names.
+constexpr std::size_t max_logged_limits = 8;
+
+} // namespace
+
+duration request_handler::max_permit_wait(const request_context& it, time_point now)
+{
+    const duration left = std::max(duration{0}, it.deadline - now) / deadline_divisor;
+    const duration objective = it.matched_route->objective / objective_divisor;
+    const duration longest = objective > duration{0} ? std::min(left, objective) : left;
+    return longest / (1 + std::max(0, it.priority));
+}
+
+bool request_handler::is_pool_limited(const std::string& pool) const
+{
+    const auto all = dependencies_.selector.available_endpoints(pool);
+    return !all.empty() && std::all_of(all.begin(), all.end(), [this](const endpoint& it) {
+        return dependencies_.limits.find(it.id) != nullptr;
+    });
+}
+
+awaitable<std::optional<held_permit>> request_handler::find_permitted_endpoint(request_context& it)
+{
+    auto& selector = dependencies_.selector;
+    for (std::size_t n = 0; n < max_permit_requests; ++n) {
+        const time_point now = boot_clock::now();
+        auto to = selector.select(it.endpoint_criteria, now);
+        duration max_wait{0};
+        if (!to) {
+            to = selector.next_held_back(it.endpoint_criteria, now);
+            max_wait = max_permit_wait(it, now);
+        }
+        if (!to)
+            co_return std::nullopt;
+        const auto* const limit = dependencies_.limits.find(to->id);
+        if (limit == nullptr)
+            co_return held_permit{*to, now, time_point::max()};
+        permit_request body{to->id, *limit->max_rate, max_wait, it.team.value_or("")};
+        const permit given = co_await dependencies_.endpoint_permits.acquire(std::move(body));
+        const time_point from = boot_clock::now() + given.wait;
+        if (given.granted)
+            co_return held_permit{*to, from, from + permit_lifetime};
+        selector.hold_back(to->id, from);
+    }
+    auto unlimited = it.endpoint_criteria;
+    for (const auto& other : selector.available_endpoints(it.pool))
+        if (dependencies_.limits.find(other.id) != nullptr)
+            unlimited.tried.push_back(other.id);
+    if (auto to = selector.select(unlimited, boot_clock::now()))
+        co_return held_permit{*to, boot_clock::now(), time_point::max()};
+    refuse_without_permit(it);
+    co_return std::nullopt;
+}
+
+awaitable<std::optional<endpoint>> request_handler::select_endpoint(request_context& it)
+{
+    auto permit = std::exchange(it.permit, std::nullopt);
+    for (;;) {
+        const bool found = permit.has_value();
+        if (!found)
+            permit = co_await find_permitted_endpoint(it);
+        if (!permit)
+            co_return std::nullopt;
+        const time_point now = boot_clock::now();
+        if (permit->from > now)
+            co_await sleep_for(permit->from - now);
+        if (boot_clock::now() <= permit->until && dependencies_.selector.accepts_work(permit->to.id))
+            co_return permit->to;
+        permit.reset();
+    }
+}
+
+/// Gets the permit before the stages run if the whole pool is limited, so that a request that no endpoint
+/// will take is refused at once and costs no stage work.
+awaitable<bool> request_handler::reserve_permit(request_context& it)
+{
+    if (!is_pool_limited(it.pool))
+        co_return true;
+    it.permit = co_await find_permitted_endpoint(it);
+    co_return it.permit.has_value();
+}
+
+/// Refuses a request for which no endpoint has a permit in time, unless it may have run.
+void request_handler::refuse_without_permit(request_context& it)
+{
+    const time_point now = boot_clock::now();
+    std::string text;
+    std::size_t n = 0;
+    for (const auto& endpoint : dependencies_.selector.available_endpoints(it.pool))
+        if (const auto* limit = dependencies_.limits.find(endpoint.id); limit != nullptr)
+            if (n++ < max_logged_limits)
+                text += fmt::format("{}{}:{:g}@{}/{}ms", text.empty() ? "" : ",", endpoint.id,
+                                    *limit->max_rate, limit->reporter, (now - limit->at).count());
+    const auto next = dependencies_.selector.next_held_back(it.endpoint_criteria, now);
+    const duration wait = next ? dependencies_.selector.time_held_back(next->id, now) : duration{0};
+    const auto jitter = static_cast<std::int64_t>(random_() % 300);
+    const duration retry_after = std::max(min_retry_after, wait) + duration(jitter);
+    limited_.add();
+    log::info("request_limited", {{"request", it.request.id},
+                                  {"pool", it.pool},
+                                  {"limits", text},
+                                  {"attempts", fmt::to_string(it.attempts)},
+                                  {"max_wait_ms", fmt::to_string(max_permit_wait(it, now).count())},
+                                  {"retry_after_ms", fmt::to_string(retry_after.count())}});
+    if (it.possible_executions == 0)
+        refuse(it, 503, "the endpoints take no more requests", retry_after);
+}
+
+} // namespace limpetlock::gateway
--- a/lib/gateway/result_releaser.cpp
+++ b/lib/gateway/result_releaser.cpp
@@ -20,11 +20,14 @@
 constexpr duration flush_delay{12};
 constexpr duration call_timeout{600};
 
+/// Longest wait for a permit. Results whose release would come later expire on their own about then.
+constexpr duration max_permit_wait{4'000};
+
 } // namespace
 
 result_releaser::result_releaser(asio::any_io_executor executor, const platform_codec& codec,
-                                 http::client& client, stated_limits& limits)
-    : executor_(std::move(executor)), codec_(codec), client_(client), limits_(limits)
+                                 http::client& client, stated_limits& limits, permit_issuer& issuer)
+    : executor_(std::move(executor)), codec_(codec), client_(client), limits_(limits), issuer_(issuer)
 {
 }
 
@@ -43,8 +46,31 @@
 {
     co_await sleep_for(flush_delay);
     flushing_ = false;
-    for (auto& [producer, handles] : std::exchange(pending_, {}))
-        asio::co_spawn(executor_, send(producer, std::move(handles)), asio::detached);
+    const time_point now = boot_clock::now();
+    for (auto& [producer, handles] : std::exchange(pending_, {})) {
+        const auto* const limit = limits_.find(limits_.endpoint_at(producer));
+        if (limit == nullptr) {
+            asio::co_spawn(executor_, send(producer, std::move(handles)), asio::detached);
+            continue;
+        }
+        auto& gathered = without_permit_[producer];
+        const bool first = gathered.empty();
+        gathered.insert(gathered.end(), handles.begin(), handles.end());
+        if (!first)
+            continue;
+        const auto given = issuer_.request({limit->endpoint, *limit->max_rate, max_permit_wait, {}}, now);
+        if (given.granted)
+            asio::co_spawn(executor_, send_with_permit(producer, given.wait), asio::detached);
+        else
+            without_permit_.erase(producer);
+    }
+}
+
+awaitable<void> result_releaser::send_with_permit(http::address producer, duration wait)
+{
+    co_await sleep_for(wait);
+    auto gathered = without_permit_.extract(producer);
+    co_await send(std::move(producer), std::move(gathered.mapped()));
 }
 
 /// A release that fails isn't repeated, since results expire on their own.
--- a/lib/gateway/result_releaser.hpp
+++ b/lib/gateway/result_releaser.hpp
@@ -2,6 +2,7 @@
 /// Notifies the producers of stage results of the results that are no longer needed.
 #pragma once
 
+#include <limpetlock/gateway/permit_issuer.hpp>
 #include <limpetlock/gateway/platform_codec.hpp>
 #include <limpetlock/gateway/stated_limits.hpp>
 #include <limpetlock/http/client.hpp>
@@ -15,24 +16,28 @@
 
 namespace limpetlock::gateway {
 
-/// Gathers releases for a short time, so that one call to a producer covers several results.
+/// Gathers releases for a short time, so that one call to a producer covers several results. Those of a
+/// producer with a limit are gathered until it has a permit.
 class result_releaser {
 public:
     result_releaser(boost::asio::any_io_executor executor, const platform_codec& codec, http::client& client,
-                    stated_limits& limits);
+                    stated_limits& limits, permit_issuer& issuer);
 
     /// Queues results for release at their producers. Malformed handles are ignored.
     void release(const std::vector<std::string>& handles);
 
 private:
     boost::asio::awaitable<void> flush_later();
+    boost::asio::awaitable<void> send_with_permit(http::address producer, duration wait);
     boost::asio::awaitable<void> send(http::address producer, std::vector<std::string> handles);
 
     boost::asio::any_io_executor executor_;
     const platform_codec& codec_;
     http::client& client_;
     stated_limits& limits_;
+    permit_issuer& issuer_;
     std::map<http::address, std::vector<std::string>> pending_;
+    std::map<http::address, std::vector<std::string>> without_permit_;
     bool flushing_{false};
 };
 
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -165,6 +165,13 @@
         it->second.stored_bytes -= std::min(bytes, it->second.stored_bytes);
 }
 
+void stage_dispatcher::hold_back(std::string_view endpoint_id, time_point until)
+{
+    const auto it = endpoints_.find(endpoint_id);
+    if (it != endpoints_.end())
+        it->second.avoid_until = std::max(it->second.avoid_until, until);
+}
+
 void stage_dispatcher::requeue_for_lack_of_storage(std::string_view endpoint_id, queued_piece it,
                                                    time_point now)
 {
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -89,9 +89,10 @@
 
 stage_scheduler::stage_scheduler(asio::any_io_executor executor, const platform_codec& codec,
                                  http::client& client, result_releaser& releaser, stated_limits& limits,
-                                 metrics::registry& metrics, inputs_fetched_handler on_inputs_fetched)
+                                 permit_issuer& issuer, metrics::registry& metrics,
+                                 inputs_fetched_handler on_inputs_fetched)
     : executor_(std::move(executor)), codec_(codec), client_(client), releaser_(releaser), limits_(limits),
-      on_inputs_fetched_(std::move(on_inputs_fetched)),
+      issuer_(issuer), on_inputs_fetched_(std::move(on_inputs_fetched)),
       calls_(metrics.get_counter("limpetlock_stage_calls_total", "calls to endpoints of stage pools")),
       pieces_(metrics.get_counter("limpetlock_stage_pieces_total", "pieces sent in stage calls")),
       repeated_pieces_(metrics.get_counter("limpetlock_stage_pieces_repeated_total", "pieces sent again"))
@@ -255,8 +256,28 @@
     auto& state = *pools_.at(key);
     const time_point now = boot_clock::now();
     const task_filter deferred = congestion_filter(key.domain, now);
-    while (auto call = state.dispatcher.next_call(now, deferred))
+    hold_back_without_permit(key, now);
+    while (auto call = state.dispatcher.next_call(now, deferred)) {
+        if (const auto* limit = limits_.find(call->to.id))
+            issuer_.request({call->to.id, *limit->max_rate, duration{0}, {}}, now);
         asio::co_spawn(executor_, make_call(key, std::move(*call)), asio::detached);
+    }
+}
+
+/// This instance makes all calls to the pool's endpoints, so it issues their permits itself.
+void stage_scheduler::hold_back_without_permit(const pool_key& key, time_point now)
+{
+    if (limits_.count() == 0)
+        return;
+    auto& dispatcher = pools_.at(key)->dispatcher;
+    for (const auto& it : endpoints_) {
+        const auto* const limit = it.pool == key.pool ? limits_.find(it.id) : nullptr;
+        if (limit == nullptr)
+            continue;
+        const duration wait = issuer_.time_to_permit(it.id, *limit->max_rate, now);
+        if (wait > duration{0})
+            dispatcher.hold_back(it.id, now + wait);
+    }
 }
 
 void stage_scheduler::dispatch_domain(const std::string& domain)
--- a/lib/gateway/stated_limits.cpp
+++ b/lib/gateway/stated_limits.cpp
@@ -56,17 +56,42 @@
     if (known != statements_.end() && known->second.at >= it.at)
         return;
     const auto previous = known == statements_.end() ? std::nullopt : known->second.max_rate;
-    if (previous != it.max_rate)
+    if (previous != it.max_rate) {
+        ++version_;
         log::info("endpoint_limit", {{"endpoint", it.endpoint},
                                      {"pool", listed_.at(it.endpoint).pool},
                                      {"limit", limit_text(it.max_rate)},
                                      {"before", limit_text(previous)},
                                      {"reporter", it.reporter},
                                      {"age_ms", fmt::to_string((now - it.at).count())}});
+    }
     std::string id = it.endpoint;
     statements_.insert_or_assign(std::move(id), std::move(it));
 }
 
+void stated_limits::merge(limit_statement it, time_point now)
+{
+    const auto listed = listed_.find(it.endpoint);
+    if (listed != listed_.end() && listed->second.started_ms == it.started_ms && it.at <= now)
+        update(std::move(it), now);
+}
+
+std::vector<limit_statement> stated_limits::statements_for_peers(time_point now, std::size_t max_statements)
+{
+    std::erase_if(statements_,
+                  [now](const auto& it) { return !it.second.max_rate && now - it.second.at >= end_memory; });
+    std::vector<limit_statement> out;
+    auto it = statements_.upper_bound(last_told_);
+    while (out.size() < std::min(max_statements, statements_.size())) {
+        if (it == statements_.end())
+            it = statements_.begin();
+        out.push_back(it->second);
+        last_told_ = it->first;
+        ++it;
+    }
+    return out;
+}
+
 const limit_statement* stated_limits::find(std::string_view endpoint_id) const
 {
     const auto it = statements_.find(endpoint_id);
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -148,12 +148,22 @@
   3: i64 answer_age_ms;   // time since a complete answer to a request with it; -1 without one
 }
 
+/// The rate of requests to which an endpoint limits all instances together.
+struct endpoint_limit_message {
+  1: string endpoint;
+  2: i64 started_ms;
+  3: double max_rate;     // requests a second; -1 when it no longer has a limit
+  4: string reporter;     // instance that got the answer which stated it
+  5: i64 age_ms;
+}
+
 struct member_ping_message {
   1: member_message own;
   2: list<member_message> known;
   3: i64 state_revision;  // as in member_pong_message
   4: i64 table_revision;
   5: list<part_evidence_message> suspects;
+  6: list<endpoint_limit_message> limits;
 }
 
 struct member_pong_message {
@@ -163,6 +173,7 @@
   4: i64 proof_age_ms;    // time since the table was known to be the newest; -1 if it never was
   5: i64 table_revision;  // revision of the sender's routing table
   6: list<part_evidence_message> suspects;
+  7: list<endpoint_limit_message> limits;
 }
 
 struct state_pull_message {
@@ -232,6 +243,19 @@
   1: list<string> handles;
 }
 
+/// Asks the instance that is responsible for an endpoint with a limit for the right to send it one request.
+struct permit_request_message {
+  1: string endpoint;
+  2: double max_rate;     // the endpoint's limit as the sender knows it
+  3: i64 max_wait_ms;     // longest time until the request is sent
+  4: string team;
+}
+
+struct permit_reply_message {
+  1: bool granted;
+  2: i64 wait_ms;         // time until the request may be sent, or after which to ask again
+}
+
 struct frame {
   1: string sender;
   2: i64 incarnation;
@@ -258,4 +282,6 @@
   29: optional stage_result_message stage_result;
   30: optional stage_cancel_message stage_cancel;
   31: optional stage_release_message stage_release;
+  32: optional permit_request_message permit_request;
+  33: optional permit_reply_message permit_reply;
 }
--- a/test/platform/limit_test.cpp
+++ b/test/platform/limit_test.cpp
@@ -69,6 +69,7 @@
 {
     std::vector<std::future<timed_answer>> sent;
     const int count = static_cast<int>(length.count()) * per_second / 1'000;
+    sent.reserve(static_cast<std::size_t>(count));
     const auto started = steady_clock::now();
     for (int n = 0; n < count; ++n) {
         const std::string& path = paths[static_cast<std::size_t>(n) / instances % paths.size()];
@@ -77,6 +78,7 @@
         std::this_thread::sleep_until(started + milliseconds(1'000) * (n + 1) / per_second);
     }
     std::vector<timed_answer> out;
+    out.reserve(sent.size());
     for (auto& it : sent)
         out.push_back(it.get());
     return out;
@@ -207,3 +209,46 @@
         cr_expect_leq(it.took.count(), max_refusal_time.count());
     }
 }
+
+// Guards against an endpoint that gets no more than its former limit after that has ended.
+Test(limit, endpoint_gets_its_share_again_after_its_limit_has_ended)
+{
+    platform_fleet fleet(instances);
+    cr_assert(fleet.wait_ready());
+    fleet.with_site([](site& it) { it.plain[0]->limit.state("0.5"); });
+    send_traffic(fleet, {"/lookup/x"}, 20, milliseconds(4'000));
+    const auto ended = steady_clock::now();
+    fleet.with_site([](site& it) { it.plain[0]->limit.state(""); });
+    // One permit is issued every 2 s, and its answer ends the limit at all instances.
+    constexpr milliseconds max_delay{3'500};
+    send_traffic(fleet, {"/lookup/x"}, 20, milliseconds(7'000));
+    fleet.with_site([&](site& it) {
+        const std::size_t n = count_since(it.plain[0]->limit, ended + max_delay);
+        cr_expect_gt(n, 20, "%zu of 70 requests", n);
+    });
+}
+
+// Guards against an endpoint that gets its limit twice, or nothing, when the instance that issues its permits
+// is lost: the instances are killed one after the other.
+Test(limit, limit_holds_while_instances_are_killed)
+{
+    platform_fleet fleet(instances);
+    cr_assert(fleet.wait_ready());
+    const auto stated = steady_clock::now();
+    constexpr milliseconds length{14'000};
+    fleet.with_site([](site& it) { it.plain[0]->limit.state("2"); });
+    auto killer = std::async(std::launch::async, [&fleet] {
+        for (std::size_t n = 0; n < instances; ++n) {
+            std::this_thread::sleep_for(milliseconds(2'000));
+            fleet.signal(n, SIGKILL);
+            fleet.wait_exit(n, milliseconds(2'000));
+            fleet.start(n);
+        }
+    });
+    send_traffic(fleet, {"/lookup/x"}, 24, length);
+    killer.get();
+    fleet.with_site([&](site& it) {
+        check_limit(it.plain[0]->limit, 2, stated);
+        check_use(it.plain[0]->limit, 2, stated, length);
+    });
+}
