Log the era of the store, and reads of a table older than the one in force

The logs couldn't tell the hypotheses on a store that comes back from an older copy (CONFIG) apart: which revision a read returns, and that the store lost changes.

--- a/include/limpetlock/gateway/model.hpp
+++ b/include/limpetlock/gateway/model.hpp
@@ -242,6 +242,9 @@
     std::vector<state_entry> entries;
     std::int64_t revision{0}; ///< of the store at the time of its answer
     bool more{false};         ///< further entries follow
+    /// Rises by one each time the store comes back from an older copy, and revisions are given out again; 0
+    /// if the store doesn't state it.
+    std::int64_t era{0};
 };
 
 } // namespace limpetlock::gateway
--- a/lib/gateway/store_reader.cpp
+++ b/lib/gateway/store_reader.cpp
@@ -221,7 +221,13 @@
         log_failed_read(fmt::format("unusable answer with status {}", answer->status), sent);
         co_return false;
     }
+    record_era(page.era);
     const std::int64_t revision = page.entries.front().revision;
+    if (revision < state_.table_revision())
+        log::warning("older_table_read", {{"revision", fmt::to_string(revision)},
+                                          {"store_revision", fmt::to_string(page.revision)},
+                                          {"era", fmt::to_string(page.era)},
+                                          {"table_revision", fmt::to_string(state_.table_revision())}});
     merge(std::move(page.entries), "read");
     state_.record_proof({revision, sent});
     // The watch has had a whole proof interval to deliver the revision of the previous proof.
@@ -245,6 +251,18 @@
                                      {"state_revision", fmt::to_string(state_.entries().revision())}});
 }
 
+/// Logs that the store came back from an older copy.
+void store_reader::record_era(std::int64_t era)
+{
+    if (era == era_)
+        return;
+    log::info("store_era", {{"era", fmt::to_string(era)},
+                            {"before", fmt::to_string(era_)},
+                            {"table_revision", fmt::to_string(state_.table_revision())},
+                            {"state_revision", fmt::to_string(state_.entries().revision())}});
+    era_ = era;
+}
+
 void store_reader::log_failed_read(const std::string& reason, time_point sent) const
 {
     const time_point now = boot_clock::now();
@@ -270,6 +288,7 @@
                                             {"status", answer ? fmt::to_string(answer->status) : "-"}});
             co_return false;
         }
+        record_era(page.era);
         if (!first_revision)
             first_revision = page.revision;
         for (auto& it : page.entries) {
--- a/lib/gateway/store_reader.hpp
+++ b/lib/gateway/store_reader.hpp
@@ -66,6 +66,7 @@
     boost::asio::awaitable<void> list_for_silent_watch();
     void draw_renewal_age();
     void merge(std::vector<state_entry> entries, std::string_view source);
+    void record_era(std::int64_t era);
     void log_failed_read(const std::string& reason, time_point sent) const;
     /// Counts a failed call, and logs when the store is lost or regained.
     void record_answer(bool answered, const std::string& target, const std::string& reason);
@@ -83,6 +84,7 @@
     metrics::counter& failures_;
     bool reachable_{false};
     std::int64_t store_revision_{0}; ///< highest revision in the store's answers so far
+    std::int64_t era_{0};            ///< of the last answer
     bool watch_behind_{false};       ///< the last proof had a revision that the watch hadn't delivered
     bool listing_{false};            ///< a listing on behalf of the watch runs
 };
