Reproduce a change that isn't in force after the store came back from an older copy

Three real instances; the stand-in's store returns to a copy, gives revisions out again, answers 410 to a watch from one that it doesn't have, and states its era; endpoints number their entries.

--- a/utils/platformkit/endpoints.cpp
+++ b/utils/platformkit/endpoints.cpp
@@ -27,6 +27,9 @@
 constexpr auto as_tuple_awaitable = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::seconds hang_time{30};
 
+/// Unix time at which endpoints start, in milliseconds.
+constexpr std::int64_t first_start_ms = 1'700'000'000'000;
+
 std::string header_value(const http::request& message, std::string_view name)
 {
     return std::string(http::find_header(message.headers, name).value_or(""));
@@ -50,12 +53,12 @@
 }
 
 std::string make_entry(const endpoint_options& it, const std::string& address, std::uint16_t port,
-                       const std::string& state, std::int64_t started_ms = 1'700'000'000'000)
+                       const std::string& state, std::uint64_t sequence, std::int64_t started_ms)
 {
     return json{{"service", it.pool}, {"addr", fmt::format("{}:{}", address, port)},
                 {"zone", it.domain},  {"version", "v1"},
                 {"slots", it.slots},  {"state", state},
-                {"coldLeftMs", 0},    {"seq", 1},
+                {"coldLeftMs", 0},    {"seq", sequence},
                 {"born", started_ms}}
         .dump();
 }
@@ -89,9 +92,9 @@
     port_ = server_->port();
 }
 
-std::string service_endpoint::entry(const std::string& state) const
+std::string service_endpoint::entry(const std::string& state)
 {
-    return make_entry(options_, address_, port(), state, started_ms_);
+    return make_entry(options_, address_, port(), state, ++entries_written_, started_ms_);
 }
 
 awaitable<void> service_endpoint::crash()
@@ -240,9 +243,9 @@
                                              [this](http::exchange& io) { return serve(io); });
 }
 
-std::string stage_endpoint::entry(const std::string& state) const
+std::string stage_endpoint::entry(const std::string& state)
 {
-    return make_entry(options_, address_, port(), state);
+    return make_entry(options_, address_, port(), state, ++entries_written_, first_start_ms);
 }
 
 http::response stage_endpoint::release(const std::string& body)
--- a/utils/platformkit/endpoints.hpp
+++ b/utils/platformkit/endpoints.hpp
@@ -120,8 +120,8 @@
     /// Number of requests that run at present.
     std::size_t running_requests() const { return running_requests_; }
 
-    /// The endpoint's entry in the store.
-    std::string entry(const std::string& state = "ready") const;
+    /// The endpoint's next entry in the store; each has a higher sequence number.
+    std::string entry(const std::string& state = "ready");
 
 private:
     boost::asio::awaitable<void> serve(http::exchange& io);
@@ -140,6 +140,7 @@
     endpoint_options options_;
     std::uint16_t port_{0};
     std::int64_t started_ms_{1'700'000'000'000};
+    std::uint64_t entries_written_{0};
     std::string deadly_part_;
     std::chrono::milliseconds downtime_{0};
     std::function<void()> on_restart_;
@@ -180,7 +181,7 @@
 
     /// Number of results that were not released.
     std::size_t held_results() const { return held_results_.size(); }
-    std::string entry(const std::string& state = "ready") const;
+    std::string entry(const std::string& state = "ready");
 
 private:
     boost::asio::awaitable<void> serve(http::exchange& io);
@@ -196,6 +197,7 @@
     std::size_t behaviours_left_{0};
     bool busy_{false};
     std::uint64_t handles_issued_{0};
+    std::uint64_t entries_written_{0};
     std::set<std::string> held_results_;
     std::vector<stage_record> calls_;
     std::unique_ptr<http::server> server_;
--- a/utils/platformkit/store.cpp
+++ b/utils/platformkit/store.cpp
@@ -1,5 +1,7 @@
 #include "store.hpp"
 
+#include "platform/platform.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
@@ -85,12 +87,12 @@
 
 void store::append_change(change it)
 {
-    it.revision = ++revision_;
-    history_.push_back(it);
+    it.revision = ++now_.revision;
+    now_.history.push_back(it);
     if (it.removed)
-        entries_.erase(it.key);
+        now_.entries.erase(it.key);
     else
-        entries_.insert_or_assign(it.key, it);
+        now_.entries.insert_or_assign(it.key, it);
     wake_watches();
 }
 
@@ -112,18 +114,37 @@
 
 void store::forget_history()
 {
-    history_.clear();
-    first_history_revision_ = revision_ + 1;
+    now_.history.clear();
+    now_.first_history_revision = now_.revision + 1;
+    wake_watches();
+}
+
+void store::take_copy()
+{
+    copy_ = now_;
+}
+
+void store::restore_copy()
+{
+    now_ = copy_;
+    ++era_;
     wake_watches();
 }
 
+/// States the era in the answer and sends it.
+awaitable<void> store::respond(http::exchange& io, http::response answer) const
+{
+    answer.headers.push_back({std::string(platform::header::store_era), std::to_string(era_)});
+    co_await io.respond(std::move(answer));
+}
+
 http::response store::read_key(const std::string& target) const
 {
-    const auto it = entries_.find(query_parameter(target, "key"));
-    if (it == entries_.end())
+    const auto it = now_.entries.find(query_parameter(target, "key"));
+    if (it == now_.entries.end())
         return http::json_response(404, "{}");
     json body = to_json(it->second);
-    body["asOf"] = revision_;
+    body["asOf"] = now_.revision;
     return http::json_response(200, body.dump());
 }
 
@@ -133,7 +154,7 @@
     const std::string after = query_parameter(target, "after");
     json list = json::array();
     bool more = false;
-    for (const auto& [key, it] : entries_) {
+    for (const auto& [key, it] : now_.entries) {
         if (!key.starts_with(prefix) || (!after.empty() && key <= after))
             continue;
         more = list.size() == max_page_entries;
@@ -141,7 +162,8 @@
             break;
         list.push_back(to_json(it));
     }
-    return http::json_response(200, json{{"items", list}, {"morePages", more}, {"asOf", revision_}}.dump());
+    return http::json_response(200,
+                               json{{"items", list}, {"morePages", more}, {"asOf", now_.revision}}.dump());
 }
 
 awaitable<void> store::hang(http::exchange& io)
@@ -149,13 +171,14 @@
     asio::steady_timer timer(executor_, hang_time);
     co_await timer.async_wait(as_tuple_awaitable);
     http::response answer = http::json_response(503, "{}");
-    co_await io.respond(std::move(answer));
+    co_await respond(io, std::move(answer));
 }
 
 awaitable<void> store::send_slowly(http::exchange& io, http::response answer)
 {
     constexpr std::size_t parts = 10;
     const std::size_t step = answer.body.size() / parts + 1;
+    answer.headers.push_back({std::string(platform::header::store_era), std::to_string(era_)});
     bool ok = co_await io.begin_stream(answer.status, answer.headers);
     for (std::size_t from = 0; ok && from < answer.body.size(); from += step) {
         asio::steady_timer timer(executor_, body_time_ / parts);
@@ -174,19 +197,19 @@
     const auto until = std::chrono::steady_clock::now() +
                        std::chrono::milliseconds(parse_number(query_parameter(target, "waitMs")));
     for (;;) {
-        if (after + 1 < first_history_revision_) {
+        if (after + 1 < now_.first_history_revision || after > now_.revision) {
             http::response gone = http::json_response(410, "{}");
-            co_await io.respond(std::move(gone));
+            co_await respond(io, std::move(gone));
             co_return;
         }
         json events = json::array();
-        for (const auto& it : history_)
+        for (const auto& it : now_.history)
             if (it.revision > after && it.key.starts_with(prefix))
                 events.push_back(to_json(it));
         if (!events.empty() || std::chrono::steady_clock::now() >= until) {
             http::response answer =
-                http::json_response(200, json{{"events", events}, {"asOf", revision_}}.dump());
-            co_await io.respond(std::move(answer));
+                http::json_response(200, json{{"events", events}, {"asOf", now_.revision}}.dump());
+            co_await respond(io, std::move(answer));
             co_return;
         }
         asio::steady_timer timer(executor_, until);
@@ -223,7 +246,7 @@
         co_await send_slowly(io, std::move(answer));
         co_return;
     }
-    co_await io.respond(std::move(answer));
+    co_await respond(io, std::move(answer));
 }
 
 } // namespace limpetlock::platformkit
--- a/utils/platformkit/store.hpp
+++ b/utils/platformkit/store.hpp
@@ -49,7 +49,14 @@
     /// Discards all past changes, so that a watch from an earlier revision gets status 410.
     void forget_history();
 
-    std::int64_t revision() const { return revision_; }
+    /// Keeps a copy of the present content, to which restore_copy() returns.
+    void take_copy();
+
+    /// Loses everything that was written since the copy was taken: revisions go back and are given out again,
+    /// and the era rises by one.
+    void restore_copy();
+
+    std::int64_t revision() const { return now_.revision; }
     /// Number of requests received.
     std::size_t calls() const { return calls_; }
 
@@ -61,7 +68,16 @@
         bool removed{false};
     };
 
+    /// What a copy holds.
+    struct content {
+        std::map<std::string, change> entries;
+        std::vector<change> history;
+        std::int64_t revision{1};
+        std::int64_t first_history_revision{1}; ///< earlier changes have been discarded
+    };
+
     boost::asio::awaitable<void> serve(http::exchange& io);
+    boost::asio::awaitable<void> respond(http::exchange& io, http::response answer) const;
     boost::asio::awaitable<void> serve_watch(http::exchange& io);
     boost::asio::awaitable<void> hang(http::exchange& io);
     boost::asio::awaitable<void> send_slowly(http::exchange& io, http::response answer);
@@ -74,10 +90,9 @@
     void wake_watches();
 
     boost::asio::any_io_executor executor_;
-    std::map<std::string, change> entries_;
-    std::vector<change> history_;
-    std::int64_t revision_{1};
-    std::int64_t first_history_revision_{1}; ///< earlier changes have been discarded
+    content now_;
+    content copy_;
+    std::int64_t era_{1}; ///< rises when a copy is restored
     store_mode mode_{store_mode::serving};
     std::chrono::milliseconds body_time_{0};
     std::string lost_prefix_;
