Compare revisions within one era of the store only

Callers saw: a route that was published 2 s and more before answered 404 with certainty, and requests run as a replaced configuration said, at all instances, for 10 s and longer after the store had come back from an older copy. Cause: everything compared revisions as one line of numbers. After a loss the store gives them out again, so the next configuration had a revision that the instances knew, and every way to it dropped it as old. Each read of an older table still counted as a proof that the one in force was the newest. Ruled out: the watch alone is stuck (it is, but reads return the revision that is dropped), an invalid table (none was rejected). Why this works: a revision is a pair of era and number. Across eras the values say which is newer, by the version of a table and by the start and entry number of an endpoint, so the copy's configuration, its keys and its endpoints don't come into force again. Reads prove nothing while the store has less than is known, and for 1 s after its return. Peers exchange eras; one that only peers name is dropped when the store disproves it. The module test plays random histories with late answers, peers and losses of any depth. Same cause elsewhere: decoded entries, the compressed table, positions of pings, pulls and pushes, the watch, and the proof; all have the era now. The product's own platform service has no era in its protocol.

--- a/include/limpetlock/gateway/model.hpp
+++ b/include/limpetlock/gateway/model.hpp
@@ -5,6 +5,7 @@
 #include <limpetlock/http/client.hpp>
 #include <limpetlock/support/time.hpp>
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -227,12 +228,37 @@
     friend bool operator==(const result_group&, const result_group&) = default;
 };
 
+/// A position in the order in which the store made its changes. When the store comes back from an older copy,
+/// its era rises and it gives revisions out again, so numbers of different eras can't be compared.
+struct state_revision {
+    // Implicit, since a store that states no era needs the number only.
+    constexpr state_revision(std::int64_t its_number = 0, std::int64_t its_era = 0) // NOLINT
+        : era(its_era), number(its_number)
+    {
+    }
+
+    std::int64_t era; ///< 0 if the store doesn't state it
+    std::int64_t number;
+
+    friend auto operator<=>(const state_revision&, const state_revision&) = default; // NOLINT
+};
+
+/// Orders the values of one key by what they say of themselves, whatever their revisions are: the version of
+/// a table, or the start of an endpoint and the number of its entry since then.
+struct value_version {
+    std::int64_t major{0};
+    std::int64_t minor{0};
+
+    friend auto operator<=>(const value_version&, const value_version&) = default; // NOLINT
+};
+
 /// One entry of the platform's published state.
 struct state_entry {
     std::string key;
     std::string value;
-    std::int64_t revision{0}; ///< of the last change of the entry
+    state_revision revision; ///< of the last change of the entry
     bool removed{false};
+    std::optional<value_version> last_version{}; ///< of the last value of a removed entry, if it is known
 
     friend bool operator==(const state_entry&, const state_entry&) = default;
 };
@@ -240,11 +266,8 @@
 /// Part of a listing or of the changes of the published state.
 struct state_page {
     std::vector<state_entry> entries;
-    std::int64_t revision{0}; ///< of the store at the time of its answer
-    bool more{false};         ///< further entries follow
-    /// Rises by one each time the store comes back from an older copy, and revisions are given out again; 0
-    /// if the store doesn't state it.
-    std::int64_t era{0};
+    state_revision revision; ///< of the store at the time of its answer
+    bool more{false};        ///< further entries follow
 };
 
 } // namespace limpetlock::gateway
--- a/include/limpetlock/gateway/platform_codec.hpp
+++ b/include/limpetlock/gateway/platform_codec.hpp
@@ -89,6 +89,10 @@
     virtual store_answer_status decode_page(const http::response& answer, state_page& out) const = 0;
     virtual store_answer_status decode_events(const http::response& answer, state_page& out) const = 0;
 
+    /// Decodes the version of a value; nullopt if it states none.
+    virtual std::optional<value_version> decode_value_version(const std::string& key,
+                                                              const std::string& value) const = 0;
+
     /// Returns nullopt and sets `reason` for a value that is not a routing table.
     virtual std::optional<routing_table> decode_table(const std::string& value,
                                                       std::string& reason) const = 0;
--- a/include/limpetlock/gateway/published_state.hpp
+++ b/include/limpetlock/gateway/published_state.hpp
@@ -13,14 +13,16 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace limpetlock::gateway {
 
 /// Proof that no table newer than `table_revision` was published before `at`.
 struct table_proof {
-    std::int64_t table_revision{0};
+    state_revision table_revision;
     time_point at{};
+    std::int64_t table_version{0}; ///< of the same table; 0 if unknown
 
     friend bool operator==(const table_proof&, const table_proof&) = default;
 };
@@ -40,13 +42,30 @@
     /// Merges changed entries of the store or of a peer.
     void merge(std::vector<state_entry> entries, time_point now);
     /// Applies a full listing of the endpoints as of `revision`; see replica::apply_listing.
-    void apply_listing(std::vector<state_entry> entries, std::int64_t revision, time_point now);
+    void apply_listing(std::vector<state_entry> entries, state_revision revision, time_point now);
     /// Records that every change up to the revision has been merged.
-    void advance_revision(std::int64_t revision) { entries_.advance_revision(revision); }
+    void advance_revision(state_revision revision) { entries_.advance_revision(revision); }
 
-    /// Records a proof. Returns false if it is for a newer table than the one in force.
+    /// Records a proof. Returns false if it is for a newer table than the one in force, or for another
+    /// version of another era.
     bool record_proof(const table_proof& proof);
 
+    /// Records the era of an answer to a call of the store that was sent at `sent`. Returns false for an
+    /// answer of an earlier era, which was late. If the call was sent after the present era was learned, the
+    /// store disproves that: the era is the earlier one then.
+    bool record_store_era(std::int64_t era, time_point sent, time_point now);
+
+    /// Records the era that a peer knows. Returns false if the peer's state can't be used: its era is unknown
+    /// here although the store has answered lately.
+    bool record_peer_era(std::int64_t era, time_point now);
+
+    /// Whether what the store lost at the begin of the era may be assumed to be written again. Until then, a
+    /// read doesn't show that the table in force is the newest.
+    bool is_era_settled(time_point now) const { return !era_began_ || now - *era_began_ >= era_settle_time; }
+
+    /// Whether a peer's table is newer than the one in force.
+    bool is_newer_table(state_revision revision, std::int64_t version) const;
+
     /// Records that the store did not answer. Entries that are removed around that time may have lapsed
     /// although their endpoint is live, so the endpoints stay in use for removal_grace.
     void record_store_failure(time_point now) { store_failed_at_ = now; }
@@ -56,7 +75,9 @@
 
     const replica& entries() const { return entries_; }
     std::shared_ptr<const routing_table> table() const { return table_; }
-    std::int64_t table_revision() const { return table_revision_; }
+    state_revision table_revision() const { return table_revision_; }
+    /// Version of the table in force; 0 if there is none.
+    std::int64_t table_version() const { return table_ ? table_->version : 0; }
 
     /// Time since the table was last known to be the newest; nullopt if it never was.
     std::optional<duration> proof_age(time_point now) const;
@@ -68,7 +89,14 @@
     /// How long after a failed call to the store removed entries are taken as possibly lapsed.
     static constexpr duration unsettled_after_failure{4'000};
 
+    /// What the store lost is taken as written again this long after its return was noticed.
+    static constexpr duration era_settle_time{1'000};
+
+    /// A peer's era is taken over only if the store has not answered here for this long.
+    static constexpr duration store_answer_memory{1'500};
+
 private:
+    void set_era(std::int64_t era, std::string_view source, time_point now);
     void update_table(time_point now);
     void update_endpoints(time_point now);
     std::vector<endpoint> decode_entries();
@@ -77,7 +105,7 @@
 
     /// Result of decoding an entry, kept so that only changed entries are decoded again.
     struct decoded_entry {
-        std::int64_t revision{0};
+        state_revision revision;
         std::optional<endpoint> decoded; ///< nullopt if the entry was rejected
     };
 
@@ -85,7 +113,11 @@
     callbacks callbacks_;
     replica entries_;
     std::shared_ptr<const routing_table> table_;
-    std::int64_t table_revision_{0};
+    state_revision table_revision_;
+    std::int64_t era_{0};
+    time_point era_learned_{};
+    std::optional<time_point> era_began_; ///< when the store was found to have come back from a copy
+    std::optional<time_point> store_answered_at_;
     std::optional<time_point> proven_at_;
     std::optional<time_point> store_failed_at_;
     std::map<std::string, decoded_entry, std::less<>> decoded_;
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -140,6 +140,13 @@
     return out;
 }
 
+/// The positions of a peer, from its ping or pong.
+template <typename Message>
+state_positions positions_of(const Message& it)
+{
+    return {{it.state_revision, it.state_era}, {it.table_revision, it.table_era}, it.table_version};
+}
+
 member own_member(const gateway_settings& it, std::int64_t run_id)
 {
     return {it.name, it.peer_address, it.domain, it.capacity_millicores, run_id, false};
@@ -232,6 +239,16 @@
     return out;
 }
 
+template <typename Message>
+void fleet::set_positions(Message& out) const
+{
+    out.state_revision = state_.entries().revision().number;
+    out.state_era = state_.entries().revision().era;
+    out.table_revision = state_.table_revision().number;
+    out.table_era = state_.table_revision().era;
+    out.table_version = state_.table_version();
+}
+
 awaitable<void> fleet::ping(std::string to)
 {
     const time_point sent = boot_clock::now();
@@ -239,8 +256,7 @@
     wire::member_ping_message body;
     body.own = to_message(view_.own(), duration{0});
     body.known = members_for_peers(sent);
-    body.state_revision = state_.entries().revision();
-    body.table_revision = state_.table_revision();
+    set_positions(body);
     body.suspects = to_messages(quarantine_.evidence_for_peers(sent, suspects_per_message), sent);
     body.limits = to_messages(limits_.statements_for_peers(sent, limits_per_message), sent);
     message.__set_member_ping(body);
@@ -259,15 +275,16 @@
     merge_suspects(it.suspects, boot_clock::now());
     merge_limits(it.limits, boot_clock::now());
     if (it.proof_age_ms >= 0)
-        state_.record_proof({it.table_revision, sent - duration(it.proof_age_ms)});
-    pull_if_newer(from, it.table_revision, it.state_revision);
+        state_.record_proof(
+            {{it.table_revision, it.table_era}, sent - duration(it.proof_age_ms), it.table_version});
+    pull_if_newer(from, positions_of(it));
 }
 
-void fleet::pull_if_newer(const std::string& from, std::int64_t table_revision, std::int64_t state_revision)
+void fleet::pull_if_newer(const std::string& from, const state_positions& peer)
 {
     const bool newer =
-        table_revision > state_.table_revision() || state_revision > state_.entries().revision();
-    if (!newer || pulling_state_)
+        state_.is_newer_table(peer.table, peer.table_version) || peer.state > state_.entries().revision();
+    if (!newer || pulling_state_ || !state_.record_peer_era(peer.state.era, boot_clock::now()))
         return;
     pulling_state_ = true;
     asio::co_spawn(executor_, pull(from), asio::detached);
@@ -277,12 +294,12 @@
 /// the regular rounds.
 awaitable<void> fleet::spread_loop()
 {
-    std::int64_t spread_revision = 0;
+    state_revision spread_revision;
     std::uint64_t spread_evidence = 0;
     std::uint64_t spread_limits = 0;
     for (;;) {
         co_await sleep_for(spread_interval);
-        const std::int64_t known = std::max(state_.table_revision(), state_.entries().revision());
+        const state_revision known = std::max(state_.table_revision(), state_.entries().revision());
         if (known <= spread_revision && quarantine_.version() == spread_evidence &&
             limits_.version() == spread_limits)
             continue;
@@ -299,17 +316,19 @@
     const time_point sent = boot_clock::now();
     wire::frame message;
     wire::state_pull_message body;
-    body.after_revision = state_.entries().revision();
+    body.after_revision = state_.entries().revision().number;
+    body.after_era = state_.entries().revision().era;
     body.accepts_compressed = true;
     message.__set_state_pull(body);
     peer::call_error error;
     const auto reply = co_await messenger_.call(from, std::move(message), sent + pull_timeout, error);
     pulling_state_ = false;
     if (!reply || !reply->__isset.state_push) {
-        log::warning("state_pull_failed", {{"peer", from},
-                                           {"reason", error.reason.empty() ? "no state" : error.reason},
-                                           {"took_ms", fmt::to_string((boot_clock::now() - sent).count())},
-                                           {"table_revision", fmt::to_string(state_.table_revision())}});
+        log::warning("state_pull_failed",
+                     {{"peer", from},
+                      {"reason", error.reason.empty() ? "no state" : error.reason},
+                      {"took_ms", fmt::to_string((boot_clock::now() - sent).count())},
+                      {"table_revision", fmt::to_string(state_.table_revision().number)}});
         co_return;
     }
     const auto& push = reply->state_push;
@@ -319,17 +338,22 @@
         co_return;
     }
     const time_point now = boot_clock::now();
+    if (!state_.record_peer_era(push.era, now))
+        co_return;
+    const state_revision revision(push.revision, push.era);
     if (push.whole)
-        state_.apply_listing(std::vector<state_entry>(*entries), push.revision, now);
+        state_.apply_listing(std::vector<state_entry>(*entries), revision, now);
     state_.merge(std::move(*entries), now);
-    state_.advance_revision(push.revision);
+    state_.advance_revision(revision);
     if (push.proof_age_ms >= 0)
-        state_.record_proof({push.table_revision, sent - duration(push.proof_age_ms)});
+        state_.record_proof(
+            {{push.table_revision, push.table_era}, sent - duration(push.proof_age_ms), push.table_version});
     log::info("state_from_peer", {{"peer", from},
                                   {"revision", fmt::to_string(push.revision)},
+                                  {"era", fmt::to_string(push.era)},
                                   {"items", fmt::to_string(push.items.size())},
                                   {"peer_table_revision", fmt::to_string(push.table_revision)},
-                                  {"table_revision", fmt::to_string(state_.table_revision())},
+                                  {"table_revision", fmt::to_string(state_.table_revision().number)},
                                   {"took_ms", fmt::to_string((now - sent).count())},
                                   {"proof_age_ms", fmt::to_string(push.proof_age_ms)}});
 }
@@ -339,8 +363,7 @@
     wire::member_pong_message out;
     out.own = to_message(view_.own(), duration{0});
     out.known = members_for_peers(now);
-    out.state_revision = state_.entries().revision();
-    out.table_revision = state_.table_revision();
+    set_positions(out);
     out.proof_age_ms = state_.proof_age(now).value_or(duration(-1)).count();
     out.suspects = to_messages(quarantine_.evidence_for_peers(now, suspects_per_message), now);
     out.limits = to_messages(limits_.statements_for_peers(now, limits_per_message), now);
@@ -364,7 +387,7 @@
     if (last_compressed_.key != it.key || last_compressed_.revision != it.revision) {
         last_compressed_ = {it.key, it.revision, compress(it.value)};
         log::info("value_compressed", {{"key", it.key},
-                                       {"revision", fmt::to_string(it.revision)},
+                                       {"revision", fmt::to_string(it.revision.number)},
                                        {"bytes", fmt::to_string(it.value.size())},
                                        {"compressed_bytes", fmt::to_string(last_compressed_.bytes.size())}});
     }
@@ -375,18 +398,22 @@
 {
     wire::state_push_message out;
     bool whole = false;
-    for (const auto& it : state_.entries().changes_after(pull.after_revision, whole)) {
+    for (const auto& it : state_.entries().changes_after({pull.after_revision, pull.after_era}, whole)) {
         wire::state_item_message item;
         item.key = it.key;
         item.compressed = pull.accepts_compressed && it.value.size() >= min_compressed_bytes;
         item.value = item.compressed ? compressed_value(it) : it.value;
-        item.revision = it.revision;
+        item.revision = it.revision.number;
+        item.era = it.revision.era;
         item.removed = it.removed;
         out.items.push_back(std::move(item));
     }
     out.whole = whole;
-    out.revision = state_.entries().revision();
-    out.table_revision = state_.table_revision();
+    out.revision = state_.entries().revision().number;
+    out.era = state_.entries().revision().era;
+    out.table_revision = state_.table_revision().number;
+    out.table_era = state_.table_revision().era;
+    out.table_version = state_.table_version();
     out.proof_age_ms = state_.proof_age(now).value_or(duration(-1)).count();
     return out;
 }
@@ -395,13 +422,13 @@
 {
     std::vector<state_entry> out;
     for (const auto& it : push.items) {
-        state_entry entry{it.key, it.value, it.revision, it.removed};
+        state_entry entry{it.key, it.value, {it.revision, it.era}, it.removed};
         if (it.compressed) {
             auto value = decompress(it.value, max_value_bytes);
             if (!value)
                 return std::nullopt;
             entry.value = std::move(*value);
-            last_compressed_ = {it.key, it.revision, it.value};
+            last_compressed_ = {it.key, entry.revision, it.value};
         }
         out.push_back(std::move(entry));
     }
@@ -431,8 +458,7 @@
         merge_suspects(message.member_ping.suspects, now);
         merge_limits(message.member_ping.limits, now);
         if (links_.contains(message.member_ping.own.name))
-            pull_if_newer(message.member_ping.own.name, message.member_ping.table_revision,
-                          message.member_ping.state_revision);
+            pull_if_newer(message.member_ping.own.name, positions_of(message.member_ping));
         reply.__set_member_pong(make_pong(now));
         co_return reply;
     }
--- a/lib/gateway/fleet.hpp
+++ b/lib/gateway/fleet.hpp
@@ -26,6 +26,13 @@
 
 namespace wire = peer::wire;
 
+/// How far an instance has the published state.
+struct state_positions {
+    state_revision state;
+    state_revision table;
+    std::int64_t table_version{0};
+};
+
 /// Pings the other instances, which spreads the members of the fleet, the revisions of the published state
 /// and the proofs of its age, the evidence on parts of prompts that crash engines, and the limits that
 /// endpoints state. Pulls newer state from peers.
@@ -76,7 +83,10 @@
     void merge_suspects(const std::vector<wire::part_evidence_message>& list, time_point now);
     void merge_limits(const std::vector<wire::endpoint_limit_message>& list, time_point now);
     void process_pong(const std::string& from, const wire::member_pong_message& it, time_point sent);
-    void pull_if_newer(const std::string& from, std::int64_t table_revision, std::int64_t state_revision);
+    void pull_if_newer(const std::string& from, const state_positions& peer);
+    /// Sets the own positions in a ping or pong.
+    template <typename Message>
+    void set_positions(Message& out) const;
     void refresh_links(time_point now);
 
     boost::asio::any_io_executor executor_;
@@ -94,7 +104,7 @@
     /// An entry's value as it was compressed here or by a peer.
     struct compressed_entry {
         std::string key;
-        std::int64_t revision{0};
+        state_revision revision;
         std::string bytes;
     };
     compressed_entry last_compressed_;
--- a/lib/gateway/published_state.cpp
+++ b/lib/gateway/published_state.cpp
@@ -9,7 +9,8 @@
 namespace limpetlock::gateway {
 
 published_state::published_state(const platform_codec& codec, callbacks calls)
-    : codec_(codec), callbacks_(std::move(calls))
+    : codec_(codec), callbacks_(std::move(calls)),
+      entries_([&codec](const state_entry& it) { return codec.decode_value_version(it.key, it.value); })
 {
 }
 
@@ -22,8 +23,15 @@
         const bool is_endpoint = it.key.starts_with(codec_.endpoint_prefix());
         if (!is_table && !is_endpoint)
             continue;
+        // A table that was only written again is neither decoded nor put in force again.
+        const state_entry* const known = is_table ? entries_.find(it.key) : nullptr;
+        const bool same =
+            known != nullptr && known->revision == table_revision_ && !it.removed && known->value == it.value;
+        const state_revision revision = it.revision;
         const bool newer = entries_.apply(std::move(it));
-        table_changed = table_changed || (newer && is_table);
+        if (newer && same)
+            table_revision_ = revision;
+        table_changed = table_changed || (newer && is_table && !same);
         endpoints_changed = endpoints_changed || (newer && is_endpoint);
     }
     if (table_changed)
@@ -32,7 +40,7 @@
         update_endpoints(now);
 }
 
-void published_state::apply_listing(std::vector<state_entry> entries, std::int64_t revision, time_point now)
+void published_state::apply_listing(std::vector<state_entry> entries, state_revision revision, time_point now)
 {
     std::erase_if(entries,
                   [this](const state_entry& it) { return !it.key.starts_with(codec_.endpoint_prefix()); });
@@ -48,12 +56,13 @@
     std::string reason;
     auto table = codec_.decode_table(it->value, reason);
     if (!table) {
-        log::error("table_rejected", {{"revision", fmt::to_string(it->revision)}, {"reason", reason}});
+        log::error("table_rejected", {{"revision", fmt::to_string(it->revision.number)}, {"reason", reason}});
         return;
     }
     log::info("table_in_force",
               {{"version", fmt::to_string(table->version)},
-               {"revision", fmt::to_string(it->revision)},
+               {"revision", fmt::to_string(it->revision.number)},
+               {"era", fmt::to_string(it->revision.era)},
                {"bytes", fmt::to_string(it->value.size())},
                {"routes", fmt::to_string(table->routes.size())},
                {"keys", fmt::to_string(table->teams_by_key.size())},
@@ -76,9 +85,9 @@
             std::string reason;
             entry = {it->revision, codec_.decode_endpoint(it->key, it->value, reason)};
             if (!entry.decoded)
-                log::warning(
-                    "endpoint_entry_rejected",
-                    {{"key", it->key}, {"revision", fmt::to_string(it->revision)}, {"reason", reason}});
+                log::warning("endpoint_entry_rejected", {{"key", it->key},
+                                                         {"revision", fmt::to_string(it->revision.number)},
+                                                         {"reason", reason}});
         }
         if (entry.decoded)
             out.push_back(*entry.decoded);
@@ -127,14 +136,14 @@
                                          {"pool", it.pool},
                                          {"address", fmt::format("{}:{}", it.address.host, it.address.port)},
                                          {"leaving", it.leaving ? "yes" : "no"},
-                                         {"state_revision", fmt::to_string(entries_.revision())}});
+                                         {"state_revision", fmt::to_string(entries_.revision().number)}});
     }
     for (const auto& it : endpoints_)
         if (!contains_id(next, it.id))
             log::info("endpoint_gone", {{"endpoint", it.id},
                                         {"pool", it.pool},
                                         {"store_unsettled", unsettled ? "yes" : "no"},
-                                        {"state_revision", fmt::to_string(entries_.revision())}});
+                                        {"state_revision", fmt::to_string(entries_.revision().number)}});
 }
 
 void published_state::update_endpoints(time_point now)
@@ -159,12 +168,68 @@
 
 bool published_state::record_proof(const table_proof& proof)
 {
-    if (proof.table_revision > table_revision_)
+    const bool same_era = proof.table_revision.era == table_revision_.era;
+    const bool same_version = proof.table_version > 0 && proof.table_version == table_version();
+    if (same_era ? proof.table_revision > table_revision_ : !same_version)
         return false;
     proven_at_ = proven_at_ ? std::max(*proven_at_, proof.at) : proof.at;
     return true;
 }
 
+bool published_state::is_newer_table(state_revision revision, std::int64_t version) const
+{
+    if (revision.era == table_revision_.era || version == 0 || version == table_version())
+        return revision > table_revision_;
+    return version > table_version();
+}
+
+void published_state::set_era(std::int64_t era, std::string_view source, time_point now)
+{
+    log::info("store_era", {{"era", fmt::to_string(era)},
+                            {"before", fmt::to_string(era_)},
+                            {"source", std::string(source)},
+                            {"table_version", fmt::to_string(table_version())},
+                            {"table_revision", fmt::to_string(table_revision_.number)},
+                            {"state_revision", fmt::to_string(entries_.revision().number)}});
+    if (era > era_ && era_ > 0) {
+        era_began_ = now;
+        // Entries that the copy lacks are written again by their endpoints, as after an outage.
+        record_store_failure(now);
+    }
+    era_ = era;
+    era_learned_ = now;
+}
+
+bool published_state::record_store_era(std::int64_t era, time_point sent, time_point now)
+{
+    if (era < era_ && sent <= era_learned_) {
+        log::warning("late_store_answer",
+                     {{"era", fmt::to_string(era)}, {"known_era", fmt::to_string(era_)}});
+        return false;
+    }
+    store_answered_at_ = now;
+    if (era == era_)
+        return true;
+    if (era < era_) {
+        log::error("era_disproved", {{"era", fmt::to_string(era)}, {"known_era", fmt::to_string(era_)}});
+        entries_.return_to_era(era);
+        if (table_revision_.era > era)
+            table_revision_ = {0, era};
+    }
+    set_era(era, "store", now);
+    return true;
+}
+
+bool published_state::record_peer_era(std::int64_t era, time_point now)
+{
+    if (era <= era_)
+        return true;
+    if (store_answered_at_ && now - *store_answered_at_ < store_answer_memory)
+        return false;
+    set_era(era, "peer", now);
+    return true;
+}
+
 std::optional<duration> published_state::proof_age(time_point now) const
 {
     if (!proven_at_)
--- a/lib/gateway/replica.cpp
+++ b/lib/gateway/replica.cpp
@@ -6,12 +6,39 @@
 
 namespace limpetlock::gateway {
 
+std::optional<value_version> replica::version_of(const state_entry& it) const
+{
+    if (it.removed)
+        return it.last_version;
+    return read_version_ ? read_version_(it) : std::nullopt;
+}
+
+/// The store of a later era may have an older value, until whoever wrote the lost one writes it again.
+bool replica::is_newer(const state_entry& it, const state_entry& known) const
+{
+    if (it.revision.era == known.revision.era)
+        return it.revision > known.revision;
+    if (!it.removed && !known.removed && it.value == known.value)
+        return it.revision.era > known.revision.era;
+    const auto version = version_of(it);
+    const auto known_version = version_of(known);
+    if (version && known_version && *version != *known_version)
+        return *version > *known_version;
+    if (version && known_version && it.removed != known.removed)
+        return it.removed;
+    return it.revision.era > known.revision.era;
+}
+
 bool replica::apply(state_entry it)
 {
     const auto found = entries_.find(it.key);
-    if (found != entries_.end() && found->second.revision >= it.revision)
+    const bool known = found != entries_.end();
+    // A removal in an earlier era can't have removed the known value.
+    if (known && it.removed && it.revision.era >= found->second.revision.era)
+        it.last_version = std::max(it.last_version, version_of(found->second));
+    if (known && !is_newer(it, found->second))
         return false;
-    if (found != entries_.end() && found->second.removed)
+    if (known && found->second.removed)
         --removed_;
     if (it.removed) {
         it.value.clear();
@@ -23,7 +50,8 @@
     return true;
 }
 
-bool replica::apply_listing(std::string_view prefix, std::vector<state_entry> entries, std::int64_t revision)
+bool replica::apply_listing(std::string_view prefix, std::vector<state_entry> entries,
+                            state_revision revision)
 {
     bool changed = false;
     std::set<std::string, std::less<>> listed;
@@ -32,15 +60,28 @@
         changed = apply(std::move(it)) || changed;
     }
     std::vector<std::string> missing;
-    for (const auto* it : entries_under(prefix))
-        if (it->revision < revision && !listed.contains(it->key))
-            missing.push_back(it->key);
+    for (auto it = entries_.lower_bound(prefix); it != entries_.end() && it->first.starts_with(prefix);
+         ++it) {
+        const state_entry& known = it->second;
+        const bool older = known.removed ? known.revision.era < revision.era : known.revision < revision;
+        if (older && !listed.contains(known.key))
+            missing.push_back(known.key);
+    }
     for (auto& key : missing)
         changed = apply({std::move(key), {}, revision, true}) || changed;
     return changed;
 }
 
-void replica::advance_revision(std::int64_t revision)
+void replica::return_to_era(std::int64_t era)
+{
+    for (auto& [key, it] : entries_)
+        if (it.revision.era > era)
+            it.revision = {0, era};
+    revision_ = {};
+    trimmed_to_ = {};
+}
+
+void replica::advance_revision(state_revision revision)
 {
     revision_ = std::max(revision_, revision);
 }
@@ -60,12 +101,12 @@
     return out;
 }
 
-std::vector<state_entry> replica::changes_after(std::int64_t revision, bool& whole) const
+std::vector<state_entry> replica::changes_after(state_revision revision, bool& whole) const
 {
     whole = revision < trimmed_to_;
     std::vector<state_entry> out;
     for (const auto& [key, it] : entries_)
-        if (whole ? !it.removed : it.revision > revision)
+        if (whole ? !it.removed : it.revision > revision || it.revision.era < revision.era)
             out.push_back(it);
     return out;
 }
--- a/lib/gateway/store_reader.cpp
+++ b/lib/gateway/store_reader.cpp
@@ -209,7 +209,7 @@
 awaitable<bool> store_reader::read_table(bool& had_header)
 {
     const time_point sent = boot_clock::now();
-    const std::int64_t known_revision = state_.entries().revision();
+    const state_revision known_revision = state_.entries().revision();
     const auto answer = co_await call_for_table(had_header);
     if (!answer) {
         log_failed_read("no answer", sent);
@@ -221,46 +221,55 @@
         log_failed_read(fmt::format("unusable answer with status {}", answer->status), sent);
         co_return false;
     }
-    record_era(page.era);
-    const std::int64_t revision = page.entries.front().revision;
-    if (revision < state_.table_revision())
-        log::warning("older_table_read", {{"revision", fmt::to_string(revision)},
-                                          {"store_revision", fmt::to_string(page.revision)},
-                                          {"era", fmt::to_string(page.era)},
-                                          {"table_revision", fmt::to_string(state_.table_revision())}});
+    if (!state_.record_store_era(page.revision.era, sent, boot_clock::now()))
+        co_return false;
+    const state_revision revision = page.entries.front().revision;
     merge(std::move(page.entries), "read");
-    state_.record_proof({revision, sent});
-    // The watch has had a whole proof interval to deliver the revision of the previous proof.
-    watch_behind_ = known_revision > 0 && known_revision == state_.entries().revision() &&
-                    store_revision_ > known_revision;
-    store_revision_ = std::max(store_revision_, page.revision);
+    check_watch(known_revision, page.revision);
+    co_return record_read(revision, sent);
+}
+
+/// Notices a watch that doesn't deliver: it has had a whole proof interval to deliver the revision of the
+/// previous proof. A watch of an earlier era has to begin again. Instances that don't watch have the new
+/// era's entries from their peers.
+void store_reader::check_watch(state_revision known, state_revision of_store)
+{
+    const bool watch_is_outdated = of_store.era > known.era && role_().watches;
+    watch_behind_ = known > state_revision{} && known == state_.entries().revision() &&
+                    (store_revision_ > known || watch_is_outdated);
+    store_revision_ = std::max(store_revision_, of_store);
     if (watch_behind_)
-        log::info("watch_behind", {{"revision", fmt::to_string(known_revision)},
-                                   {"store_revision", fmt::to_string(store_revision_)}});
-    co_return true;
+        log::info("watch_behind", {{"revision", fmt::to_string(known.number)},
+                                   {"store_revision", fmt::to_string(store_revision_.number)}});
+}
+
+/// Takes the read as a proof of the table in force, unless the store came back from a copy: it may lack a
+/// newer table then that is not written again yet.
+bool store_reader::record_read(state_revision revision, time_point sent)
+{
+    const bool older = revision.era > state_.table_revision().era;
+    if (older || !state_.is_era_settled(boot_clock::now())) {
+        log::info("read_proves_nothing",
+                  {{"reason", older ? "the store has an older table" : "the store has just lost changes"},
+                   {"revision", fmt::to_string(revision.number)},
+                   {"era", fmt::to_string(revision.era)},
+                   {"table_version", fmt::to_string(state_.table_version())},
+                   {"table_era", fmt::to_string(state_.table_revision().era)}});
+        return false;
+    }
+    state_.record_proof({revision, sent});
+    return true;
 }
 
 /// Merges entries, and logs a new table with the way by which it came.
 void store_reader::merge(std::vector<state_entry> entries, std::string_view source)
 {
-    const std::int64_t previous = state_.table_revision();
+    const state_revision previous = state_.table_revision();
     state_.merge(std::move(entries), boot_clock::now());
     if (state_.table_revision() != previous)
         log::info("table_received", {{"source", std::string(source)},
-                                     {"table_revision", fmt::to_string(state_.table_revision())},
-                                     {"state_revision", fmt::to_string(state_.entries().revision())}});
-}
-
-/// Logs that the store came back from an older copy.
-void store_reader::record_era(std::int64_t era)
-{
-    if (era == era_)
-        return;
-    log::info("store_era", {{"era", fmt::to_string(era)},
-                            {"before", fmt::to_string(era_)},
-                            {"table_revision", fmt::to_string(state_.table_revision())},
-                            {"state_revision", fmt::to_string(state_.entries().revision())}});
-    era_ = era;
+                                     {"table_revision", fmt::to_string(state_.table_revision().number)},
+                                     {"state_revision", fmt::to_string(state_.entries().revision().number)}});
 }
 
 void store_reader::log_failed_read(const std::string& reason, time_point sent) const
@@ -269,17 +278,18 @@
     log::warning("table_read_failed",
                  {{"reason", reason},
                   {"took_ms", fmt::to_string((now - sent).count())},
-                  {"table_revision", fmt::to_string(state_.table_revision())},
+                  {"table_revision", fmt::to_string(state_.table_revision().number)},
                   {"proof_age_ms", fmt::to_string(state_.proof_age(now).value_or(duration(-1)).count())}});
 }
 
 /// Reads all entries under the prefix. Sets `first_revision` to the revision of the first page if it has
 /// none.
 awaitable<bool> store_reader::list_prefix(std::string prefix, std::vector<state_entry>& entries,
-                                          std::optional<std::int64_t>& first_revision)
+                                          std::optional<state_revision>& first_revision)
 {
     std::string after;
     for (int n = 0; n < max_pages; ++n) {
+        const time_point sent = boot_clock::now();
         const auto answer = co_await call(codec_.encode_range_read(prefix, after), list_timeout);
         state_page page;
         if (!answer || codec_.decode_page(*answer, page) != store_answer_status::ok) {
@@ -288,9 +298,13 @@
                                             {"status", answer ? fmt::to_string(answer->status) : "-"}});
             co_return false;
         }
-        record_era(page.era);
+        if (!state_.record_store_era(page.revision.era, sent, boot_clock::now()))
+            co_return false;
         if (!first_revision)
             first_revision = page.revision;
+        // Pages of two eras don't belong together.
+        if (page.revision.era != first_revision->era)
+            co_return false;
         for (auto& it : page.entries) {
             after = it.key;
             entries.push_back(std::move(it));
@@ -307,7 +321,7 @@
 {
     std::vector<state_entry> table;
     std::vector<state_entry> endpoints;
-    std::optional<std::int64_t> first_revision;
+    std::optional<state_revision> first_revision;
     bool ok = co_await list_prefix(codec_.table_key(), table, first_revision);
     if (ok)
         ok = co_await list_prefix(codec_.endpoint_prefix(), endpoints, first_revision);
@@ -323,13 +337,19 @@
 
 awaitable<store_answer_status> store_reader::watch_once()
 {
-    const std::int64_t after = state_.entries().revision();
+    const state_revision after = state_.entries().revision();
+    const time_point sent = boot_clock::now();
     const auto answer =
-        co_await call(codec_.encode_watch({}, after, watch_wait), watch_wait + watch_timeout_margin);
+        co_await call(codec_.encode_watch({}, after.number, watch_wait), watch_wait + watch_timeout_margin);
     if (!answer)
         co_return store_answer_status::refused;
     state_page page;
-    const auto status = codec_.decode_events(*answer, page);
+    auto status = codec_.decode_events(*answer, page);
+    // The revision from which the watch goes on means other changes in another era.
+    if (status == store_answer_status::ok &&
+        (!state_.record_store_era(page.revision.era, sent, boot_clock::now()) ||
+         page.revision.era != after.era))
+        status = store_answer_status::history_lost;
     if (status == store_answer_status::ok) {
         merge(std::move(page.entries), "watch");
         state_.advance_revision(page.revision);
@@ -343,10 +363,10 @@
     bool listed = false;
     const time_point started = boot_clock::now();
     for (;;) {
-        const bool without_state =
-            state_.entries().revision() == 0 && boot_clock::now() - started > follower_list_delay;
+        const bool without_state = state_.entries().revision() == state_revision{} &&
+                                   boot_clock::now() - started > follower_list_delay;
         if (!role_().watches && !without_state) {
-            listed = state_.entries().revision() > 0;
+            listed = state_.entries().revision() > state_revision{};
             co_await sleep_for(role_check_interval);
             continue;
         }
@@ -360,7 +380,8 @@
             continue;
         }
         if (status == store_answer_status::history_lost || status == store_answer_status::malformed) {
-            log::info("watch_restarted", {{"after_revision", fmt::to_string(state_.entries().revision())}});
+            log::info("watch_restarted",
+                      {{"after_revision", fmt::to_string(state_.entries().revision().number)}});
             listed = false;
         }
         co_await sleep_for(watch_back_off);
--- a/lib/gateway/store_reader.hpp
+++ b/lib/gateway/store_reader.hpp
@@ -59,14 +59,15 @@
                    const std::string& target);
     boost::asio::awaitable<bool> list_state();
     boost::asio::awaitable<bool> list_prefix(std::string prefix, std::vector<state_entry>& entries,
-                                             std::optional<std::int64_t>& first_revision);
+                                             std::optional<state_revision>& first_revision);
     boost::asio::awaitable<store_answer_status> watch_once();
     boost::asio::awaitable<std::optional<http::response>> call(http::request message, duration timeout);
     boost::asio::awaitable<void> renew_proof();
     boost::asio::awaitable<void> list_for_silent_watch();
     void draw_renewal_age();
     void merge(std::vector<state_entry> entries, std::string_view source);
-    void record_era(std::int64_t era);
+    void check_watch(state_revision known, state_revision of_store);
+    bool record_read(state_revision revision, time_point sent);
     void log_failed_read(const std::string& reason, time_point sent) const;
     /// Counts a failed call, and logs when the store is lost or regained.
     void record_answer(bool answered, const std::string& target, const std::string& reason);
@@ -83,10 +84,9 @@
     metrics::counter& calls_;
     metrics::counter& failures_;
     bool reachable_{false};
-    std::int64_t store_revision_{0}; ///< highest revision in the store's answers so far
-    std::int64_t era_{0};            ///< of the last answer
-    bool watch_behind_{false};       ///< the last proof had a revision that the watch hadn't delivered
-    bool listing_{false};            ///< a listing on behalf of the watch runs
+    state_revision store_revision_; ///< highest revision in the store's answers so far
+    bool watch_behind_{false};      ///< the last proof had a revision that the watch hadn't delivered
+    bool listing_{false};           ///< a listing on behalf of the watch runs
 };
 
 } // namespace limpetlock::gateway
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -164,6 +164,9 @@
   4: i64 table_revision;
   5: list<part_evidence_message> suspects;
   6: list<endpoint_limit_message> limits;
+  7: i64 state_era;
+  8: i64 table_era;
+  9: i64 table_version;
 }
 
 struct member_pong_message {
@@ -174,11 +177,15 @@
   5: i64 table_revision;  // revision of the sender's routing table
   6: list<part_evidence_message> suspects;
   7: list<endpoint_limit_message> limits;
+  8: i64 state_era;       // era of the store in which state_revision was given out
+  9: i64 table_era;
+  10: i64 table_version;
 }
 
 struct state_pull_message {
   1: i64 after_revision;
   2: bool accepts_compressed; // the sender can decompress values
+  3: i64 after_era;
 }
 
 struct state_item_message {
@@ -187,6 +194,7 @@
   3: i64 revision;
   4: bool removed;
   5: bool compressed;     // the value is in the zlib format
+  6: i64 era;             // in which the revision was given out
 }
 
 struct state_push_message {
@@ -195,6 +203,9 @@
   3: list<state_item_message> items;
   4: i64 proof_age_ms;
   5: i64 table_revision;
+  6: i64 era;
+  7: i64 table_era;
+  8: i64 table_version;
 }
 
 /// Results of a stage and the instance that ran it.
--- a/test/platform/restored_test.cpp
+++ b/test/platform/restored_test.cpp
@@ -54,12 +54,6 @@
     });
 }
 
-/// The operator writes the present configuration again, under the version that it had.
-void write_config_again(platform_fleet& fleet)
-{
-    fleet.with_site([](site& it) { it.state.put("op/config", it.config.dump()); });
-}
-
 /// Expects the status from each instance.
 void expect_status(platform_fleet& fleet, const std::string& path, int status)
 {
@@ -86,7 +80,7 @@
             std::this_thread::sleep_for(spread_time);
         }
         lose_changes(fleet);
-        write_config_again(fleet);
+        fleet.with_site([](site& it) { it.write_again(); });
         std::this_thread::sleep_for(spread_time);
         const std::string prefix = fmt::format("/new{}/", n);
         fleet.with_site([&](site& it) {
@@ -122,7 +116,7 @@
         cr_expect_neq(fleet.send_and_wait(n, call_to("/open/x", 1)).status, 200, "a dropped route at %zu", n);
         cr_expect_neq(fleet.send_and_wait(n, call_to("/lookup/x", 2)).status, 200, "a revoked key at %zu", n);
     }
-    write_config_again(fleet);
+    fleet.with_site([](site& it) { it.write_again(); });
     std::this_thread::sleep_for(adoption_time);
     for (std::size_t n = 0; n < instances; ++n) {
         auto call = call_to("/new/x", 3);
@@ -143,7 +137,6 @@
     });
     std::this_thread::sleep_for(spread_time);
     lose_changes(fleet);
-    write_config_again(fleet);
     std::this_thread::sleep_for(milliseconds(1'000));
     for (int n = 0; n < 12; ++n)
         cr_expect_eq(
--- a/test/platform/soak_test.cpp
+++ b/test/platform/soak_test.cpp
@@ -70,6 +70,8 @@
     void disturb_instance(std::size_t which);
     void disturb_endpoints();
     void disturb_store();
+    void limit_endpoint(bool is_engine);
+    void lose_changes();
     /// Ends the faults whose end time has passed, or all faults if `all` is set.
     void end_due_faults(bool all);
     void end_endpoint_faults();
@@ -153,7 +155,11 @@
                                                          behaviour::endless_events};
     const auto how = behaviours.at(pick(behaviours.size()));
     const std::size_t count = 1 + pick(6);
-    const std::size_t kind = pick(3);
+    const std::size_t kind = pick(5);
+    if (kind > 2) {
+        limit_endpoint(kind == 3);
+        return;
+    }
     fleet_.with_site([&](site& it) {
         if (kind == 0)
             it.plain[pick(it.plain.size())]->behave(how, count);
@@ -164,8 +170,48 @@
     });
 }
 
+/// An engine or plain endpoint limits the rate of its requests for a while.
+void soak::limit_endpoint(bool is_engine)
+{
+    static constexpr std::array<const char*, 4> rates{"0", "0.5", "2", "20"};
+    const std::string rate = rates.at(pick(rates.size()));
+    const std::size_t n = pick(2);
+    const auto state_limit = [this, is_engine, n](const std::string& text) {
+        fleet_.with_site([&](site& it) { (is_engine ? it.engines : it.plain)[n]->limit.state(text); });
+    };
+    state_limit(rate);
+    pending_recoveries_.emplace(steady_clock::now() + milliseconds(100 + pick(1'500)),
+                                [state_limit] { state_limit(""); });
+}
+
+/// The store is away, and comes back without what was written since. Its writers write it again a little
+/// later.
+void soak::lose_changes()
+{
+    fleet_.with_site([this](site& it) {
+        it.state.take_copy();
+        for (std::size_t n = pick(3); n > 0; --n)
+            it.publish_config();
+        it.state.put("servers/i-plain-0", it.plain[0]->entry());
+        it.state.set_mode(store_mode::refusing);
+    });
+    const auto back = steady_clock::now() + milliseconds(100 + pick(1'000));
+    pending_recoveries_.emplace(back, [this] {
+        fleet_.with_site([](site& it) {
+            it.state.restore_copy();
+            it.state.set_mode(store_mode::serving);
+        });
+    });
+    pending_recoveries_.emplace(back + milliseconds(pick(400)),
+                                [this] { fleet_.with_site([](site& it) { it.write_again(); }); });
+}
+
 void soak::disturb_store()
 {
+    if (pick(3) == 0) {
+        lose_changes();
+        return;
+    }
     static constexpr std::array<store_mode, 3> modes{store_mode::refusing, store_mode::silent,
                                                      store_mode::silent_watches};
     const auto how = modes.at(pick(modes.size()));
@@ -215,6 +261,7 @@
         for (const auto* list : {&it.plain, &it.engines})
             for (const auto& endpoint : *list)
                 endpoint->behave(behaviour::normal, 0);
+        it.write_again();
         for (const auto& endpoint : it.first_stage)
             endpoint->behave(behaviour::normal, 0);
     });
--- a/unittests/gateway/platform_codec_fake.hpp
+++ b/unittests/gateway/platform_codec_fake.hpp
@@ -60,6 +60,17 @@
         return gateway::store_answer_status::ok;
     }
 
+    /// Only tables have versions.
+    std::optional<gateway::value_version> decode_value_version(const std::string& key,
+                                                               const std::string& value) const override
+    {
+        std::string reason;
+        const auto table = key == table_key() ? decode_table(value, reason) : std::nullopt;
+        if (!table)
+            return std::nullopt;
+        return gateway::value_version{table->version, 0};
+    }
+
     std::optional<gateway::routing_table> decode_table(const std::string& value,
                                                        std::string& reason) const override
     {
--- a/utils/platformkit/site.cpp
+++ b/utils/platformkit/site.cpp
@@ -109,7 +109,13 @@
 
 void site::publish()
 {
-    publish_config();
+    config["version"] = config["version"].get<int>() + 1;
+    write_again();
+}
+
+void site::write_again()
+{
+    state.put("op/config", config.dump());
     const auto list = [this](const auto& endpoints) {
         for (const auto& it : endpoints)
             state.put("servers/" + it->options().id, it->entry());
--- a/utils/platformkit/site.hpp
+++ b/utils/platformkit/site.hpp
@@ -41,6 +41,10 @@
     /// Writes the present content of `config` to the store under the next version.
     void publish_config();
 
+    /// Writes the configuration, under the version that it has, and the entries of all endpoints to the
+    /// store, as their writers do after the store lost them.
+    void write_again();
+
     /// Settings file of one instance with its listeners on the given ports; `seeds` are ports of peers.
     std::string settings(const std::string& name, std::uint16_t caller, std::uint16_t ready,
                          std::uint16_t peer, const std::vector<std::uint16_t>& seeds) const;
