Leave an endpoint out for a second at most while it has no permit

Found by reading the diff, not seen in a run: an instance that was denied while the request with the last permit was under way left the endpoint out until the next permit, up to 10 s for one that takes nothing, although the answer to that request may end the limit for all. It asks again after a second now, and the Retry-After of a refusal follows from the permits that were denied instead of the time for which endpoints are left out. Releases that find no permit in time leave a log line.

Rename: held_permit -> send_slot, find_permitted_endpoint -> find_send_slot, reserve_permit -> reserve_slot.

--- a/include/limpetlock/gateway/endpoint_selector.hpp
+++ b/include/limpetlock/gateway/endpoint_selector.hpp
@@ -54,9 +54,6 @@
     /// if there is none.
     std::optional<endpoint> next_held_back(const selection_criteria& criteria, time_point now) const;
 
-    /// For how long the endpoint is held back yet.
-    duration time_held_back(const std::string& id, time_point now) const;
-
     /// Counts an attempt as in flight until end_attempt.
     void begin_attempt(const std::string& id, time_point now);
     void end_attempt(const std::string& id, attempt_outcome outcome, time_point now);
--- a/include/limpetlock/gateway/permit_issuer.hpp
+++ b/include/limpetlock/gateway/permit_issuer.hpp
@@ -58,10 +58,8 @@
     /// Time until a permit is available, without taking it.
     duration time_to_permit(std::string_view endpoint, double max_rate, time_point now);
 
-    /// Forgets endpoints that nobody asked for.
-    void remove_expired(time_point now);
-
 private:
+    void remove_expired(time_point now);
     struct team_share {
         double requested{0};
         double granted{0};
--- a/lib/gateway/endpoint_selector.cpp
+++ b/lib/gateway/endpoint_selector.cpp
@@ -122,12 +122,6 @@
     return best->listed;
 }
 
-duration endpoint_selector::time_held_back(const std::string& id, time_point now) const
-{
-    const auto it = endpoints_.find(id);
-    return it == endpoints_.end() ? duration{0} : std::max(duration{0}, it->second.held_until - now);
-}
-
 /// Endpoints with affinity are selected by rendezvous hashing, so most hashes keep their endpoints when the
 /// list changes.
 std::optional<endpoint> endpoint_selector::select(const selection_criteria& criteria, time_point now)
--- a/lib/gateway/permit_issuer.cpp
+++ b/lib/gateway/permit_issuer.cpp
@@ -58,6 +58,7 @@
 
 permit permit_issuer::request(const permit_request& it, time_point now)
 {
+    remove_expired(now);
     account& from = update(it.endpoint, it.max_rate, now);
     from.teams[it.team].requested += 1;
     const duration wait = time_to_permit(from);
--- a/lib/gateway/permits.cpp
+++ b/lib/gateway/permits.cpp
@@ -29,7 +29,6 @@
 
 permit permits::answer(const permit_request& it, time_point now)
 {
-    issuer_.remove_expired(now);
     // This instance may know a newer limit than the one that asks.
     permit_request known = it;
     if (const auto* statement = limits_.find(it.endpoint))
--- a/lib/gateway/request_context.hpp
+++ b/lib/gateway/request_context.hpp
@@ -112,8 +112,8 @@
     std::optional<std::string> team;
     std::optional<duration> proof_age; ///< of the table, when the request arrived
     int priority{0};
-    time_point deadline{};             ///< latest time of the complete answer
-    std::optional<held_permit> permit; ///< of the next attempt, if it was issued before the stages began
+    time_point deadline{};                  ///< latest time of the complete answer
+    std::optional<send_slot> reserved_slot; ///< of the next attempt, found before the stages began
     std::string pool;
     selection_criteria endpoint_criteria;
     stage_plan plan;
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -290,7 +290,7 @@
         co_return refuse(it, 503, "no endpoint", min_retry_after);
     if (it.matched_route->stages.empty())
         co_return true;
-    bool ready = co_await reserve_permit(it);
+    bool ready = co_await reserve_slot(it);
     if (ready)
         ready = co_await run_stages(it);
     co_return ready;
@@ -313,8 +313,8 @@
     it.plan.priority = it.priority;
     it.plan.tokens_per_piece = tokens_per_piece(it.request);
     // The stages run in the failure domain of the engine that the request would go to now.
-    if (it.permit)
-        it.plan.domain = it.permit->to.domain;
+    if (it.reserved_slot)
+        it.plan.domain = it.reserved_slot->to.domain;
     else if (const auto engine = dependencies_.selector.select(it.endpoint_criteria, it.arrival))
         it.plan.domain = engine->domain;
     const duration min_time = stage_runner::minimum_time(it.plan, *it.table);
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -51,7 +51,7 @@
 };
 
 /// An endpoint to which a request may be sent, and when.
-struct held_permit {
+struct send_slot {
     endpoint to;
     time_point from{};
     time_point until{};
@@ -106,11 +106,12 @@
     /// Returns the endpoint for the next attempt, once it may be sent there. nullopt if there is none, or if
     /// those that are left have no permit in time; the request is refused then.
     boost::asio::awaitable<std::optional<endpoint>> select_endpoint(request_context& it);
-    boost::asio::awaitable<std::optional<held_permit>> find_permitted_endpoint(request_context& it);
-    boost::asio::awaitable<bool> reserve_permit(request_context& it);
+    /// Finds an endpoint with a permit, or without a limit. A permit may begin later.
+    boost::asio::awaitable<std::optional<send_slot>> find_send_slot(request_context& it);
+    boost::asio::awaitable<bool> reserve_slot(request_context& it);
     bool is_pool_limited(const std::string& pool) const;
     static duration max_permit_wait(const request_context& it, time_point now);
-    void refuse_without_permit(request_context& it);
+    void refuse_without_permit(request_context& it, duration next_permit);
     boost::asio::awaitable<attempt_result> run_attempt(request_context& it, attempt_guard& to);
     boost::asio::awaitable<attempt_result> relay_whole(request_context& it, http::answer_reader& from,
                                                        bool keep_answer);
--- a/lib/gateway/request_permit.cpp
+++ b/lib/gateway/request_permit.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 namespace limpetlock::gateway {
 
@@ -29,6 +30,9 @@
 constexpr int objective_divisor = 2;
 constexpr int deadline_divisor = 4;
 
+/// An endpoint is left out of the selection for this long at most, since its limit may end meanwhile.
+constexpr duration max_hold{1'000};
+
 /// Endpoints that a log line names.
 constexpr std::size_t max_logged_limits = 8;
 
@@ -50,9 +54,10 @@
     });
 }
 
-awaitable<std::optional<held_permit>> request_handler::find_permitted_endpoint(request_context& it)
+awaitable<std::optional<send_slot>> request_handler::find_send_slot(request_context& it)
 {
     auto& selector = dependencies_.selector;
+    duration next_permit = duration::max();
     for (std::size_t n = 0; n < max_permit_requests; ++n) {
         const time_point now = boot_clock::now();
         auto to = selector.select(it.endpoint_criteria, now);
@@ -65,67 +70,66 @@
             co_return std::nullopt;
         const auto* const limit = dependencies_.limits.find(to->id);
         if (limit == nullptr)
-            co_return held_permit{*to, now, time_point::max()};
+            co_return send_slot{*to, now, time_point::max()};
         permit_request body{to->id, *limit->max_rate, max_wait, it.team.value_or("")};
         const permit given = co_await dependencies_.endpoint_permits.acquire(std::move(body));
-        const time_point from = boot_clock::now() + given.wait;
+        const time_point answered = boot_clock::now();
         if (given.granted)
-            co_return held_permit{*to, from, from + permit_lifetime};
-        selector.hold_back(to->id, from);
+            co_return send_slot{*to, answered + given.wait, answered + given.wait + permit_lifetime};
+        selector.hold_back(to->id, answered + std::min(given.wait, max_hold));
+        next_permit = std::min(next_permit, given.wait);
     }
     auto unlimited = it.endpoint_criteria;
     for (const auto& other : selector.available_endpoints(it.pool))
         if (dependencies_.limits.find(other.id) != nullptr)
             unlimited.tried.push_back(other.id);
     if (auto to = selector.select(unlimited, boot_clock::now()))
-        co_return held_permit{*to, boot_clock::now(), time_point::max()};
-    refuse_without_permit(it);
+        co_return send_slot{*to, boot_clock::now(), time_point::max()};
+    refuse_without_permit(it, next_permit);
     co_return std::nullopt;
 }
 
 awaitable<std::optional<endpoint>> request_handler::select_endpoint(request_context& it)
 {
-    auto permit = std::exchange(it.permit, std::nullopt);
+    auto slot = std::exchange(it.reserved_slot, std::nullopt);
     for (;;) {
-        const bool found = permit.has_value();
-        if (!found)
-            permit = co_await find_permitted_endpoint(it);
-        if (!permit)
+        if (!slot)
+            slot = co_await find_send_slot(it);
+        if (!slot)
             co_return std::nullopt;
         const time_point now = boot_clock::now();
-        if (permit->from > now)
-            co_await sleep_for(permit->from - now);
-        if (boot_clock::now() <= permit->until && dependencies_.selector.accepts_work(permit->to.id))
-            co_return permit->to;
-        permit.reset();
+        if (slot->from > now)
+            co_await sleep_for(slot->from - now);
+        if (boot_clock::now() <= slot->until && dependencies_.selector.accepts_work(slot->to.id))
+            co_return slot->to;
+        slot.reset();
     }
 }
 
 /// Gets the permit before the stages run if the whole pool is limited, so that a request that no endpoint
 /// will take is refused at once and costs no stage work.
-awaitable<bool> request_handler::reserve_permit(request_context& it)
+awaitable<bool> request_handler::reserve_slot(request_context& it)
 {
     if (!is_pool_limited(it.pool))
         co_return true;
-    it.permit = co_await find_permitted_endpoint(it);
-    co_return it.permit.has_value();
+    it.reserved_slot = co_await find_send_slot(it);
+    co_return it.reserved_slot.has_value();
 }
 
 /// Refuses a request for which no endpoint has a permit in time, unless it may have run.
-void request_handler::refuse_without_permit(request_context& it)
+void request_handler::refuse_without_permit(request_context& it, duration next_permit)
 {
     const time_point now = boot_clock::now();
     std::string text;
-    std::size_t n = 0;
-    for (const auto& endpoint : dependencies_.selector.available_endpoints(it.pool))
-        if (const auto* limit = dependencies_.limits.find(endpoint.id); limit != nullptr)
-            if (n++ < max_logged_limits)
-                text += fmt::format("{}{}:{:g}@{}/{}ms", text.empty() ? "" : ",", endpoint.id,
-                                    *limit->max_rate, limit->reporter, (now - limit->at).count());
-    const auto next = dependencies_.selector.next_held_back(it.endpoint_criteria, now);
-    const duration wait = next ? dependencies_.selector.time_held_back(next->id, now) : duration{0};
+    std::size_t named = 0;
+    for (const auto& endpoint : dependencies_.selector.available_endpoints(it.pool)) {
+        const auto* const limit = dependencies_.limits.find(endpoint.id);
+        if (limit != nullptr && named++ < max_logged_limits)
+            text += fmt::format("{}{}:{:g}@{}/{}ms", text.empty() ? "" : ",", endpoint.id, *limit->max_rate,
+                                limit->reporter, (now - limit->at).count());
+    }
     const auto jitter = static_cast<std::int64_t>(random_() % 300);
-    const duration retry_after = std::max(min_retry_after, wait) + duration(jitter);
+    const duration retry_after = std::max(min_retry_after, next_permit) + duration(jitter);
     limited_.add();
     log::info("request_limited", {{"request", it.request.id},
                                   {"pool", it.pool},
--- a/lib/gateway/result_releaser.cpp
+++ b/lib/gateway/result_releaser.cpp
@@ -59,10 +59,14 @@
         if (!first)
             continue;
         const auto given = issuer_.request({limit->endpoint, *limit->max_rate, max_permit_wait, {}}, now);
-        if (given.granted)
+        if (given.granted) {
             asio::co_spawn(executor_, send_with_permit(producer, given.wait), asio::detached);
-        else
-            without_permit_.erase(producer);
+            continue;
+        }
+        log::info("release_failed", {{"maker", fmt::format("{}:{}", producer.host, producer.port)},
+                                     {"results", fmt::to_string(gathered.size())},
+                                     {"reason", "no permit in time"}});
+        without_permit_.erase(producer);
     }
 }
 
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -40,6 +40,9 @@
 /// one and a half calls.
 constexpr duration congested_backlog{700};
 
+/// An endpoint without a permit gets no calls for this long at most, since its limit may end meanwhile.
+constexpr duration max_hold{1'000};
+
 std::vector<std::string> handles_of(const std::vector<result_group>& groups)
 {
     std::vector<std::string> out;
@@ -276,7 +279,7 @@
             continue;
         const duration wait = issuer_.time_to_permit(it.id, *limit->max_rate, now);
         if (wait > duration{0})
-            dispatcher.hold_back(it.id, now + wait);
+            dispatcher.hold_back(it.id, now + std::min(wait, max_hold));
     }
 }
 
--- a/test/platform/limit_test.cpp
+++ b/test/platform/limit_test.cpp
@@ -228,6 +228,24 @@
     });
 }
 
+// The same for an endpoint that took nothing: it is asked every 10 s, and the end of its limit is noticed by
+// all instances soon after that, although each of them was told to wait for a permit.
+Test(limit, endpoint_that_took_nothing_gets_its_share_again)
+{
+    platform_fleet fleet(instances);
+    cr_assert(fleet.wait_ready());
+    fleet.with_site([](site& it) { it.plain[0]->limit.state("0"); });
+    const auto stated = steady_clock::now();
+    send_traffic(fleet, {"/lookup/x"}, 20, milliseconds(9'000));
+    fleet.with_site([](site& it) { it.plain[0]->limit.state(""); });
+    constexpr milliseconds max_delay{12'500};
+    send_traffic(fleet, {"/lookup/x"}, 20, milliseconds(6'500));
+    fleet.with_site([&](site& it) {
+        const std::size_t n = count_since(it.plain[0]->limit, stated + max_delay);
+        cr_expect_gt(n, 20, "%zu of 60 requests", n);
+    });
+}
+
 // Guards against an endpoint that gets its limit twice, or nothing, when the instance that issues its permits
 // is lost: the instances are killed one after the other.
 Test(limit, limit_holds_while_instances_are_killed)
