Read no table while a read proves nothing after the store's return

Cause: for a second after the store's return a read proves nothing, and it was repeated at the interval of lost answers, by each instance. The watches deliver what is written again, so there are no reads in that second now. An answer without an era doesn't disprove a known era any more (found by reading).

--- a/include/limpetlock/gateway/published_state.hpp
+++ b/include/limpetlock/gateway/published_state.hpp
@@ -51,8 +51,9 @@
     bool record_proof(const table_proof& proof);
 
     /// Records the era of an answer to a call of the store that was sent at `sent`. Returns false for an
-    /// answer of an earlier era, which was late. If the call was sent after the present era was learned, the
-    /// store disproves that: the era is the earlier one then.
+    /// answer of an earlier era, which was late, and for one without an era (0) where others have one. If the
+    /// call was sent after the present era was learned, the store disproves that: the era is the earlier one
+    /// then.
     bool record_store_era(std::int64_t era, time_point sent, time_point now);
 
     /// Records the era that a peer knows. Returns false if the peer's state can't be used: its era is unknown
--- a/lib/gateway/published_state.cpp
+++ b/lib/gateway/published_state.cpp
@@ -202,7 +202,7 @@
 
 bool published_state::record_store_era(std::int64_t era, time_point sent, time_point now)
 {
-    if (era < era_ && sent <= era_learned_) {
+    if (era < era_ && (sent <= era_learned_ || era == 0)) {
         log::warning("late_store_answer",
                      {{"era", fmt::to_string(era)}, {"known_era", fmt::to_string(era_)}});
         return false;
--- a/lib/gateway/store_reader.cpp
+++ b/lib/gateway/store_reader.cpp
@@ -161,7 +161,8 @@
     for (;;) {
         const time_point now = boot_clock::now();
         state_.remove_lapsed_endpoints(now);
-        if (schedule_.is_read_due(state_.proof_age(now), now)) {
+        // A read would prove nothing before that; the watches deliver what is written again.
+        if (state_.is_era_settled(now) && schedule_.is_read_due(state_.proof_age(now), now)) {
             schedule_.begin_read(now);
             asio::co_spawn(executor_, renew_proof(), asio::detached);
         }
@@ -249,12 +250,12 @@
 {
     const bool older = revision.era > state_.table_revision().era;
     if (older || !state_.is_era_settled(boot_clock::now())) {
-        log::info("read_proves_nothing",
-                  {{"reason", older ? "the store has an older table" : "the store has just lost changes"},
-                   {"revision", fmt::to_string(revision.number)},
-                   {"era", fmt::to_string(revision.era)},
-                   {"table_version", fmt::to_string(state_.table_version())},
-                   {"table_era", fmt::to_string(state_.table_revision().era)}});
+        log::info("read_proves_nothing", {{"reason", older ? "the table in force is another one"
+                                                           : "the store has just lost changes"},
+                                          {"revision", fmt::to_string(revision.number)},
+                                          {"era", fmt::to_string(revision.era)},
+                                          {"table_version", fmt::to_string(state_.table_version())},
+                                          {"table_era", fmt::to_string(state_.table_revision().era)}});
         return false;
     }
     state_.record_proof({revision, sent});
--- a/lib/gateway/store_reader.hpp
+++ b/lib/gateway/store_reader.hpp
@@ -42,7 +42,7 @@
     /// Whether a request should wait for confirm_table() before it is decided by the table.
     bool needs_confirmation(time_point now) const
     {
-        return schedule_.needs_confirmation(state_.proof_age(now));
+        return state_.is_era_settled(now) && schedule_.needs_confirmation(state_.proof_age(now));
     }
 
     /// Waits until the table is proven to be recent, until a read of it has failed, or for as long as a read
