--- a/lib/gateway/request_permit.cpp
+++ b/lib/gateway/request_permit.cpp
@@ -113,6 +113,8 @@
     if (!is_pool_limited(it.pool))
         co_return true;
     it.reserved_slot = co_await find_send_slot(it);
+    if (!it.reserved_slot && it.refusal.status == 0)
+        refuse(it, 503, "no endpoint", min_retry_after);
     co_return it.reserved_slot.has_value();
 }
 
