Use endpoints again after their scheduler or they themselves stood still

Cause: a stage scheduler measures how long calls take. A call that was running while the process stood still seems to have taken seconds, so its endpoint got a slowness of four and more, and an endpoint above 1.8 gets a call only if no faster one ends sooner. That is hardly ever so, and without calls the value never changed again. The same follows from an endpoint that stood still itself.

Ruled out: endpoints that are backed off (bounded by 5 s and not renewed without calls), results that fill the storage (all were released), deferred tasks (the other endpoints of the pool got calls for them).

- Calls across a suspension of this process are no evidence: neither for slowness nor for a back-off. suspension_detector moves from claims to support.
- The excess slowness of an endpoint halves every 4 s without calls.
- After a suspension peers stay live for as long as they would have without it; a lost call marks none unreachable; a stage task is asked for once more; an attempt that failed is no evidence; tasks that others took over are dropped before the first dispatch.
- The scheduler logs which endpoints it avoids and why, with a gauge.

--- a/include/limpetlock/claims/holder.hpp
+++ b/include/limpetlock/claims/holder.hpp
@@ -5,6 +5,7 @@
 
 #include <limpetlock/claims/messages.hpp>
 #include <limpetlock/claims/owner_map.hpp>
+#include <limpetlock/support/suspension_detector.hpp>
 
 #include <optional>
 #include <string>
@@ -30,24 +31,8 @@
     friend bool operator==(const caller_response&, const caller_response&) = default;
 };
 
-/// Detects suspensions of this process from the time between two timer ticks.
-class suspension_detector {
-public:
-    /// The timer ticks every 200 ms; a longer time than this between two ticks shows a suspension.
-    static constexpr duration max_tick_gap{1000};
-
-    explicit suspension_detector(time_point start) : last_tick_(start) {}
-
-    void tick(time_point now);
-
-    /// Returns the end of the last suspension, or nullopt if there was none. A suspension that no tick has
-    /// shown yet counts as ending at `now`.
-    std::optional<time_point> last_resumed(time_point now) const;
-
-private:
-    time_point last_tick_;
-    std::optional<time_point> last_resumed_;
-};
+/// Longest time between two ticks of the timer of a process that was not suspended; it ticks every 200 ms.
+inline constexpr duration max_tick_gap{1000};
 
 /// Returns whether a caller's assertion that this is its first attempt at the key may be passed on to the
 /// owner. It may not be if the request could have waited in a socket buffer or in this process. The caller
--- a/include/limpetlock/gateway/fleet_view.hpp
+++ b/include/limpetlock/gateway/fleet_view.hpp
@@ -44,6 +44,10 @@
     /// reports of others don't count, because only the link to this instance may be cut.
     void mark_unreachable(std::string_view name);
 
+    /// Records that this process was suspended for this long until `now`. No contact could arrive meanwhile,
+    /// so the instances that were live before stay so for as long as without the suspension.
+    void record_suspension(duration length, time_point now);
+
     void set_stopping() { own_.stopping = true; }
 
     const member& own() const { return own_; }
@@ -79,6 +83,8 @@
     bool is_live(const entry& it, time_point now) const;
 
     member own_;
+    duration suspension_{0}; ///< length of the last suspension
+    time_point resumed_at_{};
     std::map<std::string, entry, std::less<>> others_;
 };
 
--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <limpetlock/gateway/piece_queue.hpp>
+#include <limpetlock/support/suspension_detector.hpp>
 
 #include <cstdint>
 #include <map>
@@ -22,6 +23,28 @@
     replaced     ///< another endpoint now has the address
 };
 
+/// Why an endpoint gets no calls although it is listed and not busy.
+enum class avoidance : std::uint8_t {
+    none,
+    slow,        ///< a faster endpoint is expected to finish sooner
+    unreachable, ///< as the call_outcome
+    broken,
+    overloaded,
+    replaced,
+    no_storage, ///< it had no memory for a result
+    held_back   ///< see hold_back
+};
+
+std::string_view to_string(avoidance it);
+
+/// An endpoint that gets no calls, or only some, at one moment.
+struct avoided_endpoint {
+    std::string id;
+    avoidance reason{avoidance::none};
+    duration left{0};   ///< time until it gets calls again; 0 if that depends on the other endpoints
+    double slowness{1}; ///< ratio of measured to expected call time
+};
+
 /// A stage call that is to be made.
 struct stage_dispatch {
     std::uint64_t call_id{0}; ///< for finish_call
@@ -70,6 +93,13 @@
     /// Records the end of a call. The owner decides whether its pieces are retried.
     void finish_call(std::uint64_t call, call_outcome outcome, time_point now);
 
+    /// Has to be called every 25 ms, since a longer gap shows a suspension of this process. The time that a
+    /// call took across a suspension says nothing about its endpoint.
+    void tick(time_point now);
+
+    /// Endpoints that get no calls now for another reason than a running call, ordered by id.
+    std::vector<avoided_endpoint> avoided_endpoints(time_point now) const;
+
     /// Makes no calls to the endpoint until then.
     void hold_back(std::string_view endpoint_id, time_point until);
 
@@ -109,11 +139,15 @@
     struct endpoint_state {
         endpoint listed; ///< its entry in the list of endpoints
         bool busy{false};
-        time_point busy_until{};       ///< expected end of its call
-        time_point avoid_until{};      ///< end of its back-off, or of a wait for a permit
-        std::uint32_t failures{0};     ///< failed calls since the last answer
-        std::uint64_t stored_bytes{0}; ///< of results that are stored or being produced
-        double slowness{1};            ///< moving average of the ratio of measured to expected call time
+        time_point busy_until{};           ///< expected end of its call
+        time_point avoid_until{};          ///< end of its back-off, or of a wait for a permit
+        avoidance reason{avoidance::none}; ///< for which it is avoided until then
+        std::uint32_t failures{0};         ///< failed calls since the last answer
+        std::uint64_t stored_bytes{0};     ///< of results that are stored or being produced
+        /// Moving average of the ratio of measured to expected call time, when it was measured last. See
+        /// slowness_of.
+        double slowness{1};
+        time_point slowness_at{};
     };
     struct running_call {
         std::string endpoint_id;
@@ -125,7 +159,12 @@
     endpoint_state* pick_endpoint(time_point now, const std::vector<std::string>& excluded);
     domain_free_times free_times(time_point now) const;
     bool usable(const endpoint_state& it, time_point now) const;
-    void penalize(endpoint_state& it, duration base, time_point now);
+    void penalize(endpoint_state& it, duration base, avoidance reason, time_point now);
+    static void avoid(endpoint_state& it, time_point until, avoidance reason);
+    /// The slowness as far as it still counts: an endpoint that is avoided for it gets no calls that could
+    /// show that it has become faster, so it returns to 1 with time.
+    static double slowness_of(const endpoint_state& it, time_point now);
+    void record_call_time(endpoint_state& it, const running_call& ended, time_point now) const;
     std::uint64_t free_result_bytes(const endpoint_state& it) const;
     void record_batch_size(std::size_t pieces);
     backlog_profile capacity_profile(time_point now) const;
@@ -136,6 +175,7 @@
     std::map<std::string, endpoint_state, std::less<>> endpoints_;
     std::map<std::uint64_t, running_call> calls_;
     std::uint64_t last_call_{0};
+    std::optional<suspension_detector> suspensions_; ///< nullopt before the first tick
     double typical_pieces_{0}; ///< moving average of the pieces of a call while more wait than fit
 };
 
--- a/lib/claims/holder.cpp
+++ b/lib/claims/holder.cpp
@@ -4,17 +4,6 @@
 
 namespace limpetlock::claims {
 
-void suspension_detector::tick(time_point now)
-{
-    last_resumed_ = last_resumed(now);
-    last_tick_ = now;
-}
-
-std::optional<time_point> suspension_detector::last_resumed(time_point now) const
-{
-    return now - last_tick_ > max_tick_gap ? now : last_resumed_;
-}
-
 bool first_attempt_assertion_holds(bool asserted, time_point read_at, time_point requested_at,
                                    std::optional<time_point> last_resumed, duration lease_time)
 {
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -29,6 +29,9 @@
 /// Interval of the checks for a new revision; see spread_loop.
 constexpr duration spread_interval{60};
 
+/// Longest time between two rounds of spread_loop in a process that was not suspended: ten intervals.
+constexpr duration max_tick_gap{600};
+
 constexpr duration pull_timeout{1'000};
 
 /// In a fleet up to full_mesh_size every instance pings every other one in each round; in a larger fleet it
@@ -163,9 +166,12 @@
 // and an incarnation taken from a clock that was set back would shut out a new process.
 fleet::fleet(asio::any_io_executor executor, const gateway_settings& settings, std::int64_t run_id,
              published_state& state, prompt_quarantine& quarantine, stated_limits& limits,
-             handlers its_handlers)
+             metrics::registry& metrics, handlers its_handlers)
     : executor_(std::move(executor)), settings_(settings), state_(state), quarantine_(quarantine),
       limits_(limits), handlers_(std::move(its_handlers)), view_(own_member(settings, run_id)),
+      suspensions_(boot_clock::now(), max_tick_gap),
+      suspension_count_(metrics.get_counter("limpetlock_suspensions_total",
+                                            "times that this process stood still for over 600 ms")),
       messenger_(executor_, settings.name, 0, to_peer(settings.peer_address),
                  [this](wire::frame message) { return answer(std::move(message)); }),
       random_(static_cast<std::minstd_rand::result_type>(hash64(settings.name, 1)))
@@ -178,6 +184,18 @@
     asio::co_spawn(executor_, spread_loop(), asio::detached);
 }
 
+void fleet::detect_suspension(time_point now)
+{
+    const duration length = suspensions_.tick(now);
+    if (length == duration{0})
+        return;
+    suspension_count_.add();
+    view_.record_suspension(length, now);
+    log::warning("process_resumed",
+                 {{"suspended_ms", fmt::to_string(length.count())},
+                  {"live_instances", fmt::to_string(view_.live_instances(now, false).size())}});
+}
+
 /// Removes expired instances from the view, and sets the addresses of the remaining ones, and of the seeds
 /// that aren't among them, as peers of the messenger.
 void fleet::refresh_links(time_point now)
@@ -299,6 +317,7 @@
     std::uint64_t spread_limits = 0;
     for (;;) {
         co_await sleep_for(spread_interval);
+        detect_suspension(boot_clock::now());
         const state_revision known = std::max(state_.table_revision(), state_.entries().revision());
         if (known <= spread_revision && quarantine_.version() == spread_evidence &&
             limits_.version() == spread_limits)
@@ -491,12 +510,17 @@
 
 awaitable<std::optional<wire::frame>> fleet::call(std::string to, wire::frame message, time_point deadline)
 {
+    const time_point sent = boot_clock::now();
     if (!links_.contains(to))
-        refresh_links(boot_clock::now());
+        refresh_links(sent);
     peer::call_error error;
     auto reply = co_await messenger_.call(to, std::move(message), deadline, error);
     if (reply)
         co_return reply;
+    if (suspended_since(sent)) {
+        log::info("peer_call_interrupted", {{"peer", to}, {"reason", "this process was suspended"}});
+        co_return std::nullopt;
+    }
     view_.mark_unreachable(to);
     log::warning("peer_unreachable", {{"peer", to}, {"reason", error.reason}});
     co_return std::nullopt;
--- a/lib/gateway/fleet.hpp
+++ b/lib/gateway/fleet.hpp
@@ -10,6 +10,8 @@
 #include <limpetlock/gateway/stated_limits.hpp>
 #include <limpetlock/peer/generated/peer_types.h>
 #include <limpetlock/peer/messenger.hpp>
+#include <limpetlock/support/metrics.hpp>
+#include <limpetlock/support/suspension_detector.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -49,14 +51,25 @@
 
     fleet(boost::asio::any_io_executor executor, const gateway_settings& settings, std::int64_t run_id,
           published_state& state, prompt_quarantine& quarantine, stated_limits& limits,
-          handlers its_handlers);
+          metrics::registry& metrics, handlers its_handlers);
 
     void start();
 
-    fleet_view& view() { return view_; }
+    fleet_view& view()
+    {
+        detect_suspension(boot_clock::now());
+        return view_;
+    }
+
+    /// Whether this process was suspended at some time since `begin`. What failed meanwhile, because its time
+    /// limit passed, is no evidence against an endpoint or another instance.
+    bool suspended_since(time_point begin) const
+    {
+        return suspensions_.suspended_since(begin, boot_clock::now());
+    }
 
     /// Sends a request to another instance. Without an answer, returns nullopt and marks the instance as
-    /// unreachable.
+    /// unreachable, unless this process was suspended meanwhile.
     boost::asio::awaitable<std::optional<wire::frame>> call(std::string to, wire::frame message,
                                                             time_point deadline);
 
@@ -88,6 +101,7 @@
     template <typename Message>
     void set_positions(Message& out) const;
     void refresh_links(time_point now);
+    void detect_suspension(time_point now);
 
     boost::asio::any_io_executor executor_;
     const gateway_settings& settings_;
@@ -96,6 +110,8 @@
     stated_limits& limits_;
     handlers handlers_;
     fleet_view view_;
+    suspension_detector suspensions_;
+    metrics::counter& suspension_count_;
     peer::messenger messenger_;
     std::minstd_rand random_;
     std::map<std::string, peer::address> links_; ///< by name of the instance or of the seed
--- a/lib/gateway/fleet_view.cpp
+++ b/lib/gateway/fleet_view.cpp
@@ -54,9 +54,16 @@
         it->second.unreachable = true;
 }
 
+void fleet_view::record_suspension(duration length, time_point now)
+{
+    suspension_ = length;
+    resumed_at_ = now;
+}
+
 bool fleet_view::is_live(const entry& it, time_point now) const
 {
-    return now - it.last_contact < timeout() && !it.unreachable;
+    const duration suspended = it.last_contact < resumed_at_ ? suspension_ : duration{0};
+    return now - it.last_contact < timeout() + suspended && !it.unreachable;
 }
 
 std::vector<member> fleet_view::live_instances(time_point now, bool exclude_stopping) const
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -487,6 +487,13 @@
         refuse(it, 502, last.reason, duration{0});
 }
 
+/// A failure across a suspension of this process says nothing: time limits passed while nothing was read.
+attempt_outcome request_handler::evidence_of(attempt_outcome outcome, time_point sent) const
+{
+    const bool failure = outcome == attempt_outcome::broken || outcome == attempt_outcome::unreachable;
+    return failure && dependencies_.peers.suspended_since(sent) ? attempt_outcome::cancelled : outcome;
+}
+
 awaitable<attempt_result> request_handler::run_attempt(request_context& it, attempt_guard& to)
 {
     const time_point now = boot_clock::now();
@@ -519,7 +526,7 @@
     attempt_result out;
     if (!answer) {
         out = failed_attempt(error);
-        to.conclude(out.outcome, boot_clock::now());
+        to.conclude(evidence_of(out.outcome, now), boot_clock::now());
         co_return out;
     }
     const auto metadata = dependencies_.codec.decode_answer_metadata(answer->status(), answer->headers());
@@ -550,7 +557,7 @@
     else
         out = co_await relay_whole(it, *answer, !success);
     out.status = answer->status();
-    to.conclude(out.outcome, boot_clock::now());
+    to.conclude(evidence_of(out.outcome, now), boot_clock::now());
     co_return out;
 }
 
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -112,6 +112,8 @@
     bool is_pool_limited(const std::string& pool) const;
     static duration max_permit_wait(const request_context& it, time_point now);
     void refuse_without_permit(request_context& it, duration next_permit);
+    /// What the end of an attempt says of its endpoint.
+    attempt_outcome evidence_of(attempt_outcome outcome, time_point sent) const;
     boost::asio::awaitable<attempt_result> run_attempt(request_context& it, attempt_guard& to);
     boost::asio::awaitable<attempt_result> relay_whole(request_context& it, http::answer_reader& from,
                                                        bool keep_answer);
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -2,6 +2,7 @@
 #include <limpetlock/gateway/stage_dispatcher.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <utility>
 
@@ -30,6 +31,12 @@
 /// An endpoint with a greater slowness gets a call only if no faster one would finish it sooner.
 constexpr double slow_threshold = 1.8;
 
+/// Time in which half of the excess slowness of an endpoint is forgotten.
+constexpr duration slowness_half_life{4'000};
+
+/// Longest time between two ticks of a process that was not suspended: ten intervals.
+constexpr duration max_tick_gap{250};
+
 /// A pool in which more full batches than this wait is overloaded.
 constexpr std::size_t overload_batches = 1;
 
@@ -43,6 +50,13 @@
 
 } // namespace
 
+std::string_view to_string(avoidance it)
+{
+    static constexpr std::array<std::string_view, 8> names{
+        "none", "slow", "unreachable", "broken", "overloaded", "replaced", "no_storage", "held_back"};
+    return names[static_cast<std::size_t>(it)];
+}
+
 void stage_dispatcher::configure(const stage_capacity& capacity, std::vector<endpoint> endpoints)
 {
     capacity_ = capacity;
@@ -86,11 +100,38 @@
     return !it.busy && it.avoid_until <= now;
 }
 
+void stage_dispatcher::tick(time_point now)
+{
+    if (!suspensions_)
+        suspensions_.emplace(now, max_tick_gap);
+    suspensions_->tick(now);
+}
+
+double stage_dispatcher::slowness_of(const endpoint_state& it, time_point now)
+{
+    const double age =
+        static_cast<double>((now - it.slowness_at).count()) / static_cast<double>(slowness_half_life.count());
+    return 1 + (it.slowness - 1) * std::exp2(-std::max(0.0, age));
+}
+
+std::vector<avoided_endpoint> stage_dispatcher::avoided_endpoints(time_point now) const
+{
+    std::vector<avoided_endpoint> out;
+    for (const auto& [id, it] : endpoints_) {
+        const double slowness = slowness_of(it, now);
+        if (it.avoid_until > now)
+            out.push_back({id, it.reason, it.avoid_until - now, slowness});
+        else if (slowness >= slow_threshold)
+            out.push_back({id, avoidance::slow, duration{0}, slowness});
+    }
+    return out;
+}
+
 domain_free_times stage_dispatcher::free_times(time_point now) const
 {
     domain_free_times out;
     for (const auto& [id, it] : endpoints_)
-        if (it.avoid_until <= now && it.slowness < slow_threshold)
+        if (it.avoid_until <= now && slowness_of(it, now) < slow_threshold)
             out[it.listed.domain].push_back(it.busy ? std::max(duration{0}, it.busy_until - now)
                                                     : duration{0});
     for (auto& [domain, times] : out)
@@ -106,15 +147,15 @@
     endpoint_state* best = nullptr;
     for (auto& [id, it] : endpoints_) {
         const bool skip = std::find(excluded.begin(), excluded.end(), id) != excluded.end();
-        if (!skip && usable(it, now) && (best == nullptr || it.slowness < best->slowness))
+        if (!skip && usable(it, now) && (best == nullptr || slowness_of(it, now) < slowness_of(*best, now)))
             best = &it;
     }
-    if (best == nullptr || best->slowness < slow_threshold)
+    if (best == nullptr || slowness_of(*best, now) < slow_threshold)
         return best;
-    const auto done =
-        now + duration(static_cast<std::int64_t>(static_cast<double>(call_time(1).count()) * best->slowness));
+    const auto done = now + duration(static_cast<std::int64_t>(static_cast<double>(call_time(1).count()) *
+                                                               slowness_of(*best, now)));
     for (const auto& [id, it] : endpoints_)
-        if (it.busy && it.slowness < slow_threshold && it.avoid_until <= now &&
+        if (it.busy && slowness_of(it, now) < slow_threshold && it.avoid_until <= now &&
             std::max(it.busy_until, now) + call_time(1) < done)
             return nullptr;
     return best;
@@ -134,7 +175,7 @@
             continue;
         }
         const duration expected(static_cast<std::int64_t>(
-            static_cast<double>(call_time(pieces.size()).count()) * std::max(1.0, to->slowness)));
+            static_cast<double>(call_time(pieces.size()).count()) * std::max(1.0, slowness_of(*to, now))));
         record_batch_size(pieces.size());
         to->busy = true;
         to->busy_until = now + expected;
@@ -169,7 +210,15 @@
 {
     const auto it = endpoints_.find(endpoint_id);
     if (it != endpoints_.end())
-        it->second.avoid_until = std::max(it->second.avoid_until, until);
+        avoid(it->second, until, avoidance::held_back);
+}
+
+void stage_dispatcher::avoid(endpoint_state& it, time_point until, avoidance reason)
+{
+    if (until <= it.avoid_until)
+        return;
+    it.avoid_until = until;
+    it.reason = reason;
 }
 
 void stage_dispatcher::requeue_for_lack_of_storage(std::string_view endpoint_id, queued_piece it,
@@ -177,7 +226,7 @@
 {
     const auto at = endpoints_.find(endpoint_id);
     if (at != endpoints_.end())
-        at->second.avoid_until = std::max(at->second.avoid_until, now + no_room_back_off);
+        avoid(at->second, now + no_room_back_off, avoidance::no_storage);
     queue_.push(std::move(it));
 }
 
@@ -191,12 +240,21 @@
         typical_pieces_ += typical_pieces_weight * (static_cast<double>(pieces) - typical_pieces_);
 }
 
-void stage_dispatcher::penalize(endpoint_state& it, duration base, time_point now)
+void stage_dispatcher::penalize(endpoint_state& it, duration base, avoidance reason, time_point now)
 {
-    it.avoid_until = now + back_off(base, it.failures, max_back_off);
+    avoid(it, now + back_off(base, it.failures, max_back_off), reason);
     ++it.failures;
 }
 
+void stage_dispatcher::record_call_time(endpoint_state& it, const running_call& ended, time_point now) const
+{
+    const double ratio = static_cast<double>((now - ended.started).count()) /
+                         std::max(1.0, static_cast<double>(call_time(ended.pieces).count()));
+    const double before = slowness_of(it, now);
+    it.slowness = before + slowness_weight * (ratio - before);
+    it.slowness_at = now;
+}
+
 void stage_dispatcher::finish_call(std::uint64_t call, call_outcome outcome, time_point now)
 {
     const auto found = calls_.find(call);
@@ -211,25 +269,26 @@
     it.busy = false;
     if (outcome != call_outcome::answered)
         release_result_bytes(ended.endpoint_id, ended.bytes);
+    const bool suspended = suspensions_ && suspensions_->suspended_since(ended.started, now);
     switch (outcome) {
-    case call_outcome::answered: {
+    case call_outcome::answered:
         it.failures = 0;
-        const double ratio = static_cast<double>((now - ended.started).count()) /
-                             std::max(1.0, static_cast<double>(call_time(ended.pieces).count()));
-        it.slowness += slowness_weight * (ratio - it.slowness);
+        if (!suspended)
+            record_call_time(it, ended, now);
         break;
-    }
     case call_outcome::overloaded:
-        it.avoid_until = now + overloaded_back_off;
+        avoid(it, now + overloaded_back_off, avoidance::overloaded);
         break;
     case call_outcome::unreachable:
-        penalize(it, unreachable_back_off, now);
+        if (!suspended)
+            penalize(it, unreachable_back_off, avoidance::unreachable, now);
         break;
     case call_outcome::broken:
-        penalize(it, broken_back_off, now);
+        if (!suspended)
+            penalize(it, broken_back_off, avoidance::broken, now);
         break;
     case call_outcome::replaced:
-        it.avoid_until = now + replaced_back_off;
+        avoid(it, now + replaced_back_off, avoidance::replaced);
         break;
     }
 }
@@ -253,7 +312,7 @@
     for (const auto& [id, it] : endpoints_) {
         if (it.avoid_until > now)
             continue;
-        out.effective_endpoints_ += 1 / std::max(0.5, it.slowness);
+        out.effective_endpoints_ += 1 / std::max(0.5, slowness_of(it, now));
         if (it.busy && it.busy_until > now)
             out.running_ms_ += static_cast<double>((it.busy_until - now).count());
     }
--- a/lib/gateway/stage_runner.cpp
+++ b/lib/gateway/stage_runner.cpp
@@ -511,6 +511,9 @@
             if (reply && reply->__isset.stage_result)
                 result = from_message(reply->stage_result, pieces);
         }
+        // The instance may have answered while this process was suspended, so it is asked once more.
+        if (!result && fleet_.suspended_since(now) && boot_clock::now() < task.deadline)
+            continue;
         if (!result)
             co_return std::nullopt;
         record_backlog(key, result->backlog, boot_clock::now());
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -40,6 +40,9 @@
 /// one and a half calls.
 constexpr duration congested_backlog{700};
 
+/// Interval of the check which endpoints are avoided.
+constexpr duration avoided_log_interval{250};
+
 /// An endpoint without a permit gets no calls for this long at most, since its limit may end meanwhile.
 constexpr duration max_hold{1'000};
 
@@ -88,6 +91,7 @@
 struct stage_scheduler::pool_state {
     stage_dispatcher dispatcher;
     duration result_lifetime{0};
+    std::map<std::string, avoidance> avoided; ///< endpoints and reasons as they were logged last
 };
 
 stage_scheduler::stage_scheduler(asio::any_io_executor executor, const platform_codec& codec,
@@ -95,7 +99,7 @@
                                  permit_issuer& issuer, metrics::registry& metrics,
                                  inputs_fetched_handler on_inputs_fetched)
     : executor_(std::move(executor)), codec_(codec), client_(client), releaser_(releaser), limits_(limits),
-      issuer_(issuer), on_inputs_fetched_(std::move(on_inputs_fetched)),
+      issuer_(issuer), on_inputs_fetched_(std::move(on_inputs_fetched)), metrics_(metrics),
       calls_(metrics.get_counter("limpetlock_stage_calls_total", "calls to endpoints of stage pools")),
       pieces_(metrics.get_counter("limpetlock_stage_pieces_total", "pieces sent in stage calls")),
       repeated_pieces_(metrics.get_counter("limpetlock_stage_pieces_repeated_total", "pieces sent again"))
@@ -189,13 +193,58 @@
 {
     for (;;) {
         co_await sleep_for(tick_interval);
-        expire(boot_clock::now());
+        const time_point now = boot_clock::now();
+        for (const auto& [key, state] : pools_)
+            state->dispatcher.tick(now);
+        last_tick_ = now;
+        expire(now);
+        log_avoided_endpoints(now);
         for (const auto& [key, state] : pools_)
             if (state->dispatcher.waiting() > 0)
                 dispatch_calls(key);
     }
 }
 
+/// Logs which endpoints begin and cease to be avoided. Short back-offs are left out: a refusal for lack of
+/// capacity says no more than the line of its call.
+void stage_scheduler::log_avoided_endpoints(time_point now)
+{
+    if (now - avoided_logged_at_ < avoided_log_interval)
+        return;
+    avoided_logged_at_ = now;
+    for (const auto& [key, state] : pools_) {
+        std::map<std::string, avoidance> next;
+        for (const auto& it : state->dispatcher.avoided_endpoints(now)) {
+            if (it.reason == avoidance::overloaded || it.reason == avoidance::no_storage)
+                continue;
+            next.emplace(it.id, it.reason);
+            const auto before = state->avoided.find(it.id);
+            if (before == state->avoided.end() || before->second != it.reason)
+                log::info("stage_endpoint_avoided",
+                          {{"pool", key.pool},
+                           {"domain", key.domain.empty() ? "-" : key.domain},
+                           {"endpoint", it.id},
+                           {"reason", std::string(to_string(it.reason))},
+                           {"left_ms", fmt::to_string(it.left.count())},
+                           {"slowness", fmt::format("{:.2f}", it.slowness)},
+                           {"waiting", fmt::to_string(state->dispatcher.waiting())}});
+        }
+        for (const auto& [id, reason] : state->avoided)
+            if (!next.contains(id))
+                log::info("stage_endpoint_used_again", {{"pool", key.pool},
+                                                        {"domain", key.domain.empty() ? "-" : key.domain},
+                                                        {"endpoint", id},
+                                                        {"reason", std::string(to_string(reason))}});
+        state->avoided = std::move(next);
+        metrics_
+            .get_gauge(
+                "limpetlock_stage_endpoints_avoided",
+                "endpoints of a stage pool that get no calls, for failures, slowness or their own wish",
+                {{"pool", key.pool}, {"domain", key.domain}})
+            .set(static_cast<std::int64_t>(state->avoided.size()));
+    }
+}
+
 awaitable<stage_task_result> stage_scheduler::run(pool_key key, stage_task task, duration max_wait)
 {
     stage_task_result out;
@@ -258,6 +307,10 @@
 {
     auto& state = *pools_.at(key);
     const time_point now = boot_clock::now();
+    // After a suspension, the tasks that other instances have taken elsewhere meanwhile must not run here
+    // too.
+    if (now - last_tick_ > abandoned_after)
+        expire(now);
     const task_filter deferred = congestion_filter(key.domain, now);
     hold_back_without_permit(key, now);
     while (auto call = state.dispatcher.next_call(now, deferred)) {
--- a/lib/gateway/stage_scheduler.hpp
+++ b/lib/gateway/stage_scheduler.hpp
@@ -98,6 +98,7 @@
                         const std::vector<piece_result>& results, time_point now);
     bool remove_result(const std::string& handle);
     void expire(time_point now);
+    void log_avoided_endpoints(time_point now);
 
     boost::asio::any_io_executor executor_;
     const platform_codec& codec_;
@@ -106,6 +107,7 @@
     stated_limits& limits_;
     permit_issuer& issuer_;
     inputs_fetched_handler on_inputs_fetched_;
+    metrics::registry& metrics_;
     metrics::counter& calls_;
     metrics::counter& pieces_;
     metrics::counter& repeated_pieces_;
@@ -122,6 +124,8 @@
         time_point expires{};
     };
     std::map<std::string, stored_result, std::less<>> stored_results_;
+    time_point avoided_logged_at_{};
+    time_point last_tick_{boot_clock::now()};
 };
 
 } // namespace limpetlock::gateway
--- a/lib/server/claim_controller.cpp
+++ b/lib/server/claim_controller.cpp
@@ -96,7 +96,7 @@
                                    const instance_settings& settings, std::int64_t incarnation,
                                    peer_controller& peers)
     : strand_(boost::asio::make_strand(executor)), name_(settings.name), own_address_(settings.caller),
-      incarnation_(incarnation), peers_(peers), suspension_detector_(boot_clock::now())
+      incarnation_(incarnation), peers_(peers), suspension_detector_(boot_clock::now(), claims::max_tick_gap)
 {
 }
 
--- a/lib/server/claim_controller.hpp
+++ b/lib/server/claim_controller.hpp
@@ -132,7 +132,7 @@
     mutable std::mutex mutex_;
     std::unique_ptr<section_state> state_; ///< nullptr until a configuration is in force
     claims::handover_keeper keeper_;
-    claims::suspension_detector suspension_detector_;
+    suspension_detector suspension_detector_;
     std::int64_t config_number_{0};
     std::string config_digest_;
     std::vector<std::string> other_owners_; ///< empty if this instance is no owner
--- a/unittests/claims/rules_test.cpp
+++ b/unittests/claims/rules_test.cpp
@@ -257,7 +257,7 @@
 // Guards against a suspension that is not detected because the timer has not ticked since.
 Test(suspension_detector, detects_a_suspension_before_and_after_the_tick)
 {
-    suspension_detector it(start);
+    suspension_detector it(start, max_tick_gap);
     it.tick(start + 200ms);
     cr_assert_not(it.last_resumed(start + 400ms).has_value());
     cr_assert(it.last_resumed(start + 5s) == start + 5s);
--- a/unittests/claims/session.cpp
+++ b/unittests/claims/session.cpp
@@ -163,7 +163,7 @@
                claims::witness(section_, now_),
                claims::table(name, incarnation, section_),
                {},
-               claims::suspension_detector(now_),
+               suspension_detector(now_, claims::max_tick_gap),
                {},
                claims::handover_collector(name, incarnation, claims::owner_map(section_))});
 }
--- a/unittests/claims/session.hpp
+++ b/unittests/claims/session.hpp
@@ -55,7 +55,7 @@
         claims::witness own_witness;
         claims::table table;
         claims::handover_keeper keeper;
-        claims::suspension_detector suspensions;
+        suspension_detector suspensions;
         std::map<std::string, std::int64_t> highest_incarnations;
         std::optional<claims::handover_collector> collector;
     };
--- a/utils/bench-claims/world.cpp
+++ b/utils/bench-claims/world.cpp
@@ -150,7 +150,7 @@
                                                            claims::witness(section_, now_),
                                                            claims::table(name, incarnation, voter),
                                                            {},
-                                                           claims::suspension_detector(now_),
+                                                           suspension_detector(now_, claims::max_tick_gap),
                                                            {},
                                                            {},
                                                            now_,
--- a/utils/bench-claims/world.hpp
+++ b/utils/bench-claims/world.hpp
@@ -92,7 +92,7 @@
         claims::witness own_witness;
         claims::table records;
         claims::handover_keeper keeper;
-        claims::suspension_detector suspensions;
+        suspension_detector suspensions;
         /// Process index by instance name, as of the last refresh_configuration() of this process.
         std::map<std::string, int> known_processes;
         /// Highest incarnation seen, by instance name.
