Honour what endpoints state in answers: that they leave, and for how long they want no requests

Cause: nothing read Server-Leaving, or Retry-After of an endpoint's 503. A leaving endpoint whose entry still said "ready" got work until its entry changed, and one that asked for a pause got a request after each back-off of 100 ms.

stated_limits becomes endpoint_statements, the one place for what endpoints say of themselves: limits, leavings and pauses. Requests, stage calls and releases record their answers there; the selector, the stage schedulers and the releases ask it.

- Leaving: holds until the endpoint starts again, whatever the list says.
It is told to the peers at once, with the start of the process.
The list that the selector and the schedulers get has both the entry's state and the statement, so waiting attempts choose again.
What only peers know doesn't empty a pool.
- Retry-After: this instance sends nothing until then, and a reduced load for 3 s after.
If all endpoints of a pool pause, requests are refused at once with the earliest end.
- Ages and times in messages of peers are bounded.

--- a/include/limpetlock/gateway/endpoint_selector.hpp
+++ b/include/limpetlock/gateway/endpoint_selector.hpp
@@ -2,6 +2,7 @@
 /// Selects the endpoint for a request by load, affinity and failures, as this instance observed them.
 #pragma once
 
+#include <limpetlock/gateway/endpoint_statements.hpp>
 #include <limpetlock/gateway/model.hpp>
 #include <limpetlock/support/time.hpp>
 
@@ -39,6 +40,11 @@
 /// The state of all listed endpoints, from the attempts of this instance and the load that endpoints report.
 class endpoint_selector {
 public:
+    endpoint_selector() = default;
+
+    /// Endpoints that want no requests by their own statements are never selected.
+    explicit endpoint_selector(const endpoint_statements& statements) : statements_(&statements) {}
+
     /// Replaces the list of endpoints. The state of endpoints that stay is kept unless they have restarted or
     /// have another address.
     void set_endpoints(const std::vector<endpoint>& endpoints, time_point now);
@@ -54,6 +60,10 @@
     /// if there is none.
     std::optional<endpoint> next_held_back(const selection_criteria& criteria, time_point now) const;
 
+    /// The time at which the first of the endpoints that were not tried, and want no requests now, takes
+    /// requests again; nullopt if there is none.
+    std::optional<time_point> next_pause_end(const selection_criteria& criteria, time_point now) const;
+
     /// Counts an attempt as in flight until end_attempt.
     void begin_attempt(const std::string& id, time_point now);
     void end_attempt(const std::string& id, attempt_outcome outcome, time_point now);
@@ -90,12 +100,14 @@
         std::uint64_t hash_score;
     };
 
+    bool is_paused(const std::string& id, time_point now) const;
     double load_of(const endpoint_state& it, time_point now) const;
     /// The endpoints of the pool that weren't tried.
     std::vector<const endpoint_state*> untried(const selection_criteria& criteria) const;
     std::vector<candidate> candidates(const selection_criteria& criteria, time_point now) const;
     void penalize(endpoint_state& it, duration base, time_point now);
 
+    const endpoint_statements* statements_{nullptr};
     std::map<std::string, endpoint_state, std::less<>> endpoints_;
     std::map<std::string, std::vector<std::string>, std::less<>> pools_;
 };
--- a/include/limpetlock/gateway/model.hpp
+++ b/include/limpetlock/gateway/model.hpp
@@ -191,6 +191,10 @@
     /// Requests a second that the endpoint takes from all instances together; nullopt if it states no limit.
     std::optional<double> max_rate;
     bool malformed_max_rate{false}; ///< it states a limit that can't be read
+    bool leaving{false};            ///< the endpoint states that it leaves
+    /// Time for which the endpoint, which refused for lack of capacity, wants no requests of this instance.
+    std::optional<duration> retry_after;
+    bool malformed_retry_after{false}; ///< it states such a time that can't be read
 
     friend bool operator==(const answer_metadata&, const answer_metadata&) = default;
 };
--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -67,6 +67,7 @@
 
     std::vector<time_point> order_keys_; ///< of the waiting pieces, in ascending order
     double effective_endpoints_{0};      ///< endpoints that aren't backed off, each divided by its slowness
+    duration until_first_{0};            ///< until an endpoint is available, if all are backed off
     double running_ms_{0};               ///< sum of the remaining times of the running calls
     double typical_pieces_{1};           ///< pieces of a typical call
     double call_ms_{0};
--- a/lib/gateway/endpoint_selector.cpp
+++ b/lib/gateway/endpoint_selector.cpp
@@ -73,7 +73,25 @@
     double load = it.in_flight;
     if (it.load_at != time_point{} && now - it.load_at < report_lifetime)
         load = std::max(load, static_cast<double>(it.load.running + it.load.waiting));
-    return (load + it.error_share * error_cost) / std::max<double>(1, it.listed.slots);
+    const double share = statements_ == nullptr ? 1 : statements_->return_share(it.listed.id, now);
+    return (load + it.error_share * error_cost) / std::max<double>(1, it.listed.slots) / share;
+}
+
+bool endpoint_selector::is_paused(const std::string& id, time_point now) const
+{
+    return statements_ != nullptr && statements_->paused_until(id, now).has_value();
+}
+
+std::optional<time_point> endpoint_selector::next_pause_end(const selection_criteria& criteria,
+                                                            time_point now) const
+{
+    std::optional<time_point> out;
+    if (statements_ == nullptr)
+        return out;
+    for (const auto* it : untried(criteria))
+        if (const auto until = statements_->paused_until(it->listed.id, now))
+            out = std::min(*until, out.value_or(*until));
+    return out;
 }
 
 std::vector<const endpoint_selector::endpoint_state*>
@@ -94,7 +112,7 @@
 {
     std::vector<candidate> out;
     for (const auto* it : untried(criteria)) {
-        if (it->held_until > now)
+        if (it->held_until > now || is_paused(it->listed.id, now))
             continue;
         const double load = load_of(*it, now);
         out.push_back(
@@ -115,7 +133,8 @@
 {
     const endpoint_state* best = nullptr;
     for (const auto* it : untried(criteria))
-        if (it->held_until > now && (best == nullptr || it->held_until < best->held_until))
+        if (it->held_until > now && !is_paused(it->listed.id, now) &&
+            (best == nullptr || it->held_until < best->held_until))
             best = it;
     if (best == nullptr)
         return std::nullopt;
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -55,11 +55,21 @@
 /// Parts of prompts whose evidence one ping or pong carries.
 constexpr std::size_t suspects_per_message = 24;
 
+/// Endpoints that leave by their own statement that one ping or pong carries.
+constexpr std::size_t leavings_per_message = 24;
+
 /// Limits of endpoints that one ping or pong carries.
 constexpr std::size_t limits_per_message = 24;
 
 const char* const seed_prefix = "seed/";
 
+/// An age as a peer states it. Anything beyond a day is as old, and must not overflow the time.
+duration age_from_peer(std::int64_t ms)
+{
+    constexpr std::int64_t max_ms = 24 * 3'600'000;
+    return duration(std::clamp<std::int64_t>(ms, 0, max_ms));
+}
+
 wire::member_message to_message(const member& it, duration age)
 {
     wire::member_message out;
@@ -79,7 +89,7 @@
     member_report out;
     out.info = {it.name,    {it.host, static_cast<std::uint16_t>(it.port)}, it.domain, it.capacity, it.life,
                 it.stopping};
-    out.age = duration(std::max<std::int64_t>(0, it.age_ms));
+    out.age = age_from_peer(it.age_ms);
     return out;
 }
 
@@ -108,10 +118,10 @@
     part_evidence out;
     out.part = static_cast<std::uint64_t>(it.part);
     if (it.answer_age_ms >= 0)
-        out.answered = now - duration(it.answer_age_ms);
+        out.answered = now - age_from_peer(it.answer_age_ms);
     for (const auto& crash : it.crashes)
-        out.crashes.push_back({crash.endpoint, crash.started_ms, crash.reporter,
-                               now - duration(std::max<std::int64_t>(0, crash.age_ms))});
+        out.crashes.push_back(
+            {crash.endpoint, crash.started_ms, crash.reporter, now - age_from_peer(crash.age_ms)});
     return out;
 }
 
@@ -131,6 +141,26 @@
     return out;
 }
 
+std::vector<wire::endpoint_leaving_message> to_messages(const std::vector<leaving_statement>& list,
+                                                        time_point now)
+{
+    std::vector<wire::endpoint_leaving_message> out;
+    for (const auto& it : list) {
+        wire::endpoint_leaving_message message;
+        message.endpoint = it.endpoint;
+        message.started_ms = it.started_ms;
+        message.reporter = it.reporter;
+        message.age_ms = std::max<std::int64_t>(0, (now - it.at).count());
+        out.push_back(std::move(message));
+    }
+    return out;
+}
+
+leaving_statement from_message(const wire::endpoint_leaving_message& it, time_point now)
+{
+    return {it.endpoint, it.started_ms, it.reporter, now - age_from_peer(it.age_ms)};
+}
+
 limit_statement from_message(const wire::endpoint_limit_message& it, time_point now)
 {
     limit_statement out;
@@ -139,7 +169,7 @@
     if (std::isfinite(it.max_rate) && it.max_rate >= 0)
         out.max_rate = it.max_rate;
     out.reporter = it.reporter;
-    out.at = now - duration(std::max<std::int64_t>(0, it.age_ms));
+    out.at = now - age_from_peer(it.age_ms);
     return out;
 }
 
@@ -165,10 +195,10 @@
 // The incarnation of the messenger is always 0: membership messages distinguish two processes of one name,
 // and an incarnation taken from a clock that was set back would shut out a new process.
 fleet::fleet(asio::any_io_executor executor, const gateway_settings& settings, std::int64_t run_id,
-             published_state& state, prompt_quarantine& quarantine, stated_limits& limits,
+             published_state& state, prompt_quarantine& quarantine, endpoint_statements& statements,
              metrics::registry& metrics, handlers its_handlers)
     : executor_(std::move(executor)), settings_(settings), state_(state), quarantine_(quarantine),
-      limits_(limits), handlers_(std::move(its_handlers)), view_(own_member(settings, run_id)),
+      statements_(statements), handlers_(std::move(its_handlers)), view_(own_member(settings, run_id)),
       suspensions_(boot_clock::now(), max_tick_gap),
       suspension_count_(metrics.get_counter("limpetlock_suspensions_total",
                                             "times that this process stood still for over 600 ms")),
@@ -276,7 +306,8 @@
     body.known = members_for_peers(sent);
     set_positions(body);
     body.suspects = to_messages(quarantine_.evidence_for_peers(sent, suspects_per_message), sent);
-    body.limits = to_messages(limits_.statements_for_peers(sent, limits_per_message), sent);
+    body.limits = to_messages(statements_.statements_for_peers(sent, limits_per_message), sent);
+    body.leaving = to_messages(statements_.leavings_for_peers(sent, leavings_per_message), sent);
     message.__set_member_ping(body);
     peer::call_error error;
     const auto reply = co_await messenger_.call(to, std::move(message), sent + ping_timeout, error);
@@ -292,6 +323,7 @@
     record_members(it.own, it.known, boot_clock::now());
     merge_suspects(it.suspects, boot_clock::now());
     merge_limits(it.limits, boot_clock::now());
+    merge_leavings(it.leaving, boot_clock::now());
     if (it.proof_age_ms >= 0)
         state_.record_proof(
             {{it.table_revision, it.table_era}, sent - duration(it.proof_age_ms), it.table_version});
@@ -320,11 +352,11 @@
         detect_suspension(boot_clock::now());
         const state_revision known = std::max(state_.table_revision(), state_.entries().revision());
         if (known <= spread_revision && quarantine_.version() == spread_evidence &&
-            limits_.version() == spread_limits)
+            statements_.version() == spread_limits)
             continue;
         spread_revision = std::max(spread_revision, known);
         spread_evidence = quarantine_.version();
-        spread_limits = limits_.version();
+        spread_limits = statements_.version();
         for (auto& to : ping_targets(boot_clock::now()))
             asio::co_spawn(executor_, ping(std::move(to)), asio::detached);
     }
@@ -385,14 +417,21 @@
     set_positions(out);
     out.proof_age_ms = state_.proof_age(now).value_or(duration(-1)).count();
     out.suspects = to_messages(quarantine_.evidence_for_peers(now, suspects_per_message), now);
-    out.limits = to_messages(limits_.statements_for_peers(now, limits_per_message), now);
+    out.limits = to_messages(statements_.statements_for_peers(now, limits_per_message), now);
+    out.leaving = to_messages(statements_.leavings_for_peers(now, leavings_per_message), now);
     return out;
 }
 
 void fleet::merge_limits(const std::vector<wire::endpoint_limit_message>& list, time_point now)
 {
     for (const auto& it : list)
-        limits_.merge(from_message(it, now), now);
+        statements_.merge(from_message(it, now), now);
+}
+
+void fleet::merge_leavings(const std::vector<wire::endpoint_leaving_message>& list, time_point now)
+{
+    for (const auto& it : list)
+        statements_.merge(from_message(it, now), now);
 }
 
 void fleet::merge_suspects(const std::vector<wire::part_evidence_message>& list, time_point now)
@@ -476,6 +515,7 @@
         record_members(message.member_ping.own, message.member_ping.known, now);
         merge_suspects(message.member_ping.suspects, now);
         merge_limits(message.member_ping.limits, now);
+        merge_leavings(message.member_ping.leaving, now);
         if (links_.contains(message.member_ping.own.name))
             pull_if_newer(message.member_ping.own.name, positions_of(message.member_ping));
         reply.__set_member_pong(make_pong(now));
--- a/lib/gateway/fleet.hpp
+++ b/lib/gateway/fleet.hpp
@@ -2,12 +2,12 @@
 /// Messages between the instances: membership, published state and its proofs, and stage tasks.
 #pragma once
 
+#include <limpetlock/gateway/endpoint_statements.hpp>
 #include <limpetlock/gateway/fleet_view.hpp>
 #include <limpetlock/gateway/permit_issuer.hpp>
 #include <limpetlock/gateway/prompt_quarantine.hpp>
 #include <limpetlock/gateway/published_state.hpp>
 #include <limpetlock/gateway/settings.hpp>
-#include <limpetlock/gateway/stated_limits.hpp>
 #include <limpetlock/peer/generated/peer_types.h>
 #include <limpetlock/peer/messenger.hpp>
 #include <limpetlock/support/metrics.hpp>
@@ -36,8 +36,8 @@
 };
 
 /// Pings the other instances, which spreads the members of the fleet, the revisions of the published state
-/// and the proofs of its age, the evidence on parts of prompts that crash engines, and the limits that
-/// endpoints state. Pulls newer state from peers.
+/// and the proofs of its age, the evidence on parts of prompts that crash engines, and what endpoints
+/// state of themselves. Pulls newer state from peers.
 class fleet {
 public:
     /// Handlers of the messages about stage tasks and permits.
@@ -50,7 +50,7 @@
     };
 
     fleet(boost::asio::any_io_executor executor, const gateway_settings& settings, std::int64_t run_id,
-          published_state& state, prompt_quarantine& quarantine, stated_limits& limits,
+          published_state& state, prompt_quarantine& quarantine, endpoint_statements& statements,
           metrics::registry& metrics, handlers its_handlers);
 
     void start();
@@ -95,6 +95,7 @@
                         time_point now);
     void merge_suspects(const std::vector<wire::part_evidence_message>& list, time_point now);
     void merge_limits(const std::vector<wire::endpoint_limit_message>& list, time_point now);
+    void merge_leavings(const std::vector<wire::endpoint_leaving_message>& list, time_point now);
     void process_pong(const std::string& from, const wire::member_pong_message& it, time_point sent);
     void pull_if_newer(const std::string& from, const state_positions& peer);
     /// Sets the own positions in a ping or pong.
@@ -107,7 +108,7 @@
     const gateway_settings& settings_;
     published_state& state_;
     prompt_quarantine& quarantine_;
-    stated_limits& limits_;
+    endpoint_statements& statements_;
     handlers handlers_;
     fleet_view view_;
     suspension_detector suspensions_;
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -8,10 +8,10 @@
 #include "store_reader.hpp"
 
 #include <limpetlock/gateway/endpoint_selector.hpp>
+#include <limpetlock/gateway/endpoint_statements.hpp>
 #include <limpetlock/gateway/instance.hpp>
 #include <limpetlock/gateway/permit_issuer.hpp>
 #include <limpetlock/gateway/published_state.hpp>
-#include <limpetlock/gateway/stated_limits.hpp>
 #include <limpetlock/lifecycle/stop_sequence.hpp>
 #include <limpetlock/support/log.hpp>
 #include <limpetlock/support/metrics.hpp>
@@ -20,6 +20,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
@@ -106,22 +107,24 @@
 struct instance::impl {
     impl(gateway_settings its_settings, std::unique_ptr<platform_codec> its_codec, settings_loader its_reload)
         : settings(std::move(its_settings)), codec(std::move(its_codec)), reload(std::move(its_reload)),
-          limits(settings.name), state(*codec, callbacks()),
+          statements(settings.name), selector(statements), state(*codec, callbacks()),
           endpoint_client(io.get_executor(), endpoint_limits()),
           service_client(io.get_executor(), service_limits()),
           reader(io.get_executor(), settings, *codec, state, metrics, [this] { return reader_role(); }),
-          releaser(io.get_executor(), *codec, endpoint_client, limits, issuer),
-          scheduler(io.get_executor(), *codec, endpoint_client, releaser, limits, issuer, metrics,
+          releaser(io.get_executor(), *codec, endpoint_client, statements, issuer),
+          scheduler(io.get_executor(), *codec, endpoint_client, releaser, statements, issuer, metrics,
                     [this](const std::vector<result_group>& used) { return_results(used); }),
-          peers(io.get_executor(), settings, random_run_id(), state, quarantine, limits, metrics,
+          peers(io.get_executor(), settings, random_run_id(), state, quarantine, statements, metrics,
                 peer_handlers()),
-          endpoint_permits(peers, limits, issuer, metrics),
+          endpoint_permits(peers, statements, issuer, metrics),
           returns(io.get_executor(), peers, scheduler, releaser),
           runner(io.get_executor(), peers, scheduler, returns, selector),
-          handler({*codec, settings, state, reader, quarantine, selector, limits, endpoint_permits, runner,
-                   returns, peers, endpoint_client, service_client, metrics}),
+          handler({*codec, settings, state, reader, quarantine, selector, statements, endpoint_permits,
+                   runner, returns, peers, endpoint_client, service_client, metrics}),
           stop(stop_settings_of(settings.bounds)), signals(io, SIGTERM, SIGINT), hangups(io, SIGHUP)
     {
+        // Posted, because the handler is called in the middle of attempts and stage calls.
+        statements.set_leaving_handler([this] { asio::post(io, [this] { apply_endpoints(); }); });
         open_listeners();
     }
 
@@ -133,15 +136,23 @@
             set_caller_limits(it->limits);
         };
         out.on_endpoints = [this](const std::vector<endpoint>& it) {
-            endpoints = it;
-            selector.set_endpoints(it, boot_clock::now());
-            limits.set_endpoints(it);
-            if (const auto table = state.table())
-                scheduler.configure(table, endpoints);
+            listed = it;
+            statements.set_endpoints(it);
+            apply_endpoints();
         };
         return out;
     }
 
+    /// Gives the list, with what the endpoints state of themselves, to all that select endpoints.
+    void apply_endpoints()
+    {
+        endpoints = listed;
+        statements.mark_leaving(endpoints);
+        selector.set_endpoints(endpoints, boot_clock::now());
+        if (const auto table = state.table())
+            scheduler.configure(table, endpoints);
+    }
+
     /// Only a few instances watch the store; the others receive the changes from their peers.
     store_reader::role reader_role()
     {
@@ -277,7 +288,8 @@
         http::response answer = http::json_response(404, "{\"error\":\"no such page\"}");
         if (it.message().target == "/metrics") {
             dropped_lines.set(static_cast<std::int64_t>(log::dropped_line_count()));
-            limits_in_force.set(static_cast<std::int64_t>(limits.count()));
+            limits_in_force.set(static_cast<std::int64_t>(statements.count()));
+            leaving_endpoints.set(static_cast<std::int64_t>(statements.leaving_count()));
             answer = {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.render()};
         }
         co_await it.respond(std::move(answer));
@@ -406,9 +418,12 @@
         metrics.get_gauge("limpetlock_log_lines_dropped", "log lines that standard output did not take")};
     metrics::gauge& limits_in_force{metrics.get_gauge(
         "limpetlock_endpoint_limits", "endpoints that limit the rate of requests, as far as known here")};
-    std::vector<endpoint> endpoints;
+    metrics::gauge& leaving_endpoints{metrics.get_gauge(
+        "limpetlock_endpoints_stating_leaving", "endpoints that stated in an answer that they leave")};
+    std::vector<endpoint> listed;    ///< as the store lists them
+    std::vector<endpoint> endpoints; ///< with those that leave by their own statement
+    endpoint_statements statements;
     endpoint_selector selector;
-    stated_limits limits;
     permit_issuer issuer;
     prompt_quarantine quarantine;
     published_state state;
--- a/lib/gateway/permits.cpp
+++ b/lib/gateway/permits.cpp
@@ -19,8 +19,9 @@
 
 } // namespace
 
-permits::permits(fleet& peers, const stated_limits& limits, permit_issuer& issuer, metrics::registry& metrics)
-    : fleet_(peers), limits_(limits), issuer_(issuer),
+permits::permits(fleet& peers, const endpoint_statements& statements, permit_issuer& issuer,
+                 metrics::registry& metrics)
+    : fleet_(peers), statements_(statements), issuer_(issuer),
       granted_(metrics.get_counter(metric_name, metric_help, {{"outcome", "granted"}})),
       denied_(metrics.get_counter(metric_name, metric_help, {{"outcome", "denied"}})),
       unanswered_(metrics.get_counter(metric_name, metric_help, {{"outcome", "unanswered"}}))
@@ -31,7 +32,7 @@
 {
     // This instance may know a newer limit than the one that asks.
     permit_request known = it;
-    if (const auto* statement = limits_.find(it.endpoint))
+    if (const auto* statement = statements_.find(it.endpoint))
         known.max_rate = *statement->max_rate;
     return issuer_.request(known, now);
 }
--- a/lib/gateway/permits.hpp
+++ b/lib/gateway/permits.hpp
@@ -4,8 +4,8 @@
 
 #include "fleet.hpp"
 
+#include <limpetlock/gateway/endpoint_statements.hpp>
 #include <limpetlock/gateway/permit_issuer.hpp>
-#include <limpetlock/gateway/stated_limits.hpp>
 #include <limpetlock/support/metrics.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -18,7 +18,8 @@
 /// permits of stage endpoints are issued by the instance that schedules their pool, and not asked for.
 class permits {
 public:
-    permits(fleet& peers, const stated_limits& limits, permit_issuer& issuer, metrics::registry& metrics);
+    permits(fleet& peers, const endpoint_statements& statements, permit_issuer& issuer,
+            metrics::registry& metrics);
 
     /// Requests a permit. A permit that isn't used is lost.
     boost::asio::awaitable<permit> acquire(permit_request it);
@@ -28,7 +29,7 @@
 
 private:
     fleet& fleet_;
-    const stated_limits& limits_;
+    const endpoint_statements& statements_;
     permit_issuer& issuer_;
     metrics::counter& granted_;
     metrics::counter& denied_;
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -120,6 +120,9 @@
       limited_(dependencies.metrics.get_counter(
           "limpetlock_requests_limited_total",
           "requests refused because the endpoints of their pool take no more for their limits")),
+      paused_(dependencies.metrics.get_counter(
+          "limpetlock_requests_paused_total",
+          "requests refused because all endpoints of their pool asked for no requests for a while")),
       confirmations_(dependencies.metrics.get_counter(
           "limpetlock_table_confirmations_total",
           "requests that waited for a read of the table because its proof was too old")),
@@ -288,6 +291,8 @@
     it.endpoint_criteria.session_hash = prompt_session(it.request);
     if (dependencies_.selector.available_endpoints(it.pool).empty())
         co_return refuse(it, 503, "no endpoint", min_retry_after);
+    if (refuse_while_paused(it))
+        co_return false;
     if (it.matched_route->stages.empty())
         co_return true;
     bool ready = co_await reserve_slot(it);
@@ -532,8 +537,8 @@
     const auto metadata = dependencies_.codec.decode_answer_metadata(answer->status(), answer->headers());
     if (metadata.load)
         dependencies_.selector.record_load(to.target.id, *metadata.load, boot_clock::now());
-    dependencies_.limits.record_answer(to.target.id, metadata, metadata.has_signature || metadata.not_run,
-                                       now, boot_clock::now());
+    dependencies_.statements.record_answer(to.target, metadata, metadata.has_signature || metadata.not_run,
+                                           now, boot_clock::now());
     if (metadata.not_run || metadata.wrong_endpoint) {
         out.end = metadata.inputs_gone ? attempt_end::inputs_gone : attempt_end::not_run;
         out.outcome = metadata.inputs_gone      ? attempt_outcome::answered
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -9,12 +9,12 @@
 #include "store_reader.hpp"
 
 #include <limpetlock/gateway/endpoint_selector.hpp>
+#include <limpetlock/gateway/endpoint_statements.hpp>
 #include <limpetlock/gateway/platform_codec.hpp>
 #include <limpetlock/gateway/prompt_quarantine.hpp>
 #include <limpetlock/gateway/published_state.hpp>
 #include <limpetlock/gateway/retry_share.hpp>
 #include <limpetlock/gateway/settings.hpp>
-#include <limpetlock/gateway/stated_limits.hpp>
 #include <limpetlock/http/client.hpp>
 #include <limpetlock/http/server.hpp>
 #include <limpetlock/support/metrics.hpp>
@@ -40,7 +40,7 @@
     store_reader& reader;
     prompt_quarantine& quarantine;
     endpoint_selector& selector;
-    stated_limits& limits;
+    endpoint_statements& statements;
     permits& endpoint_permits;
     stage_runner& runner;
     result_returns& returns;
@@ -109,6 +109,8 @@
     /// Finds an endpoint with a permit, or without a limit. A permit may begin later.
     boost::asio::awaitable<std::optional<send_slot>> find_send_slot(request_context& it);
     boost::asio::awaitable<bool> reserve_slot(request_context& it);
+    /// Refuses the request if all endpoints that may serve it want no requests now. Returns whether it did.
+    bool refuse_while_paused(request_context& it);
     bool is_pool_limited(const std::string& pool) const;
     static duration max_permit_wait(const request_context& it, time_point now);
     void refuse_without_permit(request_context& it, duration next_permit);
@@ -144,6 +146,7 @@
     metrics::counter& quarantined_;
     metrics::counter& engines_lost_;
     metrics::counter& limited_;
+    metrics::counter& paused_;
     metrics::counter& confirmations_;
     metrics::counter& unproven_tables_;
     metrics::summary& proof_ages_;
--- a/lib/gateway/request_permit.cpp
+++ b/lib/gateway/request_permit.cpp
@@ -50,7 +50,7 @@
 {
     const auto all = dependencies_.selector.available_endpoints(pool);
     return !all.empty() && std::all_of(all.begin(), all.end(), [this](const endpoint& it) {
-        return dependencies_.limits.find(it.id) != nullptr;
+        return dependencies_.statements.find(it.id) != nullptr;
     });
 }
 
@@ -66,9 +66,11 @@
             to = selector.next_held_back(it.endpoint_criteria, now);
             max_wait = max_permit_wait(it, now);
         }
-        if (!to)
+        if (!to) {
+            refuse_while_paused(it);
             co_return std::nullopt;
-        const auto* const limit = dependencies_.limits.find(to->id);
+        }
+        const auto* const limit = dependencies_.statements.find(to->id);
         if (limit == nullptr)
             co_return send_slot{*to, now, time_point::max()};
         permit_request body{to->id, *limit->max_rate, max_wait, it.team.value_or("")};
@@ -81,7 +83,7 @@
     }
     auto unlimited = it.endpoint_criteria;
     for (const auto& other : selector.available_endpoints(it.pool))
-        if (dependencies_.limits.find(other.id) != nullptr)
+        if (dependencies_.statements.find(other.id) != nullptr)
             unlimited.tried.push_back(other.id);
     if (auto to = selector.select(unlimited, boot_clock::now()))
         co_return send_slot{*to, boot_clock::now(), time_point::max()};
@@ -100,7 +102,8 @@
         const time_point now = boot_clock::now();
         if (slot->from > now)
             co_await sleep_for(slot->from - now);
-        if (boot_clock::now() <= slot->until && dependencies_.selector.accepts_work(slot->to.id))
+        const bool paused = dependencies_.statements.paused_until(slot->to.id, boot_clock::now()).has_value();
+        if (boot_clock::now() <= slot->until && !paused && dependencies_.selector.accepts_work(slot->to.id))
             co_return slot->to;
         slot.reset();
     }
@@ -118,6 +121,26 @@
     co_return it.reserved_slot.has_value();
 }
 
+bool request_handler::refuse_while_paused(request_context& it)
+{
+    const time_point now = boot_clock::now();
+    const auto& selector = dependencies_.selector;
+    const auto next = selector.next_pause_end(it.endpoint_criteria, now);
+    if (!next || dependencies_.selector.select(it.endpoint_criteria, now) ||
+        selector.next_held_back(it.endpoint_criteria, now))
+        return false;
+    const auto jitter = static_cast<std::int64_t>(random_() % 300);
+    const duration retry_after = std::max(min_retry_after, *next - now) + duration(jitter);
+    paused_.add();
+    log::info("request_paused", {{"request", it.request.id},
+                                 {"pool", it.pool},
+                                 {"attempts", fmt::to_string(it.attempts)},
+                                 {"retry_after_ms", fmt::to_string(retry_after.count())}});
+    if (it.possible_executions == 0)
+        refuse(it, 503, "the endpoints take no requests for a while", retry_after);
+    return true;
+}
+
 /// Refuses a request for which no endpoint has a permit in time, unless it may have run.
 void request_handler::refuse_without_permit(request_context& it, duration next_permit)
 {
@@ -125,7 +148,7 @@
     std::string text;
     std::size_t named = 0;
     for (const auto& endpoint : dependencies_.selector.available_endpoints(it.pool)) {
-        const auto* const limit = dependencies_.limits.find(endpoint.id);
+        const auto* const limit = dependencies_.statements.find(endpoint.id);
         if (limit != nullptr && named++ < max_logged_limits)
             text += fmt::format("{}{}:{:g}@{}/{}ms", text.empty() ? "" : ",", endpoint.id, *limit->max_rate,
                                 limit->reporter, (now - limit->at).count());
--- a/lib/gateway/result_releaser.cpp
+++ b/lib/gateway/result_releaser.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace limpetlock::gateway {
@@ -26,8 +27,8 @@
 } // namespace
 
 result_releaser::result_releaser(asio::any_io_executor executor, const platform_codec& codec,
-                                 http::client& client, stated_limits& limits, permit_issuer& issuer)
-    : executor_(std::move(executor)), codec_(codec), client_(client), limits_(limits), issuer_(issuer)
+                                 http::client& client, endpoint_statements& statements, permit_issuer& issuer)
+    : executor_(std::move(executor)), codec_(codec), client_(client), statements_(statements), issuer_(issuer)
 {
 }
 
@@ -48,8 +49,10 @@
     flushing_ = false;
     const time_point now = boot_clock::now();
     for (auto& [producer, handles] : std::exchange(pending_, {})) {
-        const auto* const limit = limits_.find(limits_.endpoint_at(producer));
-        if (limit == nullptr) {
+        const std::string id = statements_.endpoint_at(producer);
+        const auto* const limit = statements_.find(id);
+        const auto paused_until = statements_.paused_until(id, now);
+        if (limit == nullptr && !paused_until) {
             asio::co_spawn(executor_, send(producer, std::move(handles)), asio::detached);
             continue;
         }
@@ -58,14 +61,21 @@
         gathered.insert(gathered.end(), handles.begin(), handles.end());
         if (!first)
             continue;
-        const auto given = issuer_.request({limit->endpoint, *limit->max_rate, max_permit_wait, {}}, now);
-        if (given.granted) {
-            asio::co_spawn(executor_, send_with_permit(producer, given.wait), asio::detached);
+        duration wait = paused_until ? *paused_until - now : duration{0};
+        bool granted = wait <= max_permit_wait;
+        if (granted && limit != nullptr) {
+            const auto given = issuer_.request({id, *limit->max_rate, max_permit_wait, {}}, now);
+            granted = given.granted;
+            wait = std::max(wait, given.wait);
+        }
+        if (granted) {
+            asio::co_spawn(executor_, send_with_permit(producer, wait), asio::detached);
             continue;
         }
-        log::info("release_failed", {{"maker", fmt::format("{}:{}", producer.host, producer.port)},
-                                     {"results", fmt::to_string(gathered.size())},
-                                     {"reason", "no permit in time"}});
+        log::info("release_failed",
+                  {{"maker", fmt::format("{}:{}", producer.host, producer.port)},
+                   {"results", fmt::to_string(gathered.size())},
+                   {"reason", paused_until ? "the producer takes no requests" : "no permit in time"}});
         without_permit_.erase(producer);
     }
 }
@@ -82,12 +92,12 @@
 {
     http::call_error error;
     const time_point sent = boot_clock::now();
-    const std::string endpoint_id = limits_.endpoint_at(producer);
+    const std::string endpoint_id = statements_.endpoint_at(producer);
     const auto answer = co_await client_.call(producer, codec_.encode_release_call(handles),
                                               sent + call_timeout, http::connection_policy::pooled, error);
     if (answer)
-        limits_.record_answer(endpoint_id, codec_.decode_answer_metadata(answer->status, answer->headers),
-                              answer->status == 200, sent, boot_clock::now());
+        statements_.record_answer(endpoint_id, codec_.decode_answer_metadata(answer->status, answer->headers),
+                                  answer->status == 200, sent, boot_clock::now());
     else
         log::info("release_failed", {{"maker", fmt::format("{}:{}", producer.host, producer.port)},
                                      {"results", fmt::to_string(handles.size())},
--- a/lib/gateway/result_releaser.hpp
+++ b/lib/gateway/result_releaser.hpp
@@ -2,9 +2,9 @@
 /// Notifies the producers of stage results of the results that are no longer needed.
 #pragma once
 
+#include <limpetlock/gateway/endpoint_statements.hpp>
 #include <limpetlock/gateway/permit_issuer.hpp>
 #include <limpetlock/gateway/platform_codec.hpp>
-#include <limpetlock/gateway/stated_limits.hpp>
 #include <limpetlock/http/client.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -21,7 +21,7 @@
 class result_releaser {
 public:
     result_releaser(boost::asio::any_io_executor executor, const platform_codec& codec, http::client& client,
-                    stated_limits& limits, permit_issuer& issuer);
+                    endpoint_statements& statements, permit_issuer& issuer);
 
     /// Queues results for release at their producers. Malformed handles are ignored.
     void release(const std::vector<std::string>& handles);
@@ -34,7 +34,7 @@
     boost::asio::any_io_executor executor_;
     const platform_codec& codec_;
     http::client& client_;
-    stated_limits& limits_;
+    endpoint_statements& statements_;
     permit_issuer& issuer_;
     std::map<http::address, std::vector<std::string>> pending_;
     std::map<http::address, std::vector<std::string>> without_permit_;
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -43,7 +43,7 @@
 /// Weight of one call in the moving average of the pieces of a call.
 constexpr double typical_pieces_weight = 0.1;
 
-/// Assumed backlog of a pool whose endpoints are all backed off.
+/// Least assumed backlog of a pool whose endpoints are all backed off.
 constexpr duration unknown_backlog{2'000};
 
 constexpr double bytes_per_mb = 1e6;
@@ -310,8 +310,11 @@
 {
     backlog_profile out;
     for (const auto& [id, it] : endpoints_) {
-        if (it.avoid_until > now)
+        if (it.avoid_until > now) {
+            const duration left = it.avoid_until - now;
+            out.until_first_ = out.until_first_ == duration{0} ? left : std::min(left, out.until_first_);
             continue;
+        }
         out.effective_endpoints_ += 1 / std::max(0.5, slowness_of(it, now));
         if (it.busy && it.busy_until > now)
             out.running_ms_ += static_cast<double>((it.busy_until - now).count());
@@ -337,7 +340,7 @@
 duration backlog_profile::time_for(std::size_t pieces) const
 {
     if (effective_endpoints_ <= 0)
-        return unknown_backlog;
+        return std::max(unknown_backlog, until_first_);
     const auto n = static_cast<double>(pieces);
     const double total_ms = running_ms_ + std::ceil(n / typical_pieces_) * call_ms_ + n * piece_ms_;
     return duration(static_cast<std::int64_t>(total_ms / effective_endpoints_));
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -95,11 +95,12 @@
 };
 
 stage_scheduler::stage_scheduler(asio::any_io_executor executor, const platform_codec& codec,
-                                 http::client& client, result_releaser& releaser, stated_limits& limits,
-                                 permit_issuer& issuer, metrics::registry& metrics,
-                                 inputs_fetched_handler on_inputs_fetched)
-    : executor_(std::move(executor)), codec_(codec), client_(client), releaser_(releaser), limits_(limits),
-      issuer_(issuer), on_inputs_fetched_(std::move(on_inputs_fetched)), metrics_(metrics),
+                                 http::client& client, result_releaser& releaser,
+                                 endpoint_statements& statements, permit_issuer& issuer,
+                                 metrics::registry& metrics, inputs_fetched_handler on_inputs_fetched)
+    : executor_(std::move(executor)), codec_(codec), client_(client), releaser_(releaser),
+      statements_(statements), issuer_(issuer), on_inputs_fetched_(std::move(on_inputs_fetched)),
+      metrics_(metrics),
       calls_(metrics.get_counter("limpetlock_stage_calls_total", "calls to endpoints of stage pools")),
       pieces_(metrics.get_counter("limpetlock_stage_pieces_total", "pieces sent in stage calls")),
       repeated_pieces_(metrics.get_counter("limpetlock_stage_pieces_repeated_total", "pieces sent again"))
@@ -312,22 +313,27 @@
     if (now - last_tick_ > abandoned_after)
         expire(now);
     const task_filter deferred = congestion_filter(key.domain, now);
-    hold_back_without_permit(key, now);
+    hold_back_by_statements(key, now);
     while (auto call = state.dispatcher.next_call(now, deferred)) {
-        if (const auto* limit = limits_.find(call->to.id))
+        if (const auto* limit = statements_.find(call->to.id))
             issuer_.request({call->to.id, *limit->max_rate, duration{0}, {}}, now);
         asio::co_spawn(executor_, make_call(key, std::move(*call)), asio::detached);
     }
 }
 
-/// This instance makes all calls to the pool's endpoints, so it issues their permits itself.
-void stage_scheduler::hold_back_without_permit(const pool_key& key, time_point now)
+/// Makes no calls to endpoints that want none now, and to those without a permit. This instance makes all
+/// calls to the pool's endpoints, so it issues their permits itself.
+void stage_scheduler::hold_back_by_statements(const pool_key& key, time_point now)
 {
-    if (limits_.count() == 0)
+    if (statements_.count() == 0 && !statements_.any_paused(now))
         return;
     auto& dispatcher = pools_.at(key)->dispatcher;
     for (const auto& it : endpoints_) {
-        const auto* const limit = it.pool == key.pool ? limits_.find(it.id) : nullptr;
+        if (it.pool != key.pool)
+            continue;
+        if (const auto until = statements_.paused_until(it.id, now))
+            dispatcher.hold_back(it.id, *until);
+        const auto* const limit = statements_.find(it.id);
         if (limit == nullptr)
             continue;
         const duration wait = issuer_.time_to_permit(it.id, *limit->max_rate, now);
@@ -365,7 +371,7 @@
         const auto metadata = codec_.decode_answer_metadata(answer->status, answer->headers);
         if (answer->status == 200)
             results = codec_.decode_stage_answer(answer->body, pieces.size());
-        limits_.record_answer(call.to.id, metadata, results || metadata.not_run, started, now);
+        statements_.record_answer(call.to, metadata, results || metadata.not_run, started, now);
         if (results)
             outcome = call_outcome::answered;
         else if (metadata.wrong_endpoint)
--- a/lib/gateway/stage_scheduler.hpp
+++ b/lib/gateway/stage_scheduler.hpp
@@ -2,10 +2,10 @@
 /// Runs the stage tasks of the pools that this instance is responsible for.
 #pragma once
 
+#include <limpetlock/gateway/endpoint_statements.hpp>
 #include <limpetlock/gateway/permit_issuer.hpp>
 #include <limpetlock/gateway/platform_codec.hpp>
 #include <limpetlock/gateway/stage_dispatcher.hpp>
-#include <limpetlock/gateway/stated_limits.hpp>
 #include <limpetlock/http/client.hpp>
 #include <limpetlock/support/metrics.hpp>
 
@@ -51,7 +51,7 @@
     using inputs_fetched_handler = std::function<void(const std::vector<result_group>&)>;
 
     stage_scheduler(boost::asio::any_io_executor executor, const platform_codec& codec, http::client& client,
-                    result_releaser& releaser, stated_limits& limits, permit_issuer& issuer,
+                    result_releaser& releaser, endpoint_statements& statements, permit_issuer& issuer,
                     metrics::registry& metrics, inputs_fetched_handler on_inputs_fetched);
     ~stage_scheduler();
     stage_scheduler(const stage_scheduler&) = delete;
@@ -87,7 +87,7 @@
     void configure(const pool_key& key, pool_state& state);
     task_filter congestion_filter(const std::string& domain, time_point now) const;
     void dispatch_calls(const pool_key& key);
-    void hold_back_without_permit(const pool_key& key, time_point now);
+    void hold_back_by_statements(const pool_key& key, time_point now);
     void dispatch_domain(const std::string& domain);
     void process_results(pool_state& at, stage_dispatch& call, const std::vector<piece_result>& results);
     void requeue(pool_state& at, const std::vector<queued_piece>& pieces, std::string_view reason);
@@ -104,7 +104,7 @@
     const platform_codec& codec_;
     http::client& client_;
     result_releaser& releaser_;
-    stated_limits& limits_;
+    endpoint_statements& statements_;
     permit_issuer& issuer_;
     inputs_fetched_handler on_inputs_fetched_;
     metrics::registry& metrics_;
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -157,6 +157,14 @@
   5: i64 age_ms;
 }
 
+/// An endpoint that stated in an answer that it leaves.
+struct endpoint_leaving_message {
+  1: string endpoint;
+  2: i64 started_ms;     // start of its process
+  3: string reporter;    // instance that got the answer
+  4: i64 age_ms;
+}
+
 struct member_ping_message {
   1: member_message own;
   2: list<member_message> known;
@@ -167,6 +175,7 @@
   7: i64 state_era;
   8: i64 table_era;
   9: i64 table_version;
+  10: list<endpoint_leaving_message> leaving;
 }
 
 struct member_pong_message {
@@ -180,6 +189,7 @@
   8: i64 state_era;       // era of the store in which state_revision was given out
   9: i64 table_era;
   10: i64 table_version;
+  11: list<endpoint_leaving_message> leaving;
 }
 
 struct state_pull_message {
--- a/unittests/gateway/limit_test.cpp
+++ b/unittests/gateway/limit_test.cpp
@@ -1,5 +1,5 @@
+#include <limpetlock/gateway/endpoint_statements.hpp>
 #include <limpetlock/gateway/permit_issuer.hpp>
-#include <limpetlock/gateway/stated_limits.hpp>
 
 #include <criterion/criterion.h>
 
@@ -185,7 +185,7 @@
 // isn't the endpoint's own, and against one that never ends.
 Test(limit, limit_ends_with_an_answer_to_a_later_request_without_one)
 {
-    stated_limits limits("one");
+    endpoint_statements limits("one");
     limits.set_endpoints({endpoint_of("e")});
     limits.record_answer("e", answer_with(1.4), true, at(0), at(100));
     cr_assert_not_null(limits.find("e"));
@@ -211,7 +211,7 @@
 // process has restarted.
 Test(limit, limit_is_forgotten_with_its_endpoint)
 {
-    stated_limits limits("one");
+    endpoint_statements limits("one");
     limits.set_endpoints({endpoint_of("e"), endpoint_of("f")});
     limits.record_answer("e", answer_with(1), true, at(0), at(100));
     limits.record_answer("f", answer_with(1), true, at(0), at(100));
@@ -229,8 +229,8 @@
 // an older statement undoes.
 Test(limit, statements_spread_to_peers_and_the_newest_holds)
 {
-    stated_limits one("one");
-    stated_limits two("two");
+    endpoint_statements one("one");
+    endpoint_statements two("two");
     std::vector<endpoint> all;
     for (int n = 0; n < 60; ++n)
         all.push_back(endpoint_of("e" + std::to_string(n)));
--- a/utils/platformkit/endpoints.cpp
+++ b/utils/platformkit/endpoints.cpp
@@ -72,8 +72,12 @@
 
 } // namespace
 
-void request_limit::add_to(http::header_list& headers) const
+void request_limit::add_to(http::header_list& headers, int status) const
 {
+    if (leaving_)
+        headers.push_back({std::string(header::server_leaving), "1"});
+    if (status == 503 && !retry_after_.empty())
+        headers.push_back({std::string(header::retry_after), retry_after_});
     if (!rate_.empty())
         headers.push_back({std::string(header::server_limit), rate_});
 }
@@ -140,7 +144,9 @@
     const bool other = how == behaviour::wrong_endpoint || (!expected.empty() && expected != options_.id);
     if (other || how == behaviour::refuse) {
         http::response answer = not_run(other ? 421 : 503);
-        limit.add_to(answer.headers);
+        answer.headers.push_back(
+            {std::string(header::request_id), header_value(io.message(), header::request_id)});
+        limit.add_to(answer.headers, answer.status);
         co_await io.respond(std::move(answer));
         co_return;
     }
@@ -160,7 +166,7 @@
     if (how != behaviour::without_signature)
         headers.push_back({std::string(header::stamp), "stamp-" + options_.id});
     headers.push_back({std::string(header::server_load), fmt::format("1,0,{}", options_.slots)});
-    limit.add_to(headers);
+    limit.add_to(headers, how == behaviour::fail ? 500 : 200);
     if (how == behaviour::fail) {
         http::response answer{500, headers, "failed"};
         co_await io.respond(std::move(answer));
@@ -263,7 +269,7 @@
     limit.record_arrival();
     if (io.message().target == "/v1/stage-free") {
         http::response answer = release(io.message().body);
-        limit.add_to(answer.headers);
+        limit.add_to(answer.headers, answer.status);
         co_await io.respond(std::move(answer));
         co_return;
     }
@@ -277,7 +283,7 @@
         --behaviours_left_;
     if (busy_ || how == behaviour::refuse) {
         http::response full = not_run(503);
-        limit.add_to(full.headers);
+        limit.add_to(full.headers, full.status);
         co_await io.respond(std::move(full));
         co_return;
     }
@@ -311,7 +317,7 @@
     const bool too_many = calls_.back().pieces > max_batch_pieces_;
     http::response answer =
         too_many ? http::json_response(400, "{}") : http::json_response(200, json{{"items", results}}.dump());
-    limit.add_to(answer.headers);
+    limit.add_to(answer.headers, answer.status);
     co_await io.respond(std::move(answer));
 }
 
--- a/utils/platformkit/endpoints.hpp
+++ b/utils/platformkit/endpoints.hpp
@@ -61,19 +61,28 @@
     std::size_t event_bytes{55}; ///< data of one event
 };
 
-/// Times at which an endpoint received requests, refused ones included, and the limit that it states in its
+/// Times at which an endpoint received requests, refused ones included, and what it states of itself in its
 /// answers.
 class request_limit {
 public:
+    /// From now on all answers state that the endpoint leaves.
+    void state_leaving() { leaving_ = true; }
+
+    /// From now on refusals have this Retry-After, as the platform writes it. An empty text states none.
+    void state_retry_after(std::string seconds) { retry_after_ = std::move(seconds); }
+
     /// From now on answers state this limit, as the platform writes it. An empty text states none.
     void state(std::string rate) { rate_ = std::move(rate); }
 
     void record_arrival() { arrivals_.push_back(std::chrono::steady_clock::now()); }
     const std::vector<std::chrono::steady_clock::time_point>& arrivals() const { return arrivals_; }
 
-    void add_to(http::header_list& headers) const;
+    /// Adds the headers of an answer with this status.
+    void add_to(http::header_list& headers, int status) const;
 
 private:
+    bool leaving_{false};
+    std::string retry_after_;
     std::string rate_;
     std::vector<std::chrono::steady_clock::time_point> arrivals_;
 };
