Bound what messages from outside can do: nesting, numbers, odd items, times

Causes, each shown by a test that failed before: - A caller's body of the product's interface that is nested 400,000 levels deep ended the process: writing it recursed until the stack overflowed (answers.refuses_deeply_nested_bodies: "Connection refused" before). - The answer of a stage endpoint copied its `reason`, with the same effect. - One odd item made the whole page of a listing or of a watch malformed, so an instance listed again and again and followed nothing. - Numbers of entries wrapped (born and seq over 2^63) or were narrowed (slots of 2^32 became 0); a number beyond 2^53 rejects its entry now. - A permit's wait, and the ages and times in messages of peers, were not bounded. - On a pooled connection an answer without a request id was taken as the answer.

JSON from outside has 64 levels at most; a page logs its odd items one by one.

The check in platform_store that a page with one odd item is malformed is replaced: the page is read, and the item is named (an_odd_item_costs_only_itself).

--- a/include/limpetlock/gateway/model.hpp
+++ b/include/limpetlock/gateway/model.hpp
@@ -267,11 +267,21 @@
     friend bool operator==(const state_entry&, const state_entry&) = default;
 };
 
+/// An item of the store that can't be decoded.
+struct rejected_item {
+    std::string key; ///< of the item, or of the one before it if it has none
+    std::string reason;
+
+    friend bool operator==(const rejected_item&, const rejected_item&) = default;
+};
+
 /// Part of a listing or of the changes of the published state.
 struct state_page {
     std::vector<state_entry> entries;
     state_revision revision; ///< of the store at the time of its answer
     bool more{false};        ///< further entries follow
+    std::string last_key{};  ///< of the last item, whether it could be decoded or not
+    std::vector<rejected_item> rejected{};
 };
 
 } // namespace limpetlock::gateway
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -527,8 +527,9 @@
     }
     if (message.__isset.permit_request) {
         const auto& it = message.permit_request;
-        const permit given =
-            handlers_.on_permit_request({it.endpoint, it.max_rate, duration(it.max_wait_ms), it.team});
+        const bool sound = std::isfinite(it.max_rate) && it.max_rate >= 0;
+        const permit given = handlers_.on_permit_request(
+            {it.endpoint, sound ? it.max_rate : 0, age_from_peer(it.max_wait_ms), it.team});
         wire::permit_reply_message body;
         body.granted = given.granted;
         body.wait_ms = given.wait.count();
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -96,6 +96,13 @@
     return out;
 }
 
+/// A time of a peer's message; an absurd one must not overflow the time that it is added to.
+duration bounded_time(std::int64_t ms)
+{
+    constexpr std::int64_t max_ms = 24 * 3'600'000;
+    return duration(std::clamp(ms, -max_ms, max_ms));
+}
+
 std::int64_t random_run_id()
 {
     std::random_device source;
@@ -193,8 +200,8 @@
         task.key = it.key;
         for (auto& group : it.inputs)
             task.inputs.push_back({std::move(group.place), std::move(group.handles)});
-        task.deadline = now + duration(it.time_left_ms);
-        task.objective_time = now + duration(it.slack_ms);
+        task.deadline = now + bounded_time(it.time_left_ms);
+        task.objective_time = now + bounded_time(it.slack_ms);
         task.domain = it.domain;
         task.result_bytes = static_cast<std::uint64_t>(std::max<std::int64_t>(0, it.result_bytes));
         task.priority = it.priority;
--- a/lib/gateway/permits.cpp
+++ b/lib/gateway/permits.cpp
@@ -1,5 +1,6 @@
 #include "permits.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace limpetlock::gateway {
@@ -14,6 +15,9 @@
 /// How long the endpoint is avoided when the responsible instance didn't answer.
 constexpr duration unanswered_wait{300};
 
+/// Longest wait that a reply is believed: the interval of permits at the lowest rate.
+constexpr duration max_stated_wait{10'000};
+
 constexpr const char* metric_name = "limpetlock_permits_total";
 constexpr const char* metric_help = "requests for permits to send to an endpoint with a limit";
 
@@ -40,6 +44,7 @@
 awaitable<permit> permits::acquire(permit_request it)
 {
     const time_point now = boot_clock::now();
+    const duration max_wait = it.max_wait;
     const auto live = fleet_.view().live_instances(now, true);
     const auto ranked = by_responsibility("limit/" + it.endpoint, live);
     permit out;
@@ -61,7 +66,11 @@
             out.wait = unanswered_wait;
             co_return out;
         }
-        out = {reply->permit_reply.granted, duration(reply->permit_reply.wait_ms)};
+        out = {reply->permit_reply.granted, duration(std::max<std::int64_t>(0, reply->permit_reply.wait_ms))};
+        // A permit later than asked for isn't of use, and no peer makes a request wait beyond its own bound.
+        if (out.granted && out.wait > max_wait)
+            out.granted = false;
+        out.wait = std::min(out.wait, max_stated_wait);
     }
     (out.granted ? granted_ : denied_).add();
     co_return out;
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -535,6 +535,13 @@
         co_return out;
     }
     const auto metadata = dependencies_.codec.decode_answer_metadata(answer->status(), answer->headers());
+    // On a connection that was in use before, an answer without an id may be a copy of an earlier one.
+    if (!metadata.request_id && reuse == http::connection_policy::pooled) {
+        out.end = attempt_end::broken;
+        out.reason = "answer without a request id";
+        to.conclude(attempt_outcome::broken, boot_clock::now());
+        co_return out;
+    }
     if (metadata.load)
         dependencies_.selector.record_load(to.target.id, *metadata.load, boot_clock::now());
     dependencies_.statements.record_answer(to.target, metadata, metadata.has_signature || metadata.not_run,
--- a/lib/gateway/store_reader.cpp
+++ b/lib/gateway/store_reader.cpp
@@ -273,6 +273,14 @@
                                      {"state_revision", fmt::to_string(state_.entries().revision().number)}});
 }
 
+void store_reader::log_rejected(const state_page& page)
+{
+    for (const auto& it : page.rejected)
+        log::warning("store_item_rejected", {{"key", it.key},
+                                             {"reason", it.reason},
+                                             {"store_revision", fmt::to_string(page.revision.number)}});
+}
+
 void store_reader::log_failed_read(const std::string& reason, time_point sent) const
 {
     const time_point now = boot_clock::now();
@@ -306,11 +314,13 @@
         // Pages of two eras don't belong together.
         if (page.revision.era != first_revision->era)
             co_return false;
-        for (auto& it : page.entries) {
-            after = it.key;
+        log_rejected(page);
+        // Without a further key the next page would be the same one again.
+        const bool more = page.more && page.last_key > after;
+        after = page.last_key;
+        for (auto& it : page.entries)
             entries.push_back(std::move(it));
-        }
-        if (!page.more)
+        if (!more)
             break;
     }
     co_return true;
@@ -352,6 +362,7 @@
          page.revision.era != after.era))
         status = store_answer_status::history_lost;
     if (status == store_answer_status::ok) {
+        log_rejected(page);
         merge(std::move(page.entries), "watch");
         state_.advance_revision(page.revision);
     }
--- a/lib/gateway/store_reader.hpp
+++ b/lib/gateway/store_reader.hpp
@@ -68,6 +68,7 @@
     void merge(std::vector<state_entry> entries, std::string_view source);
     void check_watch(state_revision known, state_revision of_store);
     bool record_read(state_revision revision, time_point sent);
+    static void log_rejected(const state_page& page);
     void log_failed_read(const std::string& reason, time_point sent) const;
     /// Counts a failed call, and logs when the store is lost or regained.
     void record_answer(bool answered, const std::string& target, const std::string& reason);
--- a/lib/server/admin.cpp
+++ b/lib/server/admin.cpp
@@ -2,6 +2,8 @@
 
 #include "metrics_page.hpp"
 
+#include <limpetlock/support/untrusted_json.hpp>
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -155,14 +157,14 @@
     if (!version)
         return http::json_response(503, to_text({{"reason", "no configuration is in force"}}));
     json out = config_json(parts);
-    out["document"] = json::parse(version->document.redacted_text(), nullptr, false);
+    out["document"] = parse_untrusted_json(version->document.redacted_text());
     return http::json_response(200, to_text(out));
 }
 
 /// Answers a dry run of a patch. The body of the request is {"base":N,"patch":{...}}.
 http::response check_patch(const components& parts, const std::string& body)
 {
-    const auto object = json::parse(body, nullptr, false);
+    const auto object = parse_untrusted_json(body);
     if (!object.is_object() || !object.contains("base") || !object["base"].is_number_integer() ||
         !object.contains("patch"))
         return to_response(
--- a/lib/server/endpoint_protocol.cpp
+++ b/lib/server/endpoint_protocol.cpp
@@ -1,5 +1,7 @@
 #include "endpoint_protocol.hpp"
 
+#include <limpetlock/support/untrusted_json.hpp>
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -22,7 +24,7 @@
 /// Returns nullopt if the text is no JSON object.
 std::optional<json> parse_object(std::string_view text)
 {
-    auto out = json::parse(text, nullptr, false);
+    auto out = parse_untrusted_json(text);
     if (!out.is_object())
         return std::nullopt;
     return out;
@@ -77,7 +79,7 @@
 
 http::request to_request(const service_call& it)
 {
-    json body{{"call_id", it.call_id}, {"body", json::parse(it.body, nullptr, false)}};
+    json body{{"call_id", it.call_id}, {"body", parse_untrusted_json(it.body)}};
     if (!it.key.empty())
         body["key"] = it.key;
     return post("/v1/call/" + it.name, body);
--- a/lib/server/platform_protocol.cpp
+++ b/lib/server/platform_protocol.cpp
@@ -1,5 +1,7 @@
 #include "platform_protocol.hpp"
 
+#include <limpetlock/support/untrusted_json.hpp>
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -62,7 +64,7 @@
 
 std::optional<membership::instance_list> read_instance_list(std::string_view body, std::string& reason)
 {
-    const auto object = json::parse(body, nullptr, false);
+    const auto object = parse_untrusted_json(body);
     if (!object.is_object() || !object.contains("version") || !object["version"].is_number_integer() ||
         !object.contains("instances") || !object["instances"].is_array()) {
         reason = "the instance list is no object with 'version' and 'instances'";
--- a/lib/server/request_filters.cpp
+++ b/lib/server/request_filters.cpp
@@ -1,5 +1,7 @@
 #include "request_filters.hpp"
 
+#include <limpetlock/support/untrusted_json.hpp>
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -223,7 +225,7 @@
             return refusal(errc::unauthorized, "the team may not use this pipeline");
         it.pipeline = &found->second;
         it.name = found->first;
-        const auto body = json::parse(it.io.message().body, nullptr, false);
+        const auto body = parse_untrusted_json(it.io.message().body);
         if (!body.is_object())
             return bad_request("the body must be a JSON object");
         return read_pipeline_body(it, body);
@@ -280,9 +282,9 @@
     static std::optional<request_error> read_service_message(request_context& it)
     {
         const auto& message = it.io.message();
-        const auto body = json::parse(message.body, nullptr, false);
+        const auto body = parse_untrusted_json(message.body);
         if (body.is_discarded())
-            return bad_request("the body must be JSON");
+            return bad_request("the body must be JSON, nested no deeper than 64 levels");
         it.body = body.dump();
         const auto attempt = http::find_header(message.headers, "Idempotency-Attempt");
         const bool digits = attempt && !attempt->empty() && attempt->size() <= max_attempt_digits &&
--- a/lib/server/service_handler.cpp
+++ b/lib/server/service_handler.cpp
@@ -3,6 +3,7 @@
 #include "notification.hpp"
 
 #include <limpetlock/support/hash.hpp>
+#include <limpetlock/support/untrusted_json.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -51,7 +52,7 @@
 http::response to_answer(const std::string& request_id, const std::string& result)
 {
     nlohmann::json out{{"request_id", request_id}};
-    out["result"] = nlohmann::json::parse(result, nullptr, false);
+    out["result"] = parse_untrusted_json(result);
     return http::json_response(200, out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
--- a/test/answers_test.cpp
+++ b/test/answers_test.cpp
@@ -289,3 +289,22 @@
     const auto booked = it.book(0, "after-garbage", 1);
     cr_assert_eq(booked.status, 200, "%s%s", booked.body.c_str(), booked.failure.c_str());
 }
+
+// Guards against a body of a caller that overflows the stack when it is copied or written, which ends the
+// process.
+Test(answers, refuses_deeply_nested_bodies)
+{
+    constexpr std::size_t levels = 400'000;
+    fleet it;
+    cr_assert(it.wait_ready());
+    const std::string deep = std::string(levels, '[') + std::string(levels, ']');
+    for (const char* path : {pipeline, "/v1/services/plant-feed/stock"}) {
+        const std::string reply = send_bytes(it.address(), it.caller_port(0),
+                                             request_bytes(path, "token-plant-01", deep, deep.size()));
+        cr_expect(reply.starts_with("HTTP/1.1 400"), "%s: %s", path, reply.substr(0, 200).c_str());
+    }
+    const std::string patch = R"({"base":1,"patch":)" + deep + "}";
+    send_bytes(it.address(), it.admin_port(0),
+               request_bytes("/admin/v1/config/check", "", patch, patch.size()));
+    check_serves(it, 0);
+}
--- a/unittests/platform/platform_test.cpp
+++ b/unittests/platform/platform_test.cpp
@@ -179,8 +179,105 @@
     cr_expect(codec().decode_events({410, {}, "{}"}, page) == gateway::store_answer_status::history_lost);
     cr_expect(codec().decode_entry({404, {}, "{}"}, page) == gateway::store_answer_status::absent);
     cr_expect(codec().decode_page({503, {}, "{}"}, page) == gateway::store_answer_status::refused);
-    cr_expect(codec().decode_page({200, {}, R"({"items":[{"key":"a","value":"***","rev":1}],"asOf":2})"},
-                                  page) == gateway::store_answer_status::malformed);
+    cr_expect(codec().decode_entry({200, {}, R"({"key":"a","value":"***","rev":1,"asOf":2})"}, page) ==
+              gateway::store_answer_status::malformed);
+}
+
+// Guards against a list that isn't followed any more because of one item of another writer.
+Test(platform_store, an_odd_item_costs_only_itself)
+{
+    const std::vector<std::string> odd{R"({"key":"b","value":"***","rev":2})",
+                                       R"({"key":"b","value":"aGk=","rev":18446744073709551615})",
+                                       R"({"key":"b","value":"aGk=","rev":"2"})",
+                                       R"({"key":"b","rev":2})",
+                                       R"({"value":"aGk=","rev":2})",
+                                       R"([1])",
+                                       "null",
+                                       R"({"key":7,"value":"aGk=","rev":2})"};
+    for (const auto& it : odd) {
+        const std::string list =
+            R"([{"key":"a","value":"aGk=","rev":1},)" + it + R"(,{"key":"c","value":"aGk=","rev":3}])";
+        for (const bool events : {false, true}) {
+            gateway::state_page page;
+            const http::response answer{
+                200, {}, (events ? R"({"events":)" : R"({"items":)") + list + R"(,"asOf":9})"};
+            const auto status =
+                events ? codec().decode_events(answer, page) : codec().decode_page(answer, page);
+            cr_expect(status == gateway::store_answer_status::ok, "%s", it.c_str());
+            cr_assert_eq(page.entries.size(), 2, "%s", it.c_str());
+            cr_expect_eq(page.entries[1].key, "c");
+            cr_expect_eq(page.rejected.size(), 1);
+            cr_expect_eq(page.last_key, "c");
+        }
+    }
+}
+
+// Guards against entries that wrap or narrow a number, name no usable port, or overflow the stack.
+Test(platform_entry, entry_with_an_absurd_value_is_rejected)
+{
+    const auto with = [](const char* name, const json& value) {
+        auto out = entry_json();
+        out[name] = value;
+        return out.dump();
+    };
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    std::string nested = entry_json().dump();
+    nested.replace(nested.size() - 1, 1, R"(,"note":)" + deep + "}");
+    const std::vector<std::string> odd{with("slots", std::uint64_t{1} << 32U),
+                                       with("slots", UINT64_MAX),
+                                       with("seq", std::uint64_t{1} << 63U),
+                                       with("seq", 1e300),
+                                       with("born", UINT64_MAX),
+                                       with("born", (std::uint64_t{1} << 53U) + 1),
+                                       with("born", INT64_MIN),
+                                       with("addr", "10.0.0.1:65536"),
+                                       with("addr", "10.0.0.1:0"),
+                                       with("addr", "10.0.0.1:-1"),
+                                       with("coldLeftMs", 1e308),
+                                       R"({"slots":1e999})",
+                                       nested,
+                                       deep};
+    for (const auto& it : odd) {
+        std::string reason;
+        cr_expect_not(codec().decode_endpoint("servers/i-1", it, reason).has_value(), "%s",
+                      it.substr(0, 120).c_str());
+        cr_expect_not(reason.empty());
+    }
+}
+
+// Guards against answers of stage endpoints, and messages of callers, whose copy overflows the stack.
+Test(platform_decoders, deep_nesting_causes_no_crash)
+{
+    const std::string deep = std::string(2'000'000, '[') + std::string(2'000'000, ']');
+    cr_expect_not(codec().decode_stage_answer(R"({"items":[{"reason":)" + deep + "}]}", 1).has_value());
+    std::string reason;
+    gateway::state_page page;
+    cr_expect_not(codec().decode_table(R"({"version":)" + deep + "}", reason).has_value());
+    cr_expect_not(platform::parse_settings(deep, reason).has_value());
+    cr_expect(codec().decode_page({200, {}, R"({"items":)" + deep + "}"}, page) ==
+              gateway::store_answer_status::malformed);
+}
+
+// Guards against a Retry-After that is taken for none, or makes the endpoint wait for ever.
+Test(platform_answer, leaving_and_retry_after_are_decoded)
+{
+    cr_expect(codec().decode_answer_metadata(200, {{"Server-Leaving", "1"}}).leaving);
+    cr_expect(codec().decode_answer_metadata(503, {{"Server-Leaving", " 1 "}}).leaving);
+    cr_expect_not(codec().decode_answer_metadata(200, {{"Server-Leaving", "0"}}).leaving);
+    cr_expect_not(codec().decode_answer_metadata(200, {}).leaving);
+    const auto wait = [](const char* text) {
+        return codec().decode_answer_metadata(503, {{"Retry-After", text}});
+    };
+    cr_expect_eq(wait("2").retry_after->count(), 2'000);
+    cr_expect_eq(wait("0.25").retry_after->count(), 250);
+    cr_expect_eq(wait("1e300").malformed_retry_after, true);
+    cr_expect_gt(wait("99999999999999999999").retry_after->count(), 0);
+    for (const char* text : {"-1", "", "soon", "Wed, 21 Oct 2026 07:28:00 GMT", "inf", "nan"}) {
+        cr_expect(wait(text).malformed_retry_after, "%s", text);
+        cr_expect_not(wait(text).retry_after.has_value(), "%s", text);
+    }
+    cr_expect_not(codec().decode_answer_metadata(429, {{"Retry-After", "2"}}).retry_after.has_value(),
+                  "only a 503 turns this instance away");
 }
 
 Test(platform_request, headers_that_callers_may_not_set_are_not_forwarded)
