Find a deadly part among more than 64 parts of a prompt and 24 of a ping; show that old refusals aren't believed

- Up to 256 parts of a prompt count, known suspects first, since new ones may take their place.
Pings carry 64: the parts with two crashes or more in each, the others in turn.
Before, the module test's deadly part was never found (prompts of 70 and 200 other parts).
- An endpoint that writes an earlier refusal again: on a kept connection the copy is dropped, with a client test; a booking that ran meanwhile gets 504 and runs nowhere else (case of process.platform).

--- a/include/limpetlock/gateway/prompt_quarantine.hpp
+++ b/include/limpetlock/gateway/prompt_quarantine.hpp
@@ -53,8 +53,8 @@
     static constexpr duration answer_memory{30'000};
 
     // Bounds of what callers can make an instance remember.
-    static constexpr std::size_t max_parts_per_request = 64;
-    static constexpr std::size_t max_suspects = 512;
+    static constexpr std::size_t max_parts_per_request = 256;
+    static constexpr std::size_t max_suspects = 1'024;
     static constexpr std::size_t max_crashes_per_part = 8;
     static constexpr std::size_t max_answered_parts = 4'096; ///< of each of two generations
 
@@ -73,8 +73,9 @@
     /// Returns the part for which a request with these shared parts is held back; nullopt if it may run.
     std::optional<verdict> find_quarantined(const std::vector<std::uint64_t>& parts, time_point now) const;
 
-    /// The evidence that peers may lack: what has changed lately, and the quarantined parts.
-    std::vector<part_evidence> evidence_for_peers(time_point now, std::size_t max_parts) const;
+    /// The evidence that peers may lack: the quarantined parts, those with the most crashes, and what has
+    /// changed lately. If there is more, successive calls return the others.
+    std::vector<part_evidence> evidence_for_peers(time_point now, std::size_t max_parts);
 
     /// Merges evidence of a peer.
     void merge(const part_evidence& evidence, time_point now);
@@ -107,6 +108,7 @@
     std::unordered_map<std::uint64_t, time_point> older_answers_;
     time_point generation_began_{};
     std::uint64_t version_{0};
+    std::uint64_t last_told_{0}; ///< part of the last evidence that was returned for peers in turn
 };
 
 } // namespace limpetlock::gateway
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -53,7 +53,7 @@
 constexpr std::uint64_t rounds_between_seed_pings = 3;
 
 /// Parts of prompts whose evidence one ping or pong carries.
-constexpr std::size_t suspects_per_message = 24;
+constexpr std::size_t suspects_per_message = 64;
 
 /// Endpoints that leave by their own statement that one ping or pong carries.
 constexpr std::size_t leavings_per_message = 24;
--- a/lib/gateway/prompt_quarantine.cpp
+++ b/lib/gateway/prompt_quarantine.cpp
@@ -60,9 +60,13 @@
 
 void prompt_quarantine::record_crash(const std::vector<std::uint64_t>& parts, const crash_sighting& crash)
 {
-    const std::size_t n = std::min(parts.size(), max_parts_per_request);
-    for (std::size_t k = 0; k < n; ++k)
-        update(parts[k], {crash}, std::nullopt, crash.at);
+    const auto end =
+        parts.begin() + static_cast<std::ptrdiff_t>(std::min(parts.size(), max_parts_per_request));
+    // Known suspects first: new ones may take the place of those with the fewest crashes.
+    for (const bool known : {true, false})
+        for (auto it = parts.begin(); it != end; ++it)
+            if (suspects_.contains(*it) == known)
+                update(*it, {crash}, std::nullopt, crash.at);
 }
 
 void prompt_quarantine::record_answer(const std::vector<std::uint64_t>& parts, time_point now)
@@ -194,19 +198,31 @@
     return std::nullopt;
 }
 
-std::vector<part_evidence> prompt_quarantine::evidence_for_peers(time_point now, std::size_t max_parts) const
+std::vector<part_evidence> prompt_quarantine::evidence_for_peers(time_point now, std::size_t max_parts)
 {
-    std::vector<const suspect*> found;
+    struct entry {
+        bool in_turn; ///< one crash: as likely as all other parts of that prompt
+        bool told;    ///< in this turn
+        const suspect* it;
+    };
+    std::vector<entry> found;
     for (const auto& [part, it] : suspects_)
         if (now - it.changed < spread_time || is_quarantined(it.evidence, now))
-            found.push_back(&it);
-    std::sort(found.begin(), found.end(), [](const suspect* a, const suspect* b) {
-        return std::tie(a->changed, a->evidence.part) > std::tie(b->changed, b->evidence.part);
+            found.push_back({it.evidence.crashes.size() < min_crashed_endpoints, part <= last_told_, &it});
+    std::sort(found.begin(), found.end(), [](const entry& a, const entry& b) {
+        const auto weight = [](const entry& e) {
+            return std::make_tuple(e.in_turn, e.in_turn && e.told, e.it->evidence.part);
+        };
+        return weight(a) < weight(b);
     });
     std::vector<part_evidence> out;
-    for (const auto* it : found)
-        if (out.size() < max_parts)
-            out.push_back(it->evidence);
+    for (const auto& it : found) {
+        if (out.size() == max_parts)
+            break;
+        out.push_back(it.it->evidence);
+        if (it.in_turn)
+            last_told_ = it.it->evidence.part;
+    }
     return out;
 }
 
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -124,7 +124,8 @@
     const std::vector<std::pair<behaviour, int>> cases{
         {behaviour::cut_answer, 502}, {behaviour::without_signature, 502},
         {behaviour::hang, 504},       {behaviour::fail, 500},
-        {behaviour::refuse, 503},     {behaviour::wrong_endpoint, 503}};
+        {behaviour::refuse, 503},     {behaviour::wrong_endpoint, 503},
+        {behaviour::old_refusal, 504}};
     int n = 0;
     for (const auto& [how, status] : cases) {
         fleet.with_site([how = how](site& it) {
--- a/unittests/gateway/quarantine_test.cpp
+++ b/unittests/gateway/quarantine_test.cpp
@@ -215,3 +215,39 @@
                          two.find_quarantined(prompt, at(1'001)).has_value());
     }
 }
+
+// Guards against a deadly part that escapes because the prompt has many others: it isn't among the first
+// parts, or pings carry too few of them for the instances to combine crashes that each saw alone.
+Test(prompt_quarantine, deadly_part_among_many_others_is_found_by_the_fleet)
+{
+    constexpr std::uint64_t deadly = 1'000'000;
+    constexpr std::size_t per_message = 64;
+    constexpr int rounds_in_contact_time = 9;
+    for (const std::uint64_t count : {30, 70, 200}) {
+        std::vector<prompt_quarantine> all(3);
+        std::int64_t now = 0;
+        const auto prompt = [count, deadly](std::uint64_t n) {
+            parts out;
+            for (std::uint64_t k = 0; k < count; ++k)
+                out.push_back(n * 1'000 + k + 1);
+            out.push_back(deadly);
+            return out;
+        };
+        for (int crash = 0; crash < 5; ++crash) {
+            all[static_cast<std::size_t>(crash) % all.size()].record_crash(
+                prompt(static_cast<std::uint64_t>(crash)), crash_of(crash, now));
+            now += 100;
+        }
+        for (int round = 0; round < rounds_in_contact_time; ++round, now += 300)
+            for (std::size_t from = 0; from < all.size(); ++from)
+                for (const auto& it : all[from].evidence_for_peers(at(now), per_message))
+                    for (std::size_t to = 0; to < all.size(); ++to)
+                        if (to != from)
+                            all[to].merge(it, at(now));
+        for (const auto& it : all) {
+            const auto found = it.find_quarantined(prompt(99), at(now));
+            cr_assert(found.has_value(), "%lu other parts", count);
+            cr_expect_eq(found->evidence.part, deadly);
+        }
+    }
+}
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -451,3 +451,36 @@
     stream.reset();
     cr_assert(eventually([&] { return closed.load(); }));
 }
+
+// Guards against an earlier refusal that an endpoint writes once more on a kept connection and that is taken
+// as the answer to the next request, which the endpoint runs.
+Test(client, copies_of_earlier_answers_on_a_kept_connection_are_dropped)
+{
+    fixture it;
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nId: a\r\nContent-Length: 2\r\n\r\nno";
+    const scripted_endpoint endpoint([&refusal](tcp::acceptor& acceptor) {
+        raw_connection kept(acceptor);
+        kept.read_until("\r\n\r\n");
+        kept.send(refusal);
+        kept.read_until("\r\n\r\n");
+        kept.send(refusal + "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 2\r\n\r\nok");
+        kept.read_until("\r\n\r\n");
+        kept.send(refusal);
+        kept.read_all();
+    });
+    const auto status_of = [&](const std::string& id, time_point deadline) {
+        call_error error;
+        answer_filter own = [id](const header_list& headers) { return find_header(headers, "Id") == id; };
+        const auto answer = it.threads.run(it.caller.open_answer(
+            endpoint.listen_address(), {}, deadline, connection_policy::pooled, error, std::move(own)));
+        if (!answer)
+            return error.code == errc::timeout ? 0 : -1;
+        const int out = answer->status();
+        while (it.threads.run(answer->read(deadline)))
+            continue;
+        return out;
+    };
+    cr_expect_eq(status_of("a", test_deadline()), 503);
+    cr_expect_eq(status_of("b", test_deadline()), 200);
+    cr_expect_eq(status_of("c", boot_clock::now() + duration(300)), 0, "no answer but the copy");
+}
--- a/utils/platformkit/endpoints.cpp
+++ b/utils/platformkit/endpoints.cpp
@@ -167,6 +167,13 @@
         headers.push_back({std::string(header::stamp), "stamp-" + options_.id});
     headers.push_back({std::string(header::server_load), fmt::format("1,0,{}", options_.slots)});
     limit.add_to(headers, how == behaviour::fail ? 500 : 200);
+    if (how == behaviour::old_refusal) {
+        http::response answer = not_run(503);
+        answer.headers.push_back({std::string(header::request_id), "0000000000000000"});
+        co_await io.respond(std::move(answer));
+        runs_[run].finished = true;
+        co_return;
+    }
     if (how == behaviour::fail) {
         http::response answer{500, headers, "failed"};
         co_await io.respond(std::move(answer));
--- a/utils/platformkit/endpoints.hpp
+++ b/utils/platformkit/endpoints.hpp
@@ -28,6 +28,7 @@
     cut_answer,        ///< closes the connection in the middle of the answer
     hang,              ///< never answers
     wrong_id,          ///< answers with the id of another request
+    old_refusal,       ///< runs the request, and writes a refusal of another request
     without_signature, ///< answers without its signature
     wrong_endpoint,    ///< refuses as another endpoint that now has the address
     endless_body,      ///< answers with bytes without a line end, until the caller closes the connection
