Start from the peers' state instead of the store, and end watches at most every 250 ms

Cause: all instances read the table and listed the endpoints as soon as they started, and each entry that an endpoint wrote ended one call of every watching instance.

Ruled out: renewals of the proof (157, by the three watching instances only) and idle watches (18).

Instances that aren't a seed wait up to 1.5 s for a peer's state. A watch that ends within 250 ms of the one before is followed by a pause until then.

--- a/lib/gateway/store_reader.cpp
+++ b/lib/gateway/store_reader.cpp
@@ -25,9 +25,13 @@
 /// In a fleet up to this size every instance renews proofs as early as one that watches the store.
 constexpr std::size_t max_small_fleet_size = 8;
 
-/// An instance that doesn't watch the store lists the endpoints itself when no peer sent them within this
-/// time after the start.
-constexpr duration follower_list_delay{1'500};
+/// An instance that isn't a seed expects the state and its proof from peers for this long after the start.
+/// Calls of all instances that start at the same time would otherwise grow with the fleet.
+constexpr duration peer_start_time{1'500};
+
+/// Least time between the ends of two watches with changes. When many endpoints start, each one's entry would
+/// otherwise take a call of every watching instance.
+constexpr duration min_watch_interval{250};
 constexpr duration role_check_interval{150};
 constexpr duration proof_check_interval{60};
 
@@ -66,7 +70,9 @@
     : executor_(std::move(executor)), store_address_(settings.store_address), codec_(codec), state_(state),
       client_(executor_, store_limits()),
       random_(static_cast<std::minstd_rand::result_type>(hash64(settings.name))),
-      role_(std::move(current_role)), schedule_(settings.bounds.table_adoption_time),
+      role_(std::move(current_role)), is_seed_(std::find(settings.seeds.begin(), settings.seeds.end(),
+                                                         settings.peer_address) != settings.seeds.end()),
+      started_(boot_clock::now()), schedule_(settings.bounds.table_adoption_time),
       read_ended_(executor_, asio::steady_timer::time_point::max()),
       calls_(metrics.get_counter("limpetlock_store_calls_total", "calls to the platform's store")),
       failures_(metrics.get_counter("limpetlock_store_failures_total", "store calls without a usable answer"))
@@ -149,6 +155,11 @@
     co_return answer;
 }
 
+bool store_reader::expects_state_from_peers(time_point now) const
+{
+    return !is_seed_ && state_.entries().revision() == state_revision{} && now - started_ < peer_start_time;
+}
+
 void store_reader::draw_renewal_age()
 {
     const auto now = role_();
@@ -162,7 +173,8 @@
         const time_point now = boot_clock::now();
         state_.remove_lapsed_endpoints(now);
         // A read would prove nothing before that; the watches deliver what is written again.
-        if (state_.is_era_settled(now) && schedule_.is_read_due(state_.proof_age(now), now)) {
+        if (!expects_state_from_peers(now) && state_.is_era_settled(now) &&
+            schedule_.is_read_due(state_.proof_age(now), now)) {
             schedule_.begin_read(now);
             asio::co_spawn(executor_, renew_proof(), asio::detached);
         }
@@ -373,11 +385,11 @@
 {
     duration watch_back_off = initial_watch_back_off;
     bool listed = false;
-    const time_point started = boot_clock::now();
+    time_point last_end;
     for (;;) {
-        const bool without_state = state_.entries().revision() == state_revision{} &&
-                                   boot_clock::now() - started > follower_list_delay;
-        if (!role_().watches && !without_state) {
+        const bool without_state = state_.entries().revision() == state_revision{};
+        const bool expects_state = expects_state_from_peers(boot_clock::now());
+        if (expects_state || !(role_().watches || without_state)) {
             listed = state_.entries().revision() > state_revision{};
             co_await sleep_for(role_check_interval);
             continue;
@@ -389,6 +401,10 @@
             status = co_await watch_once();
         if (status == store_answer_status::ok) {
             watch_back_off = initial_watch_back_off;
+            const time_point now = boot_clock::now();
+            if (now - last_end < min_watch_interval)
+                co_await sleep_for(min_watch_interval - (now - last_end));
+            last_end = boot_clock::now();
             continue;
         }
         if (status == store_answer_status::history_lost || status == store_answer_status::malformed) {
--- a/lib/gateway/store_reader.hpp
+++ b/lib/gateway/store_reader.hpp
@@ -65,6 +65,7 @@
     boost::asio::awaitable<void> renew_proof();
     boost::asio::awaitable<void> list_for_silent_watch();
     void draw_renewal_age();
+    bool expects_state_from_peers(time_point now) const;
     void merge(std::vector<state_entry> entries, std::string_view source);
     void check_watch(state_revision known, state_revision of_store);
     bool record_read(state_revision revision, time_point sent);
@@ -80,6 +81,8 @@
     http::client client_;
     std::minstd_rand random_;
     std::function<role()> role_;
+    const bool is_seed_;
+    const time_point started_;
     proof_schedule schedule_;
     boost::asio::steady_timer read_ended_; ///< never expires; cancelled when a read ends
     metrics::counter& calls_;
