--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -432,6 +432,33 @@
     }
 }
 
+// Guards against requests that are refused because the first few instances that could be responsible for
+// their stages were lost at the same moment.
+Test(platform, stage_tasks_find_the_only_instance_left)
+{
+    constexpr std::size_t instances = 6;
+    platform_fleet fleet(instances);
+    int n = 0;
+    for (std::size_t survivor = 0; survivor < instances; ++survivor) {
+        cr_assert(fleet.wait_ready());
+        std::this_thread::sleep_for(milliseconds(700));
+        for (std::size_t it = 0; it < instances; ++it)
+            if (it != survivor)
+                fleet.signal(it, SIGKILL);
+        std::vector<std::future<platform_answer>> answers;
+        for (int k = 0; k < 5; ++k)
+            answers.push_back(fleet.send(survivor, stream_call(++n)));
+        for (auto& it : answers) {
+            const auto answer = it.get();
+            cr_expect_eq(answer.status, 200, "instance %zu: %d %s", survivor, answer.status,
+                         answer.body.c_str());
+        }
+        for (std::size_t it = 0; it < instances; ++it)
+            if (it != survivor)
+                fleet.start(it);
+    }
+}
+
 // Guards against an instance that can't start while the store refuses connections. It must learn the state
 // from its peers.
 Test(platform, instance_starts_without_the_store)
