Log each permit with its issuer, and test the witness after a suspension

A permit's outcome had a counter only, so on-call engineers couldn't tell two issuers of one endpoint from logs. The witness's check for a suspension was guarded by no test: with it turned off, all tests passed; now one fails.

--- a/lib/gateway/permits.cpp
+++ b/lib/gateway/permits.cpp
@@ -1,5 +1,9 @@
 #include "permits.hpp"
 
+#include <limpetlock/support/log.hpp>
+
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -21,6 +25,17 @@
 constexpr const char* metric_name = "limpetlock_permits_total";
 constexpr const char* metric_help = "requests for permits to send to an endpoint with a limit";
 
+void log_permit(const permit_request& asked, const std::string& issuer, std::string_view outcome,
+                const permit& given)
+{
+    log::info("permit", {{"endpoint", asked.endpoint},
+                         {"issuer", issuer},
+                         {"outcome", std::string(outcome)},
+                         {"limit", fmt::format("{:g}", asked.max_rate)},
+                         {"max_wait_ms", fmt::to_string(asked.max_wait.count())},
+                         {"wait_ms", fmt::to_string(given.wait.count())}});
+}
+
 } // namespace
 
 permits::permits(fleet& peers, const endpoint_statements& statements, permit_issuer& issuer,
@@ -44,10 +59,11 @@
 awaitable<permit> permits::acquire(permit_request it)
 {
     const time_point now = boot_clock::now();
-    const duration max_wait = it.max_wait;
+    const permit_request asked = it;
     const auto live = fleet_.view().live_instances(now, true);
     const auto ranked = by_responsibility("limit/" + it.endpoint, live);
     permit out;
+    const std::string issuer = ranked.empty() ? fleet_.view().own().name : ranked.front().name;
     if (ranked.empty() || ranked.front().name == fleet_.view().own().name) {
         out = answer(it, now);
     } else {
@@ -58,21 +74,23 @@
         body.max_wait_ms = it.max_wait.count();
         body.team = it.team;
         message.__set_permit_request(body);
-        std::string responsible = ranked.front().name;
+        std::string responsible = issuer;
         const auto reply =
             co_await fleet_.call(std::move(responsible), std::move(message), now + request_timeout);
         if (!reply || !reply->__isset.permit_reply) {
             unanswered_.add();
             out.wait = unanswered_wait;
+            log_permit(asked, issuer, "unanswered", out);
             co_return out;
         }
         out = {reply->permit_reply.granted, duration(std::max<std::int64_t>(0, reply->permit_reply.wait_ms))};
         // A permit later than asked for isn't of use, and no peer makes a request wait beyond its own bound.
-        if (out.granted && out.wait > max_wait)
+        if (out.granted && out.wait > asked.max_wait)
             out.granted = false;
         out.wait = std::min(out.wait, max_stated_wait);
     }
     (out.granted ? granted_ : denied_).add();
+    log_permit(asked, issuer, out.granted ? "granted" : "denied", out);
     co_return out;
 }
 
--- a/unittests/claims/rules_test.cpp
+++ b/unittests/claims/rules_test.cpp
@@ -56,6 +56,23 @@
     cr_assert(it.support("a", 5, 7, start));
 }
 
+// Guards against support by a witness whose process was suspended: another process may have had its support
+// meanwhile.
+Test(witness, supports_no_lease_after_a_suspension_until_it_waited_again)
+{
+    auto it = eligible_witness(start);
+    cr_assert(it.support("a", 5, 7, start + 1s));
+    auto now = start + 1s + three_owners().lease_time + 1ms;
+    cr_expect_not(it.support("a", 5, 7, now));
+    const auto end = now + witness::cold_start_wait(three_owners().lease_time);
+    for (; now < end; now += 1s) {
+        it.update_own_lease({std::nullopt, {}, {}, {}, now + 2s}, now);
+        cr_expect_not(it.support("a", 5, 7, now));
+    }
+    it.update_own_lease({std::nullopt, {}, {}, {}, now + 2s}, now);
+    cr_expect(it.support("a", 5, 7, now));
+}
+
 // Guards against support by a process that knows that it has been replaced.
 Test(witness, retired_supports_no_lease)
 {
