--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -66,7 +66,7 @@
 /// An age as a peer states it. Anything beyond a day is as old, and must not overflow the time.
 duration age_from_peer(std::int64_t ms)
 {
-    constexpr std::int64_t max_ms = 24 * 3'600'000;
+    constexpr std::int64_t max_ms = std::int64_t{24} * 3'600'000;
     return duration(std::clamp<std::int64_t>(ms, 0, max_ms));
 }
 
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -99,7 +99,7 @@
 /// A time of a peer's message; an absurd one must not overflow the time that it is added to.
 duration bounded_time(std::int64_t ms)
 {
-    constexpr std::int64_t max_ms = 24 * 3'600'000;
+    constexpr std::int64_t max_ms = std::int64_t{24} * 3'600'000;
     return duration(std::clamp(ms, -max_ms, max_ms));
 }
 
--- a/lib/gateway/stage_runner.cpp
+++ b/lib/gateway/stage_runner.cpp
@@ -27,8 +27,8 @@
 constexpr duration task_poll_timeout{500};
 constexpr duration task_reply_margin{350};
 
-/// A task fails after this many instances, tried one after the other. When six of ten instances are lost at once,
-/// one in 60 tasks meets only lost ones.
+/// A task fails after this many instances, tried one after the other. When six of ten instances are lost at
+/// once, one in 60 tasks meets only lost ones.
 constexpr std::size_t max_assignments = 8;
 
 constexpr duration cancel_timeout{300};
--- a/test/platform/platform_test.cpp
+++ b/test/platform/platform_test.cpp
@@ -445,8 +445,10 @@
         for (std::size_t it = 0; it < instances; ++it)
             if (it != survivor)
                 fleet.signal(it, SIGKILL);
+        constexpr int calls = 5;
         std::vector<std::future<platform_answer>> answers;
-        for (int k = 0; k < 5; ++k)
+        answers.reserve(calls);
+        for (int k = 0; k < calls; ++k)
             answers.push_back(fleet.send(survivor, stream_call(++n)));
         for (auto& it : answers) {
             const auto answer = it.get();
--- a/test/platform/statement_test.cpp
+++ b/test/platform/statement_test.cpp
@@ -13,7 +13,6 @@
 using limpetlock::platformkit::behaviour;
 using limpetlock::platformkit::request_limit;
 using limpetlock::platformkit::site;
-using limpetlock::platformkit::site_options;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
