Start all background work in one way that logs failures

spawn_background() logs and counts the end of one-off work by an exception, spawn_loop() begins the loop again after 200 ms. Marks are taken back by scope guards: the busy endpoint and the pieces of a stage call, a stage of a request, a read or listing of the store, a pull from a peer, connections of peers, the permit of a claimed call. capture() is for operands of Asio's operator ||, which waits for the other operand when one throws.

--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -1,12 +1,12 @@
 #include "fleet.hpp"
 
+#include <limpetlock/support/background.hpp>
 #include <limpetlock/support/compression.hpp>
 #include <limpetlock/support/hash.hpp>
 #include <limpetlock/support/log.hpp>
+#include <limpetlock/support/scope_exit.hpp>
 #include <limpetlock/support/sleep_for.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
@@ -210,8 +210,8 @@
 
 void fleet::start()
 {
-    asio::co_spawn(executor_, ping_loop(), asio::detached);
-    asio::co_spawn(executor_, spread_loop(), asio::detached);
+    spawn_loop(executor_, "ping_loop", [this] { return ping_loop(); });
+    spawn_loop(executor_, "spread_loop", [this] { return spread_loop(); });
 }
 
 void fleet::detect_suspension(time_point now)
@@ -273,7 +273,7 @@
         refresh_links(now);
         quarantine_.remove_expired(now);
         for (auto& to : ping_targets(now))
-            asio::co_spawn(executor_, ping(std::move(to)), asio::detached);
+            spawn_background(executor_, "ping", ping(std::move(to)));
         ++ping_rounds_;
         co_await sleep_for(ping_interval);
     }
@@ -337,7 +337,7 @@
     if (!newer || pulling_state_ || !state_.record_peer_era(peer.state.era, boot_clock::now()))
         return;
     pulling_state_ = true;
-    asio::co_spawn(executor_, pull(from), asio::detached);
+    spawn_background(executor_, "state_pull", pull(from));
 }
 
 /// Pings soon after a new revision, new evidence or another limit arrived, so that it spreads faster than by
@@ -358,7 +358,7 @@
         spread_evidence = quarantine_.version();
         spread_limits = statements_.version();
         for (auto& to : ping_targets(boot_clock::now()))
-            asio::co_spawn(executor_, ping(std::move(to)), asio::detached);
+            spawn_background(executor_, "ping", ping(std::move(to)));
     }
 }
 
@@ -372,8 +372,8 @@
     body.accepts_compressed = true;
     message.__set_state_pull(body);
     peer::call_error error;
+    const scope_exit end_pull([this] { pulling_state_ = false; });
     const auto reply = co_await messenger_.call(from, std::move(message), sent + pull_timeout, error);
-    pulling_state_ = false;
     if (!reply || !reply->__isset.state_push) {
         log::warning("state_pull_failed",
                      {{"peer", from},
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -13,12 +13,11 @@
 #include <limpetlock/gateway/permit_issuer.hpp>
 #include <limpetlock/gateway/published_state.hpp>
 #include <limpetlock/lifecycle/stop_sequence.hpp>
+#include <limpetlock/support/background.hpp>
 #include <limpetlock/support/log.hpp>
 #include <limpetlock/support/metrics.hpp>
 #include <limpetlock/support/sleep_for.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -295,6 +294,7 @@
         http::response answer = http::json_response(404, "{\"error\":\"no such page\"}");
         if (it.message().target == "/metrics") {
             dropped_lines.set(static_cast<std::int64_t>(log::dropped_line_count()));
+            background_failures.set(static_cast<std::int64_t>(background_failure_count()));
             limits_in_force.set(static_cast<std::int64_t>(statements.count()));
             leaving_endpoints.set(static_cast<std::int64_t>(statements.leaving_count()));
             answer = {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.render()};
@@ -319,8 +319,8 @@
             const bool first = stop.state() == lifecycle::stop_state::running;
             stop.record_signal(boot_clock::now());
             if (first) {
-                asio::co_spawn(io, stop_loop(), asio::detached);
-                asio::co_spawn(io, refuse_waiting_at_end(), asio::detached);
+                spawn_loop(io.get_executor(), "stop_loop", [this] { return stop_loop(); });
+                spawn_background(io.get_executor(), "final_refusal", refuse_waiting_at_end());
             }
             watch_signals();
         });
@@ -401,7 +401,7 @@
         peers.start();
         watch_signals();
         watch_hangups();
-        asio::co_spawn(io, settings_loop(), asio::detached);
+        spawn_loop(io.get_executor(), "settings_loop", [this] { return settings_loop(); });
         log::info("started", {{"instance", settings.name},
                               {"failure_domain", settings.domain},
                               {"caller", fmt::format("{}:{}", settings.caller_address.host,
@@ -423,6 +423,8 @@
     metrics::registry metrics;
     metrics::gauge& dropped_lines{
         metrics.get_gauge("limpetlock_log_lines_dropped", "log lines that standard output did not take")};
+    metrics::gauge& background_failures{
+        metrics.get_gauge("limpetlock_background_failures", "background work that ended with an exception")};
     metrics::gauge& limits_in_force{metrics.get_gauge(
         "limpetlock_endpoint_limits", "endpoints that limit the rate of requests, as far as known here")};
     metrics::gauge& leaving_endpoints{metrics.get_gauge(
--- a/lib/gateway/result_releaser.cpp
+++ b/lib/gateway/result_releaser.cpp
@@ -1,10 +1,9 @@
 #include "result_releaser.hpp"
 
+#include <limpetlock/support/background.hpp>
 #include <limpetlock/support/log.hpp>
 #include <limpetlock/support/sleep_for.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -40,7 +39,7 @@
     if (pending_.empty() || flushing_)
         return;
     flushing_ = true;
-    asio::co_spawn(executor_, flush_later(), asio::detached);
+    spawn_background(executor_, "release_flush", flush_later());
 }
 
 awaitable<void> result_releaser::flush_later()
@@ -53,7 +52,7 @@
         const auto* const limit = statements_.find(id);
         const auto paused_until = statements_.paused_until(id, now);
         if (limit == nullptr && !paused_until) {
-            asio::co_spawn(executor_, send(producer, std::move(handles)), asio::detached);
+            spawn_background(executor_, "release", send(producer, std::move(handles)));
             continue;
         }
         auto& gathered = without_permit_[producer];
@@ -69,7 +68,7 @@
             wait = std::max(wait, given.wait);
         }
         if (granted) {
-            asio::co_spawn(executor_, send_with_permit(producer, wait), asio::detached);
+            spawn_background(executor_, "release", send_with_permit(producer, wait));
             continue;
         }
         log::info("release_failed",
--- a/lib/gateway/result_returns.cpp
+++ b/lib/gateway/result_returns.cpp
@@ -1,10 +1,8 @@
 #include "result_returns.hpp"
 
+#include <limpetlock/support/background.hpp>
 #include <limpetlock/support/sleep_for.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <utility>
 
 namespace limpetlock::gateway {
@@ -34,7 +32,7 @@
     list.insert(list.end(), group.handles.begin(), group.handles.end());
     if (std::exchange(flushing_, true))
         return;
-    asio::co_spawn(executor_, flush_later(), asio::detached);
+    spawn_background(executor_, "return_flush", flush_later());
 }
 
 awaitable<void> result_returns::flush_later()
@@ -45,7 +43,7 @@
         if (instance_name == fleet_.view().own().name)
             scheduler_.release(handles);
         else
-            asio::co_spawn(executor_, send(instance_name, std::move(handles)), asio::detached);
+            spawn_background(executor_, "result_return", send(instance_name, std::move(handles)));
     }
 }
 
--- a/lib/gateway/stage_runner.cpp
+++ b/lib/gateway/stage_runner.cpp
@@ -1,10 +1,10 @@
 #include "stage_runner.hpp"
 
+#include <limpetlock/support/background.hpp>
 #include <limpetlock/support/log.hpp>
+#include <limpetlock/support/scope_exit.hpp>
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
@@ -333,7 +333,7 @@
         if (state->plan.pieces[n] == 0)
             state->ended[n] = true;
         else
-            asio::co_spawn(executor_, run_stage(*this, state, n), asio::detached);
+            spawn_background(executor_, "stage", run_stage(*this, state, n));
     }
     while (!state->complete() && !state->failed()) {
         co_await state->progress.async_wait(as_tuple_awaitable);
@@ -361,7 +361,8 @@
         if (instance == fleet_.view().own().name)
             scheduler_.cancel(state.plan.request_id, stage);
         else if (!instance.empty())
-            asio::co_spawn(executor_, cancel_at(instance, state.plan.request_id, stage), asio::detached);
+            spawn_background(executor_, "stage_cancellation",
+                             cancel_at(instance, state.plan.request_id, stage));
     }
 }
 
@@ -378,6 +379,11 @@
 awaitable<void> stage_runner::run_stage(stage_runner& self, std::shared_ptr<run_state> state,
                                         std::size_t index)
 {
+    // An unexpected error must not leave the request waiting for its deadline.
+    const scope_exit give_up([&state, index] {
+        if (!state->ended[index] && !state->abandoned && !state->failed())
+            state->fail(stage_status::failed, "unexpected error");
+    });
     while (!state->is_due(index) && !state->failed()) {
         co_await state->progress.async_wait(as_tuple_awaitable);
     }
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -2,12 +2,12 @@
 
 #include "result_releaser.hpp"
 
+#include <limpetlock/support/background.hpp>
 #include <limpetlock/support/log.hpp>
+#include <limpetlock/support/scope_exit.hpp>
 #include <limpetlock/support/sleep_for.hpp>
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
@@ -105,7 +105,7 @@
       pieces_(metrics.get_counter("limpetlock_stage_pieces_total", "pieces sent in stage calls")),
       repeated_pieces_(metrics.get_counter("limpetlock_stage_pieces_repeated_total", "pieces sent again"))
 {
-    asio::co_spawn(executor_, tick_loop(), asio::detached);
+    spawn_loop(executor_, "stage_tick_loop", [this] { return tick_loop(); });
 }
 
 stage_scheduler::~stage_scheduler() = default;
@@ -317,7 +317,7 @@
     while (auto call = state.dispatcher.next_call(now, deferred)) {
         if (const auto* limit = statements_.find(call->to.id))
             issuer_.request({call->to.id, *limit->max_rate, duration{0}, {}}, now);
-        asio::co_spawn(executor_, make_call(key, std::move(*call)), asio::detached);
+        spawn_background(executor_, "stage_call", make_call(key, std::move(*call)));
     }
 }
 
@@ -352,12 +352,18 @@
 awaitable<void> stage_scheduler::make_call(pool_key key, stage_dispatch call)
 {
     const time_point started = boot_clock::now();
+    // An unexpected error must not leave the endpoint busy for good. It says nothing of the endpoint itself.
+    scope_exit give_up([this, &key, &call] {
+        auto& pool = *pools_.at(key);
+        pool.dispatcher.finish_call(call.call_id, call_outcome::overloaded, boot_clock::now());
+        requeue(pool, call.pieces, "unexpected error");
+    });
     std::vector<piece_request> pieces;
     for (const auto& it : call.pieces)
         pieces.push_back({it.task->request_id, it.task->stage, it.task->pieces[it.index],
                           std::max(duration{1}, it.task->deadline - started), it.task->key,
                           handles_of(it.task->inputs)});
-    asio::co_spawn(executor_, release_inputs_after_fetch(record_started(call)), asio::detached);
+    spawn_background(executor_, "input_release", release_inputs_after_fetch(record_started(call)));
     calls_.add();
     pieces_.add(pieces.size());
     http::call_error error;
@@ -381,6 +387,7 @@
     } else if (!error.sent) {
         outcome = call_outcome::unreachable;
     }
+    give_up.release();
     state.dispatcher.finish_call(call.call_id, outcome, now);
     log::info("stage_call", {{"pool", key.pool},
                              {"endpoint", call.to.id},
--- a/lib/gateway/store_reader.cpp
+++ b/lib/gateway/store_reader.cpp
@@ -1,12 +1,12 @@
 #include "store_reader.hpp"
 
+#include <limpetlock/support/background.hpp>
 #include <limpetlock/support/hash.hpp>
 #include <limpetlock/support/log.hpp>
+#include <limpetlock/support/scope_exit.hpp>
 #include <limpetlock/support/sleep_for.hpp>
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
@@ -81,8 +81,8 @@
 
 void store_reader::start()
 {
-    asio::co_spawn(executor_, proof_loop(), asio::detached);
-    asio::co_spawn(executor_, watch_loop(), asio::detached);
+    spawn_loop(executor_, "proof_loop", [this] { return proof_loop(); });
+    spawn_loop(executor_, "watch_loop", [this] { return watch_loop(); });
 }
 
 void store_reader::record_answer(bool answered, const std::string& target, const std::string& reason)
@@ -176,11 +176,11 @@
         if (!expects_state_from_peers(now) && state_.is_era_settled(now) &&
             schedule_.is_read_due(state_.proof_age(now), now)) {
             schedule_.begin_read(now);
-            asio::co_spawn(executor_, renew_proof(), asio::detached);
+            spawn_background(executor_, "proof_renewal", renew_proof());
         }
         if (watch_behind_ && !listing_) {
             listing_ = true;
-            asio::co_spawn(executor_, list_for_silent_watch(), asio::detached);
+            spawn_background(executor_, "listing", list_for_silent_watch());
         }
         co_await sleep_for(proof_check_interval);
     }
@@ -189,11 +189,14 @@
 awaitable<void> store_reader::renew_proof()
 {
     bool had_header = false;
-    const bool renewed = co_await read_table(had_header);
-    schedule_.end_read(renewed, had_header);
+    bool renewed = false;
+    const scope_exit end_read([this, &had_header, &renewed] {
+        schedule_.end_read(renewed, had_header);
+        read_ended_.cancel();
+    });
+    renewed = co_await read_table(had_header);
     if (renewed)
         draw_renewal_age();
-    read_ended_.cancel();
 }
 
 awaitable<void> store_reader::confirm_table()
@@ -211,11 +214,11 @@
 /// Runs beside the reads of the table, because a listing of many pages can take longer than a proof holds.
 awaitable<void> store_reader::list_for_silent_watch()
 {
+    const scope_exit end_listing([this] { listing_ = false; });
     const bool listed = co_await list_state();
     watch_behind_ = !listed;
     if (!listed)
         co_await sleep_for(listing_back_off);
-    listing_ = false;
 }
 
 /// The read is linearizable: the answer reflects every table that was published before the request was sent.
--- a/lib/http/connection.cpp
+++ b/lib/http/connection.cpp
@@ -4,12 +4,11 @@
 #include "message_text.hpp"
 #include "socket_state.hpp"
 
+#include <limpetlock/support/background.hpp>
 #include <limpetlock/support/log.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -163,7 +162,7 @@
 {
 
     server_->add(shared_from_this());
-    asio::co_spawn(socket_.get_executor(), run(shared_from_this()), asio::detached);
+    spawn_background(socket_.get_executor(), "caller_connection", run(shared_from_this()));
 }
 
 void caller_connection::stop()
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -1,11 +1,11 @@
 #include "connection.hpp"
 
 #include <limpetlock/http/server.hpp>
+#include <limpetlock/support/background.hpp>
 #include <limpetlock/support/log.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -181,7 +181,7 @@
     if (tls)
         impl_->tls = std::make_unique<tls_context>(*tls);
     impl_->listen(address, port);
-    asio::co_spawn(impl_->acceptor.get_executor(), impl::accept_loop(impl_), asio::detached);
+    spawn_loop(impl_->acceptor.get_executor(), "accept_loop", [it = impl_] { return impl::accept_loop(it); });
 }
 
 /// Cuts the requests still in progress: their sockets close, so wait_closed() completes and writes fail.
--- a/lib/peer/messenger.cpp
+++ b/lib/peer/messenger.cpp
@@ -1,11 +1,11 @@
 #include <limpetlock/peer/generated/peer_types.h>
 #include <limpetlock/peer/messenger.hpp>
+#include <limpetlock/support/background.hpp>
 #include <limpetlock/support/run_on.hpp>
+#include <limpetlock/support/scope_exit.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -116,6 +116,7 @@
 /// Sends queued frames until the connection is closed.
 awaitable<void> write_loop(connection_ptr connection)
 {
+    const scope_exit close([&connection] { connection->close(); });
     while (!connection->closed) {
         if (connection->outgoing.empty()) {
             connection->output_ready.expires_at(asio::steady_timer::time_point::max());
@@ -171,13 +172,17 @@
             socket.set_option(tcp::no_delay(true), ec);
             auto connection = std::make_shared<peer_connection>(std::move(socket));
             inbound_connections.push_back(connection);
-            asio::co_spawn(strand, serve_connection(shared_from_this(), connection), asio::detached);
-            asio::co_spawn(strand, write_loop(connection), asio::detached);
+            spawn_background(strand, "peer_connection", serve_connection(shared_from_this(), connection));
+            spawn_background(strand, "peer_writes", write_loop(connection));
         }
     }
 
     static awaitable<void> serve_connection(std::shared_ptr<impl> self, connection_ptr connection)
     {
+        const scope_exit close([&self, &connection] {
+            connection->close();
+            std::erase(self->inbound_connections, connection);
+        });
         while (!connection->closed) {
             auto bytes = co_await read_frame(connection->socket);
             if (!bytes)
@@ -187,11 +192,9 @@
                 break;
             if (!self->accept_incarnation(*message))
                 continue;
-            asio::co_spawn(self->strand, self->handle_message(self, connection, std::move(*message)),
-                           asio::detached);
+            spawn_background(self->strand, "peer_message",
+                             self->handle_message(self, connection, std::move(*message)));
         }
-        connection->close();
-        std::erase(self->inbound_connections, connection);
     }
 
     awaitable<void> handle_message(std::shared_ptr<impl> self, connection_ptr connection, wire::frame message)
@@ -293,14 +296,18 @@
         socket.set_option(tcp::no_delay(true), ec);
         auto connection = std::make_shared<peer_connection>(std::move(socket));
         found->second.connection = connection;
-        asio::co_spawn(strand, read_replies(shared_from_this(), to, connection), asio::detached);
-        asio::co_spawn(strand, write_loop(connection), asio::detached);
+        spawn_background(strand, "peer_replies", read_replies(shared_from_this(), to, connection));
+        spawn_background(strand, "peer_writes", write_loop(connection));
         return connection;
     }
 
     /// Reads replies until the connection fails, and completes their calls.
     static awaitable<void> read_replies(std::shared_ptr<impl> self, std::string to, connection_ptr connection)
     {
+        const scope_exit close([&self, &to, &connection] {
+            connection->close();
+            self->fail_pending_calls(to, connection);
+        });
         while (!connection->closed) {
             auto bytes = co_await read_frame(connection->socket);
             if (!bytes)
@@ -312,8 +319,6 @@
             if (self->accept_incarnation(*message))
                 self->complete_call(to, std::move(*message));
         }
-        connection->close();
-        self->fail_pending_calls(to, connection);
     }
 
     void complete_call(const std::string& to, wire::frame message)
@@ -438,8 +443,7 @@
     : impl_(std::make_shared<impl>(executor, std::move(name), incarnation, std::move(handle)))
 {
     impl_->listen(listen);
-    asio::co_spawn(
-        impl_->strand, [it = impl_]() -> awaitable<void> { co_await it->accept_loop(); }, asio::detached);
+    spawn_loop(impl_->strand, "peer_accept_loop", [it = impl_] { return it->accept_loop(); });
 }
 
 messenger::~messenger()
--- a/lib/server/admission_controller.cpp
+++ b/lib/server/admission_controller.cpp
@@ -1,7 +1,7 @@
 #include "admission_controller.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include <limpetlock/support/background.hpp>
+
 #include <boost/asio/strand.hpp>
 #include <fmt/format.h>
 
@@ -88,7 +88,7 @@
 
 void admission_controller::start()
 {
-    boost::asio::co_spawn(boost::asio::make_strand(executor_), tick_loop(), boost::asio::detached);
+    spawn_loop(boost::asio::make_strand(executor_), "admission_tick_loop", [this] { return tick_loop(); });
 }
 
 void admission_controller::configure(const config::document& document)
--- a/lib/server/claim_controller.cpp
+++ b/lib/server/claim_controller.cpp
@@ -3,11 +3,10 @@
 #include "notification.hpp"
 
 #include <limpetlock/config/watchers.hpp>
+#include <limpetlock/support/background.hpp>
 #include <limpetlock/support/hash.hpp>
 #include <limpetlock/support/log.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -103,8 +102,8 @@
 void claim_controller::start(config_controller& configuration)
 {
     configuration_ = &configuration;
-    boost::asio::co_spawn(strand_, heartbeat_loop(), boost::asio::detached);
-    boost::asio::co_spawn(strand_, import_handover(), boost::asio::detached);
+    spawn_loop(strand_, "claim_heartbeat_loop", [this] { return heartbeat_loop(); });
+    spawn_background(strand_, "claim_handover", import_handover());
 }
 
 void claim_controller::configure(const config::version& version)
@@ -275,7 +274,7 @@
         duration interval{};
         const auto message = next_heartbeat(targets, interval);
         for (auto& it : targets)
-            boost::asio::co_spawn(strand_, exchange_heartbeat(std::move(it), message), boost::asio::detached);
+            spawn_background(strand_, "claim_heartbeat", exchange_heartbeat(std::move(it), message));
         co_await sleep_for(interval);
     }
 }
--- a/lib/server/config_controller.cpp
+++ b/lib/server/config_controller.cpp
@@ -2,10 +2,9 @@
 
 #include "notification.hpp"
 
+#include <limpetlock/support/background.hpp>
 #include <limpetlock/support/log.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
 #include <utility>
@@ -36,7 +35,7 @@
 void config_controller::start(change_handler on_change)
 {
     on_change_ = std::move(on_change);
-    boost::asio::co_spawn(strand_, decide_loop(), boost::asio::detached);
+    spawn_loop(strand_, "config_decision_loop", [this] { return decide_loop(); });
 }
 
 awaitable<void> config_controller::decide_loop()
@@ -55,9 +54,9 @@
                                              {"digest", next.new_divergence->digest},
                                              {"peer_digest", next.new_divergence->peer_digest}});
         if (next.read)
-            boost::asio::co_spawn(strand_, read(*next.read), boost::asio::detached);
+            spawn_background(strand_, "config_read", read(*next.read));
         if (next.pull)
-            boost::asio::co_spawn(strand_, pull(*next.pull), boost::asio::detached);
+            spawn_background(strand_, "config_pull", pull(*next.pull));
         timer_.expires_after(std::max(min_decision_interval, next.next_call_time - boot_clock::now()));
         co_await timer_.async_wait(as_tuple_awaitable);
     }
--- a/lib/server/instance.cpp
+++ b/lib/server/instance.cpp
@@ -7,10 +7,9 @@
 
 #include <limpetlock/http/server.hpp>
 #include <limpetlock/server/instance.hpp>
+#include <limpetlock/support/background.hpp>
 #include <limpetlock/support/log.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <fmt/format.h>
 
@@ -144,7 +143,7 @@
         out.on_list_pull = [this] { return parts.membership.list_text(); };
         out.on_unlisted_peer = [this](const peer_identity& from) {
             if (!pulling_list.exchange(true))
-                spawn(pull_list(from.name));
+                spawn("list_pull", pull_list(from.name));
         };
         handlers = std::move(out);
     }
@@ -181,15 +180,14 @@
         parts.configuration.start(
             [this](const std::shared_ptr<const config::version>& it) { config_changed(*it); });
         parts.admission.start();
-        spawn(usage_loop());
-        spawn(evidence_loop());
+        spawn_loop(parts.io.get_executor(), "usage_loop", [this] { return usage_loop(); });
+        spawn_loop(parts.io.get_executor(), "evidence_loop", [this] { return evidence_loop(); });
         signals.async_wait([this](const boost::system::error_code& ec, int) { on_signal(ec); });
     }
 
-    template <typename Awaitable>
-    void spawn(Awaitable it)
+    void spawn(std::string_view name, awaitable<void> work)
     {
-        boost::asio::co_spawn(parts.io, std::move(it), boost::asio::detached);
+        spawn_background(parts.io.get_executor(), name, std::move(work));
     }
 
     void members_changed(const std::shared_ptr<const membership::snapshot>& it)
@@ -236,7 +234,7 @@
         if (items.empty())
             return;
         for (auto& to : gossip_targets())
-            spawn(send_evidence(std::move(to), items));
+            spawn("evidence", send_evidence(std::move(to), items));
     }
 
     awaitable<void> send_evidence(std::string to, std::vector<membership::leaving_evidence> items)
@@ -266,7 +264,7 @@
             if (usage.empty())
                 continue;
             for (auto& to : gossip_targets())
-                spawn(send_usage(std::move(to), usage));
+                spawn("usage", send_usage(std::move(to), usage));
         }
     }
 
@@ -281,7 +279,7 @@
             parts.stop.record_signal(boot_clock::now());
         }
         if (first)
-            spawn(stop_loop());
+            spawn_loop(parts.io.get_executor(), "stop_loop", [this] { return stop_loop(); });
         signals.async_wait([this](const boost::system::error_code& next, int) { on_signal(next); });
     }
 
--- a/lib/server/membership_controller.cpp
+++ b/lib/server/membership_controller.cpp
@@ -4,10 +4,9 @@
 #include "notification.hpp"
 #include "platform_protocol.hpp"
 
+#include <limpetlock/support/background.hpp>
 #include <limpetlock/support/log.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -52,9 +51,9 @@
 void membership_controller::start(callbacks calls)
 {
     callbacks_ = std::move(calls);
-    boost::asio::co_spawn(strand_, watch_list(), boost::asio::detached);
-    boost::asio::co_spawn(strand_, tick_loop(), boost::asio::detached);
-    boost::asio::co_spawn(strand_, poll_loads(), boost::asio::detached);
+    spawn_loop(strand_, "endpoint_list_loop", [this] { return watch_list(); });
+    spawn_loop(strand_, "membership_tick_loop", [this] { return tick_loop(); });
+    spawn_loop(strand_, "load_poll_loop", [this] { return poll_loads(); });
 }
 
 void membership_controller::configure(const config::limit_settings& limits)
@@ -299,7 +298,7 @@
     while (!stopped_) {
         co_await sleep_for(load_interval);
         for (auto& it : table_.pop_recently_used(load_polls_per_interval))
-            boost::asio::co_spawn(strand_, poll_load(std::move(it)), boost::asio::detached);
+            spawn_background(strand_, "load_poll", poll_load(std::move(it)));
     }
 }
 
--- a/lib/server/pipeline_handler.cpp
+++ b/lib/server/pipeline_handler.cpp
@@ -1,5 +1,7 @@
 #include "pipeline_handler.hpp"
 
+#include <limpetlock/support/capture.hpp>
+
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -113,7 +115,9 @@
         if (it.pipeline == nullptr)
             co_return true;
         using namespace boost::asio::experimental::awaitable_operators;
-        co_await (serve(it) || it.io.wait_closed());
+        auto first = co_await (capture(serve(it)) || it.io.wait_closed());
+        if (first.index() == 0)
+            std::get<0>(first).take();
         co_return false;
     }
 
--- a/lib/server/service_handler.cpp
+++ b/lib/server/service_handler.cpp
@@ -2,11 +2,11 @@
 
 #include "notification.hpp"
 
+#include <limpetlock/support/background.hpp>
 #include <limpetlock/support/hash.hpp>
+#include <limpetlock/support/scope_exit.hpp>
 #include <limpetlock/support/untrusted_json.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -189,13 +189,18 @@
         claimed->task = make_task(it, *profile);
         claimed->key = it.key;
         const auto executor = co_await boost::asio::this_coro::executor;
-        boost::asio::co_spawn(executor, call_endpoints(claimed, profile), boost::asio::detached);
+        spawn_background(executor, "claimed_call", call_endpoints(claimed, profile));
         co_await claimed->finished->wait(boot_clock::now() + it.call->timeout);
     }
 
     awaitable<void> call_endpoints(std::shared_ptr<claimed_call> claimed,
                                    std::shared_ptr<const request_profile> profile)
     {
+        // Holds after an unexpected error too: the caller's request waits for it.
+        const scope_exit finish([&claimed] {
+            claimed->permit.reset();
+            claimed->finished->notify();
+        });
         const time_point started = boot_clock::now();
         endpoint_criteria criteria{claimed->task.pool, 0, false, {}, {}};
         bool answered = false;
@@ -257,8 +262,8 @@
 
     void spawn_settlement(const claimed_call& claimed, claims::claim_settle outcome)
     {
-        boost::asio::co_spawn(claimed.finished->executor(), claims_.settle(std::move(outcome)),
-                              boost::asio::detached);
+        spawn_background(claimed.finished->executor(), "claim_settlement",
+                         claims_.settle(std::move(outcome)));
     }
 
     admission_controller& admission_;
