Answer requests whose answer is garbled

The request also held up a planned stop.

Cause: the client took any status from 200 on, formatting the answer threw invalid_argument, run() caught system_error only, and serve() waits for `run() || wait_closed()`, where an exception of one operand doesn't end the other. A Content-Length near 2^63 had the same effect, because string_body reserves the announced length.

Now a status outside 100 to 599 is a malformed answer, bodies grow with the bytes that arrive, and an unexpected exception ends the request at once with 503 if it was not sent, else with 502, and a log line. So it doesn't depend on the kind of exception any more.

Ruled out: the time limit (it held for others on the same instance).

--- a/lib/gateway/request_answer.cpp
+++ b/lib/gateway/request_answer.cpp
@@ -82,9 +82,10 @@
         out.answer = std::move(whole);
         co_return out;
     }
-    it.status = whole.status;
+    const int status = whole.status;
     it.first_byte = boot_clock::now();
     co_await it.io.respond(std::move(whole));
+    it.status = status;
     out.end = attempt_end::delivered;
     out.outcome = attempt_outcome::answered;
     co_return out;
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -2,8 +2,11 @@
 
 #include "request_context.hpp"
 
+#include <limpetlock/support/background.hpp>
+#include <limpetlock/support/capture.hpp>
 #include <limpetlock/support/hash.hpp>
 #include <limpetlock/support/log.hpp>
+#include <limpetlock/support/scope_exit.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -59,6 +62,17 @@
     return fmt::format("{:x}", fmt::join(parts.begin(), parts.begin() + n, ","));
 }
 
+bool is_cancellation(const std::exception_ptr& failure)
+{
+    try {
+        std::rethrow_exception(failure);
+    } catch (const boost::system::system_error& it) {
+        return it.code() == asio::error::operation_aborted;
+    } catch (...) {
+        return false;
+    }
+}
+
 } // namespace
 
 /// Records an attempt at an endpoint in the endpoint selector. An attempt that is destroyed without an
@@ -236,15 +250,13 @@
     using namespace asio::experimental::awaitable_operators;
     request_context it(io, boot_clock::now());
     ++in_flight_;
-    const bool present = co_await confirm_table(it);
-    it.caller_gone = !present;
-    const bool accepted = present && resolve(it);
+    const scope_exit count_down([this] { --in_flight_; });
+    const bool accepted = co_await accept(it);
     if (accepted) {
         it.executor = co_await asio::this_coro::executor;
         const auto first = co_await (run(it) || io.wait_closed());
         it.caller_gone = first.index() == 1;
     }
-    --in_flight_;
     if (it.caller_gone)
         callers_gone_.add();
     else if (it.refusal.status != 0 && !io.answered())
@@ -252,6 +264,19 @@
     log_end(it);
 }
 
+awaitable<bool> request_handler::accept(request_context& it)
+{
+    bool accepted = false;
+    try {
+        const bool present = co_await confirm_table(it);
+        it.caller_gone = !present;
+        accepted = present && resolve(it);
+    } catch (...) {
+        refuse_after_exception(it, std::current_exception());
+    }
+    co_return accepted;
+}
+
 awaitable<bool> request_handler::confirm_table(request_context& it)
 {
     using namespace asio::experimental::awaitable_operators;
@@ -259,25 +284,38 @@
     if (!dependencies_.state.table() || !reader.needs_confirmation(it.arrival))
         co_return true;
     confirmations_.add();
-    const auto first = co_await (reader.confirm_table() || it.io.wait_closed());
+    auto first = co_await (capture(reader.confirm_table()) || it.io.wait_closed());
+    if (first.index() == 0)
+        std::get<0>(first).take();
     co_return first.index() == 0;
 }
 
+/// Never throws, since serve() would wait until the caller leaves.
 awaitable<void> request_handler::run(request_context& it)
 {
-    bool ready = false;
     try {
-        ready = co_await prepare(it);
+        const bool ready = co_await prepare(it);
         if (ready)
             co_await forward(it);
-    } catch (const boost::system::system_error& failure) {
-        if (failure.code() != asio::error::operation_aborted)
-            log::error("request_failed", {{"id", it.request.id}, {"reason", failure.what()}});
-        if (it.refusal.status == 0)
-            refuse(it, it.attempts == 0 ? 503 : 502, failure.what(), min_retry_after);
+    } catch (...) {
+        refuse_after_exception(it, std::current_exception());
     }
 }
 
+/// Ends a request after an exception, which is also how a cancellation ends it. Only a request that was not
+/// sent to any endpoint gets a status that promises that it did not run.
+void request_handler::refuse_after_exception(request_context& it, const std::exception_ptr& failure)
+{
+    if (!is_cancellation(failure))
+        log::error("request_failed", {{"id", it.request.id},
+                                      {"reason", describe(failure)},
+                                      {"attempts", fmt::to_string(it.attempts)},
+                                      {"answered", it.io.answered() ? "yes" : "no"}});
+    if (it.refusal.status == 0)
+        refuse(it, it.attempts == 0 ? 503 : 502, "unexpected error",
+               it.attempts == 0 ? min_retry_after : duration{0});
+}
+
 /// Chooses the pool and sets the criteria for the endpoint, then runs the stages.
 awaitable<bool> request_handler::prepare(request_context& it)
 {
@@ -347,10 +385,10 @@
         stages_refused_ ? duration{0} : std::max(duration{0}, it.deadline - boot_clock::now());
     asio::steady_timer deadline_timer(it.executor, left);
     const timer_registration entry(stage_timers_, deadline_timer);
-    auto first = co_await (dependencies_.runner.run(it.plan, it.table) ||
+    auto first = co_await (capture(dependencies_.runner.run(it.plan, it.table)) ||
                            deadline_timer.async_wait(as_tuple_awaitable));
     if (first.index() == 0)
-        co_return std::move(std::get<0>(first));
+        co_return std::get<0>(first).take();
     stage_outcome out;
     out.status = stage_status::late;
     out.reason = stages_refused_ ? "the instance stops" : "time limit reached";
@@ -456,9 +494,10 @@
             break;
     }
     if (last.end == attempt_end::failed_answer && !it.streaming && it.refusal.status == 0) {
-        it.status = last.answer.status;
         http::response answer = std::move(last.answer);
+        const int status = answer.status;
         co_await it.io.respond(std::move(answer));
+        it.status = status;
         co_return;
     }
     refuse_after_attempts(it, last);
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -24,6 +24,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstddef>
+#include <exception>
 #include <map>
 #include <memory>
 #include <random>
@@ -89,6 +90,8 @@
     class timer_registration;
     class buffer_share;
 
+    /// Returns whether the request may run. If not, it was refused, or its caller left.
+    boost::asio::awaitable<bool> accept(request_context& it);
     /// Waits until the table is confirmed, if it may have been replaced unnoticed. Returns false if the
     /// caller left first.
     boost::asio::awaitable<bool> confirm_table(request_context& it);
@@ -99,6 +102,7 @@
     /// Sets the answer of a refused request; returns false.
     bool refuse(request_context& it, int status, std::string_view reason, duration retry_after);
     boost::asio::awaitable<void> run(request_context& it);
+    void refuse_after_exception(request_context& it, const std::exception_ptr& failure);
     boost::asio::awaitable<bool> prepare(request_context& it);
     boost::asio::awaitable<bool> run_stages(request_context& it);
     boost::asio::awaitable<stage_outcome> run_plan(request_context& it);
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -1,3 +1,4 @@
+#include "growing_body.hpp"
 #include "message_text.hpp"
 #include "pool.hpp"
 
@@ -11,10 +12,10 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
 #include <array>
+#include <exception>
 #include <stdexcept>
 #include <utility>
 
@@ -103,7 +104,7 @@
     void set_filter(answer_filter accept) { accept_ = std::move(accept); }
 
     /// Records that an operation of this exchange ended with an exception, and closes the connection.
-    void abandon(const error_code& ec);
+    void abandon(errc code, std::string reason);
 
     /// Returns the connection to the pool, or closes it if it can't be used again. Requires done().
     void release();
@@ -122,7 +123,7 @@
     }
 
 private:
-    using parser = beast::http::response_parser<beast::http::string_body>;
+    using parser = beast::http::response_parser<growing_body>;
 
     asio::awaitable<bool> connect(time_point deadline);
     asio::awaitable<bool> send(std::string head, std::string body, time_point deadline);
@@ -158,12 +159,13 @@
     return false;
 }
 
-void client_exchange::abandon(const error_code& ec)
+void client_exchange::abandon(errc code, std::string reason)
 {
+    reusable_ = false;
     if (error.code != errc::none)
         return;
-    error.code = to_errc(ec);
-    error.reason = ec == asio::error::operation_aborted ? "cancelled" : ec.message();
+    error.code = code;
+    error.reason = std::move(reason);
     if (connection_)
         connection_->post_close();
 }
@@ -255,6 +257,8 @@
             ok = co_await parse_more(deadline);
         if (!ok)
             co_return false;
+        if (status() < 100 || status() > 599)
+            co_return fail(errc::malformed, "status out of range: " + std::to_string(status()));
         if (status() >= 200)
             co_return true;
         if (status() == 101)
@@ -390,7 +394,11 @@
         auto cancel = it->canceller();
         co_return co_await run_on(it->executor(), std::move(work), std::move(cancel));
     } catch (const boost::system::system_error& failure) {
-        it->abandon(failure.code());
+        const auto& ec = failure.code();
+        it->abandon(to_errc(ec), ec == asio::error::operation_aborted ? "cancelled" : ec.message());
+    } catch (const std::exception& failure) {
+        // For example a length beyond the memory of the process.
+        it->abandon(errc::malformed, std::string("answer can't be read: ") + failure.what());
     }
     co_return T();
 }
--- a/lib/http/connection.cpp
+++ b/lib/http/connection.cpp
@@ -1,6 +1,7 @@
 #include "connection.hpp"
 
 #include "deadline_timer.hpp"
+#include "growing_body.hpp"
 #include "message_text.hpp"
 #include "socket_state.hpp"
 
@@ -15,7 +16,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
 #include <array>
@@ -111,7 +111,7 @@
     asio::awaitable<void> wait_closed() override;
 
 private:
-    using parser = beast::http::request_parser<beast::http::string_body>;
+    using parser = beast::http::request_parser<growing_body>;
 
     static asio::awaitable<void> run(std::shared_ptr<caller_connection> self);
     asio::awaitable<bool> handshake();
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -147,6 +147,33 @@
     }
 }
 
+// Guards against an exception, or the memory of the whole process, for a status or length that isn't one of
+// HTTP.
+Test(client, answers_with_absurd_numbers_are_errors)
+{
+    const std::vector<std::string> heads{"HTTP/1.1 800 OK\r\nContent-Length: 2\r\n\r\n",
+                                         "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\n",
+                                         "HTTP/1.1 099 OK\r\nContent-Length: 2\r\n\r\n",
+                                         "HTTP/1.1 200 OK\r\nContent-Length: 9223372036854775000\r\n\r\n",
+                                         "HTTP/1.1 200 OK\r\nContent-Length: 60000000000\r\n\r\n"};
+    for (const auto& it : heads) {
+        fixture test;
+        scripted_endpoint whole(answer_once(it + "ok"));
+        const auto called = test.call(whole.listen_address());
+        cr_expect(!called.answer && called.error.code != errc::none && called.error.sent, "%s: %s",
+                  it.c_str(), called.error.reason.c_str());
+        scripted_endpoint streamed(answer_once(it + "ok"));
+        call_error error;
+        const auto reader =
+            test.threads.run(test.caller.open_answer(streamed.listen_address(), {}, test_deadline(),
+                                                     connection_policy::pooled, error, answer_filter()));
+        while (reader && test.threads.run(reader->read(test_deadline()))) {
+        }
+        const call_error& last = reader ? reader->error() : error;
+        cr_expect(last.code != errc::none && last.sent, "%s: %s", it.c_str(), last.reason.c_str());
+    }
+}
+
 // Guards against interim answers that are taken for the final one, and against waiting for a body where there
 // is none.
 Test(client, interim_and_bodiless_answers)
