Send a suspected part of a prompt to another engine

Cause: crashes of two endpoints convict a part, and affinity sent all requests with it to one endpoint.

Now an endpoint with an open crash under a part of the prompt is selected only if there is no other, so the second request convicts the part or clears it. In a pool with a single engine seven crashes convict a part that was present in all of them; five are allowed before the rule's bound begins, and three requests after it.

Ruled out: evidence that doesn't spread, and dropping the rule of two endpoints, which would hold back sound prompts when one engine is broken.

--- a/include/limpetlock/gateway/endpoint_selector.hpp
+++ b/include/limpetlock/gateway/endpoint_selector.hpp
@@ -35,6 +35,9 @@
     std::string domain;             ///< preferred failure domain
     std::vector<std::string> tried; ///< ids of endpoints that aren't selected again
     std::uint64_t session_hash{0};  ///< selects one of the few endpoints; 0: the first of them
+    /// Ids of endpoints that crashed on a part of the prompt. They are selected only if there is no other, so
+    /// that an answer of another one clears the part, or a second crash convicts it.
+    std::vector<std::string> suspected;
 };
 
 /// The state of all listed endpoints, from the attempts of this instance and the load that endpoints report.
@@ -94,6 +97,7 @@
     struct candidate {
         const endpoint_state* state;
         bool avoided;    ///< backed off after failures
+        bool suspected;  ///< crashed on a part of the prompt
         bool overloaded; ///< too loaded for requests with affinity
         double load;     ///< requests and cost of errors, divided by its slots
         /// Hash of the endpoint and the affinity or session; the largest is selected.
--- a/include/limpetlock/gateway/prompt_quarantine.hpp
+++ b/include/limpetlock/gateway/prompt_quarantine.hpp
@@ -41,9 +41,14 @@
 /// that share some crashes, the one with the most explains those of the others.
 class prompt_quarantine {
 public:
-    /// A part is quarantined after it crashed this many endpoints.
+    /// A part is quarantined after it crashed this many endpoints. An endpoint that is broken by itself
+    /// crashes under any prompt, so the crashes of one say little.
     static constexpr std::size_t min_crashed_endpoints = 2;
 
+    /// A part is also quarantined after this many crashes of one endpoint, if it was present in all that are
+    /// known of that endpoint. Only a pool without another endpoint for the part gets that far.
+    static constexpr std::size_t min_crashes_of_one_endpoint = 7;
+
     /// How long requests are held back after the last crash. The evidence is kept longer, so that a single
     /// further crash renews the quarantine.
     static constexpr duration quarantine_time{300'000};
@@ -73,6 +78,10 @@
     /// Returns the part for which a request with these shared parts is held back; nullopt if it may run.
     std::optional<verdict> find_quarantined(const std::vector<std::uint64_t>& parts, time_point now) const;
 
+    /// Endpoints that crashed under one of these shared parts and whose crash no answer has cleared.
+    std::vector<std::string> suspected_endpoints(const std::vector<std::uint64_t>& parts,
+                                                 time_point now) const;
+
     /// The evidence that peers may lack: the quarantined parts, those with the most crashes, and what has
     /// changed lately. If there is more, successive calls return the others.
     std::vector<part_evidence> evidence_for_peers(time_point now, std::size_t max_parts);
@@ -100,6 +109,7 @@
     void make_room();
     void log_change(suspect& it, time_point now) const;
     bool is_quarantined(const part_evidence& it, time_point now) const;
+    bool explains_crashes_of_one(const std::vector<crash_sighting>& crashes) const;
     bool blocks(const part_evidence& it, const std::vector<std::uint64_t>& parts, time_point now) const;
     std::optional<time_point> last_answer(std::uint64_t part) const;
 
--- a/lib/gateway/endpoint_selector.cpp
+++ b/lib/gateway/endpoint_selector.cpp
@@ -115,8 +115,10 @@
         if (it->held_until > now || is_paused(it->listed.id, now))
             continue;
         const double load = load_of(*it, now);
-        out.push_back(
-            {it, it->avoid_until > now, criteria.affinity_hash != 0 && load > affinity_load_limit, load, 0});
+        const bool suspected = std::find(criteria.suspected.begin(), criteria.suspected.end(),
+                                         it->listed.id) != criteria.suspected.end();
+        const bool overloaded = criteria.affinity_hash != 0 && load > affinity_load_limit;
+        out.push_back({it, it->avoid_until > now, suspected, overloaded, load, 0});
     }
     return out;
 }
@@ -149,7 +151,8 @@
     if (all.empty())
         return std::nullopt;
     const auto by_state = [](const candidate& a, const candidate& b) {
-        return std::tie(a.avoided, a.overloaded) < std::tie(b.avoided, b.overloaded);
+        return std::tie(a.avoided, a.suspected, a.overloaded) <
+               std::tie(b.avoided, b.suspected, b.overloaded);
     };
     const candidate best = *std::min_element(all.begin(), all.end(), by_state);
     std::erase_if(all, [&](const candidate& it) { return by_state(best, it); });
--- a/lib/gateway/prompt_quarantine.cpp
+++ b/lib/gateway/prompt_quarantine.cpp
@@ -163,7 +163,41 @@
     std::set<std::string_view> endpoints;
     for (const auto& crash : crashes)
         endpoints.insert(crash.endpoint);
-    return endpoints.size() >= min_crashed_endpoints && now - last_crash(crashes) < quarantine_time;
+    const bool convicted = endpoints.size() >= min_crashed_endpoints || explains_crashes_of_one(crashes);
+    return convicted && now - last_crash(crashes) < quarantine_time;
+}
+
+/// Whether these are enough crashes of one endpoint, and no other one of it is known since the first of them.
+bool prompt_quarantine::explains_crashes_of_one(const std::vector<crash_sighting>& crashes) const
+{
+    if (crashes.size() < min_crashes_of_one_endpoint)
+        return false;
+    const time_point begin =
+        std::min_element(crashes.begin(), crashes.end(), [](const auto& a, const auto& b) {
+            return a.at < b.at;
+        })->at;
+    for (const auto& [part, other] : suspects_)
+        for (const auto& crash : other.evidence.crashes)
+            if (crash.endpoint == crashes.front().endpoint && crash.at >= begin &&
+                !std::binary_search(crashes.begin(), crashes.end(), crash, in_crash_order))
+                return false;
+    return true;
+}
+
+std::vector<std::string> prompt_quarantine::suspected_endpoints(const std::vector<std::uint64_t>& parts,
+                                                                time_point now) const
+{
+    std::vector<std::string> out;
+    for (const auto part : parts) {
+        const auto it = suspects_.find(part);
+        if (it == suspects_.end())
+            continue;
+        for (const auto& crash : open_crashes(it->second.evidence))
+            if (now - crash.at < quarantine_time &&
+                std::find(out.begin(), out.end(), crash.endpoint) == out.end())
+                out.push_back(crash.endpoint);
+    }
+    return out;
 }
 
 /// Whether a request with these parts is held back because of one of them.
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -466,6 +466,8 @@
     for (;;) {
         if (!passes_quarantine(it))
             break;
+        it.endpoint_criteria.suspected =
+            dependencies_.quarantine.suspected_endpoints(shared_parts(it.request), boot_clock::now());
         const auto to = co_await select_endpoint(it);
         if (!to)
             break;
--- a/unittests/gateway/quarantine_test.cpp
+++ b/unittests/gateway/quarantine_test.cpp
@@ -1,3 +1,4 @@
+#include <limpetlock/gateway/endpoint_selector.hpp>
 #include <limpetlock/gateway/prompt_quarantine.hpp>
 
 #include <criterion/criterion.h>
@@ -155,6 +156,62 @@
     cr_expect_not(it.find_quarantined({5}, at(7'000)).has_value());
 }
 
+// Guards against a deadly part in a pool with a single engine, where no second one can convict it, and
+// against sound parts held back because that engine crashes under other prompts too.
+Test(prompt_quarantine, crashes_of_the_only_endpoint_convict_the_part_of_all_of_them)
+{
+    constexpr int allowed = 5 + 3;
+    prompt_quarantine deadly;
+    prompt_quarantine broken;
+    int runs = 0;
+    for (std::int64_t n = 0; n < 20; ++n) {
+        const auto time = at(4'000 * n);
+        const std::uint64_t own = 100 + static_cast<std::uint64_t>(n);
+        if (!deadly.find_quarantined({5, own}, time)) {
+            ++runs;
+            deadly.record_crash({5, own}, {"e1", n, "one", time});
+        }
+        deadly.record_answer({1}, time);
+        broken.record_crash({n % 2 == 0 ? 5U : 6U, own}, {"e1", n, "one", time});
+    }
+    cr_expect_leq(runs, allowed);
+    cr_expect(deadly.find_quarantined({5, 999}, at(80'000)).has_value());
+    cr_expect_not(deadly.find_quarantined({1, 999}, at(80'000)).has_value());
+    cr_expect_not(broken.find_quarantined({5, 999}, at(80'000)).has_value());
+}
+
+// Guards against a deadly part whose requests all go to the engine that has just restarted: another engine
+// must decide whether the part or that engine is at fault.
+Test(prompt_quarantine, second_request_with_a_suspected_part_goes_to_another_endpoint)
+{
+    prompt_quarantine quarantine;
+    endpoint_selector selector;
+    std::vector<endpoint> all;
+    for (int n = 0; n < 4; ++n) {
+        endpoint it;
+        it.id = "e" + std::to_string(n);
+        it.pool = "engine";
+        it.slots = 8;
+        it.started_ms = 1;
+        all.push_back(it);
+    }
+    selector.set_endpoints(all, at(0));
+    selection_criteria criteria;
+    criteria.pool = "engine";
+    criteria.affinity_hash = 5;
+    const auto first = selector.select(criteria, at(0));
+    cr_assert(first.has_value());
+    quarantine.record_crash({5}, {first->id, 1, "one", at(0)});
+    criteria.suspected = quarantine.suspected_endpoints({5}, at(4'000));
+    const auto second = selector.select(criteria, at(4'000));
+    cr_assert(second.has_value());
+    cr_expect_neq(second->id, first->id);
+    quarantine.record_answer({5}, at(4'500));
+    cr_expect(quarantine.suspected_endpoints({5}, at(5'000)).empty(), "its answer clears the part");
+    criteria.suspected = {"e0", "e1", "e2", "e3"};
+    cr_expect(selector.select(criteria, at(5'000)).has_value(), "a suspicion alone refuses nothing");
+}
+
 // Guards against a quarantine that never ends, and against a deadly part that crashes as many engines again
 // after it.
 Test(prompt_quarantine, quarantine_ends_and_is_renewed_by_one_crash)
--- a/utils/platformkit/endpoints.cpp
+++ b/utils/platformkit/endpoints.cpp
@@ -225,7 +225,10 @@
     bool ok = co_await io.begin_stream(200, headers);
     if (!deadly_part_.empty() &&
         ("," + runs_[run].prompt).find("," + deadly_part_ + ":") != std::string::npos) {
-        co_await io.write("id: ");
+        const std::string begun = crash_moment_ == crash_moment::after_first_event
+                                      ? fmt::format("id: {}\ndata: x\n\n", next)
+                                      : std::string("id: ");
+        co_await io.write(begun);
         co_await wait(std::chrono::milliseconds(10));
         asio::co_spawn(executor_, crash(), asio::detached);
         co_return;
--- a/utils/platformkit/endpoints.hpp
+++ b/utils/platformkit/endpoints.hpp
@@ -35,6 +35,9 @@
     endless_events     ///< answers with events that hold nothing, until the caller closes the connection
 };
 
+/// How much of the answer an engine writes before it crashes.
+enum class crash_moment : std::uint8_t { inside_first_event, after_first_event };
+
 /// One request that an endpoint began to run.
 struct run_record {
     std::string request_id;
@@ -108,10 +111,12 @@
     /// From now on the endpoint crashes when it begins to answer a request whose prompt has the part (its id
     /// in hexadecimal): all connections are cut, and new ones refused for `downtime`. An empty id turns this
     /// off.
-    void crash_on(std::string part, std::chrono::milliseconds downtime)
+    void crash_on(std::string part, std::chrono::milliseconds downtime,
+                  crash_moment moment = crash_moment::inside_first_event)
     {
         deadly_part_ = std::move(part);
         downtime_ = downtime;
+        crash_moment_ = moment;
     }
 
     /// Called after the restart that follows a crash.
@@ -153,6 +158,7 @@
     std::uint64_t entries_written_{0};
     std::string deadly_part_;
     std::chrono::milliseconds downtime_{0};
+    crash_moment crash_moment_{crash_moment::inside_first_event};
     std::function<void()> on_restart_;
     behaviour behaviour_{behaviour::normal};
     std::size_t behaviours_left_{0};
