Count a crash inside the head of an answer against its prompt

Cause: only an attempt whose whole head had arrived could be evidence.

Now one byte of the answer is a begin.

--- a/include/limpetlock/http/client.hpp
+++ b/include/limpetlock/http/client.hpp
@@ -40,6 +40,8 @@
     /// A pooled connection was closed before the first byte of the answer arrived. Usually the endpoint
     /// closed the idle connection while the request was on its way.
     bool stale{false};
+    /// Bytes of the answer had arrived.
+    bool answer_begun{false};
 };
 
 /// pooled uses an idle connection to the address if there is one; fresh always opens a new one. The client
--- a/lib/gateway/request_context.hpp
+++ b/lib/gateway/request_context.hpp
@@ -63,7 +63,7 @@
     http::response answer; ///< of failed_answer
     int status{0};         ///< of the endpoint's answer; 0 if no header arrived
     bool any_event{false}; ///< a whole event of the answer arrived
-    /// The endpoint had begun a successful answer and ended the connection before a whole event of it.
+    /// The connection ended when the endpoint had just begun an answer.
     bool lost_at_begin{false};
 };
 
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -420,9 +420,9 @@
     return refuse(it, 502, reason, duration{0});
 }
 
-/// Engines crash when they begin to write an answer, so an attempt that got a header and then lost its
-/// connection before a whole event is evidence against the parts of its prompt. Other requests of the same
-/// engine have no header yet, or have had events.
+/// Engines crash when they begin to write an answer, so an attempt that lost its connection then is evidence
+/// against the parts of its prompt. Of the other requests of the same engine, those that wait have no byte of
+/// an answer yet, and those that run began earlier.
 void request_handler::record_prompt_evidence(const request_context& it, const endpoint& to,
                                              const attempt_result& last)
 {
@@ -572,6 +572,7 @@
     attempt_result out;
     if (!answer) {
         out = failed_attempt(error);
+        out.lost_at_begin = error.code == http::errc::closed && error.answer_begun;
         to.conclude(evidence_of(out.outcome, now), boot_clock::now());
         co_return out;
     }
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -362,6 +362,7 @@
     else
         fail(errc::closed,
              answer_begun ? "answer cut before its end" : "connection closed before the answer");
+    error.answer_begun = answer_begun;
     error.stale = pooled && !answer_begun && error.code == errc::closed;
     return false;
 }
@@ -585,13 +586,13 @@
 {
     error = {};
     if (deadline <= boot_clock::now()) {
-        error = {errc::timeout, "deadline passed before the call", false, false};
+        error = {errc::timeout, "deadline passed before the call"};
         return nullptr;
     }
     try {
         head = format_request_head(message, host_header(to));
     } catch (const std::invalid_argument& it) {
-        error = {errc::malformed, it.what(), false, false};
+        error = {errc::malformed, it.what()};
         return nullptr;
     }
     auto connection = policy == connection_policy::pooled ? pool->pop_idle(to) : nullptr;
