Count a crash just after the first event against its prompt

A stream counts as just begun for 250 ms from its first event now; older ones that are cut with it are still no evidence.

--- a/lib/gateway/request_answer.cpp
+++ b/lib/gateway/request_answer.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <optional>
 #include <utility>
 
 namespace limpetlock::gateway {
@@ -26,6 +27,10 @@
 constexpr std::size_t max_buffered_bytes = std::size_t{32} * 1024 * 1024;
 constexpr std::size_t small_answer_bytes = std::size_t{256} * 1024;
 
+/// Time from its first event in which a stream counts as just begun. An engine that crashes on a prompt does
+/// so by then, and few of the other streams that it cuts are as young.
+constexpr duration stream_begin_time{250};
+
 } // namespace
 
 /// Counts the bytes of one buffered answer among those of all requests.
@@ -96,7 +101,7 @@
 awaitable<attempt_result> request_handler::relay_stream(request_context& it, http::answer_reader& from)
 {
     attempt_result out;
-    bool any_event = false;
+    std::optional<time_point> first_event;
     bool endless = false;
     bool ok = true;
     for (;;) {
@@ -109,7 +114,8 @@
             break;
         if (events.empty())
             continue;
-        any_event = true;
+        if (!first_event)
+            first_event = boot_clock::now();
         if (!it.streaming) {
             it.streaming = true;
             it.status = from.status();
@@ -139,10 +145,11 @@
     if (endless)
         out.reason = fmt::format("no event in {} bytes", it.framing.buffered());
     it.framing.discard_pending();
-    out.any_event = any_event;
+    out.any_event = first_event.has_value();
     // A stream without a length or chunks that ends inside an event has no error.
     const bool ended = from.error().code == http::errc::closed || from.error().code == http::errc::none;
-    out.lost_at_begin = ended && !endless && !any_event;
+    const bool just_begun = !first_event || boot_clock::now() - *first_event < stream_begin_time;
+    out.lost_at_begin = ended && !endless && just_begun;
     out.end = from.error().code == http::errc::timeout ? attempt_end::timeout : attempt_end::broken;
     co_return out;
 }
