Bound the bodies of all answers together

A report from other operators: endless answers filled the memory of the machine that had called, and the requests of all its callers ended with it.

Here 24 endpoints of a stage pool with endless answers took 215 MB (machines have 160 or 260), because each body had a bound of its own, and large error answers that are kept while another attempt runs didn't count among the others.

Now a client can bound the bodies of all its calls (16 MiB for calls to endpoints), and kept error answers and held-back parts of streams count among the 32 MiB of all requests. Up to 64 KiB are read in any case, so sound small answers aren't rejected beside large ones.

Ruled out by reading: heads, interim answers, answers to other requests, frames of peers.

--- a/include/limpetlock/http/client.hpp
+++ b/include/limpetlock/http/client.hpp
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -52,6 +53,9 @@
 struct client_limits {
     /// Largest body of a whole answer, event of an event stream, and body of a stream's error answer.
     std::size_t body_bytes{std::size_t{4} * 1024 * 1024};
+    /// Bound of the bodies of whole answers that are in memory at the same time, over all calls of the
+    /// client. Bodies up to 64 KiB are read in any case.
+    std::size_t total_body_bytes{std::numeric_limits<std::size_t>::max()};
     std::size_t max_idle_per_address{16};
     duration idle_timeout{10'000}; ///< in milliseconds; an idle connection is closed after it
     duration connect_timeout{500}; ///< in milliseconds
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -69,6 +69,7 @@
 {
     http::client_limits out;
     out.body_bytes = std::size_t{8} * 1024 * 1024;
+    out.total_body_bytes = std::size_t{16} * 1024 * 1024;
     out.max_idle_per_address = idle_connections;
     out.idle_timeout = duration(1'500);
     out.connect_timeout = connect_timeout;
--- a/lib/gateway/request_answer.cpp
+++ b/lib/gateway/request_answer.cpp
@@ -22,10 +22,10 @@
 /// Bytes of a stream in which an event with a new id has to come; beyond that it isn't an answer.
 constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
 
-/// Bound of the answers that are read whole, over all requests. Answers up to small_answer_bytes are read in
-/// any case.
+/// Bound of the answers and parts of streams that are in memory, over all requests. Up to small_answer_bytes
+/// are read in any case.
 constexpr std::size_t max_buffered_bytes = std::size_t{32} * 1024 * 1024;
-constexpr std::size_t small_answer_bytes = std::size_t{256} * 1024;
+constexpr std::size_t small_answer_bytes = std::size_t{64} * 1024;
 
 /// Time from its first event in which a stream counts as just begun. An engine that crashes on a prompt does
 /// so by then, and few of the other streams that it cuts are as young.
@@ -41,10 +41,11 @@
     buffer_share& operator=(const buffer_share&) = delete;
     ~buffer_share() { total_ -= own_; }
 
-    void add(std::size_t n)
+    /// Sets the number of bytes that the answer has in memory.
+    void set(std::size_t n)
     {
-        own_ += n;
-        total_ += n;
+        total_ += n - own_;
+        own_ = n;
     }
 
     bool exceeds_bounds() const
@@ -64,17 +65,17 @@
 {
     attempt_result out;
     http::response whole{from.status(), dependencies_.codec.forwarded_answer_headers(from.headers()), {}};
-    buffer_share share(buffered_bytes_);
-    while (!share.exceeds_bounds()) {
+    const auto share = std::make_shared<buffer_share>(buffered_bytes_);
+    while (!share->exceeds_bounds()) {
         auto bytes = co_await from.read(it.deadline);
         if (!bytes)
             break;
         whole.body += *bytes;
-        share.add(bytes->size());
+        share->set(whole.body.size());
     }
-    if (from.error().code != http::errc::none || share.exceeds_bounds()) {
+    if (from.error().code != http::errc::none || share->exceeds_bounds()) {
         out = failed_attempt(from.error());
-        if (share.exceeds_bounds())
+        if (share->exceeds_bounds())
             out.reason = fmt::format("answer not ended after {} bytes", whole.body.size());
         out.lost_at_begin = !keep_answer && from.error().code == http::errc::closed;
         out.end = from.error().code == http::errc::timeout ? attempt_end::timeout : attempt_end::broken;
@@ -85,6 +86,7 @@
         out.outcome = from.status() >= 500 ? attempt_outcome::endpoint_error : attempt_outcome::answered;
         out.reason = fmt::format("status {}", from.status());
         out.answer = std::move(whole);
+        out.answer_share = share;
         co_return out;
     }
     const int status = whole.status;
--- a/lib/gateway/request_context.hpp
+++ b/lib/gateway/request_context.hpp
@@ -6,6 +6,7 @@
 
 #include <limpetlock/gateway/event_framing.hpp>
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -60,9 +61,10 @@
     attempt_end end{attempt_end::not_sent};
     attempt_outcome outcome{attempt_outcome::cancelled};
     std::string reason;
-    http::response answer; ///< of failed_answer
-    int status{0};         ///< of the endpoint's answer; 0 if no header arrived
-    bool any_event{false}; ///< a whole event of the answer arrived
+    http::response answer;                    ///< of failed_answer
+    std::shared_ptr<const void> answer_share; ///< counts its bytes among those of all requests
+    int status{0};                            ///< of the endpoint's answer; 0 if no header arrived
+    bool any_event{false};                    ///< a whole event of the answer arrived
     /// The connection ended when the endpoint had just begun an answer.
     bool lost_at_begin{false};
 };
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <exception>
 #include <stdexcept>
 #include <utility>
@@ -37,6 +38,9 @@
 constexpr std::size_t read_bytes = std::size_t{4} * 1024;
 constexpr std::size_t body_read_bytes = std::size_t{32} * 1024;
 
+/// A body up to this size is read whatever the other calls have in memory.
+constexpr std::size_t small_body_bytes = std::size_t{64} * 1024;
+
 /// Interim answers (1xx) that are accepted before the final answer.
 constexpr int max_interim_answers = 8;
 
@@ -404,12 +408,39 @@
     co_return T();
 }
 
+/// Counts the body of one answer among those of all calls of the client.
+class body_share {
+public:
+    explicit body_share(std::shared_ptr<std::atomic<std::size_t>> total) : total_(std::move(total)) {}
+    body_share(const body_share&) = delete;
+    body_share& operator=(const body_share&) = delete;
+    ~body_share() { *total_ -= own_; }
+
+    /// Sets the size of the body. Returns whether the body exceeds the bound of all of them.
+    bool set(std::size_t n, std::size_t max_total)
+    {
+        const std::size_t total = *total_ += n - own_;
+        own_ = n;
+        return n > small_body_bytes && total > max_total;
+    }
+
+private:
+    std::shared_ptr<std::atomic<std::size_t>> total_;
+    std::size_t own_{0};
+};
+
 asio::awaitable<std::optional<response>> call_endpoint(exchange_ptr it, std::string head, std::string body,
-                                                       time_point deadline)
+                                                       time_point deadline, std::size_t max_total,
+                                                       std::shared_ptr<std::atomic<std::size_t>> total)
 {
+    body_share share(std::move(total));
     bool ok = co_await it->start(std::move(head), std::move(body), deadline);
-    while (ok && !it->done())
+    while (ok && !it->done()) {
         ok = co_await it->read_more(deadline);
+        if (ok && share.set(it->body().size(), max_total))
+            ok =
+                it->fail(errc::too_large, "bodies of all calls over " + std::to_string(max_total) + " bytes");
+    }
     if (!ok)
         co_return std::nullopt;
     response result{it->status(), it->headers(), std::move(it->body())};
@@ -578,6 +609,8 @@
 
     const client_limits limits;
     const std::shared_ptr<connection_pool> pool;
+    const std::shared_ptr<std::atomic<std::size_t>> buffered_bytes{
+        std::make_shared<std::atomic<std::size_t>>(0)};
 };
 
 /// Formats the request and selects a connection. Returns nullptr if the call fails before it needs one.
@@ -619,7 +652,8 @@
     const auto it = self->make_exchange(to, message, deadline, policy, head, error);
     if (!it)
         co_return std::nullopt;
-    auto work = call_endpoint(it, std::move(head), std::move(message.body), deadline);
+    auto work = call_endpoint(it, std::move(head), std::move(message.body), deadline,
+                              self->limits.total_body_bytes, self->buffered_bytes);
     auto result = co_await run_exchange(it, std::move(work));
     error = it->error;
     co_return result;
--- a/test/platform/raw_endpoint.cpp
+++ b/test/platform/raw_endpoint.cpp
@@ -63,6 +63,12 @@
 }
 
 void raw_endpoint::publish(platform_fleet& fleet, const std::string& pool, const std::string& id)
+{
+    list(fleet, pool, id);
+    std::this_thread::sleep_for(entry_time);
+}
+
+void raw_endpoint::list(platform_fleet& fleet, const std::string& pool, const std::string& id)
 {
     static std::atomic<int> published{0};
     const int number = ++published;
@@ -72,7 +78,6 @@
                                {"coldLeftMs", 0}, {"seq", number},
                                {"born", number}};
     fleet.with_site([&](platformkit::site& it) { it.state.put("servers/" + id, entry.dump()); });
-    std::this_thread::sleep_for(entry_time);
 }
 
 std::string raw_endpoint::head(const raw_request& request, const std::string& status)
@@ -98,7 +103,7 @@
     raw_request request;
     const std::size_t n = asio::read_until(socket, asio::dynamic_buffer(request.text), "\r\n\r\n", ec);
     request.id = value_of(request.text, "Limpetlock-Request-Id");
-    if (ec || request.id.empty())
+    if (ec)
         return;
     const std::string length = value_of(request.text, "Content-Length");
     const std::size_t body = length.empty() ? 0 : std::stoul(length);
--- a/test/platform/raw_endpoint.hpp
+++ b/test/platform/raw_endpoint.hpp
@@ -37,6 +37,9 @@
     /// the instances know it.
     void publish(platform_fleet& fleet, const std::string& pool, const std::string& id = "i-raw");
 
+    /// The same without waiting.
+    void list(platform_fleet& fleet, const std::string& pool, const std::string& id);
+
     std::size_t requests() const { return requests_; }
 
     /// Head of a successful answer to the request, up to the headers that state the length.
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -9,6 +9,8 @@
 #include <future>
 #include <memory>
 #include <optional>
+#include <thread>
+#include <vector>
 
 using namespace limpetlock;
 using namespace limpetlock::http;
@@ -174,6 +176,45 @@
     }
 }
 
+// Guards against many bodies that are kept at the same time, each within the bound of one, until the memory
+// of the process is gone; and against small ones that are rejected with them.
+Test(client, bodies_of_all_calls_are_bounded_together)
+{
+    client_limits limits;
+    limits.body_bytes = 1'000'000;
+    limits.total_body_bytes = 500'000;
+    fixture it(limits);
+    constexpr int calls = 6;
+    std::atomic<int> failed{0};
+    std::atomic<int> served{0};
+    std::vector<std::unique_ptr<scripted_endpoint>> endpoints;
+    std::vector<std::thread> callers;
+    for (int n = 0; n < calls; ++n) {
+        const std::size_t size = n == 0 ? 1'000 : 300'000;
+        endpoints.push_back(std::make_unique<scripted_endpoint>([size](tcp::acceptor& acceptor) {
+            raw_connection connection(acceptor);
+            connection.read_until("\r\n\r\n");
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n" +
+                            std::string(size - 1, 'x'));
+            std::this_thread::sleep_for(300ms);
+            connection.send("x");
+        }));
+        callers.emplace_back([&, to = endpoints.back()->listen_address(), small = n == 0] {
+            const auto out = it.call(to);
+            served += out.answer ? 1 : 0;
+            failed += !out.answer && out.error.code == errc::too_large ? 1 : 0;
+            cr_expect(!small || out.answer, "a small body is read in any case");
+        });
+    }
+    for (auto& caller : callers)
+        caller.join();
+    cr_expect_geq(failed.load(), calls - 2, "one large body fits");
+    cr_expect_eq(failed + served, calls);
+    scripted_endpoint later(
+        answer_once("HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n" + std::string(400'000, 'x')));
+    cr_expect(it.call(later.listen_address()).answer, "nothing is counted any more");
+}
+
 // Guards against interim answers that are taken for the final one, and against waiting for a body where there
 // is none.
 Test(client, interim_and_bodiless_answers)
--- a/unittests/support/background_test.cpp
+++ b/unittests/support/background_test.cpp
@@ -30,6 +30,32 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
+/// Throws in its first two rounds.
+awaitable<void> run_round(int& rounds)
+{
+    if (++rounds < 3)
+        throw std::runtime_error("unexpected");
+    co_return;
+}
+
+awaitable<void> fail_with_mark(bool& mark)
+{
+    const scope_exit done([&mark] { mark = false; });
+    co_await throw_error();
+}
+
+/// Sets `seen` if the exception of the first operand ends the wait.
+awaitable<void> wait_for_either(asio::steady_timer& timer, bool& seen)
+{
+    using namespace asio::experimental::awaitable_operators;
+    auto first = co_await (capture(throw_error()) || wait(timer));
+    try {
+        std::get<0>(first).take();
+    } catch (const std::runtime_error&) {
+        seen = true;
+    }
+}
+
 } // namespace
 
 // Guards against a loop that ends for good at the first unexpected error, so that its instance stops to
@@ -39,12 +65,7 @@
     asio::io_context context;
     const auto before = background_failure_count();
     int rounds = 0;
-    std::function<awaitable<void>()> make = [&rounds]() -> awaitable<void> {
-        if (++rounds < 3)
-            throw std::runtime_error("unexpected");
-        co_return;
-    };
-    spawn_loop(context.get_executor(), "loop", make);
+    spawn_loop(context.get_executor(), "loop", [&rounds] { return run_round(rounds); });
     context.run_for(5s);
     cr_expect_eq(rounds, 3);
     cr_expect_eq(background_failure_count() - before, 2);
@@ -56,11 +77,7 @@
     asio::io_context context;
     const auto before = background_failure_count();
     bool busy = true;
-    const auto work = [](bool& mark) -> awaitable<void> {
-        const scope_exit done([&mark] { mark = false; });
-        co_await throw_error();
-    };
-    spawn_background(context.get_executor(), "work", work(busy));
+    spawn_background(context.get_executor(), "work", fail_with_mark(busy));
     context.run();
     cr_expect_not(busy);
     cr_expect_eq(background_failure_count() - before, 1);
@@ -70,19 +87,10 @@
 // its caller, after the one that serves it has thrown.
 Test(background, captured_exception_ends_a_wait_for_either_of_two)
 {
-    using namespace asio::experimental::awaitable_operators;
     asio::io_context context;
     asio::steady_timer never(context, 1h);
     bool thrown = false;
-    const auto work = [](asio::steady_timer& timer, bool& seen) -> awaitable<void> {
-        auto first = co_await (capture(throw_error()) || wait(timer));
-        try {
-            std::get<0>(first).take();
-        } catch (const std::runtime_error&) {
-            seen = true;
-        }
-    };
-    spawn_background(context.get_executor(), "work", work(never, thrown));
+    spawn_background(context.get_executor(), "work", wait_for_either(never, thrown));
     context.run_for(5s);
     cr_expect(thrown);
 }
