Answer requests before a planned stop cuts them

A report from other operators: at the end of the grace of a planned stop, requests that had been taken late were cut without an answer, among them some that may not be repeated.

Now each request without an answer gets its final one when the stop cuts what is left: 503 if it was not sent, else 502. During a stop a request or repeat whose answer isn't expected to end in time, by the moving averages of its route, is refused at once with Retry-After.

--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -320,6 +320,7 @@
             const bool first = stop.state() == lifecycle::stop_state::running;
             stop.record_signal(boot_clock::now());
             if (first) {
+                handler.set_end(boot_clock::now() + stop_settings_of(settings.bounds).stop_timeout);
                 spawn_loop(io.get_executor(), "stop_loop", [this] { return stop_loop(); });
                 spawn_background(io.get_executor(), "final_refusal", refuse_waiting_at_end());
             }
@@ -390,6 +391,8 @@
             handler.refuse_new_work();
             caller->stop_accepting();
         }
+        if (it == stop_action::cut_requests)
+            handler.end_requests();
         if (it != stop_action::close)
             co_return;
         co_await sleep_for(close_delay);
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -118,6 +118,24 @@
     asio::steady_timer* it_;
 };
 
+/// Keeps the timer that ends a request in a map during its own lifetime.
+class request_handler::end_registration {
+public:
+    end_registration(std::map<asio::steady_timer*, http::exchange*>& all, asio::steady_timer& it,
+                     http::exchange& io)
+        : all_(all), it_(&it)
+    {
+        all_.emplace(it_, &io);
+    }
+    end_registration(const end_registration&) = delete;
+    end_registration& operator=(const end_registration&) = delete;
+    ~end_registration() { all_.erase(it_); }
+
+private:
+    std::map<asio::steady_timer*, http::exchange*>& all_;
+    asio::steady_timer* it_;
+};
+
 request_handler::request_handler(const handler_dependencies& dependencies)
     : dependencies_(dependencies),
       random_(static_cast<std::minstd_rand::result_type>(hash64(dependencies.settings.name, 2))),
@@ -254,8 +272,12 @@
     const bool accepted = co_await accept(it);
     if (accepted) {
         it.executor = co_await asio::this_coro::executor;
-        const auto first = co_await (run(it) || io.wait_closed());
+        asio::steady_timer end(it.executor, asio::steady_timer::time_point::max());
+        const end_registration entry(end_timers_, end, io);
+        const auto first = co_await (run(it) || io.wait_closed() || end.async_wait(as_tuple_awaitable));
         it.caller_gone = first.index() == 1;
+        if (first.index() == 2)
+            refuse_at_end(it);
     }
     if (it.caller_gone)
         callers_gone_.add();
@@ -290,6 +312,28 @@
     co_return first.index() == 0;
 }
 
+/// Sets the final answer of a request that the end of this process overtakes.
+void request_handler::refuse_at_end(request_context& it)
+{
+    const bool sent = it.attempts > 0;
+    it.refusal = {};
+    refuse(it, sent ? 502 : 503, "the instance ends", sent ? duration{0} : min_retry_after);
+}
+
+void request_handler::end_requests()
+{
+    for (const auto& [timer, io] : end_timers_)
+        if (!io->answered())
+            timer->cancel();
+}
+
+bool request_handler::can_end(const request_context& it, time_point now) const
+{
+    if (!ends_at_)
+        return true;
+    return now + answer_times_.expected(it.matched_route->name).value_or(duration{0}) < *ends_at_;
+}
+
 /// Never throws, since serve() would wait until the caller leaves.
 awaitable<void> request_handler::run(request_context& it)
 {
@@ -321,6 +365,8 @@
 {
     if (!passes_quarantine(it))
         co_return false;
+    if (!can_end(it, it.arrival))
+        co_return refuse(it, 503, "the instance ends before the answer would", min_retry_after);
     it.pool = pick_pool(*it.matched_route);
     retry_share_of(it.pool).record_first_attempt(it.arrival);
     it.endpoint_criteria.pool = it.pool;
@@ -471,12 +517,19 @@
         const auto to = co_await select_endpoint(it);
         if (!to)
             break;
+        if (!can_end(it, boot_clock::now())) {
+            if (it.possible_executions == 0)
+                refuse(it, 503, "the instance ends before the answer would", min_retry_after);
+            break;
+        }
         attempt_guard attempt(dependencies_.selector, *to, boot_clock::now());
         ++it.attempts;
         it.endpoint_criteria.tried.push_back(to->id);
         it.endpoint_id = to->id;
         last = co_await run_attempt(it, attempt);
         record_prompt_evidence(it, *to, last);
+        if (last.end == attempt_end::delivered && last.outcome == attempt_outcome::answered)
+            answer_times_.record(it.matched_route->name, boot_clock::now() - it.last_sent);
         if (last.end == attempt_end::delivered)
             co_return;
         if (may_have_run(last.end))
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -8,6 +8,7 @@
 #include "stage_runner.hpp"
 #include "store_reader.hpp"
 
+#include <limpetlock/gateway/answer_times.hpp>
 #include <limpetlock/gateway/endpoint_selector.hpp>
 #include <limpetlock/gateway/endpoint_statements.hpp>
 #include <limpetlock/gateway/platform_codec.hpp>
@@ -27,6 +28,7 @@
 #include <exception>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -78,6 +80,13 @@
     /// Refuses the requests whose stages aren't done, since the process ends before they can be served.
     void refuse_waiting_requests();
 
+    /// Sets the time at which the requests that remain are cut. A request whose answer isn't expected to end
+    /// by then is not sent to an endpoint any more.
+    void set_end(time_point end) { ends_at_ = end; }
+
+    /// Gives all requests without an answer their final one, since the process is about to end.
+    void end_requests();
+
     std::size_t in_flight() const { return in_flight_; }
 
 private:
@@ -88,6 +97,7 @@
     static constexpr duration min_retry_after{300};
 
     class timer_registration;
+    class end_registration;
     class buffer_share;
 
     /// Returns whether the request may run. If not, it was refused, or its caller left.
@@ -102,6 +112,7 @@
     /// Sets the answer of a refused request; returns false.
     bool refuse(request_context& it, int status, std::string_view reason, duration retry_after);
     boost::asio::awaitable<void> run(request_context& it);
+    void refuse_at_end(request_context& it);
     void refuse_after_exception(request_context& it, const std::exception_ptr& failure);
     boost::asio::awaitable<bool> prepare(request_context& it);
     boost::asio::awaitable<bool> run_stages(request_context& it);
@@ -129,6 +140,8 @@
     bool passes_quarantine(request_context& it);
     void record_prompt_evidence(const request_context& it, const endpoint& to, const attempt_result& last);
     bool may_retry(request_context& it, const attempt_result& last);
+    /// Whether the answer is expected to end before this process does.
+    bool can_end(const request_context& it, time_point now) const;
     void refuse_after_attempts(request_context& it, const attempt_result& last);
     boost::asio::awaitable<void> answer_refusal(request_context& it);
     void log_end(const request_context& it);
@@ -143,6 +156,10 @@
     std::size_t in_flight_{0};
     std::size_t buffered_bytes_{0}; ///< of the answers that are read whole
     bool refusing_new_work_{false};
+    answer_times answer_times_;
+    std::optional<time_point> ends_at_; ///< set by a planned stop
+    /// Timers that end the requests, and the exchanges of these.
+    std::map<boost::asio::steady_timer*, http::exchange*> end_timers_;
     bool stages_refused_{false};                        ///< no stages run any more
     std::set<boost::asio::steady_timer*> stage_timers_; ///< deadline timers of the requests whose stages run
     metrics::counter& repeats_;
