Keep what doesn't continue a stream from its caller

A report from other operators: a stream broke off, the next server answered with an error, and clients found its text in the middle of their stream, or the stream ended as complete.

Here a 200 with JSON or text did so, an empty 200 or 204 completed the stream, and a stream from its first event on came twice: any successful answer was taken for the continuation.

Now a continuation has the same status, no other type than an event stream, and events of its own that haven't come, or is an empty event stream with a stated end. Anything else is a broken attempt.

Ruled out: answers with an error status, which never were passed on.

--- a/include/limpetlock/gateway/event_framing.hpp
+++ b/include/limpetlock/gateway/event_framing.hpp
@@ -17,6 +17,10 @@
     /// Adds bytes and returns the complete events up to the last one with a new id; the rest stays buffered.
     std::string feed(std::string_view bytes);
 
+    /// Whether an endpoint that was to continue the stream sent an event that had already come, so its bytes
+    /// belong to another run. They are not returned.
+    bool repeats() const { return repeats_; }
+
     /// Number of buffered bytes of an incomplete event.
     std::size_t pending() const { return buffer_.size() - complete_; }
 
@@ -37,9 +41,11 @@
     void parse_line(std::string_view line);
 
     std::string buffer_;
-    std::size_t complete_{0};               ///< end of the last complete event
-    std::size_t scanned_{0};                ///< start of the first line that isn't parsed yet
-    std::optional<std::uint64_t> event_id_; ///< of the incomplete event
+    bool repeats_{false};
+    std::optional<std::uint64_t> continued_after_; ///< last id before the endpoint that sends now
+    std::size_t complete_{0};                      ///< end of the last complete event
+    std::size_t scanned_{0};                       ///< start of the first line that isn't parsed yet
+    std::optional<std::uint64_t> event_id_;        ///< of the incomplete event
     std::optional<std::uint64_t> last_event_id_;
 };
 
--- a/lib/gateway/event_framing.cpp
+++ b/lib/gateway/event_framing.cpp
@@ -10,6 +10,8 @@
     scanned_ = 0;
     complete_ = 0;
     event_id_.reset();
+    repeats_ = false;
+    continued_after_ = last_event_id_;
 }
 
 std::string event_framing::take_complete()
@@ -36,6 +38,8 @@
 
 std::string event_framing::feed(std::string_view bytes)
 {
+    if (repeats_)
+        return {};
     buffer_.append(bytes);
     std::size_t whole = 0;
     for (auto end = buffer_.find('\n', scanned_); end != std::string::npos;
@@ -48,6 +52,9 @@
             parse_line(line);
             continue;
         }
+        repeats_ = event_id_ && continued_after_ && *event_id_ <= *continued_after_;
+        if (repeats_)
+            break;
         complete_ = scanned_;
         if (event_id_ && (!last_event_id_ || *event_id_ > *last_event_id_)) {
             last_event_id_ = event_id_;
--- a/lib/gateway/request_answer.cpp
+++ b/lib/gateway/request_answer.cpp
@@ -7,7 +7,9 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <memory>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace limpetlock::gateway {
@@ -33,6 +35,23 @@
 
 } // namespace
 
+/// Whether the endpoint stated how its answer ends, so that a broken connection can't pass for its end.
+bool has_framing(const http::answer_reader& from)
+{
+    return http::find_header(from.headers(), "Content-Length") ||
+           http::find_header(from.headers(), "Transfer-Encoding");
+}
+
+/// Whether the endpoint stated that its answer is a stream of events; nullopt if it stated no type.
+std::optional<bool> states_event_stream(const http::answer_reader& from)
+{
+    constexpr std::string_view stream_type = "text/event-stream";
+    const auto type = http::find_header(from.headers(), "Content-Type");
+    if (!type)
+        return std::nullopt;
+    return http::equals_ignoring_case(type->substr(0, stream_type.size()), stream_type);
+}
+
 /// Counts the bytes of one buffered answer among those of all requests.
 class request_handler::buffer_share {
 public:
@@ -106,13 +125,19 @@
     std::optional<time_point> first_event;
     bool endless = false;
     bool ok = true;
-    for (;;) {
+    const bool continues = it.streaming;
+    const auto stated = states_event_stream(from);
+    // Nothing of another answer, such as an error, may reach the middle of the caller's stream.
+    const bool unusable = continues && (from.status() != it.status || stated == false);
+    buffer_share share(buffered_bytes_);
+    while (!unusable) {
         const auto bytes = co_await from.read(it.deadline);
         if (!bytes)
             break;
         const std::string events = it.framing.feed(*bytes);
-        endless = it.framing.buffered() > max_event_bytes;
-        if (endless)
+        share.set(it.framing.buffered());
+        endless = it.framing.buffered() > max_event_bytes || share.exceeds_bounds();
+        if (endless || it.framing.repeats())
             break;
         if (events.empty())
             continue;
@@ -133,8 +158,12 @@
             co_return out;
         }
     }
-    const bool whole =
-        from.error().code == http::errc::none && !endless && it.framing.pending() == 0 && it.streaming;
+    // An answer without an event of its own continues a stream of which only the end was lost, if it can't be
+    // anything else.
+    const bool has_content =
+        first_event || (continues && it.framing.buffered() == 0 && stated == true && has_framing(from));
+    const bool whole = from.error().code == http::errc::none && !unusable && !endless &&
+                       !it.framing.repeats() && it.framing.pending() == 0 && it.streaming && has_content;
     if (whole) {
         co_await it.io.write(it.framing.take_complete());
         co_await it.io.finish();
@@ -146,12 +175,16 @@
     out = failed_attempt(from.error());
     if (endless)
         out.reason = fmt::format("no event in {} bytes", it.framing.buffered());
-    it.framing.discard_pending();
+    else if (unusable)
+        out.reason = fmt::format("status {} can't continue a stream", from.status());
+    else if (it.framing.repeats())
+        out.reason = "events of the stream were repeated";
     out.any_event = first_event.has_value();
     // A stream without a length or chunks that ends inside an event has no error.
     const bool ended = from.error().code == http::errc::closed || from.error().code == http::errc::none;
     const bool just_begun = !first_event || boot_clock::now() - *first_event < stream_begin_time;
-    out.lost_at_begin = ended && !endless && just_begun;
+    out.lost_at_begin = ended && !endless && !unusable && !it.framing.repeats() && just_begun;
+    it.framing.discard_pending();
     out.end = from.error().code == http::errc::timeout ? attempt_end::timeout : attempt_end::broken;
     co_return out;
 }
