--- a/test/platform/garbled_test.cpp
+++ b/test/platform/garbled_test.cpp
@@ -51,6 +51,18 @@
     return out;
 }
 
+/// A call with stages whose request id and piece key, from which calls to the stages are made, have a byte
+/// that isn't UTF-8.
+platform_call malformed_call()
+{
+    platform_call out;
+    out.path = "/stream/x";
+    out.request_id = "a\xff";
+    out.prefix_hashes = "1:50,2:30";
+    out.pieces = "1,1";
+    return out;
+}
+
 const std::vector<std::string> garbled_answers{
     "HTTP/1.1 800 OK\r\n{}Content-Length: 2\r\n\r\nok",
     "HTTP/1.1 600 OK\r\n{}Content-Length: 2\r\n\r\nok",
@@ -87,3 +99,20 @@
         cr_expect_eq(fleet.wait_exit(0, milliseconds(5'000)), 0, "%s", path.c_str());
     }
 }
+
+// Guards against stage endpoints that stay busy for good, since the call to them failed before it was sent:
+// the encoding of a malformed piece key threw in a coroutine in the background.
+Test(garbled, malformed_request_is_refused_and_blocks_no_stage_endpoint)
+{
+    platform_fleet fleet(2);
+    cr_assert(fleet.wait_ready());
+    for (std::size_t n = 0; n < 6; ++n)
+        cr_expect_eq(fleet.send_and_wait(n % 2, malformed_call()).status, 400);
+    auto sound = malformed_call();
+    for (std::size_t n = 0; n < 4; ++n) {
+        sound.request_id = fmt::format("{:016x}", n + 1);
+        const auto answer = fleet.send_and_wait(n % 2, sound);
+        cr_expect_eq(answer.status, 200);
+        cr_expect(answer.complete);
+    }
+}
