--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -268,6 +268,8 @@
             return "stopping";
         if (!state.table())
             return "no configuration";
+        if (state.entries().revision() == state_revision{})
+            return "no list of endpoints";
         const auto age = state.proof_age(now);
         const auto& bounds = settings.bounds;
         if (bounds.strict_key_revocation &&
