Bound the bodies of all requests together

Now the bodies that are read or served may have an eighth of the memory that the platform states, since a body takes up to three times its size. Beyond that a request is refused with 503 and Retry-After before its body is read; up to 64 KiB are accepted in any case.

The test of the server is new with the option.

--- a/include/limpetlock/gateway/settings.hpp
+++ b/include/limpetlock/gateway/settings.hpp
@@ -5,7 +5,9 @@
 #include <limpetlock/http/client.hpp>
 #include <limpetlock/support/time.hpp>
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,16 +30,17 @@
 };
 
 struct gateway_settings {
-    std::string name;                       ///< unique among the instances
-    std::string domain;                     ///< failure domain
-    http::address caller_address;           ///< listener for callers
-    http::address readiness_address;        ///< listener for readiness checks
-    http::address metrics_address;          ///< listener for metrics
-    http::address peer_address;             ///< listener for other instances
-    http::address store_address;            ///< store of the platform's published state
-    std::vector<http::address> seeds;       ///< instances that are contacted first, to learn of the others
-    std::int64_t capacity_millicores{1000}; ///< thousandths of a core
-    double store_reads_per_second{0};       ///< read calls to the store, for all instances together
+    std::string name;                          ///< unique among the instances
+    std::string domain;                        ///< failure domain
+    http::address caller_address;              ///< listener for callers
+    http::address readiness_address;           ///< listener for readiness checks
+    http::address metrics_address;             ///< listener for metrics
+    http::address peer_address;                ///< listener for other instances
+    http::address store_address;               ///< store of the platform's published state
+    std::vector<http::address> seeds;          ///< instances that are contacted first, to learn of the others
+    std::int64_t capacity_millicores{1000};    ///< thousandths of a core
+    std::optional<std::size_t> memory_bytes{}; ///< beyond which the process is killed
+    double store_reads_per_second{0};          ///< read calls to the store, for all instances together
     operating_bounds bounds;
 
     friend bool operator==(const gateway_settings&, const gateway_settings&) = default;
--- a/include/limpetlock/http/server.hpp
+++ b/include/limpetlock/http/server.hpp
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -55,6 +56,9 @@
 struct server_limits {
     std::size_t header_bytes{std::size_t{16} * 1024};
     std::size_t body_bytes{std::size_t{1024} * 1024};
+    /// Bound of the bodies of all requests that are in memory. Beyond it a request is refused with 503,
+    /// unless its body has at most 64 KiB.
+    std::size_t total_body_bytes{std::numeric_limits<std::size_t>::max()};
     std::size_t connections{4096};
     duration header_timeout{5'000}; ///< also for the TLS handshake
     duration body_timeout{10'000};
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -62,6 +62,10 @@
 /// Interval of the checks of the settings file, which may change without a signal.
 constexpr duration settings_interval{2'000};
 
+/// The bodies of requests may have this part of the memory. A body takes up to three times its size: its
+/// string grows by doubling, and it is copied when the request is sent on.
+constexpr std::size_t memory_per_body_bytes = 8;
+
 constexpr duration connect_timeout{350};
 constexpr std::size_t idle_connections = 8;
 
@@ -229,9 +233,11 @@
             returns.return_results(it);
     }
 
-    static http::server_limits to_server_limits(const caller_limits& it)
+    http::server_limits to_server_limits(const caller_limits& it) const
     {
         http::server_limits out;
+        if (settings.memory_bytes)
+            out.total_body_bytes = *settings.memory_bytes / memory_per_body_bytes;
         out.header_bytes = it.header_bytes;
         out.body_bytes = it.body_bytes;
         out.header_timeout = it.header_timeout;
--- a/lib/http/connection.cpp
+++ b/lib/http/connection.cpp
@@ -42,6 +42,9 @@
 /// Read size for a body.
 constexpr std::size_t body_read_bytes = std::size_t{16} * 1024;
 
+/// A body up to this size is accepted whatever the other requests have in memory.
+constexpr std::size_t small_body_bytes = std::size_t{64} * 1024;
+
 /// Buffer space for chunk headers in addition to a header of the largest size.
 constexpr std::size_t buffer_slack_bytes = std::size_t{4} * 1024;
 
@@ -94,6 +97,7 @@
     caller_connection& operator=(const caller_connection&) = delete;
     ~caller_connection() override
     {
+        count_body(0);
         server_->remove(this);
         --server_->open_connections;
     }
@@ -130,6 +134,7 @@
     bool fail(error_code ec);
     bool set_refusal(int status, std::string_view code, std::string reason);
     bool check_header();
+    bool count_body(std::size_t size);
     void store_header();
     void expire_after(duration wait) { timer_.set(deadline_timer::after(wait), shared_from_this()); }
     bool caller_gone();
@@ -147,6 +152,7 @@
     std::optional<parser> parser_;
     std::optional<refusal> refusal_;
     request request_;
+    std::size_t counted_body_bytes_{0}; ///< in server_state::body_bytes
     int direct_writes_{0};
     unsigned version_{11};
     bool keep_alive_{false};
@@ -270,6 +276,7 @@
 {
     parser_.reset();
     request_ = {};
+    count_body(0);
     answered_ = answer_complete_ = streaming_ = false;
     if (buffer_.size() > 0)
         co_return true;
@@ -307,15 +314,30 @@
         buffer_.reserve(std::min(buffer_.max_size(), body_read_bytes));
         expire_after(limits_.body_timeout);
     }
-    while (ok && !parser_->is_done())
+    while (ok && !parser_->is_done()) {
         ok = co_await parse_more();
-    if (!ok)
+        if (ok && !count_body(parser_->get().body().size()))
+            ok = set_refusal(503, "not_run", "too many requests in memory");
+    }
+    if (!ok) {
+        // The connection may linger before it is closed.
+        parser_.reset();
+        count_body(0);
         co_return false;
+    }
     request_.body = std::move(parser_->get().body());
     parser_.reset();
     co_return true;
 }
 
+/// Counts the body of this request among those of all requests. Returns false if it exceeds their bound.
+bool caller_connection::count_body(std::size_t size)
+{
+    const std::size_t total = server_->body_bytes += size - counted_body_bytes_;
+    counted_body_bytes_ = size;
+    return size <= small_body_bytes || total <= limits_.total_body_bytes;
+}
+
 /// Parses the buffered bytes, and reads more if the parser needs them.
 asio::awaitable<bool> caller_connection::parse_more()
 {
@@ -423,7 +445,9 @@
     keep_alive_ = false;
     answered_ = true;
     const auto body = error_body(refusal_->code, refusal_->reason, "no");
-    const auto answer = json_response(refusal_->status, {});
+    auto answer = json_response(refusal_->status, {});
+    if (refusal_->status == 503)
+        answer.headers.push_back({"Retry-After", "1"});
     const auto head = format_answer_head(answer.status, answer.headers, {11, false, false, body.size()});
     const output_buffers buffers{asio::buffer(head), asio::buffer(body)};
     expire_after(limits_.write_timeout);
--- a/lib/http/connection.hpp
+++ b/lib/http/connection.hpp
@@ -51,6 +51,7 @@
     const handler handle;
     std::atomic<std::size_t> active_requests{0};
     std::atomic<std::size_t> open_connections{0};
+    std::atomic<std::size_t> body_bytes{0}; ///< of all requests that are read or served
     std::atomic<bool> stopping{false};
 
 private:
--- a/unittests/http/server_test.cpp
+++ b/unittests/http/server_test.cpp
@@ -433,3 +433,50 @@
     cr_assert(eventually([] { return closed_count == 1; }));
     cr_assert_eq(connection.read_all(), "");
 }
+
+namespace {
+
+asio::awaitable<void> answer_shortly(exchange& it)
+{
+    response answer{200, {}, "end"};
+    co_await it.respond(std::move(answer));
+}
+
+} // namespace
+
+// Guards against a burst of large requests that fills the memory of the process, which ends all requests that
+// it had accepted, and against small requests that are refused with them.
+Test(server, bodies_of_all_requests_are_bounded_together)
+{
+    runtime threads;
+    server_limits limits;
+    limits.body_bytes = 400'000;
+    limits.total_body_bytes = 500'000;
+    server host(threads.executor(), "127.0.0.1", 0, limits, answer_shortly);
+    const auto head = [](std::size_t size) {
+        return "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " + std::to_string(size) +
+               "\r\n\r\n";
+    };
+    constexpr std::size_t large = 300'000;
+    raw_connection first(host.port());
+    first.send(head(large) + std::string(large - 1, 'x'));
+    std::this_thread::sleep_for(200ms);
+    raw_connection second(host.port());
+    second.send(head(large) + std::string(large, 'x'));
+    const std::string refused = second.read_until("\r\n\r\n");
+    cr_expect(refused.starts_with("HTTP/1.1 503"), "%s", refused.c_str());
+    cr_expect(refused.find("Retry-After: ") != std::string::npos);
+    raw_connection small(host.port());
+    small.send(head(1'000) + std::string(1'000, 'x'));
+    cr_expect(small.read_until("end").starts_with("HTTP/1.1 200"));
+    first.send("x");
+    cr_expect(first.read_until("end").starts_with("HTTP/1.1 200"));
+    first.close();
+    small.close();
+    second.close();
+    cr_expect(eventually([&] {
+        raw_connection later(host.port());
+        later.send(head(large) + std::string(large, 'x'));
+        return later.read_all().starts_with("HTTP/1.1 200");
+    }));
+}
