--- a/test/platform/endless_test.cpp
+++ b/test/platform/endless_test.cpp
@@ -95,6 +95,7 @@
     cr_assert(fleet.wait_ready());
     constexpr int endpoints = 24;
     std::vector<std::unique_ptr<raw_endpoint>> all;
+    all.reserve(endpoints);
     for (int n = 0; n < endpoints; ++n)
         all.push_back(std::make_unique<raw_endpoint>([](tcp::socket& socket, const raw_request&) {
             write_bytes(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
--- a/test/platform/stopping_test.cpp
+++ b/test/platform/stopping_test.cpp
@@ -58,8 +58,10 @@
         boost::asio::read(socket, boost::asio::dynamic_buffer(ignored), ec);
     });
     silent.publish(fleet, "plain");
+    constexpr int bookings = 5;
     std::vector<std::future<platform_answer>> answers;
-    for (int n = 0; n < 5; ++n)
+    answers.reserve(bookings);
+    for (int n = 0; n < bookings; ++n)
         answers.push_back(fleet.send(0, booking(n)));
     std::this_thread::sleep_for(milliseconds(200));
     fleet.signal(0, SIGTERM);
