Don't promise that a repeated request has not run

A request of a resumable route with stages that an endpoint had begun, and whose stages failed when they ran again for the repeat, was answered 503, which promises that it has not run. Callers may then repeat it as a new one.

Cause: the refusals of the stages and of pauses set 503 without asking what had happened before. refuse() now turns 503 into 502 once an endpoint may have run the request, so no path can promise it any more.

--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -203,7 +203,11 @@
 
 bool request_handler::refuse(request_context& it, int status, std::string_view reason, duration retry_after)
 {
-    it.refusal = {status, std::string(reason), retry_after};
+    // 503 promises that the request has not run.
+    if (status == 503 && it.possible_executions > 0)
+        it.refusal = {502, std::string(reason), duration{0}};
+    else
+        it.refusal = {status, std::string(reason), retry_after};
     return false;
 }
 
--- a/test/platform/continued_test.cpp
+++ b/test/platform/continued_test.cpp
@@ -6,10 +6,14 @@
 #include <fmt/format.h>
 
 #include <atomic>
+#include <chrono>
 #include <string>
+#include <thread>
 
 using boost::asio::ip::tcp;
 using namespace limpetlock::test;
+using limpetlock::platformkit::behaviour;
+using limpetlock::platformkit::site;
 using limpetlock::platformkit::site_options;
 
 namespace {
@@ -99,3 +103,38 @@
                      rest.c_str());
     }
 }
+
+// Guards against a refusal that promises that a request has not run, although an endpoint had it before the
+// stages of its repeat failed.
+Test(continued, repeat_whose_stages_fail_is_not_refused_as_if_it_had_not_run)
+{
+    site_options options;
+    options.engines = 0;
+    options.retry_extra = 1'000;
+    platform_fleet fleet(1, options);
+    cr_assert(fleet.wait_ready());
+    fleet.with_site([](site& it) {
+        it.config["routes"][1]["stages"] = it.config["routes"][0]["stages"];
+        it.publish_config();
+    });
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    const auto break_off = [&fleet](tcp::socket& socket, const raw_request& request) {
+        fleet.with_site([](site& it) {
+            for (const auto& stage : it.first_stage)
+                stage->behave(behaviour::fail, 1'000);
+        });
+        write_bytes(socket, stream_head(request) + "Content-Length: 500\r\n\r\n");
+    };
+    raw_endpoint one(break_off);
+    raw_endpoint two(break_off);
+    one.publish(fleet, "engine", "i-raw-one");
+    two.publish(fleet, "engine", "i-raw-two");
+    platform_call call;
+    call.path = "/resumable/x";
+    call.request_id = "00000000000000a1";
+    call.prefix_hashes = "1:50,2:80";
+    call.pieces = "1,1";
+    const auto answer = fleet.send_and_wait(0, call);
+    cr_expect_eq(answer.status, 502);
+    cr_expect_eq(one.requests() + two.requests(), 1);
+}
