Follow orders to evacuate a failure domain

Cause: operators can't take a failure domain out of service while its endpoints still answer as usual. Change: the store's key op/evacuate/DOMAIN is an entry of the published state, read by a listing of its prefix (only with the bound evacMs), the watch and the pulls between peers. While it exists, the selector and the stage dispatchers give the domain's endpoints no new work, stage tasks that wait for a pool whose endpoints are all evacuated end and move to other domains, and no releases are sent there. Afterwards the endpoints return gradually, as after a pause; the selector now leaves a returning endpoint out at part of the moments, since the share of the load didn't thin out the requests to an idle endpoint. A peer that doesn't follow orders is recognised (state_push.has_evacuations), and the orders are listed instead.

--- a/include/limpetlock/gateway/endpoint_selector.hpp
+++ b/include/limpetlock/gateway/endpoint_selector.hpp
@@ -76,6 +76,12 @@
     /// All endpoints of a pool that accept new work.
     std::vector<endpoint> available_endpoints(std::string_view pool) const;
 
+    /// Whether the pool has an endpoint that gets no work because its failure domain is evacuated.
+    bool has_evacuated(std::string_view pool) const;
+
+    /// Attempts in flight at the endpoints of each failure domain.
+    std::map<std::string, std::uint64_t> in_flight_by_domain() const;
+
     /// Whether requests wait at the endpoint, by its last load report; false if that report is too old.
     bool has_waiting_requests(const std::string& id, time_point now) const;
 
@@ -97,6 +103,7 @@
     struct candidate {
         const endpoint_state* state;
         bool avoided;    ///< backed off after failures
+        bool returning;  ///< left out at this moment, because it returns gradually
         bool suspected;  ///< crashed on a part of the prompt
         bool overloaded; ///< too loaded for requests with affinity
         double load;     ///< requests and cost of errors, divided by its slots
@@ -105,6 +112,7 @@
     };
 
     bool is_paused(const std::string& id, time_point now) const;
+    bool is_left_out(const endpoint_state& it, time_point now) const;
     double load_of(const endpoint_state& it, time_point now) const;
     /// The endpoints of the pool that weren't tried.
     std::vector<const endpoint_state*> untried(const selection_criteria& criteria) const;
--- a/include/limpetlock/gateway/endpoint_statements.hpp
+++ b/include/limpetlock/gateway/endpoint_statements.hpp
@@ -73,6 +73,9 @@
     /// away.
     void mark_leaving(std::vector<endpoint>& list) const;
 
+    /// Lets the endpoint return gradually, as after a pause that ends now.
+    void record_return(const endpoint& it, time_point now);
+
     /// End of the time for which the endpoint wants no requests of this instance; nullopt if there is none.
     std::optional<time_point> paused_until(std::string_view endpoint_id, time_point now) const;
 
@@ -115,6 +118,9 @@
     /// Id of the listed endpoint with this address; empty if there is none.
     std::string endpoint_at(const http::address& it) const;
 
+    /// The entry of the list with this id; nullptr if there is none.
+    const endpoint* listed(std::string_view endpoint_id) const;
+
     /// Number of limits in force.
     std::size_t count() const;
 
--- a/include/limpetlock/gateway/model.hpp
+++ b/include/limpetlock/gateway/model.hpp
@@ -129,6 +129,7 @@
     std::string domain;         ///< failure domain
     std::uint32_t slots{1};     ///< requests that run at the same time
     bool leaving{false};        ///< takes no new work
+    bool evacuated{false};      ///< gets no new work, by an order of the operators for its failure domain
     std::int64_t started_ms{0}; ///< Unix time of its start in milliseconds; 0 if unknown
 
     friend bool operator==(const endpoint&, const endpoint&) = default;
--- a/include/limpetlock/gateway/platform_codec.hpp
+++ b/include/limpetlock/gateway/platform_codec.hpp
@@ -74,6 +74,13 @@
     /// Prefix of the keys of all endpoint entries.
     virtual std::string endpoint_prefix() const = 0;
 
+    /// Prefix of the keys of the orders to evacuate a failure domain.
+    virtual std::string evacuation_prefix() const = 0;
+
+    /// The failure domain of an order. Returns nullopt and sets `reason` for a key that names none.
+    virtual std::optional<std::string> decode_evacuation(const std::string& key,
+                                                         std::string& reason) const = 0;
+
     virtual http::request encode_key_read(const std::string& key) const = 0;
 
     /// A read of a page of the keys with this prefix, beginning behind the key `after`; an empty one starts
--- a/include/limpetlock/gateway/published_state.hpp
+++ b/include/limpetlock/gateway/published_state.hpp
@@ -3,6 +3,7 @@
 /// and the time at which the table was last known to be the newest.
 #pragma once
 
+#include <limpetlock/gateway/evacuations.hpp>
 #include <limpetlock/gateway/platform_codec.hpp>
 #include <limpetlock/gateway/replica.hpp>
 #include <limpetlock/support/time.hpp>
@@ -34,6 +35,9 @@
     struct callbacks {
         std::function<void(const std::shared_ptr<const routing_table>&)> on_table;
         std::function<void(const std::vector<endpoint>&)> on_endpoints;
+        /// Called when orders to evacuate failure domains take effect or end. If it isn't set, the orders are
+        /// ignored.
+        std::function<void(const evacuation_changes&)> on_evacuations{};
     };
 
     /// `codec` has to outlive this object.
@@ -43,6 +47,8 @@
     void merge(std::vector<state_entry> entries, time_point now);
     /// Applies a full listing of the endpoints as of `revision`; see replica::apply_listing.
     void apply_listing(std::vector<state_entry> entries, state_revision revision, time_point now);
+    /// The same for a full listing of the orders to evacuate failure domains.
+    void apply_evacuation_listing(std::vector<state_entry> entries, state_revision revision, time_point now);
     /// Records that every change up to the revision has been merged.
     void advance_revision(state_revision revision) { entries_.advance_revision(revision); }
 
@@ -74,6 +80,21 @@
     /// Removes the lapsed endpoints whose grace has ended.
     void remove_lapsed_endpoints(time_point now);
 
+    /// Ends the orders that the store lost and whose grace has ended.
+    void remove_lapsed_evacuations(time_point now)
+    {
+        report_evacuations(evacuations_.remove_lapsed(now), now);
+    }
+
+    /// Whether the orders to evacuate failure domains are read and followed.
+    bool follows_evacuations() const { return static_cast<bool>(callbacks_.on_evacuations); }
+    const evacuations& evacuation_orders() const { return evacuations_; }
+
+    /// Records that changes were merged of a peer that doesn't know the orders, so orders may be missing here
+    /// until the next listing of them.
+    void record_missing_evacuations() { evacuations_missing_ = follows_evacuations(); }
+    bool misses_evacuations() const { return evacuations_missing_; }
+
     const replica& entries() const { return entries_; }
     std::shared_ptr<const routing_table> table() const { return table_; }
     state_revision table_revision() const { return table_revision_; }
@@ -100,6 +121,8 @@
     void set_era(std::int64_t era, std::string_view source, time_point now);
     void update_table(time_point now);
     void update_endpoints(time_point now);
+    void update_evacuations(time_point now);
+    void report_evacuations(const evacuation_changes& changes, time_point now);
     std::vector<endpoint> decode_entries();
     void retain_lapsed_endpoints(std::vector<endpoint>& next, bool unsettled, time_point now);
     void log_changes(const std::vector<endpoint>& next, bool unsettled) const;
@@ -123,6 +146,8 @@
     std::optional<time_point> store_failed_at_;
     std::map<std::string, decoded_entry, std::less<>> decoded_;
     std::vector<endpoint> endpoints_;
+    evacuations evacuations_;
+    bool evacuations_missing_{false};
     std::map<std::string, time_point> missing_since_; ///< of lapsed endpoints in use, by id
 };
 
--- a/include/limpetlock/gateway/settings.hpp
+++ b/include/limpetlock/gateway/settings.hpp
@@ -25,6 +25,9 @@
     double retry_extra{0};         ///< retries allowed in the window beyond the ratio, over all instances
     duration retry_window{10'000}; ///< sliding window of the two limits above
     duration recovery_time{12'000};
+    /// From the order to evacuate a failure domain until nothing more is sent there; nullopt: orders are
+    /// neither read nor followed.
+    std::optional<duration> evacuation_time;
 
     friend bool operator==(const operating_bounds&, const operating_bounds&) = default;
 };
--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -115,6 +115,16 @@
     /// passed.
     bool retry(queued_piece it, time_point now);
 
+    /// Queues the pieces of a call again that was not made, since its endpoint takes no more work.
+    void requeue(std::vector<queued_piece> pieces)
+    {
+        for (auto& it : pieces)
+            queue_.push(std::move(it));
+    }
+
+    /// Whether the endpoint may get calls, now or later.
+    bool has_endpoint(std::string_view id) const { return endpoints_.contains(id); }
+
     /// Removes and returns the pieces that can't be done before their deadline.
     std::vector<queued_piece> expire(time_point now) { return queue_.expire(options_, now); }
 
--- a/lib/gateway/endpoint_selector.cpp
+++ b/lib/gateway/endpoint_selector.cpp
@@ -55,7 +55,7 @@
         endpoint_state entry = same ? found->second : endpoint_state{};
         entry.listed = it;
         next.emplace(it.id, std::move(entry));
-        if (!it.leaving)
+        if (!it.leaving && !it.evacuated)
             pools_[it.pool].push_back(it.id);
     }
     // Endpoints with attempts in flight are kept until these end.
@@ -77,6 +77,17 @@
     return (load + it.error_share * error_cost) / std::max<double>(1, it.listed.slots) / share;
 }
 
+/// Whether the endpoint is left out at this moment so that it gets its share of the usual requests only. The
+/// load alone doesn't thin out the requests to an idle endpoint.
+bool endpoint_selector::is_left_out(const endpoint_state& it, time_point now) const
+{
+    const double share = statements_ == nullptr ? 1 : statements_->return_share(it.listed.id, now);
+    if (share >= 1)
+        return false;
+    const std::uint64_t point = hash64(it.listed.id, static_cast<std::uint64_t>(to_ms(now))) >> 11;
+    return static_cast<double>(point) * 0x1p-53 >= share;
+}
+
 bool endpoint_selector::is_paused(const std::string& id, time_point now) const
 {
     return statements_ != nullptr && statements_->paused_until(id, now).has_value();
@@ -118,7 +129,7 @@
         const bool suspected = std::find(criteria.suspected.begin(), criteria.suspected.end(),
                                          it->listed.id) != criteria.suspected.end();
         const bool overloaded = criteria.affinity_hash != 0 && load > affinity_load_limit;
-        out.push_back({it, it->avoid_until > now, suspected, overloaded, load, 0});
+        out.push_back({it, it->avoid_until > now, is_left_out(*it, now), suspected, overloaded, load, 0});
     }
     return out;
 }
@@ -151,8 +162,8 @@
     if (all.empty())
         return std::nullopt;
     const auto by_state = [](const candidate& a, const candidate& b) {
-        return std::tie(a.avoided, a.suspected, a.overloaded) <
-               std::tie(b.avoided, b.suspected, b.overloaded);
+        return std::tie(a.avoided, a.suspected, a.returning, a.overloaded) <
+               std::tie(b.avoided, b.suspected, b.returning, b.overloaded);
     };
     const candidate best = *std::min_element(all.begin(), all.end(), by_state);
     std::erase_if(all, [&](const candidate& it) { return by_state(best, it); });
@@ -258,10 +269,26 @@
     return out;
 }
 
+bool endpoint_selector::has_evacuated(std::string_view pool) const
+{
+    return std::any_of(endpoints_.begin(), endpoints_.end(), [pool](const auto& it) {
+        return it.second.listed.evacuated && it.second.listed.pool == pool;
+    });
+}
+
+std::map<std::string, std::uint64_t> endpoint_selector::in_flight_by_domain() const
+{
+    std::map<std::string, std::uint64_t> out;
+    for (const auto& [id, it] : endpoints_)
+        if (it.in_flight > 0)
+            out[it.listed.domain] += it.in_flight;
+    return out;
+}
+
 bool endpoint_selector::accepts_work(const std::string& id) const
 {
     const auto it = endpoints_.find(id);
-    return it != endpoints_.end() && !it->second.listed.leaving;
+    return it != endpoints_.end() && !it->second.listed.leaving && !it->second.listed.evacuated;
 }
 
 } // namespace limpetlock::gateway
--- a/lib/gateway/endpoint_statements.cpp
+++ b/lib/gateway/endpoint_statements.cpp
@@ -118,6 +118,13 @@
     return it->second.until;
 }
 
+void endpoint_statements::record_return(const endpoint& it, time_point now)
+{
+    auto& known = pauses_[it.id];
+    if (known.until < now)
+        known = {it.started_ms, now};
+}
+
 double endpoint_statements::return_share(std::string_view endpoint_id, time_point now) const
 {
     constexpr double min_share = 0.1;
@@ -143,7 +150,7 @@
         const bool stated = found != leavings_.end() && found->second.started_ms == it.started_ms;
         if (stated && found->second.reporter == own_name_)
             it.leaving = true;
-        if (it.leaving)
+        if (it.leaving || it.evacuated)
             continue;
         if (stated)
             only_by_peers[it.pool].push_back(&it);
@@ -237,6 +244,12 @@
     return found == ids_.end() ? std::string() : found->second;
 }
 
+const endpoint* endpoint_statements::listed(std::string_view endpoint_id) const
+{
+    const auto found = listed_.find(endpoint_id);
+    return found == listed_.end() ? nullptr : &found->second;
+}
+
 std::size_t endpoint_statements::count() const
 {
     return static_cast<std::size_t>(std::count_if(statements_.begin(), statements_.end(), [](const auto& it) {
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -392,8 +392,12 @@
     if (!state_.record_peer_era(push.era, now))
         co_return;
     const state_revision revision(push.revision, push.era);
+    if (push.whole && push.has_evacuations)
+        state_.apply_evacuation_listing(std::vector<state_entry>(*entries), revision, now);
     if (push.whole)
         state_.apply_listing(std::vector<state_entry>(*entries), revision, now);
+    if (!push.has_evacuations)
+        state_.record_missing_evacuations();
     state_.merge(std::move(*entries), now);
     state_.advance_revision(revision);
     if (push.proof_age_ms >= 0)
@@ -467,6 +471,7 @@
         out.items.push_back(std::move(item));
     }
     out.whole = whole;
+    out.has_evacuations = state_.follows_evacuations() && !state_.misses_evacuations();
     out.revision = state_.entries().revision().number;
     out.era = state_.entries().revision().era;
     out.table_revision = state_.table_revision().number;
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -122,7 +122,8 @@
           endpoint_client(io.get_executor(), endpoint_limits()),
           service_client(io.get_executor(), service_limits()),
           reader(io.get_executor(), settings, *codec, state, metrics, [this] { return reader_role(); }),
-          releaser(io.get_executor(), *codec, endpoint_client, statements, issuer),
+          releaser(io.get_executor(), *codec, endpoint_client, statements, state.evacuation_orders(), issuer,
+                   metrics),
           scheduler(io.get_executor(), *codec, endpoint_client, releaser, statements, issuer, metrics,
                     [this](const std::vector<result_group>& used) { return_results(used); }),
           peers(io.get_executor(), settings, random_run_id(), state, quarantine, statements, metrics,
@@ -151,13 +152,44 @@
             statements.set_endpoints(it);
             apply_endpoints();
         };
+        if (settings.bounds.evacuation_time)
+            out.on_evacuations = [this](const evacuation_changes& it) {
+                begin_returns(it);
+                apply_endpoints();
+            };
         return out;
     }
 
-    /// Gives the list, with what the endpoints state of themselves, to all that select endpoints.
+    /// Lets the endpoints of failure domains whose evacuation has ended return gradually.
+    void begin_returns(const evacuation_changes& changes)
+    {
+        const time_point now = boot_clock::now();
+        for (const auto& order : changes.ended)
+            for (const auto& it : listed)
+                if (it.domain == order.domain)
+                    statements.record_return(it, now);
+    }
+
+    /// Requests and stage calls in flight at the endpoints of evacuated failure domains.
+    std::uint64_t count_in_flight_evacuated() const
+    {
+        std::uint64_t out = 0;
+        const auto add = [this, &out](const std::map<std::string, std::uint64_t>& by_domain) {
+            for (const auto& [domain, n] : by_domain)
+                if (state.evacuation_orders().contains(domain))
+                    out += n;
+        };
+        add(selector.in_flight_by_domain());
+        add(scheduler.in_flight_by_domain());
+        return out;
+    }
+
+    /// Gives the list, with the orders of the operators and what the endpoints state of themselves, to all
+    /// that select endpoints.
     void apply_endpoints()
     {
         endpoints = listed;
+        state.evacuation_orders().mark(endpoints);
         statements.mark_leaving(endpoints);
         selector.set_endpoints(endpoints, boot_clock::now());
         if (const auto table = state.table())
@@ -306,6 +338,8 @@
             background_failures.set(static_cast<std::int64_t>(background_failure_count()));
             limits_in_force.set(static_cast<std::int64_t>(statements.count()));
             leaving_endpoints.set(static_cast<std::int64_t>(statements.leaving_count()));
+            evacuations_in_force.set(static_cast<std::int64_t>(state.evacuation_orders().count()));
+            in_flight_evacuated.set(static_cast<std::int64_t>(count_in_flight_evacuated()));
             answer = {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.render()};
         }
         co_await it.respond(std::move(answer));
@@ -441,8 +475,13 @@
         "limpetlock_endpoint_limits", "endpoints that limit the rate of requests, as far as known here")};
     metrics::gauge& leaving_endpoints{metrics.get_gauge(
         "limpetlock_endpoints_stating_leaving", "endpoints that stated in an answer that they leave")};
+    metrics::gauge& evacuations_in_force{metrics.get_gauge(
+        "limpetlock_evacuations", "orders in force to send nothing more to a failure domain")};
+    metrics::gauge& in_flight_evacuated{
+        metrics.get_gauge("limpetlock_evacuated_in_flight",
+                          "requests and stage calls in flight at endpoints of evacuated failure domains")};
     std::vector<endpoint> listed;    ///< as the store lists them
-    std::vector<endpoint> endpoints; ///< with those that leave by their own statement
+    std::vector<endpoint> endpoints; ///< with the evacuated ones and those that leave by their own statement
     endpoint_statements statements;
     endpoint_selector selector;
     permit_issuer issuer;
--- a/lib/gateway/published_state.cpp
+++ b/lib/gateway/published_state.cpp
@@ -18,10 +18,12 @@
 {
     bool table_changed = false;
     bool endpoints_changed = false;
+    bool evacuations_changed = false;
     for (auto& it : entries) {
         const bool is_table = it.key == codec_.table_key();
         const bool is_endpoint = it.key.starts_with(codec_.endpoint_prefix());
-        if (!is_table && !is_endpoint)
+        const bool is_evacuation = follows_evacuations() && it.key.starts_with(codec_.evacuation_prefix());
+        if (!is_table && !is_endpoint && !is_evacuation)
             continue;
         // A table that was only written again is neither decoded nor put in force again.
         const state_entry* const known = is_table ? entries_.find(it.key) : nullptr;
@@ -33,7 +35,11 @@
             table_revision_ = revision;
         table_changed = table_changed || (newer && is_table && !same);
         endpoints_changed = endpoints_changed || (newer && is_endpoint);
+        evacuations_changed = evacuations_changed || (newer && is_evacuation);
     }
+    // First, so that endpoints of an evacuated domain are known as such from the start.
+    if (evacuations_changed)
+        update_evacuations(now);
     if (table_changed)
         update_table(now);
     if (endpoints_changed)
@@ -48,6 +54,52 @@
         update_endpoints(now);
 }
 
+void published_state::apply_evacuation_listing(std::vector<state_entry> entries, state_revision revision,
+                                               time_point now)
+{
+    if (!follows_evacuations())
+        return;
+    std::erase_if(entries,
+                  [this](const state_entry& it) { return !it.key.starts_with(codec_.evacuation_prefix()); });
+    evacuations_missing_ = false;
+    if (entries_.apply_listing(codec_.evacuation_prefix(), std::move(entries), revision))
+        update_evacuations(now);
+}
+
+void published_state::update_evacuations(time_point now)
+{
+    std::vector<evacuation_order> orders;
+    for (const auto* it : entries_.entries_under(codec_.evacuation_prefix())) {
+        std::string reason;
+        auto domain = codec_.decode_evacuation(it->key, reason);
+        if (domain)
+            orders.push_back({std::move(*domain), it->revision});
+        else
+            log::warning("evacuation_rejected", {{"key_bytes", fmt::to_string(it->key.size())},
+                                                 {"revision", fmt::to_string(it->revision.number)},
+                                                 {"reason", reason}});
+    }
+    report_evacuations(evacuations_.set_orders(orders, era_, now), now);
+}
+
+void published_state::report_evacuations(const evacuation_changes& changes, time_point now)
+{
+    const auto log_order = [this, now](std::string_view event, const evacuation_order& it) {
+        log::info(event, {{"failure_domain", it.domain},
+                          {"revision", fmt::to_string(it.revision.number)},
+                          {"era", fmt::to_string(it.revision.era)},
+                          {"state_revision", fmt::to_string(entries_.revision().number)},
+                          {"state_age_ms", fmt::to_string(proof_age(now).value_or(duration(-1)).count())},
+                          {"in_force", fmt::to_string(evacuations_.count())}});
+    };
+    for (const auto& it : changes.begun)
+        log_order("evacuation_in_force", it);
+    for (const auto& it : changes.ended)
+        log_order("evacuation_ended", it);
+    if (!changes.empty())
+        callbacks_.on_evacuations(changes);
+}
+
 void published_state::update_table(time_point now)
 {
     const state_entry* const it = entries_.find(codec_.table_key());
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -155,6 +155,9 @@
       paused_(dependencies.metrics.get_counter(
           "limpetlock_requests_paused_total",
           "requests refused because all endpoints of their pool asked for no requests for a while")),
+      evacuated_(dependencies.metrics.get_counter(
+          "limpetlock_requests_evacuated_total",
+          "requests refused because the endpoints of their pool are evacuated")),
       confirmations_(dependencies.metrics.get_counter(
           "limpetlock_table_confirmations_total",
           "requests that waited for a read of the table because its proof was too old")),
@@ -378,7 +381,7 @@
     it.endpoint_criteria.affinity_hash = prompt_affinity(it.request);
     it.endpoint_criteria.session_hash = prompt_session(it.request);
     if (dependencies_.selector.available_endpoints(it.pool).empty())
-        co_return refuse(it, 503, "no endpoint", min_retry_after);
+        co_return refuse_without_endpoint(it, min_retry_after);
     if (refuse_while_paused(it))
         co_return false;
     if (it.matched_route->stages.empty())
@@ -581,15 +584,34 @@
         return;
     if (it.refusal.status != 0)
         return;
-    if (it.possible_executions == 0)
-        refuse(it, 503, last.reason.empty() ? "no endpoint" : last.reason,
-               retry_after(it, boot_clock::now()));
+    const duration wait = retry_after(it, boot_clock::now());
+    if (it.possible_executions == 0 && last.reason.empty())
+        refuse_without_endpoint(it, wait);
+    else if (it.possible_executions == 0)
+        refuse(it, 503, last.reason, wait);
     else if (last.end == attempt_end::timeout)
         refuse(it, 504, last.reason, duration{0});
     else
         refuse(it, 502, last.reason, duration{0});
 }
 
+/// Refuses a request that was sent to no endpoint, since the pool has none that takes work.
+bool request_handler::refuse_without_endpoint(request_context& it, duration retry_after)
+{
+    const auto& selector = dependencies_.selector;
+    const time_point now = boot_clock::now();
+    if (!selector.available_endpoints(it.pool).empty() || !selector.has_evacuated(it.pool))
+        return refuse(it, 503, "no endpoint", retry_after);
+    evacuated_.add();
+    const auto age = dependencies_.state.proof_age(now).value_or(duration(-1));
+    log::info("request_evacuated",
+              {{"request", it.request.id},
+               {"pool", it.pool},
+               {"orders", fmt::to_string(dependencies_.state.evacuation_orders().count())},
+               {"state_age_ms", fmt::to_string(age.count())}});
+    return refuse(it, 503, "the endpoints are evacuated", retry_after);
+}
+
 /// A failure across a suspension of this process says nothing: time limits passed while nothing was read.
 attempt_outcome request_handler::evidence_of(attempt_outcome outcome, time_point sent) const
 {
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -125,6 +125,7 @@
     boost::asio::awaitable<std::optional<send_slot>> find_send_slot(request_context& it);
     boost::asio::awaitable<bool> reserve_slot(request_context& it);
     /// Refuses the request if all endpoints that may serve it want no requests now. Returns whether it did.
+    bool refuse_without_endpoint(request_context& it, duration retry_after);
     bool refuse_while_paused(request_context& it);
     bool is_pool_limited(const std::string& pool) const;
     static duration max_permit_wait(const request_context& it, time_point now);
@@ -168,6 +169,7 @@
     metrics::counter& engines_lost_;
     metrics::counter& limited_;
     metrics::counter& paused_;
+    metrics::counter& evacuated_;
     metrics::counter& confirmations_;
     metrics::counter& unproven_tables_;
     metrics::summary& proof_ages_;
--- a/lib/gateway/result_releaser.cpp
+++ b/lib/gateway/result_releaser.cpp
@@ -26,8 +26,12 @@
 } // namespace
 
 result_releaser::result_releaser(asio::any_io_executor executor, const platform_codec& codec,
-                                 http::client& client, endpoint_statements& statements, permit_issuer& issuer)
-    : executor_(std::move(executor)), codec_(codec), client_(client), statements_(statements), issuer_(issuer)
+                                 http::client& client, endpoint_statements& statements,
+                                 const evacuations& orders, permit_issuer& issuer, metrics::registry& metrics)
+    : executor_(std::move(executor)), codec_(codec), client_(client), statements_(statements),
+      evacuations_(orders), issuer_(issuer),
+      dropped_(metrics.get_counter("limpetlock_releases_evacuated_total",
+                                   "results that expire by themselves in an evacuated failure domain"))
 {
 }
 
@@ -42,12 +46,27 @@
     spawn_background(executor_, "release_flush", flush_later());
 }
 
+/// Whether the producer's results are left to expire, since nothing may be sent to its failure domain. That
+/// of a producer which is no longer listed is unknown, so it is left alone while any order is in force.
+bool result_releaser::drop_if_evacuated(const http::address& producer, std::size_t results)
+{
+    if (evacuations_.count() == 0)
+        return false;
+    const endpoint* const it = statements_.listed(statements_.endpoint_at(producer));
+    if (it != nullptr && !evacuations_.contains(it->domain))
+        return false;
+    dropped_.add(results);
+    return true;
+}
+
 awaitable<void> result_releaser::flush_later()
 {
     co_await sleep_for(flush_delay);
     flushing_ = false;
     const time_point now = boot_clock::now();
     for (auto& [producer, handles] : std::exchange(pending_, {})) {
+        if (drop_if_evacuated(producer, handles.size()))
+            continue;
         const std::string id = statements_.endpoint_at(producer);
         const auto* const limit = statements_.find(id);
         const auto paused_until = statements_.paused_until(id, now);
@@ -89,6 +108,8 @@
 /// A release that fails isn't repeated, since results expire on their own.
 awaitable<void> result_releaser::send(http::address producer, std::vector<std::string> handles)
 {
+    if (drop_if_evacuated(producer, handles.size()))
+        co_return;
     http::call_error error;
     const time_point sent = boot_clock::now();
     const std::string endpoint_id = statements_.endpoint_at(producer);
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -66,7 +66,7 @@
     options_.overload_threshold = options_.max_pieces * overload_batches;
     std::map<std::string, endpoint_state, std::less<>> next;
     for (auto& it : endpoints) {
-        if (it.leaving)
+        if (it.leaving || it.evacuated)
             continue;
         const auto found = endpoints_.find(it.id);
         endpoint_state entry = found == endpoints_.end() ? endpoint_state{} : found->second;
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -85,12 +85,14 @@
     std::size_t started_pieces{0}; ///< pieces that are in a call or done
     bool inputs_released{false};
     bool cancelled{false};
+    bool evacuated{false}; ///< cancelled because the endpoints of its pool get no more work
     time_point last_requested{};
 };
 
 struct stage_scheduler::pool_state {
     stage_dispatcher dispatcher;
     duration result_lifetime{0};
+    bool evacuated{false};                    ///< has endpoints, but they are all evacuated
     std::map<std::string, avoidance> avoided; ///< endpoints and reasons as they were logged last
 };
 
@@ -103,7 +105,9 @@
       metrics_(metrics),
       calls_(metrics.get_counter("limpetlock_stage_calls_total", "calls to endpoints of stage pools")),
       pieces_(metrics.get_counter("limpetlock_stage_pieces_total", "pieces sent in stage calls")),
-      repeated_pieces_(metrics.get_counter("limpetlock_stage_pieces_repeated_total", "pieces sent again"))
+      repeated_pieces_(metrics.get_counter("limpetlock_stage_pieces_repeated_total", "pieces sent again")),
+      evacuated_tasks_(metrics.get_counter("limpetlock_stage_tasks_evacuated_total",
+                                           "tasks ended because their endpoints were evacuated"))
 {
     spawn_loop(executor_, "stage_tick_loop", [this] { return tick_loop(); });
 }
@@ -123,6 +127,7 @@
     endpoints_ = std::move(endpoints);
     for (const auto& [key, state] : pools_) {
         configure(key, *state);
+        end_evacuated_tasks(key);
         dispatch_calls(key);
     }
 }
@@ -138,7 +143,35 @@
                      return e.pool == key.pool && (key.domain.empty() || e.domain == key.domain);
                  });
     state.result_lifetime = it->stage->result_lifetime;
+    const bool any_evacuated =
+        std::any_of(members.begin(), members.end(), [](const endpoint& e) { return e.evacuated; });
     state.dispatcher.configure(*it->stage, std::move(members));
+    state.evacuated = any_evacuated && !state.dispatcher.has_endpoints();
+}
+
+/// Ends the tasks of the pool whose pieces wait for endpoints that get no more work, so that the instances
+/// that submitted them use the endpoints of other failure domains at once. Tasks whose pieces are all in
+/// calls or done run to completion.
+void stage_scheduler::end_evacuated_tasks(const pool_key& key)
+{
+    const auto& state = *pools_.at(key);
+    if (!state.evacuated || state.dispatcher.waiting() == 0)
+        return;
+    std::vector<std::shared_ptr<open_task>> ended;
+    for (const auto& [id, it] : open_tasks_)
+        if (it->pool == key && it->missing_results > 0 && it->started_pieces < it->task->pieces.size())
+            ended.push_back(it);
+    for (const auto& it : ended) {
+        evacuated_tasks_.add();
+        log::info("stage_task_evacuated", {{"request", it->task->request_id},
+                                           {"stage", fmt::to_string(it->task->stage)},
+                                           {"pool", key.pool},
+                                           {"domain", key.domain.empty() ? "-" : key.domain},
+                                           {"pieces", fmt::to_string(it->task->pieces.size())},
+                                           {"started_pieces", fmt::to_string(it->started_pieces)}});
+        it->evacuated = true;
+        cancel(it->task->request_id, it->task->stage);
+    }
 }
 
 /// Returns nullptr for a pool that the table doesn't have.
@@ -201,8 +234,11 @@
         expire(now);
         log_avoided_endpoints(now);
         for (const auto& [key, state] : pools_)
-            if (state->dispatcher.waiting() > 0)
+            if (state->dispatcher.waiting() > 0) {
+                // Pieces of calls that failed since the order wait again.
+                end_evacuated_tasks(key);
                 dispatch_calls(key);
+            }
     }
 }
 
@@ -277,7 +313,7 @@
     out.backlog = state->dispatcher.backlog_ahead(it->last_requested,
                                                   congestion_filter(key.domain, it->last_requested));
     if (it->cancelled) {
-        out.reason = "cancelled";
+        out.reason = it->evacuated ? "endpoints of pool " + key.pool + " are evacuated" : "cancelled";
         co_return out;
     }
     if (it->missing_results > 0) {
@@ -358,6 +394,17 @@
         pool.dispatcher.finish_call(call.call_id, call_outcome::overloaded, boot_clock::now());
         requeue(pool, call.pieces, "unexpected error");
     });
+    const bool returned = return_unsent(key, call);
+    if (returned) {
+        give_up.release();
+        co_return;
+    }
+    std::string domain = call.to.domain;
+    ++in_flight_by_domain_[domain];
+    const scope_exit count_down([this, &domain] {
+        if (--in_flight_by_domain_[domain] == 0)
+            in_flight_by_domain_.erase(domain);
+    });
     std::vector<piece_request> pieces;
     for (const auto& it : call.pieces)
         pieces.push_back({it.task->request_id, it.task->stage, it.task->pieces[it.index],
@@ -405,6 +452,24 @@
     dispatch_domain(key.domain);
 }
 
+/// Queues the pieces of a call again if its endpoint was withdrawn between the decision and the call. Returns
+/// whether it was.
+bool stage_scheduler::return_unsent(const pool_key& key, stage_dispatch& call)
+{
+    auto& state = *pools_.at(key);
+    if (state.dispatcher.has_endpoint(call.to.id))
+        return false;
+    state.dispatcher.finish_call(call.call_id, call_outcome::unreachable, boot_clock::now());
+    std::erase_if(call.pieces, [this](const queued_piece& it) {
+        const auto found = open_tasks_.find({it.task->request_id, it.task->stage});
+        return found == open_tasks_.end() || found->second->task != it.task;
+    });
+    state.dispatcher.requeue(std::move(call.pieces));
+    end_evacuated_tasks(key);
+    dispatch_calls(key);
+    return true;
+}
+
 /// Counts the pieces of the call as started and returns the tasks among them that have inputs.
 std::vector<std::shared_ptr<stage_scheduler::open_task>>
 stage_scheduler::record_started(const stage_dispatch& call)
--- a/lib/gateway/stage_scheduler.hpp
+++ b/lib/gateway/stage_scheduler.hpp
@@ -71,6 +71,9 @@
     /// Requests that the producers drop these results, and counts their storage as free.
     void release(const std::vector<std::string>& handles);
 
+    /// Stage calls in flight at the endpoints of each failure domain.
+    const std::map<std::string, std::uint64_t>& in_flight_by_domain() const { return in_flight_by_domain_; }
+
     /// Number of tasks that lack results.
     std::size_t open_task_count() const;
 
@@ -89,6 +92,8 @@
     void dispatch_calls(const pool_key& key);
     void hold_back_by_statements(const pool_key& key, time_point now);
     void dispatch_domain(const std::string& domain);
+    void end_evacuated_tasks(const pool_key& key);
+    bool return_unsent(const pool_key& key, stage_dispatch& call);
     void process_results(pool_state& at, stage_dispatch& call, const std::vector<piece_result>& results);
     void requeue(pool_state& at, const std::vector<queued_piece>& pieces, std::string_view reason);
     void requeue_without_room(pool_state& at, const std::string& endpoint_id, queued_piece piece,
@@ -111,6 +116,7 @@
     metrics::counter& calls_;
     metrics::counter& pieces_;
     metrics::counter& repeated_pieces_;
+    metrics::counter& evacuated_tasks_;
     std::shared_ptr<const routing_table> table_;
     std::vector<endpoint> endpoints_;
     std::map<pool_key, std::unique_ptr<pool_state>> pools_;
@@ -124,6 +130,7 @@
         time_point expires{};
     };
     std::map<std::string, stored_result, std::less<>> stored_results_;
+    std::map<std::string, std::uint64_t> in_flight_by_domain_; ///< without the domains that have none
     time_point avoided_logged_at_{};
     time_point last_tick_{boot_clock::now()};
 };
--- a/lib/gateway/store_reader.cpp
+++ b/lib/gateway/store_reader.cpp
@@ -48,6 +48,10 @@
 /// Upper bound of the delay after a failed watch or listing.
 constexpr duration max_watch_back_off{1'000};
 
+/// Interval of the listings of evacuation orders while they can't be had from peers: two of them fail before
+/// the bound of 5 s passes.
+constexpr duration evacuation_listing_interval{1'600};
+
 /// Limit of the pages of one listing. The store sends up to 500 entries per page.
 constexpr int max_pages = 64;
 
@@ -172,6 +176,7 @@
     for (;;) {
         const time_point now = boot_clock::now();
         state_.remove_lapsed_endpoints(now);
+        state_.remove_lapsed_evacuations(now);
         // A read would prove nothing before that; the watches deliver what is written again.
         if (!expects_state_from_peers(now) && state_.is_era_settled(now) &&
             schedule_.is_read_due(state_.proof_age(now), now)) {
@@ -182,6 +187,10 @@
             listing_ = true;
             spawn_background(executor_, "listing", list_for_silent_watch());
         }
+        if (state_.misses_evacuations() && now >= next_evacuation_listing_) {
+            next_evacuation_listing_ = now + evacuation_listing_interval;
+            spawn_background(executor_, "evacuation_listing", list_evacuations());
+        }
         co_await sleep_for(proof_check_interval);
     }
 }
@@ -346,9 +355,12 @@
 awaitable<bool> store_reader::list_state()
 {
     std::vector<state_entry> table;
+    std::vector<state_entry> orders;
     std::vector<state_entry> endpoints;
     std::optional<state_revision> first_revision;
     bool ok = co_await list_prefix(codec_.table_key(), table, first_revision);
+    if (ok && state_.follows_evacuations())
+        ok = co_await list_prefix(codec_.evacuation_prefix(), orders, first_revision);
     if (ok)
         ok = co_await list_prefix(codec_.endpoint_prefix(), endpoints, first_revision);
     if (!ok)
@@ -356,11 +368,22 @@
     // Later pages may have newer entries, but the listing as a whole is complete only up to the first page's
     // revision.
     merge(std::move(table), "listing");
+    state_.apply_evacuation_listing(std::move(orders), *first_revision, boot_clock::now());
     state_.apply_listing(std::move(endpoints), *first_revision, boot_clock::now());
     state_.advance_revision(*first_revision);
     co_return true;
 }
 
+/// Lists the orders alone, after a peer that doesn't know them delivered the other changes.
+awaitable<void> store_reader::list_evacuations()
+{
+    std::vector<state_entry> orders;
+    std::optional<state_revision> first_revision;
+    const bool ok = co_await list_prefix(codec_.evacuation_prefix(), orders, first_revision);
+    if (ok)
+        state_.apply_evacuation_listing(std::move(orders), *first_revision, boot_clock::now());
+}
+
 awaitable<store_answer_status> store_reader::watch_once()
 {
     const state_revision after = state_.entries().revision();
--- a/lib/gateway/store_reader.hpp
+++ b/lib/gateway/store_reader.hpp
@@ -58,6 +58,7 @@
     bool is_usable(const std::optional<http::response>& answer, const http::call_error& error,
                    const std::string& target);
     boost::asio::awaitable<bool> list_state();
+    boost::asio::awaitable<void> list_evacuations();
     boost::asio::awaitable<bool> list_prefix(std::string prefix, std::vector<state_entry>& entries,
                                              std::optional<state_revision>& first_revision);
     boost::asio::awaitable<store_answer_status> watch_once();
@@ -91,6 +92,7 @@
     state_revision store_revision_; ///< highest revision in the store's answers so far
     bool watch_behind_{false};      ///< the last proof had a revision that the watch hadn't delivered
     bool listing_{false};           ///< a listing on behalf of the watch runs
+    time_point next_evacuation_listing_{};
 };
 
 } // namespace limpetlock::gateway
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -216,6 +216,7 @@
   6: i64 era;
   7: i64 table_era;
   8: i64 table_version;
+  9: bool has_evacuations; // the sender's state includes the orders to evacuate failure domains
 }
 
 /// Results of a stage and the instance that ran it.
--- a/unittests/gateway/platform_codec_fake.hpp
+++ b/unittests/gateway/platform_codec_fake.hpp
@@ -44,6 +44,15 @@
     std::optional<http::address> producer_of(const std::string&) const override { return std::nullopt; }
     std::string table_key() const override { return "table"; }
     std::string endpoint_prefix() const override { return "endpoint/"; }
+    std::string evacuation_prefix() const override { return "evacuate/"; }
+    std::optional<std::string> decode_evacuation(const std::string& key, std::string& reason) const override
+    {
+        std::string out = key.substr(evacuation_prefix().size());
+        if (!out.empty())
+            return out;
+        reason = "no domain";
+        return std::nullopt;
+    }
     http::request encode_key_read(const std::string&) const override { return {}; }
     http::request encode_range_read(const std::string&, const std::string&) const override { return {}; }
     http::request encode_watch(const std::string&, std::int64_t, duration) const override { return {}; }
--- a/unittests/platform/platform_test.cpp
+++ b/unittests/platform/platform_test.cpp
@@ -212,6 +212,26 @@
     }
 }
 
+// Guards against an order to evacuate that is lost for its value, which says nothing, and against keys
+// without a usable domain.
+Test(platform_store, order_to_evacuate_is_its_key_alone)
+{
+    const auto codec = platform::make_codec();
+    gateway::state_page page;
+    const http::response answer{
+        200, {}, R"({"asOf":9,"items":[{"key":"op/evacuate/b/c","value":"no base64","rev":7}]})"};
+    cr_assert(codec->decode_page(answer, page) == gateway::store_answer_status::ok);
+    cr_assert_eq(page.entries.size(), 1);
+    std::string reason;
+    cr_expect_eq(codec->decode_evacuation(page.entries[0].key, reason).value_or("-"), "b/c");
+    cr_expect_not(codec->decode_evacuation("op/evacuate/", reason).has_value());
+    cr_expect_not(reason.empty());
+    cr_expect(codec->decode_evacuation("op/evacuate/" + std::string(200, 'd'), reason).has_value());
+    cr_expect_not(codec->decode_evacuation("op/evacuate/" + std::string(201, 'd'), reason).has_value());
+    // A value that looks like an endpoint's must not decide which revision of the order is newer.
+    cr_expect_not(codec->decode_value_version("op/evacuate/b", R"({"born":5,"seq":6})").has_value());
+}
+
 // Guards against entries that wrap or narrow a number, name no usable port, or overflow the stack.
 Test(platform_entry, entry_with_an_absurd_value_is_rejected)
 {
