Schedule the stages of large domains by shard

Change: a request draws its shard once, and all its stages go to the instance that is responsible for it. The stage order message names the shard and the number of shards, so that an instance with another list uses those of the sender. Without an endpoint in the shard, the other drawn shard, the domain and all domains follow. The numbers of endpoints are kept and the ranking is cached for 100 ms or until the fleet changes. The scheduler drops the pools that nobody asked for within 60 s, so that shards which moved leave nothing behind.

--- a/include/limpetlock/gateway/fleet_view.hpp
+++ b/include/limpetlock/gateway/fleet_view.hpp
@@ -48,7 +48,15 @@
     /// so the instances that were live before stay so for as long as without the suspension.
     void record_suspension(duration length, time_point now);
 
-    void set_stopping() { own_.stopping = true; }
+    void set_stopping()
+    {
+        own_.stopping = true;
+        ++version_;
+    }
+
+    /// Grows when an instance appears, is removed, becomes unreachable or reachable again, or changes its
+    /// data. It doesn't show that an instance stops being live for lack of contact.
+    std::uint64_t version() const { return version_; }
 
     const member& own() const { return own_; }
 
@@ -86,6 +94,7 @@
     duration suspension_{0}; ///< length of the last suspension
     time_point resumed_at_{};
     std::map<std::string, entry, std::less<>> others_;
+    std::uint64_t version_{0};
 };
 
 /// Returns the instances in the order in which they are responsible for a key. It is rendezvous hashing with
--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -130,6 +130,9 @@
 
     bool has_endpoints() const { return !endpoints_.empty(); }
 
+    /// Whether no piece waits and no call runs.
+    bool idle() const { return queue_.empty() && calls_.empty(); }
+
     /// Number of waiting pieces.
     std::size_t waiting() const { return queue_.size(); }
 
--- a/lib/gateway/fleet_view.cpp
+++ b/lib/gateway/fleet_view.cpp
@@ -38,11 +38,14 @@
     if (report.info.name == own_.name || report.age >= retention)
         return;
     const time_point last_contact = now - report.age;
-    auto& it = others_[report.info.name];
-    if (report.age == duration{0})
-        it.unreachable = false;
+    const auto [found, added] = others_.try_emplace(report.info.name);
+    auto& it = found->second;
+    if (report.age == duration{0} && std::exchange(it.unreachable, false))
+        ++version_;
     if (it.last_contact != time_point{} && last_contact <= it.last_contact)
         return;
+    if (added || it.info != report.info)
+        ++version_;
     it.info = report.info;
     it.last_contact = last_contact;
 }
@@ -50,14 +53,17 @@
 void fleet_view::mark_unreachable(std::string_view name)
 {
     const auto it = others_.find(name);
-    if (it != others_.end())
-        it->second.unreachable = true;
+    if (it == others_.end())
+        return;
+    it->second.unreachable = true;
+    ++version_;
 }
 
 void fleet_view::record_suspension(duration length, time_point now)
 {
     suspension_ = length;
     resumed_at_ = now;
+    ++version_;
 }
 
 bool fleet_view::is_live(const entry& it, time_point now) const
@@ -102,7 +108,9 @@
 
 void fleet_view::remove_expired(time_point now)
 {
-    std::erase_if(others_, [now](const auto& it) { return now - it.second.last_contact >= retention; });
+    if (std::erase_if(others_, [now](const auto& it) { return now - it.second.last_contact >= retention; }) >
+        0)
+        ++version_;
 }
 
 std::vector<member> by_responsibility(std::string_view key, std::vector<member> members)
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -129,7 +129,7 @@
                 peer_handlers()),
           endpoint_permits(peers, statements, issuer, metrics),
           returns(io.get_executor(), peers, scheduler, releaser),
-          runner(io.get_executor(), peers, scheduler, returns, selector),
+          runner(io.get_executor(), peers, scheduler, returns, metrics),
           handler({*codec, settings, state, reader, quarantine, selector, statements, endpoint_permits,
                    runner, returns, peers, endpoint_client, service_client, metrics}),
           stop(stop_settings_of(settings.bounds)), signals(io, SIGTERM, SIGINT), hangups(io, SIGHUP)
@@ -144,6 +144,7 @@
         published_state::callbacks out;
         out.on_table = [this](const std::shared_ptr<const routing_table>& it) {
             scheduler.configure(it, endpoints);
+            runner.set_layout(stage_layout(*it, endpoints));
             set_caller_limits(it->limits);
         };
         out.on_endpoints = [this](const std::vector<endpoint>& it) {
@@ -160,8 +161,10 @@
         endpoints = listed;
         statements.mark_leaving(endpoints);
         selector.set_endpoints(endpoints, boot_clock::now());
-        if (const auto table = state.table())
+        if (const auto table = state.table()) {
             scheduler.configure(table, endpoints);
+            runner.set_layout(stage_layout(*table, endpoints));
+        }
     }
 
     /// Only a few instances watch the store; the others receive the changes from their peers.
@@ -212,7 +215,10 @@
         task.tokens_per_piece = it.worth;
         task.next_pools = it.next_pools;
         task.transfer_bytes = static_cast<std::uint64_t>(std::max<std::int64_t>(0, it.transfer_bytes));
-        pool_key key{it.group, it.pool};
+        // An instance with a slightly different list uses the number of shards of the sender.
+        const auto shards = static_cast<std::uint32_t>(std::clamp<std::int32_t>(it.shards, 1, max_shards));
+        const auto shard = static_cast<std::uint32_t>(std::max(0, it.shard)) % shards;
+        pool_key key{it.group, it.pool, shard, shards};
         const auto result = co_await scheduler.run(std::move(key), std::move(task), task_reply_wait);
         wire::stage_result_message out;
         out.status = static_cast<std::int32_t>(result.status);
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -196,7 +196,7 @@
 
 duration request_handler::retry_after(const request_context& it, time_point now)
 {
-    const duration backlog = it.table ? dependencies_.runner.backlog(it.plan, *it.table, now) : duration{0};
+    const duration backlog = dependencies_.runner.backlog(it.plan, now);
     const auto jitter = static_cast<std::int64_t>(random_() % 300);
     return std::min(max_retry_after, std::max(min_retry_after, backlog / 2) + duration(jitter));
 }
@@ -411,7 +411,7 @@
     else if (const auto engine = dependencies_.selector.select(it.endpoint_criteria, it.arrival))
         it.plan.domain = engine->domain;
     const duration min_time = stage_runner::minimum_time(it.plan, *it.table);
-    const duration backlog = dependencies_.runner.backlog(it.plan, *it.table, it.arrival);
+    const duration backlog = dependencies_.runner.backlog(it.plan, it.arrival);
     if (it.arrival + min_time + backlog > it.plan.deadline)
         co_return refuse(it, 503, "stages can't be done in time", retry_after(it, it.arrival));
     auto outcome = co_await run_plan(it);
--- a/lib/gateway/stage_runner.cpp
+++ b/lib/gateway/stage_runner.cpp
@@ -37,9 +37,9 @@
 /// it. The margin covers the wait for a free endpoint.
 constexpr duration alignment_margin{250};
 
-/// A deployment with this many endpoints in its stage pools has one responsible instance for each failure
-/// domain. A smaller one has a single instance for all domains, which forms fuller batches.
-constexpr std::size_t endpoints_for_domains = 24;
+/// The ranking of the instances is kept for this long unless the fleet changes. Ranking 300 instances takes
+/// too long to be done for each task.
+constexpr duration duties_lifetime{100};
 
 /// A backlog report is ignored when it is older than this.
 constexpr duration backlog_lifetime{1'500};
@@ -95,6 +95,8 @@
     out.worth = it.tokens_per_piece;
     out.transfer_bytes = static_cast<std::int64_t>(it.transfer_bytes);
     out.group = key.domain;
+    out.shard = static_cast<std::int32_t>(key.shard);
+    out.shards = static_cast<std::int32_t>(key.shards);
     out.next_pools = it.next_pools;
     return out;
 }
@@ -127,9 +129,9 @@
 
 /// State of one run. The coroutines of its stages and the one that waits for them share it.
 struct stage_runner::run_state {
-    run_state(stage_plan it, std::shared_ptr<const routing_table> its_table,
+    run_state(stage_plan it, std::shared_ptr<const routing_table> its_table, stage_group its_group,
               const asio::any_io_executor& executor)
-        : plan(std::move(it)), table(std::move(its_table)),
+        : plan(std::move(it)), table(std::move(its_table)), group(std::move(its_group)),
           time_to_end(time_to_end_after(plan.stages, plan.pieces, *table)), results(plan.stages.size()),
           ended(plan.stages.size(), false), assigned_to(plan.stages.size()),
           progress(executor, asio::steady_timer::time_point::max())
@@ -262,6 +264,7 @@
 
     const stage_plan plan;
     const std::shared_ptr<const routing_table> table;
+    const stage_group group;                 ///< of endpoints that run all stages
     const std::vector<duration> time_to_end; ///< of each stage; see time_to_end_after
     std::vector<result_group> results;       ///< of each stage; empty once its dependents ended
     std::vector<bool> ended;                 ///< whether each stage is done or skipped
@@ -293,8 +296,8 @@
 };
 
 stage_runner::stage_runner(asio::any_io_executor executor, fleet& peers, stage_scheduler& local,
-                           result_returns& returns, const endpoint_selector& selector)
-    : executor_(std::move(executor)), fleet_(peers), scheduler_(local), returns_(returns), selector_(selector)
+                           result_returns& returns, metrics::registry& metrics)
+    : executor_(std::move(executor)), fleet_(peers), scheduler_(local), returns_(returns), metrics_(metrics)
 {
 }
 
@@ -308,14 +311,21 @@
     return out;
 }
 
-duration stage_runner::backlog(const stage_plan& plan, const routing_table& table, time_point now) const
+duration stage_runner::backlog(const stage_plan& plan, time_point now) const
 {
-    const std::string group = scheduling_group(plan, table);
-    duration out{0};
+    return known_backlog(plan, choose_group(plan, now), now).value_or(duration{0});
+}
+
+/// Returns nullopt if no pool of the request has a recent reply.
+std::optional<duration> stage_runner::known_backlog(const stage_plan& plan, const stage_group& group,
+                                                    time_point now) const
+{
+    std::optional<duration> out;
     for (std::size_t n = 0; n < plan.stages.size(); ++n) {
-        const auto it = backlogs_.find({group, plan.stages[n].pool});
+        const auto& pool = plan.stages[n].pool;
+        const auto it = backlogs_.find(key_of(layout_.group_of_pool(group, pool), pool));
         if (plan.pieces[n] > 0 && it != backlogs_.end() && now - it->second.at < backlog_lifetime)
-            out += it->second.length;
+            out = out.value_or(duration{0}) + it->second.length;
     }
     return out;
 }
@@ -327,7 +337,9 @@
 
 awaitable<stage_outcome> stage_runner::run(stage_plan plan, std::shared_ptr<const routing_table> table)
 {
-    const auto state = std::make_shared<run_state>(std::move(plan), std::move(table), executor_);
+    auto group = choose_group(plan, boot_clock::now());
+    const auto state =
+        std::make_shared<run_state>(std::move(plan), std::move(table), std::move(group), executor_);
     run_guard guard(*this, state);
     for (std::size_t n = 0; n < state->plan.stages.size(); ++n) {
         if (state->plan.pieces[n] == 0)
@@ -439,34 +451,64 @@
     state->notify();
 }
 
-/// Returns the failure domain whose endpoints run the stages; empty for all domains. In a small deployment
-/// one instance is responsible for all stage pools, so it knows the queue of a later stage when it starts an
-/// earlier one. In a large deployment one such instance is responsible for the endpoints of each failure
-/// domain.
-std::string stage_runner::scheduling_group(const stage_plan& plan, const routing_table& table) const
+void stage_runner::set_layout(stage_layout it)
+{
+    if (it == layout_)
+        return;
+    const auto before = std::exchange(layout_, std::move(it)).divided_groups();
+    const auto groups = layout_.divided_groups();
+    duties_checked_at_ = {};
+    if (groups == before)
+        return;
+    metrics_.get_gauge("limpetlock_stage_shards", "shards of the stage endpoints, if a domain has several")
+        .set(static_cast<std::int64_t>(groups.size()));
+    log::info("stage_shards",
+              {{"shards", fmt::to_string(groups.size())}, {"before", fmt::to_string(before.size())}});
+    std::erase_if(backlogs_, [now = boot_clock::now()](const auto& report) {
+        return now - report.second.at >= backlog_lifetime;
+    });
+}
+
+/// Returns the group of endpoints that runs the stages of a request. One instance is responsible for all
+/// stage pools of a group, so it knows the queue of a later stage when it starts an earlier one.
+stage_group stage_runner::choose_group(const stage_plan& plan, time_point now) const
+{
+    auto drawn = layout_.draw(plan.request_id, plan.domain);
+    const bool second = drawn.size() > 1 && prefers_second(known_backlog(plan, drawn[0], now),
+                                                           known_backlog(plan, drawn[1], now));
+    return std::move(drawn[second ? 1 : 0]);
+}
+
+std::vector<std::string> stage_runner::responsible_instances(const stage_group& group, time_point now)
 {
-    std::size_t endpoints = 0;
-    for (const auto& [name, it] : table.pools)
-        if (it.stage)
-            endpoints += selector_.available_endpoints(name).size();
-    return endpoints >= endpoints_for_domains ? plan.domain : std::string();
+    const auto& view = fleet_.view();
+    if (duties_version_ != view.version() || now - duties_checked_at_ >= duties_lifetime) {
+        auto live = view.live_instances(now, true);
+        if (live != duties_.members() || duties_checked_at_ == time_point{})
+            duties_ = stage_duties(layout_.divided_groups(), std::move(live));
+        duties_version_ = view.version();
+        duties_checked_at_ = now;
+    }
+    return duties_.order(group);
 }
 
 /// Runs the task at the responsible instance. If that instance doesn't reply or refuses, tries the next one.
 awaitable<stage_task_result> stage_runner::run_task(std::shared_ptr<run_state> state, std::size_t index,
                                                     stage_task task)
 {
-    pool_key key{scheduling_group(state->plan, *state->table), state->plan.stages[index].pool};
+    const std::string& pool = state->plan.stages[index].pool;
+    const auto groups = layout_.fallbacks(state->group, state->plan.request_id, pool);
+    auto group = groups.begin();
+    pool_key key = key_of(*group, pool);
     stage_task_result last;
     last.reason = "no instance runs the pool";
     std::vector<std::string> tried;
     for (std::size_t n = 0; n < max_assignments && !state->abandoned; ++n) {
         const time_point now = boot_clock::now();
         std::string instance = fleet_.view().own().name;
-        for (const auto& it :
-             by_responsibility("stages/" + key.domain, fleet_.view().live_instances(now, true)))
-            if (std::find(tried.begin(), tried.end(), it.name) == tried.end()) {
-                instance = it.name;
+        for (const auto& it : responsible_instances(*group, now))
+            if (std::find(tried.begin(), tried.end(), it) == tried.end()) {
+                instance = it;
                 break;
             }
         if (task.deadline <= now || std::find(tried.begin(), tried.end(), instance) != tried.end())
@@ -483,11 +525,12 @@
         log::warning("stage_order_moved", {{"request", task.request_id},
                                            {"stage", fmt::to_string(task.stage)},
                                            {"pool", key.pool},
+                                           {"group", responsibility_key(*group)},
                                            {"from", instance},
                                            {"reason", result ? last.reason : "no answer"}});
-        // The failure domain may have no endpoint of the pool left, so the whole pool is used instead.
-        if (result && !key.domain.empty()) {
-            key.domain.clear();
+        // The group may have no endpoint of the pool left, so the next one is used instead.
+        if (result && group + 1 != groups.end()) {
+            key = key_of(*++group, pool);
             tried.clear();
         }
     }
--- a/lib/gateway/stage_runner.hpp
+++ b/lib/gateway/stage_runner.hpp
@@ -7,8 +7,9 @@
 #include "result_returns.hpp"
 #include "stage_scheduler.hpp"
 
-#include <limpetlock/gateway/endpoint_selector.hpp>
 #include <limpetlock/gateway/model.hpp>
+#include <limpetlock/gateway/stage_shards.hpp>
+#include <limpetlock/support/metrics.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -51,7 +52,10 @@
 class stage_runner {
 public:
     stage_runner(boost::asio::any_io_executor executor, fleet& peers, stage_scheduler& local,
-                 result_returns& returns, const endpoint_selector& selector);
+                 result_returns& returns, metrics::registry& metrics);
+
+    /// Replaces the numbers of stage endpoints.
+    void set_layout(stage_layout it);
 
     /// Runs the stages of a plan. If the returned coroutine is destroyed before its end, its open tasks are
     /// cancelled and its results are returned (see result_returns). The caller has to return the inputs of
@@ -63,7 +67,7 @@
 
     /// Expected time until the pools of the request have done the pieces that wait there now, by the last
     /// replies of the responsible instances. Pools without a recent reply count as empty.
-    duration backlog(const stage_plan& plan, const routing_table& table, time_point now) const;
+    duration backlog(const stage_plan& plan, time_point now) const;
 
 private:
     struct run_state;
@@ -78,7 +82,10 @@
     void record_backlog(const pool_key& key, duration backlog, time_point now);
     boost::asio::awaitable<void> cancel_at(std::string instance, std::string request_id, std::uint32_t stage);
     void cancel_tasks(run_state& state);
-    std::string scheduling_group(const stage_plan& plan, const routing_table& table) const;
+    stage_group choose_group(const stage_plan& plan, time_point now) const;
+    std::optional<duration> known_backlog(const stage_plan& plan, const stage_group& group,
+                                          time_point now) const;
+    std::vector<std::string> responsible_instances(const stage_group& group, time_point now);
 
     struct backlog_report {
         duration length{0};
@@ -89,8 +96,12 @@
     fleet& fleet_;
     stage_scheduler& scheduler_;
     result_returns& returns_;
-    const endpoint_selector& selector_;
+    metrics::registry& metrics_;
+    stage_layout layout_;
     std::map<pool_key, backlog_report> backlogs_;
+    stage_duties duties_;
+    std::uint64_t duties_version_{0}; ///< of the view for which duties_ was computed
+    time_point duties_checked_at_{};
 };
 
 } // namespace limpetlock::gateway
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -46,6 +46,11 @@
 /// An endpoint without a permit gets no calls for this long at most, since its limit may end meanwhile.
 constexpr duration max_hold{1'000};
 
+/// A pool that nobody asked for in this time is dropped, for instance after its shard moved to another
+/// instance. It is longer than any result is stored, so no storage is forgotten.
+constexpr duration pool_retention{60'000};
+constexpr duration idle_check_interval{1'000};
+
 std::vector<std::string> handles_of(const std::vector<result_group>& groups)
 {
     std::vector<std::string> out;
@@ -92,8 +97,16 @@
     stage_dispatcher dispatcher;
     duration result_lifetime{0};
     std::map<std::string, avoidance> avoided; ///< endpoints and reasons as they were logged last
+    std::vector<std::string> listed;   ///< ids of the endpoints in the domain; only with several shards
+    std::vector<std::uint32_t> shards; ///< of each of them
+    time_point last_requested{};
 };
 
+pool_key key_of(const stage_group& group, std::string pool)
+{
+    return {group.domain, std::move(pool), group.shard, group.shards};
+}
+
 stage_scheduler::stage_scheduler(asio::any_io_executor executor, const platform_codec& codec,
                                  http::client& client, result_releaser& releaser,
                                  endpoint_statements& statements, permit_issuer& issuer,
@@ -137,6 +150,18 @@
                  [&key](const endpoint& e) {
                      return e.pool == key.pool && (key.domain.empty() || e.domain == key.domain);
                  });
+    if (key.shards > 1) {
+        std::vector<std::string> ids;
+        ids.reserve(members.size());
+        for (const auto& e : members)
+            ids.push_back(e.id);
+        if (ids != state.listed) {
+            state.shards = assign_to_shards(ids, key.shards);
+            state.listed = std::move(ids);
+        }
+        std::size_t n = 0;
+        std::erase_if(members, [&](const endpoint&) { return state.shards[n++] != key.shard; });
+    }
     state.result_lifetime = it->stage->result_lifetime;
     state.dispatcher.configure(*it->stage, std::move(members));
 }
@@ -152,6 +177,11 @@
         return nullptr;
     auto state = std::make_unique<pool_state>();
     configure(key, *state);
+    state->last_requested = boot_clock::now();
+    log::info("stage_pool_opened", {{"pool", key.pool},
+                                    {"domain", key.domain.empty() ? "-" : key.domain},
+                                    {"shard", fmt::to_string(key.shard)},
+                                    {"shards", fmt::to_string(key.shards)}});
     return pools_.emplace(key, std::move(state)).first->second.get();
 }
 
@@ -159,10 +189,10 @@
 /// work that precedes the request there. Its results would wait for that stage, occupy storage at their
 /// producer and expire. A request that would miss its objective behind that work waits too: if it started
 /// now, it would only delay others.
-task_filter stage_scheduler::congestion_filter(const std::string& domain, time_point now) const
+task_filter stage_scheduler::congestion_filter(const stage_group& group, time_point now) const
 {
     const auto profiles = std::make_shared<std::map<std::string, backlog_profile>>();
-    return [this, domain, now, profiles](const stage_task& task) {
+    return [this, group, now, profiles](const stage_task& task) {
         if (!task.inputs.empty())
             return false;
         duration delay_to_next{0};
@@ -170,7 +200,7 @@
         const duration max_backlog =
             slack > duration{0} ? std::min(slack, congested_backlog) : congested_backlog;
         for (const auto& name : task.next_pools) {
-            const auto it = pools_.find({domain, name});
+            const auto it = pools_.find(key_of(group, name));
             if (it == pools_.end() || !it->second->dispatcher.has_endpoints())
                 continue;
             const auto& next = it->second->dispatcher;
@@ -200,12 +230,42 @@
         last_tick_ = now;
         expire(now);
         log_avoided_endpoints(now);
+        remove_idle_pools(now);
         for (const auto& [key, state] : pools_)
             if (state->dispatcher.waiting() > 0)
                 dispatch_calls(key);
     }
 }
 
+metrics::gauge& stage_scheduler::avoided_gauge(const pool_key& key)
+{
+    return metrics_.get_gauge(
+        "limpetlock_stage_endpoints_avoided",
+        "endpoints of a stage pool that get no calls, for failures, slowness or their own wish",
+        {{"pool", key.pool}, {"domain", key.domain}});
+}
+
+void stage_scheduler::remove_idle_pools(time_point now)
+{
+    if (now - idle_checked_at_ < idle_check_interval)
+        return;
+    idle_checked_at_ = now;
+    for (auto it = pools_.begin(); it != pools_.end();) {
+        const auto& [key, state] = *it;
+        const duration kept = std::max(pool_retention, state->result_lifetime);
+        if (now - state->last_requested < kept || !state->dispatcher.idle()) {
+            ++it;
+            continue;
+        }
+        log::info("stage_pool_closed", {{"pool", key.pool},
+                                        {"domain", key.domain.empty() ? "-" : key.domain},
+                                        {"shard", fmt::to_string(key.shard)},
+                                        {"shards", fmt::to_string(key.shards)}});
+        avoided_gauge(key).set(0);
+        it = pools_.erase(it);
+    }
+}
+
 /// Logs which endpoints begin and cease to be avoided. Short back-offs are left out: a refusal for lack of
 /// capacity says no more than the line of its call.
 void stage_scheduler::log_avoided_endpoints(time_point now)
@@ -237,12 +297,7 @@
                                                         {"endpoint", id},
                                                         {"reason", std::string(to_string(reason))}});
         state->avoided = std::move(next);
-        metrics_
-            .get_gauge(
-                "limpetlock_stage_endpoints_avoided",
-                "endpoints of a stage pool that get no calls, for failures, slowness or their own wish",
-                {{"pool", key.pool}, {"domain", key.domain}})
-            .set(static_cast<std::int64_t>(state->avoided.size()));
+        avoided_gauge(key).set(static_cast<std::int64_t>(state->avoided.size()));
     }
 }
 
@@ -255,6 +310,7 @@
         co_return out;
     }
     const time_point now = boot_clock::now();
+    state->last_requested = now;
     const task_key task_id{task.request_id, task.stage};
     auto& slot = open_tasks_[task_id];
     if (!slot || slot->cancelled) {
@@ -275,7 +331,7 @@
     }
     it->last_requested = boot_clock::now();
     out.backlog = state->dispatcher.backlog_ahead(it->last_requested,
-                                                  congestion_filter(key.domain, it->last_requested));
+                                                  congestion_filter(key.group(), it->last_requested));
     if (it->cancelled) {
         out.reason = "cancelled";
         co_return out;
@@ -312,7 +368,7 @@
     // too.
     if (now - last_tick_ > abandoned_after)
         expire(now);
-    const task_filter deferred = congestion_filter(key.domain, now);
+    const task_filter deferred = congestion_filter(key.group(), now);
     hold_back_by_statements(key, now);
     while (auto call = state.dispatcher.next_call(now, deferred)) {
         if (const auto* limit = statements_.find(call->to.id))
@@ -342,10 +398,10 @@
     }
 }
 
-void stage_scheduler::dispatch_domain(const std::string& domain)
+void stage_scheduler::dispatch_group(const stage_group& group)
 {
     for (const auto& [key, state] : pools_)
-        if (key.domain == domain && state->dispatcher.waiting() > 0)
+        if (key.group() == group && state->dispatcher.waiting() > 0)
             dispatch_calls(key);
 }
 
@@ -402,7 +458,7 @@
     } else {
         requeue(state, call.pieces, answer ? "refused" : error.reason);
     }
-    dispatch_domain(key.domain);
+    dispatch_group(key.group());
 }
 
 /// Counts the pieces of the call as started and returns the tasks among them that have inputs.
--- a/lib/gateway/stage_scheduler.hpp
+++ b/lib/gateway/stage_scheduler.hpp
@@ -6,6 +6,7 @@
 #include <limpetlock/gateway/permit_issuer.hpp>
 #include <limpetlock/gateway/platform_codec.hpp>
 #include <limpetlock/gateway/stage_dispatcher.hpp>
+#include <limpetlock/gateway/stage_shards.hpp>
 #include <limpetlock/http/client.hpp>
 #include <limpetlock/support/metrics.hpp>
 
@@ -36,14 +37,20 @@
     duration backlog{0}; ///< time that the pool needs for the pieces that wait now
 };
 
-/// A stage pool, or the part of it in one failure domain.
+/// A stage pool, or the part of it in one failure domain or in one shard of a domain.
 struct pool_key {
     std::string domain; ///< failure domain; empty for the whole pool
     std::string pool;
+    std::uint32_t shard{0};
+    std::uint32_t shards{1}; ///< number of shards of the domain; 1 if it isn't divided
+
+    stage_group group() const { return {domain, shard, shards}; }
 
     friend auto operator<=>(const pool_key&, const pool_key&) = default; // NOLINT(modernize-use-nullptr)
 };
 
+pool_key key_of(const stage_group& group, std::string pool);
+
 /// Queues the pieces of stage tasks from all instances, groups them into batches and calls the endpoints.
 class stage_scheduler {
 public:
@@ -85,10 +92,12 @@
     std::vector<std::shared_ptr<open_task>> record_started(const stage_dispatch& call);
     pool_state* find_pool(const pool_key& key);
     void configure(const pool_key& key, pool_state& state);
-    task_filter congestion_filter(const std::string& domain, time_point now) const;
+    task_filter congestion_filter(const stage_group& group, time_point now) const;
+    void remove_idle_pools(time_point now);
+    metrics::gauge& avoided_gauge(const pool_key& key);
     void dispatch_calls(const pool_key& key);
     void hold_back_by_statements(const pool_key& key, time_point now);
-    void dispatch_domain(const std::string& domain);
+    void dispatch_group(const stage_group& group);
     void process_results(pool_state& at, stage_dispatch& call, const std::vector<piece_result>& results);
     void requeue(pool_state& at, const std::vector<queued_piece>& pieces, std::string_view reason);
     void requeue_without_room(pool_state& at, const std::string& endpoint_id, queued_piece piece,
@@ -125,6 +134,7 @@
     };
     std::map<std::string, stored_result, std::less<>> stored_results_;
     time_point avoided_logged_at_{};
+    time_point idle_checked_at_{};
     time_point last_tick_{boot_clock::now()};
 };
 
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -131,6 +131,7 @@
   6: i64 life;            // random number of the process, so another one after a restart
   7: i64 age_ms;          // time since its last message; 0 for the sender itself
   8: bool stopping;
+  9: bool overloaded;     // gives up the duties that others can take
 }
 
 /// An engine that was lost when it began to answer a request.
@@ -240,6 +241,8 @@
   13: i64 transfer_bytes; // input and result bytes that endpoints fetch for these pieces
   14: string group;       // failure domain whose endpoints may be used; empty for all
   15: list<string> next_pools; // pools of the stages that follow
+  20: i32 shard;          // part of the group's endpoints, from 0
+  21: i32 shards;         // number of parts; 0 or 1: the group isn't divided
 }
 
 struct piece_result_message {
