State why places of a stage call stay empty

Change: piece_queue::pop_batch returns the empty places of the batch and the pieces that were passed over by size, storage, locality, deferral or deadline. The line stage_call has them as vacant=, and the counter limpetlock_stage_vacant_places_total{pool,reason} adds them up.

--- a/include/limpetlock/gateway/piece_queue.hpp
+++ b/include/limpetlock/gateway/piece_queue.hpp
@@ -6,6 +6,7 @@
 #include <limpetlock/gateway/model.hpp>
 #include <limpetlock/support/time.hpp>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -89,6 +90,42 @@
 /// already follow.
 time_point order_key(const stage_task& it, const batch_options& options, time_point now);
 
+/// Why a waiting piece isn't part of a batch that has places left.
+enum class pass_over_reason : std::uint8_t {
+    size,     ///< its task has more pieces than places are left
+    storage,  ///< the results of its task don't fit into the storage of the endpoint
+    locality, ///< it waits for an endpoint in its own failure domain
+    deferred, ///< a later stage of its request is congested
+    deadline  ///< it can't be done before its deadline
+};
+
+inline constexpr std::size_t pass_over_reason_count = 5;
+
+std::string_view to_string(pass_over_reason it);
+
+/// Places of a batch that stayed empty, and the waiting pieces that were passed over.
+struct batch_vacancy {
+    std::size_t places{0};                                    ///< that stayed empty
+    std::array<std::size_t, pass_over_reason_count> pieces{}; ///< that were passed over for each reason
+
+    std::size_t passed_over(pass_over_reason reason) const
+    {
+        return pieces[static_cast<std::size_t>(reason)];
+    }
+
+    /// Empty places for each reason: each one counts for the first reason for which a piece is left that was
+    /// passed over. The last element is the number of places for which no piece waited.
+    std::array<std::size_t, pass_over_reason_count + 1> places_by_reason() const;
+
+    friend bool operator==(const batch_vacancy&, const batch_vacancy&) = default;
+};
+
+/// The pieces of one stage call.
+struct piece_batch {
+    std::vector<queued_piece> pieces;
+    batch_vacancy vacancy;
+};
+
 /// The pieces that wait for an endpoint of one stage pool.
 class piece_queue {
 public:
@@ -98,9 +135,9 @@
     /// stay in the queue if `free` shows that an endpoint of their domain will be free within their locality
     /// wait. Pieces whose deadline can't be met stay, as do those whose results don't fit into `free_bytes`
     /// and those of tasks for which `deferred` returns true.
-    std::vector<queued_piece> pop_batch(const batch_options& options, std::string_view domain,
-                                        const domain_free_times& free, std::uint64_t free_bytes,
-                                        const task_filter& deferred, time_point now);
+    piece_batch pop_batch(const batch_options& options, std::string_view domain,
+                          const domain_free_times& free, std::uint64_t free_bytes,
+                          const task_filter& deferred, time_point now);
 
     /// Removes and returns the pieces that can't be done before their deadline.
     std::vector<queued_piece> expire(const batch_options& options, time_point now);
--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -51,6 +51,7 @@
     endpoint to;
     std::vector<queued_piece> pieces;
     time_point timeout_at{}; ///< the endpoint is taken as hung if it has not answered by then
+    batch_vacancy vacancy;
 };
 
 /// Running calls and waiting pieces of a pool at one moment, for estimates of waiting times.
--- a/lib/gateway/piece_queue.cpp
+++ b/lib/gateway/piece_queue.cpp
@@ -67,6 +67,25 @@
 
 } // namespace
 
+std::string_view to_string(pass_over_reason it)
+{
+    static constexpr std::array<std::string_view, pass_over_reason_count> names{"size", "storage", "locality",
+                                                                                "deferred", "deadline"};
+    return names[static_cast<std::size_t>(it)];
+}
+
+std::array<std::size_t, pass_over_reason_count + 1> batch_vacancy::places_by_reason() const
+{
+    std::array<std::size_t, pass_over_reason_count + 1> out{};
+    std::size_t left = places;
+    for (std::size_t n = 0; n < pass_over_reason_count; ++n) {
+        out[n] = std::min(left, pieces[n]);
+        left -= out[n];
+    }
+    out[pass_over_reason_count] = left;
+    return out;
+}
+
 /// Late tasks go last: their results are of little use, and serving them first would make the others miss
 /// their objective as well.
 time_point order_key(const stage_task& it, const batch_options& options, time_point now)
@@ -98,9 +117,9 @@
     waiting_.push_back(std::move(it));
 }
 
-std::vector<queued_piece> piece_queue::pop_batch(const batch_options& options, std::string_view domain,
-                                                 const domain_free_times& free, std::uint64_t free_bytes,
-                                                 const task_filter& deferred, time_point now)
+piece_batch piece_queue::pop_batch(const batch_options& options, std::string_view domain,
+                                   const domain_free_times& free, std::uint64_t free_bytes,
+                                   const task_filter& deferred, time_point now)
 {
     auto tasks = group_by_task(waiting_, options, now);
     const duration min_call_time = options.call_time(1);
@@ -126,14 +145,22 @@
     };
     std::size_t free_places = options.max_pieces;
     std::map<const stage_task*, std::size_t> chosen;
+    piece_batch out;
+    const auto pass_over = [&out](const waiting_task& it, pass_over_reason reason) {
+        out.vacancy.pieces[static_cast<std::size_t>(reason)] += it.pieces;
+    };
     const auto choose = [&](const waiting_task& it) {
         // A task is split only if it is larger than a whole batch.
-        if (free_places == 0 || (it.pieces > free_places && it.pieces <= options.max_pieces))
+        if (free_places == 0 || (it.pieces > free_places && it.pieces <= options.max_pieces)) {
+            pass_over(it, pass_over_reason::size);
             return;
+        }
         const std::size_t count = std::min(free_places, it.pieces);
         const std::uint64_t bytes = it.task->result_bytes * count;
-        if (bytes > free_bytes)
+        if (bytes > free_bytes) {
+            pass_over(it, pass_over_reason::storage);
             return;
+        }
         chosen.emplace(it.task, count);
         free_places -= count;
         free_bytes -= bytes;
@@ -143,30 +170,32 @@
         if (free_places == 0)
             break;
         const bool local_soon = should_wait_for_local(it);
-        if (it.task->deadline < now + min_call_time || (deferred && deferred(*it.task)))
-            continue;
-        if (local_soon)
+        if (it.task->deadline < now + min_call_time)
+            pass_over(it, pass_over_reason::deadline);
+        else if (deferred && deferred(*it.task))
+            pass_over(it, pass_over_reason::deferred);
+        else if (local_soon)
             waiting_for_local.push_back(it);
         else
             choose(it);
     }
     // When the pool is overloaded, sharing the fixed time of a call among more pieces gains more than local
     // transfers.
-    if (!chosen.empty() && waiting_.size() > options.overload_threshold)
-        for (const auto& it : waiting_for_local)
-            choose(it);
-    std::vector<queued_piece> out;
-    for (auto it = waiting_.begin(); it != waiting_.end() && out.size() < options.max_pieces;) {
+    const bool take_others = !chosen.empty() && waiting_.size() > options.overload_threshold;
+    for (const auto& it : waiting_for_local)
+        take_others ? choose(it) : pass_over(it, pass_over_reason::locality);
+    out.vacancy.places = free_places;
+    for (auto it = waiting_.begin(); it != waiting_.end() && out.pieces.size() < options.max_pieces;) {
         const auto found = chosen.find(it->task.get());
         if (found == chosen.end() || found->second == 0) {
             ++it;
             continue;
         }
         --found->second;
-        out.push_back(std::move(*it));
+        out.pieces.push_back(std::move(*it));
         it = waiting_.erase(it);
     }
-    if (!out.empty())
+    if (!out.pieces.empty())
         ++batches_;
     return out;
 }
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -168,8 +168,8 @@
         endpoint_state* const to = pick_endpoint(now, excluded);
         if (to == nullptr)
             return std::nullopt;
-        auto pieces = queue_.pop_batch(options_, to->listed.domain, free_times(now), free_result_bytes(*to),
-                                       deferred, now);
+        auto [pieces, vacancy] = queue_.pop_batch(options_, to->listed.domain, free_times(now),
+                                                  free_result_bytes(*to), deferred, now);
         if (pieces.empty()) {
             excluded.push_back(to->listed.id);
             continue;
@@ -186,7 +186,8 @@
             bytes += it.task->result_bytes;
         to->stored_bytes += bytes;
         calls_[++last_call_] = {to->listed.id, now, pieces.size(), bytes};
-        return stage_dispatch{last_call_, to->listed, std::move(pieces), now + timeout + hung_margin};
+        return stage_dispatch{last_call_, to->listed, std::move(pieces), now + timeout + hung_margin,
+                              vacancy};
     }
     return std::nullopt;
 }
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -54,6 +54,23 @@
     return out;
 }
 
+/// Name of an element of batch_vacancy::places_by_reason.
+std::string_view vacancy_reason(std::size_t n)
+{
+    return n < pass_over_reason_count ? to_string(static_cast<pass_over_reason>(n)) : "queue_empty";
+}
+
+/// The empty places of a call by reason, such as "size:3,deferred:1"; "-" for a full call.
+std::string vacancy_text(const batch_vacancy& it)
+{
+    const auto places = it.places_by_reason();
+    std::string out;
+    for (std::size_t n = 0; n < places.size(); ++n)
+        if (places[n] > 0)
+            out += fmt::format("{}{}:{}", out.empty() ? "" : ",", vacancy_reason(n), places[n]);
+    return out.empty() ? "-" : out;
+}
+
 } // namespace
 
 /// A task of this or another instance and its results so far.
@@ -366,6 +383,7 @@
     spawn_background(executor_, "input_release", release_inputs_after_fetch(record_started(call)));
     calls_.add();
     pieces_.add(pieces.size());
+    count_vacancy(key.pool, call.vacancy);
     http::call_error error;
     const auto answer = co_await client_.call(call.to.address, codec_.encode_stage_call(pieces, call.to.id),
                                               call.timeout_at, http::connection_policy::fresh, error);
@@ -392,6 +410,7 @@
     log::info("stage_call", {{"pool", key.pool},
                              {"endpoint", call.to.id},
                              {"pieces", fmt::to_string(pieces.size())},
+                             {"vacant", vacancy_text(call.vacancy)},
                              {"requests", fmt::format("{}", pieces.front().request_id)},
                              {"took_ms", fmt::to_string((now - started).count())},
                              {"status", answer ? fmt::to_string(answer->status) : error.reason},
@@ -405,6 +424,18 @@
     dispatch_domain(key.domain);
 }
 
+void stage_scheduler::count_vacancy(const std::string& pool, const batch_vacancy& vacancy)
+{
+    const auto places = vacancy.places_by_reason();
+    for (std::size_t n = 0; n < places.size(); ++n)
+        if (places[n] > 0)
+            metrics_
+                .get_counter("limpetlock_stage_vacant_places_total",
+                             "places of stage calls that stayed empty, by the reason",
+                             {{"pool", pool}, {"reason", std::string(vacancy_reason(n))}})
+                .add(places[n]);
+}
+
 /// Counts the pieces of the call as started and returns the tasks among them that have inputs.
 std::vector<std::shared_ptr<stage_scheduler::open_task>>
 stage_scheduler::record_started(const stage_dispatch& call)
--- a/lib/gateway/stage_scheduler.hpp
+++ b/lib/gateway/stage_scheduler.hpp
@@ -97,6 +97,7 @@
     void record_results(const pool_key& key, const stage_dispatch& call,
                         const std::vector<piece_result>& results, time_point now);
     bool remove_result(const std::string& handle);
+    void count_vacancy(const std::string& pool, const batch_vacancy& vacancy);
     void expire(time_point now);
     void log_avoided_endpoints(time_point now);
 
--- a/unittests/gateway/dispatch_test.cpp
+++ b/unittests/gateway/dispatch_test.cpp
@@ -296,6 +296,36 @@
     cr_expect_geq(before(100), duration(3'000), "late already");
 }
 
+// Guards against calls that carry less than a batch while pieces wait, without a statement of the cause.
+Test(stage_dispatcher, a_call_states_why_places_stayed_empty)
+{
+    stage_dispatcher it;
+    auto capacity = make_capacity(12);
+    capacity.result_storage_mb = 9;
+    it.configure(capacity, {endpoint_named("one", "a"), endpoint_named("busy", "b")});
+    it.hold_back("busy", at(5'000));
+    it.submit(make_task({"first", 5, 1'000, 10'000, "a", 1'000'000}), at(0));
+    it.submit(make_task({"wide", 8, 1'100}), at(0));
+    it.submit(make_task({"heavy", 5, 1'200, 10'000, "a", 1'000'000}), at(0));
+    it.submit(make_task({"deferred", 3, 1'300}), at(0));
+    it.submit(make_task({"hopeless", 2, 1'400, 200}), at(0));
+    const auto call =
+        it.next_call(at(0), [](const stage_task& task) { return task.request_id == "deferred"; });
+    cr_assert(call.has_value());
+    cr_expect_eq(call->pieces.size(), 5);
+    cr_expect_eq(call->vacancy.places, 7);
+    cr_expect_eq(call->vacancy.passed_over(pass_over_reason::size), 8);
+    cr_expect_eq(call->vacancy.passed_over(pass_over_reason::storage), 5);
+    cr_expect_eq(call->vacancy.passed_over(pass_over_reason::deferred), 3);
+    cr_expect_eq(call->vacancy.passed_over(pass_over_reason::deadline), 2);
+    batch_vacancy few;
+    few.places = 12;
+    few.pieces = {0, 4, 3, 0, 0};
+    cr_expect(few.places_by_reason() ==
+                  (std::array<std::size_t, pass_over_reason_count + 1>{0, 4, 3, 0, 0, 5}),
+              "each empty place counts once");
+}
+
 Test(endpoint_selector, the_same_part_of_a_prompt_stays_at_its_engine)
 {
     endpoint_selector it;
