Fill stage calls while more than two full batches wait

Cause: a task is split only if it is larger than a whole batch, so a queue of tasks of 8 pieces leaves 4 of 12 places empty in every call although the pool is short of capacity.

Change: while more pieces than two full batches could be dispatched (deferred and expired ones don't count), the last places take a part of the first task that is too large for them. The rest goes first in the next call and isn't deferred. A call that its storage keeps from being full takes no part.

--- a/include/limpetlock/gateway/piece_queue.hpp
+++ b/include/limpetlock/gateway/piece_queue.hpp
@@ -69,6 +69,10 @@
     /// While more pieces than this wait, a call also takes pieces that wait for an endpoint of their own
     /// failure domain.
     std::size_t overload_threshold{SIZE_MAX};
+    /// While more pieces than this could be dispatched, the last places of a call take a part of a task that
+    /// doesn't fit, and tasks with pieces in earlier calls go first. Not before, because a task ends with its
+    /// last call.
+    std::size_t fill_threshold{SIZE_MAX};
     /// Every n-th batch begins with the pieces that have waited longest, so that none waits for ever.
     std::uint32_t oldest_first_interval{4};
 
@@ -134,7 +138,7 @@
     /// Removes and returns the pieces of the next batch for an endpoint in `domain`. Pieces of another domain
     /// stay in the queue if `free` shows that an endpoint of their domain will be free within their locality
     /// wait. Pieces whose deadline can't be met stay, as do those whose results don't fit into `free_bytes`
-    /// and those of tasks for which `deferred` returns true.
+    /// and those of tasks for which `deferred` returns true and of which no piece was dispatched.
     piece_batch pop_batch(const batch_options& options, std::string_view domain,
                           const domain_free_times& free, std::uint64_t free_bytes,
                           const task_filter& deferred, time_point now);
--- a/lib/gateway/piece_queue.cpp
+++ b/lib/gateway/piece_queue.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <optional>
 #include <utility>
 
 namespace limpetlock::gateway {
@@ -26,6 +27,9 @@
     std::size_t pieces{0};
     bool late{false};
     time_point order_key{};
+
+    /// Whether some of its pieces were dispatched. Their results occupy storage until the others end.
+    bool started() const { return pieces < task->pieces.size(); }
 };
 
 bool is_late(const stage_task& it, const batch_options& options, time_point now)
@@ -65,6 +69,97 @@
     return duration(static_cast<std::int64_t>(std::max(0.0, out)));
 }
 
+/// Why a task can't be dispatched now, whatever places are left.
+std::optional<pass_over_reason> obstacle(const waiting_task& it, const batch_options& options,
+                                         const task_filter& deferred, time_point now)
+{
+    if (it.task->deadline < now + options.call_time(1))
+        return pass_over_reason::deadline;
+    if (!it.started() && deferred && deferred(*it.task))
+        return pass_over_reason::deferred;
+    return std::nullopt;
+}
+
+/// Whether more pieces could be dispatched than the threshold for filling.
+bool exceeds_fill_threshold(const std::vector<waiting_task>& tasks, const batch_options& options,
+                            const task_filter& deferred, time_point now)
+{
+    std::size_t pieces = 0;
+    for (const auto& it : tasks) {
+        if (pieces > options.fill_threshold)
+            break;
+        if (!obstacle(it, options, deferred, now))
+            pieces += it.pieces;
+    }
+    return pieces > options.fill_threshold;
+}
+
+/// Chooses the tasks of one batch.
+class batch_builder {
+public:
+    batch_builder(std::size_t max_pieces, std::uint64_t free_bytes)
+        : max_pieces_(max_pieces), free_places_(max_pieces), free_bytes_(free_bytes)
+    {
+    }
+
+    /// Takes a task if it fits. Only one that is larger than a whole batch is split.
+    void choose(const waiting_task& it)
+    {
+        const std::size_t count = std::min(free_places_, it.pieces);
+        if (free_places_ == 0 || (count < it.pieces && it.pieces <= max_pieces_))
+            pass_over(it, pass_over_reason::size);
+        else if (it.task->result_bytes * count > free_bytes_)
+            pass_over(it, pass_over_reason::storage);
+        else
+            take(it, count);
+    }
+
+    void pass_over(const waiting_task& it, pass_over_reason reason) { passed_over_.emplace_back(it, reason); }
+
+    /// Takes a part of the first task that is too large for the places left. In a call that its storage keeps
+    /// from being full, the part would occupy storage without shortening the queue.
+    void fill_last_places()
+    {
+        if (free_places_ == 0 || chosen_.empty())
+            return;
+        for (auto& [it, reason] : passed_over_) {
+            if (reason != pass_over_reason::size || it.task->result_bytes * free_places_ > free_bytes_)
+                continue;
+            it.pieces -= free_places_;
+            take(it, free_places_);
+            return;
+        }
+    }
+
+    std::size_t free_places() const { return free_places_; }
+
+    /// Number of pieces of each chosen task.
+    const std::map<const stage_task*, std::size_t>& chosen() const { return chosen_; }
+
+    batch_vacancy vacancy() const
+    {
+        batch_vacancy out;
+        out.places = free_places_;
+        for (const auto& [it, reason] : passed_over_)
+            out.pieces[static_cast<std::size_t>(reason)] += it.pieces;
+        return out;
+    }
+
+private:
+    void take(const waiting_task& it, std::size_t count)
+    {
+        chosen_.emplace(it.task, count);
+        free_bytes_ -= it.task->result_bytes * count;
+        free_places_ -= count;
+    }
+
+    const std::size_t max_pieces_;
+    std::size_t free_places_;
+    std::uint64_t free_bytes_;
+    std::map<const stage_task*, std::size_t> chosen_;
+    std::vector<std::pair<waiting_task, pass_over_reason>> passed_over_;
+};
+
 } // namespace
 
 std::string_view to_string(pass_over_reason it)
@@ -122,10 +217,17 @@
                                    const task_filter& deferred, time_point now)
 {
     auto tasks = group_by_task(waiting_, options, now);
-    const duration min_call_time = options.call_time(1);
+    const bool fills =
+        waiting_.size() > options.fill_threshold && exceeds_fill_threshold(tasks, options, deferred, now);
     const bool oldest_first = options.oldest_first_interval > 0 &&
                               batches_ % options.oldest_first_interval == options.oldest_first_interval - 1;
+    // The rest of a split task goes first, so that its early results occupy storage no longer than one call.
+    const auto goes_first = [&](const waiting_task& it) {
+        return fills && it.started() && it.pieces < options.max_pieces;
+    };
     std::sort(tasks.begin(), tasks.end(), [&](const waiting_task& a, const waiting_task& b) {
+        if (goes_first(a) != goes_first(b))
+            return goes_first(a);
         return oldest_first ? a.queued_at < b.queued_at : a.order_key < b.order_key;
     });
     std::map<std::string_view, std::size_t> pieces_ahead;
@@ -143,48 +245,29 @@
             local->second[calls % endpoints] + full_call * static_cast<std::int64_t>(calls / endpoints);
         return now + start < it.queued_at + locality_wait(*it.task, it.queued_at, options, it.late);
     };
-    std::size_t free_places = options.max_pieces;
-    std::map<const stage_task*, std::size_t> chosen;
-    piece_batch out;
-    const auto pass_over = [&out](const waiting_task& it, pass_over_reason reason) {
-        out.vacancy.pieces[static_cast<std::size_t>(reason)] += it.pieces;
-    };
-    const auto choose = [&](const waiting_task& it) {
-        // A task is split only if it is larger than a whole batch.
-        if (free_places == 0 || (it.pieces > free_places && it.pieces <= options.max_pieces)) {
-            pass_over(it, pass_over_reason::size);
-            return;
-        }
-        const std::size_t count = std::min(free_places, it.pieces);
-        const std::uint64_t bytes = it.task->result_bytes * count;
-        if (bytes > free_bytes) {
-            pass_over(it, pass_over_reason::storage);
-            return;
-        }
-        chosen.emplace(it.task, count);
-        free_places -= count;
-        free_bytes -= bytes;
-    };
+    batch_builder batch(options.max_pieces, free_bytes);
     std::vector<waiting_task> waiting_for_local;
     for (const auto& it : tasks) {
-        if (free_places == 0)
+        if (batch.free_places() == 0)
             break;
         const bool local_soon = should_wait_for_local(it);
-        if (it.task->deadline < now + min_call_time)
-            pass_over(it, pass_over_reason::deadline);
-        else if (deferred && deferred(*it.task))
-            pass_over(it, pass_over_reason::deferred);
+        if (const auto reason = obstacle(it, options, deferred, now))
+            batch.pass_over(it, *reason);
         else if (local_soon)
             waiting_for_local.push_back(it);
         else
-            choose(it);
+            batch.choose(it);
     }
     // When the pool is overloaded, sharing the fixed time of a call among more pieces gains more than local
     // transfers.
-    const bool take_others = !chosen.empty() && waiting_.size() > options.overload_threshold;
+    const bool take_others = !batch.chosen().empty() && waiting_.size() > options.overload_threshold;
     for (const auto& it : waiting_for_local)
-        take_others ? choose(it) : pass_over(it, pass_over_reason::locality);
-    out.vacancy.places = free_places;
+        take_others ? batch.choose(it) : batch.pass_over(it, pass_over_reason::locality);
+    if (fills)
+        batch.fill_last_places();
+    auto chosen = batch.chosen();
+    piece_batch out;
+    out.vacancy = batch.vacancy();
     for (auto it = waiting_.begin(); it != waiting_.end() && out.pieces.size() < options.max_pieces;) {
         const auto found = chosen.find(it->task.get());
         if (found == chosen.end() || found->second == 0) {
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -40,6 +40,10 @@
 /// A pool in which more full batches than this wait is overloaded.
 constexpr std::size_t overload_batches = 1;
 
+/// The last places of a call take parts of tasks while more full batches than this wait: the calls in
+/// progress then decide when the queue ends, and a split task ends with the next call at the latest.
+constexpr std::size_t fill_batches = 2;
+
 /// Weight of one call in the moving average of the pieces of a call.
 constexpr double typical_pieces_weight = 0.1;
 
@@ -64,6 +68,7 @@
     options_.call_ms = capacity.call_ms;
     options_.piece_ms = capacity.piece_ms;
     options_.overload_threshold = options_.max_pieces * overload_batches;
+    options_.fill_threshold = options_.max_pieces * fill_batches;
     std::map<std::string, endpoint_state, std::less<>> next;
     for (auto& it : endpoints) {
         if (it.leaving)
--- a/unittests/gateway/dispatch_test.cpp
+++ b/unittests/gateway/dispatch_test.cpp
@@ -326,6 +326,55 @@
               "each empty place counts once");
 }
 
+// Guards against calls with empty places while the pool is short of capacity: tasks of 8 pieces would leave 4
+// of 12 places empty in each call.
+Test(stage_dispatcher, calls_are_full_when_more_than_two_full_batches_wait)
+{
+    stage_dispatcher it;
+    it.configure(make_capacity(12), {endpoint_named("one")});
+    for (int n = 0; n < 5; ++n)
+        it.submit(make_task({"t" + std::to_string(n), 8, 5'000 + n}), at(0));
+    std::int64_t now = 0;
+    std::vector<std::size_t> sizes;
+    std::map<std::string, std::set<std::size_t>> calls_of;
+    while (it.waiting() > 0) {
+        const auto call = it.next_call(at(now));
+        cr_assert(call.has_value());
+        for (const auto& piece : call->pieces)
+            calls_of[piece.task->request_id].insert(sizes.size());
+        sizes.push_back(call->pieces.size());
+        it.finish_call(call->call_id, call_outcome::answered, at(now += 360));
+    }
+    cr_expect_eq(sizes, (std::vector<std::size_t>{12, 12, 8, 8}), "the last two batches aren't split");
+    cr_expect_eq(calls_of["t1"], (std::set<std::size_t>{0, 1}), "the rest goes in the next call");
+    for (const auto& [id, calls] : calls_of)
+        cr_expect_leq(*calls.rbegin() - *calls.begin(), 1, "%s", id.c_str());
+}
+
+// Guards against a queue of deferred tasks that counts as lack of capacity, and against a started task that
+// is deferred while its results occupy storage.
+Test(stage_dispatcher, deferred_tasks_do_not_cause_splits)
+{
+    stage_dispatcher it;
+    it.configure(make_capacity(12), {endpoint_named("one")});
+    for (int n = 0; n < 5; ++n)
+        it.submit(make_task({"t" + std::to_string(n), 8, 5'000 + n}), at(0));
+    const auto deferred = [](const stage_task& task) { return task.request_id > "t1"; };
+    auto call = it.next_call(at(0), deferred);
+    cr_assert(call.has_value());
+    cr_expect_eq(call->pieces.size(), 8);
+    cr_expect_eq(call->vacancy.passed_over(pass_over_reason::deferred), 24);
+    it.finish_call(call->call_id, call_outcome::answered, at(360));
+    it.submit(make_task({"a", 8, 4'000}), at(360));
+    call = it.next_call(at(360));
+    cr_assert(call.has_value());
+    cr_expect_eq(call->pieces.size(), 12, "more than two full batches wait");
+    it.finish_call(call->call_id, call_outcome::answered, at(720));
+    call = it.next_call(at(720), [](const stage_task&) { return true; });
+    cr_assert(call.has_value(), "the rest of the split task isn't deferred");
+    cr_expect_eq(call->pieces.size(), 4);
+}
+
 Test(endpoint_selector, the_same_part_of_a_prompt_stays_at_its_engine)
 {
     endpoint_selector it;
