Admit the stages of a request as a whole before the first one starts

Cause: work is started whose later stages come too late, because the entry instance decides by backlog figures of up to 1.5 s that count all waiting pieces regardless of their order.

Change: a stage order carries the remaining stages of its request. For a first stage, the responsible instance estimates the end of the last one from the work that goes before it in each pool of the group, including admitted requests that have not got there yet. A request that an instance has admitted isn't refused later. Each reply carries an outline of the queues of the group; the entry instance decides by it only for 300 ms, less the time that passed, and counts what goes before the request. A task of which a piece failed for good leaves its queue at once. Endpoints that are avoided for up to 200 ms no longer count as lost in estimates.

--- a/include/limpetlock/gateway/piece_queue.hpp
+++ b/include/limpetlock/gateway/piece_queue.hpp
@@ -3,6 +3,7 @@
 /// calls.
 #pragma once
 
+#include <limpetlock/gateway/chain_admission.hpp>
 #include <limpetlock/gateway/model.hpp>
 #include <limpetlock/support/time.hpp>
 
@@ -36,8 +37,15 @@
     std::vector<std::string> next_pools; ///< pools of the stages that depend on this one, also indirectly
     int priority{0};                     ///< 0 is the most urgent
     double tokens_per_piece{0};          ///< tokens of the request divided by its pieces; 0 if unknown
+    /// This stage and those that depend on it, also indirectly; empty if unknown.
+    std::vector<chain_stage> chain;
+    bool admitted{false}; ///< an instance has admitted the stages of the request already
+    std::string team;     ///< whose request it is; empty if unknown
 };
 
+/// The task of a later stage of the chain, as far as it is known now: all that its order key depends on.
+stage_task later_task(const stage_task& it, const chain_stage& later);
+
 /// A piece that waits in the queue or is part of a stage call.
 struct queued_piece {
     std::shared_ptr<const stage_task> task;
@@ -152,8 +160,9 @@
     /// Number of pieces whose objective time is not before `objective` and whose task isn't deferred.
     std::size_t count_with_objective_from(time_point objective, const task_filter& deferred) const;
 
-    /// Order keys of all waiting pieces in ascending order.
-    std::vector<time_point> order_keys(const batch_options& options, time_point now) const;
+    /// Order keys of the waiting pieces in ascending order, without those of deferred tasks.
+    std::vector<time_point> order_keys(const batch_options& options, const task_filter& deferred,
+                                       time_point now) const;
 
     bool empty() const { return waiting_.empty(); }
     std::size_t size() const { return waiting_.size(); }
--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -54,15 +54,41 @@
     batch_vacancy vacancy;
 };
 
+/// A point of an outline of the waiting pieces of a pool.
+struct backlog_point {
+    time_point order_key{};
+    duration before{0}; ///< time that the pool needs for the pieces up to this key
+
+    friend bool operator==(const backlog_point&, const backlog_point&) = default;
+};
+
+/// The time that a pool needs, at least, for the pieces that go before one with this order key. `age` is the
+/// age of the outline, which is sorted by the key; the pool has worked meanwhile.
+duration time_before(const std::vector<backlog_point>& outline, time_point order_key, duration age);
+
 /// Running calls and waiting pieces of a pool at one moment, for estimates of waiting times.
 class backlog_profile {
 public:
     /// Time that the pool needs for the running calls and for the waiting pieces with a smaller order key.
     duration time_before(time_point order_key) const;
 
+    /// The same for the decision whether a new task has room. Waiting pieces with the same key go before it.
+    /// While no endpoint is available, it is the time until the first one is.
+    duration least_time_before(time_point order_key) const;
+
     /// Time of a call with the typical number of pieces.
     duration typical_call_time() const;
 
+    /// Time of a call with this many pieces, or of the calls that run one after the other if they don't fit
+    /// into one call.
+    duration call_time(std::size_t pieces) const;
+
+    /// Counts pieces that will wait as well: those of a later stage of a request.
+    void add(time_point order_key, std::size_t pieces);
+
+    /// A few points of the distribution of the waiting pieces; none if no piece waits.
+    std::vector<backlog_point> outline() const;
+
 private:
     friend class stage_dispatcher;
 
@@ -71,6 +97,7 @@
     duration until_first_{0};            ///< until an endpoint is available, if all are backed off
     double running_ms_{0};               ///< sum of the remaining times of the running calls
     double typical_pieces_{1};           ///< pieces of a typical call
+    double max_pieces_{1};               ///< of one call
     double call_ms_{0};
     double piece_ms_{0};
 
@@ -119,7 +146,8 @@
     /// Removes and returns the pieces that can't be done before their deadline.
     std::vector<queued_piece> expire(time_point now) { return queue_.expire(options_, now); }
 
-    backlog_profile profile(time_point now) const;
+    /// Tasks for which `deferred` returns true aren't counted.
+    backlog_profile profile(time_point now, const task_filter& deferred = {}) const;
     const batch_options& options() const { return options_; }
 
     /// Time that the pool needs for the running calls and for the waiting pieces that a new task has to wait
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -107,6 +107,40 @@
     return duration(std::clamp(ms, -max_ms, max_ms));
 }
 
+/// Returns an empty chain for one that isn't well formed.
+std::vector<chain_stage> to_chain(const std::vector<wire::chain_stage_message>& from)
+{
+    std::vector<chain_stage> out;
+    for (const auto& it : from) {
+        chain_stage stage{it.pool,
+                          static_cast<std::uint32_t>(it.stage),
+                          static_cast<std::uint32_t>(it.pieces),
+                          bounded_time(it.time_to_end_ms),
+                          {}};
+        stage.after.assign(it.after.begin(), it.after.end());
+        out.push_back(std::move(stage));
+    }
+    if (!is_valid(out))
+        out.clear();
+    return out;
+}
+
+std::vector<wire::pool_backlog_message>
+to_message(const std::map<std::string, std::vector<backlog_point>>& from, time_point now)
+{
+    std::vector<wire::pool_backlog_message> out;
+    for (const auto& [pool, points] : from) {
+        wire::pool_backlog_message message;
+        message.pool = pool;
+        for (const auto& it : points) {
+            message.key_ms.push_back((it.order_key - now).count());
+            message.before_ms.push_back(it.before.count());
+        }
+        out.push_back(std::move(message));
+    }
+    return out;
+}
+
 std::int64_t random_run_id()
 {
     std::random_device source;
@@ -212,12 +246,19 @@
         task.tokens_per_piece = it.worth;
         task.next_pools = it.next_pools;
         task.transfer_bytes = static_cast<std::uint64_t>(std::max<std::int64_t>(0, it.transfer_bytes));
+        task.chain = to_chain(it.chain);
+        task.admitted = it.admitted;
+        task.team = it.team;
         pool_key key{it.group, it.pool};
         const auto result = co_await scheduler.run(std::move(key), std::move(task), task_reply_wait);
         wire::stage_result_message out;
         out.status = static_cast<std::int32_t>(result.status);
         out.reason = result.reason;
         out.backlog_ms = result.backlog.count();
+        if (result.retry_after)
+            out.__set_retry_after_ms(result.retry_after->count());
+        if (!result.backlogs.empty())
+            out.__set_backlogs(to_message(result.backlogs, boot_clock::now()));
         for (const auto& piece : result.pieces) {
             wire::piece_result_message message;
             message.handle = piece.handle;
--- a/lib/gateway/piece_queue.cpp
+++ b/lib/gateway/piece_queue.cpp
@@ -197,12 +197,28 @@
                 : it.objective_time + offset;
 }
 
-std::vector<time_point> piece_queue::order_keys(const batch_options& options, time_point now) const
+stage_task later_task(const stage_task& it, const chain_stage& later)
+{
+    const duration delay = it.chain.front().time_to_end - later.time_to_end;
+    stage_task out;
+    out.request_id = it.request_id;
+    out.stage = later.stage;
+    out.deadline = it.deadline + delay;
+    out.objective_time = it.objective_time + delay;
+    out.priority = it.priority;
+    out.tokens_per_piece = it.tokens_per_piece;
+    out.team = it.team;
+    return out;
+}
+
+std::vector<time_point> piece_queue::order_keys(const batch_options& options, const task_filter& deferred,
+                                                time_point now) const
 {
     std::vector<time_point> out;
     out.reserve(waiting_.size());
-    for (const auto& it : waiting_)
-        out.push_back(order_key(*it.task, options, now));
+    for (const auto& it : group_by_task(waiting_, options, now))
+        if (it.started() || !deferred || !deferred(*it.task))
+            out.insert(out.end(), it.pieces, it.order_key);
     std::sort(out.begin(), out.end());
     return out;
 }
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -38,6 +38,11 @@
 constexpr duration denial_proof_age{1'500};
 
 constexpr duration max_retry_after{2'000};
+constexpr duration retry_after_jitter{300};
+
+/// Longest Retry-After of a request whose stages have no room: queues of stages are shorter, and the figure
+/// comes from another instance.
+constexpr duration max_stage_retry_after{10'000};
 
 /// Time from the end of the stages to the first event of an idle engine.
 constexpr duration engine_first_event{120};
@@ -197,7 +202,7 @@
 duration request_handler::retry_after(const request_context& it, time_point now)
 {
     const duration backlog = it.table ? dependencies_.runner.backlog(it.plan, *it.table, now) : duration{0};
-    const auto jitter = static_cast<std::int64_t>(random_() % 300);
+    const auto jitter = static_cast<std::int64_t>(random_() % retry_after_jitter.count());
     return std::min(max_retry_after, std::max(min_retry_after, backlog / 2) + duration(jitter));
 }
 
@@ -410,20 +415,55 @@
         it.plan.domain = it.reserved_slot->to.domain;
     else if (const auto engine = dependencies_.selector.select(it.endpoint_criteria, it.arrival))
         it.plan.domain = engine->domain;
+    it.plan.team = it.team.value_or("");
+    // Once the stages were admitted, the request isn't refused for work that arrived later.
+    it.plan.admitted = it.stages_rerun;
     const duration min_time = stage_runner::minimum_time(it.plan, *it.table);
-    const duration backlog = dependencies_.runner.backlog(it.plan, *it.table, it.arrival);
-    if (it.arrival + min_time + backlog > it.plan.deadline)
-        co_return refuse(it, 503, "stages can't be done in time", retry_after(it, it.arrival));
+    if (refuse_stages_in_advance(it, min_time))
+        co_return false;
     auto outcome = co_await run_plan(it);
-    if (outcome.status == stage_status::failed && boot_clock::now() + min_time < it.plan.deadline)
+    if (outcome.status == stage_status::failed && boot_clock::now() + min_time < it.plan.deadline) {
+        it.plan.admitted = true;
         outcome = co_await run_plan(it);
+    }
     it.stages_done = boot_clock::now();
     if (outcome.status == stage_status::done) {
         it.inputs = std::make_shared<held_results>(dependencies_.returns, std::move(outcome.inputs));
         co_return true;
     }
+    const duration retry_time = outcome.status == stage_status::refused
+                                    ? stage_retry_after(outcome.retry_after)
+                                    : retry_after(it, boot_clock::now());
     co_return refuse(it, 503, fmt::format("stages {}: {}", to_string(outcome.status), outcome.reason),
-                     retry_after(it, boot_clock::now()));
+                     retry_time);
+}
+
+/// Refuses a request whose stages can't be done in time, by figures that are certain or fresh. Returns
+/// whether it did.
+bool request_handler::refuse_stages_in_advance(request_context& it, duration min_time)
+{
+    const time_point now = boot_clock::now();
+    const duration left = it.plan.deadline - now;
+    if (min_time > left) {
+        refuse(it, 503, "stages can't be done in time", retry_after(it, now));
+        return true;
+    }
+    if (it.plan.admitted)
+        return false;
+    chain_estimate estimate;
+    estimate.end = dependencies_.runner.expected_time(it.plan, *it.table, now);
+    const auto decision = decide_admission(estimate, left);
+    if (!decision.admitted)
+        refuse(it, 503, "stages can't be done in time", stage_retry_after(decision.retry_after));
+    return !decision.admitted;
+}
+
+/// The Retry-After of a request that has to wait this long until its stages have room. The random part keeps
+/// the refused requests of one moment from coming back together.
+duration request_handler::stage_retry_after(duration until_room)
+{
+    const duration jitter(static_cast<std::int64_t>(random_() % retry_after_jitter.count()));
+    return std::clamp(until_room, min_retry_after, max_stage_retry_after) + jitter;
 }
 
 /// Runs the stages. The outcome is `late` when the deadline of the request passes first, or when the process
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -116,6 +116,8 @@
     void refuse_after_exception(request_context& it, const std::exception_ptr& failure);
     boost::asio::awaitable<bool> prepare(request_context& it);
     boost::asio::awaitable<bool> run_stages(request_context& it);
+    bool refuse_stages_in_advance(request_context& it, duration min_time);
+    duration stage_retry_after(duration until_room);
     boost::asio::awaitable<stage_outcome> run_plan(request_context& it);
     boost::asio::awaitable<void> forward(request_context& it);
     /// Returns the endpoint for the next attempt, once it may be sent there. nullopt if there is none, or if
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -50,6 +50,13 @@
 /// Least assumed backlog of a pool whose endpoints are all backed off.
 constexpr duration unknown_backlog{2'000};
 
+/// An endpoint that is avoided for no longer than this counts in estimates of the backlog as one that works
+/// meanwhile. If it counted as lost, refusals for lack of storage would multiply the estimate.
+constexpr duration short_avoidance{200};
+
+/// Points of the outline of a backlog. Replies to other instances carry them for each pool.
+constexpr std::size_t outline_points = 4;
+
 constexpr double bytes_per_mb = 1e6;
 
 } // namespace
@@ -304,10 +311,10 @@
     return capacity_profile(now).time_for(queue_.count_with_objective_from(now + call_time(1), deferred));
 }
 
-backlog_profile stage_dispatcher::profile(time_point now) const
+backlog_profile stage_dispatcher::profile(time_point now, const task_filter& deferred) const
 {
     backlog_profile out = capacity_profile(now);
-    out.order_keys_ = queue_.order_keys(options_, now);
+    out.order_keys_ = queue_.order_keys(options_, deferred, now);
     return out;
 }
 
@@ -316,17 +323,18 @@
 {
     backlog_profile out;
     for (const auto& [id, it] : endpoints_) {
-        if (it.avoid_until > now) {
-            const duration left = it.avoid_until - now;
+        const duration left = std::max(duration{0}, it.avoid_until - now);
+        if (left > short_avoidance) {
             out.until_first_ = out.until_first_ == duration{0} ? left : std::min(left, out.until_first_);
             continue;
         }
         out.effective_endpoints_ += 1 / std::max(0.5, slowness_of(it, now));
-        if (it.busy && it.busy_until > now)
-            out.running_ms_ += static_cast<double>((it.busy_until - now).count());
+        const duration busy = it.busy ? it.busy_until - now : duration{0};
+        out.running_ms_ += static_cast<double>(std::max(busy, left).count());
     }
     out.typical_pieces_ =
         std::max(1.0, typical_pieces_ > 0 ? typical_pieces_ : static_cast<double>(options_.max_pieces));
+    out.max_pieces_ = static_cast<double>(options_.max_pieces);
     out.call_ms_ = capacity_.call_ms;
     out.piece_ms_ = capacity_.piece_ms;
     return out;
@@ -338,11 +346,53 @@
     return time_for(static_cast<std::size_t>(end - order_keys_.begin()));
 }
 
+duration backlog_profile::least_time_before(time_point order_key) const
+{
+    if (effective_endpoints_ <= 0)
+        return until_first_;
+    const auto end = std::upper_bound(order_keys_.begin(), order_keys_.end(), order_key);
+    return time_for(static_cast<std::size_t>(end - order_keys_.begin()));
+}
+
 duration backlog_profile::typical_call_time() const
 {
     return duration(static_cast<std::int64_t>(call_ms_ + piece_ms_ * typical_pieces_));
 }
 
+duration backlog_profile::call_time(std::size_t pieces) const
+{
+    const auto all = static_cast<double>(pieces);
+    const double calls = std::ceil(all / std::max(1.0, max_pieces_));
+    const double rounds = std::max(1.0, std::ceil(calls / std::max(1.0, effective_endpoints_)));
+    return duration(static_cast<std::int64_t>(rounds * (call_ms_ + piece_ms_ * std::min(all, max_pieces_))));
+}
+
+void backlog_profile::add(time_point order_key, std::size_t pieces)
+{
+    order_keys_.insert(std::upper_bound(order_keys_.begin(), order_keys_.end(), order_key), pieces,
+                       order_key);
+}
+
+std::vector<backlog_point> backlog_profile::outline() const
+{
+    std::vector<backlog_point> out;
+    const std::size_t count = effective_endpoints_ > 0 ? order_keys_.size() : 0;
+    for (std::size_t n = 1; n <= outline_points && count > 0; ++n) {
+        const std::size_t end = std::max<std::size_t>(1, count * n / outline_points);
+        out.push_back({order_keys_[end - 1], time_for(end)});
+    }
+    return out;
+}
+
+duration time_before(const std::vector<backlog_point>& outline, time_point order_key, duration age)
+{
+    duration out{0};
+    for (const auto& it : outline)
+        if (it.order_key < order_key)
+            out = std::max(out, it.before - age);
+    return out;
+}
+
 duration backlog_profile::time_for(std::size_t pieces) const
 {
     if (effective_endpoints_ <= 0)
--- a/lib/gateway/stage_runner.cpp
+++ b/lib/gateway/stage_runner.cpp
@@ -44,6 +44,10 @@
 /// A backlog report is ignored when it is older than this.
 constexpr duration backlog_lifetime{1'500};
 
+/// Backlogs decide on the refusal of a request only while they are younger than this: the responsible
+/// instance decides by its own queue otherwise.
+constexpr duration fresh_backlog_age{300};
+
 /// Share of a full batch that a call typically holds, for the expected time of a call.
 constexpr double typical_fill_share = 0.4;
 
@@ -96,6 +100,43 @@
     out.transfer_bytes = static_cast<std::int64_t>(it.transfer_bytes);
     out.group = key.domain;
     out.next_pools = it.next_pools;
+    std::vector<wire::chain_stage_message> chain;
+    for (const auto& stage : it.chain) {
+        wire::chain_stage_message message;
+        message.pool = stage.pool;
+        message.stage = static_cast<std::int32_t>(stage.stage);
+        message.pieces = static_cast<std::int32_t>(stage.pieces);
+        message.time_to_end_ms = stage.time_to_end.count();
+        message.after.assign(stage.after.begin(), stage.after.end());
+        chain.push_back(std::move(message));
+    }
+    out.__set_chain(chain);
+    out.__set_admitted(it.admitted);
+    if (!it.team.empty())
+        out.__set_team(it.team);
+    return out;
+}
+
+/// Bounds of the figures in a reply.
+constexpr std::size_t max_reported_pools = 64;
+constexpr std::size_t max_reported_points = 16;
+constexpr std::int64_t max_reported_ms = 48LL * 3'600'000;
+
+std::map<std::string, std::vector<backlog_point>>
+from_message(const std::vector<wire::pool_backlog_message>& from, time_point now)
+{
+    const auto bounded = [](std::int64_t ms) {
+        return duration(std::clamp(ms, -max_reported_ms, max_reported_ms));
+    };
+    std::map<std::string, std::vector<backlog_point>> out;
+    for (const auto& it : from) {
+        if (out.size() >= max_reported_pools)
+            break;
+        const std::size_t points = std::min({it.key_ms.size(), it.before_ms.size(), max_reported_points});
+        auto& to = out[it.pool];
+        for (std::size_t n = 0; n < points; ++n)
+            to.push_back({now + bounded(it.key_ms[n]), bounded(it.before_ms[n])});
+    }
     return out;
 }
 
@@ -107,6 +148,9 @@
     out.status = static_cast<stage_task_result::task_status>(it.status);
     out.reason = it.reason;
     out.backlog = duration(std::max<std::int64_t>(0, it.backlog_ms));
+    if (it.__isset.retry_after_ms)
+        out.retry_after = duration(std::clamp<std::int64_t>(it.retry_after_ms, 0, max_reported_ms));
+    out.backlogs = from_message(it.backlogs, boot_clock::now());
     for (const auto& piece : it.pieces) {
         if (piece.failure < 0 || piece.failure > static_cast<std::int32_t>(piece_failure::error))
             return std::nullopt;
@@ -121,7 +165,8 @@
 
 std::string_view to_string(stage_status it)
 {
-    static constexpr std::array<std::string_view, 4> names{"done", "late", "unavailable", "failed"};
+    static constexpr std::array<std::string_view, 5> names{"done", "late", "unavailable", "failed",
+                                                           "refused"};
     return names[static_cast<std::size_t>(it)];
 }
 
@@ -132,7 +177,7 @@
         : plan(std::move(it)), table(std::move(its_table)),
           time_to_end(time_to_end_after(plan.stages, plan.pieces, *table)), results(plan.stages.size()),
           ended(plan.stages.size(), false), assigned_to(plan.stages.size()),
-          progress(executor, asio::steady_timer::time_point::max())
+          progress(executor, asio::steady_timer::time_point::max()), admitted(plan.admitted)
     {
     }
 
@@ -236,6 +281,25 @@
         return out;
     }
 
+    /// The given stage and those that depend on it, directly or not.
+    std::vector<chain_stage> chain(std::size_t index) const
+    {
+        std::vector<chain_stage> out;
+        std::vector<std::optional<std::uint32_t>> places(plan.stages.size());
+        for (std::size_t n = index; n < plan.stages.size(); ++n) {
+            chain_stage it{
+                plan.stages[n].pool, static_cast<std::uint32_t>(n), plan.pieces[n], time_to_end[n], {}};
+            for (const auto dependency : plan.stages[n].dependencies)
+                if (places[dependency])
+                    it.after.push_back(*places[dependency]);
+            if (plan.pieces[n] == 0 || (n != index && it.after.empty()))
+                continue;
+            places[n] = static_cast<std::uint32_t>(out.size());
+            out.push_back(std::move(it));
+        }
+        return out;
+    }
+
     /// Bytes that are fetched for a task: each of its pieces fetches all inputs, and each piece of a
     /// dependent stage fetches all results.
     std::uint64_t transfer_bytes(std::size_t index) const
@@ -270,6 +334,8 @@
     std::uint64_t changes{0};
     stage_status status{stage_status::done};
     std::string reason;
+    duration retry_after{0};
+    bool admitted{false};  ///< an instance has begun to run the stages
     bool abandoned{false}; ///< the run failed or its coroutine was destroyed
 };
 
@@ -315,7 +381,7 @@
     for (std::size_t n = 0; n < plan.stages.size(); ++n) {
         const auto it = backlogs_.find({group, plan.stages[n].pool});
         if (plan.pieces[n] > 0 && it != backlogs_.end() && now - it->second.at < backlog_lifetime)
-            out += it->second.length;
+            out += std::max(duration{0}, it->second.length - (now - it->second.at));
     }
     return out;
 }
@@ -325,6 +391,49 @@
     backlogs_.insert_or_assign(key, backlog_report{backlog, now});
 }
 
+void stage_runner::record_backlogs(const pool_key& key, stage_task_result& from, time_point now)
+{
+    pool_key group = key;
+    group.pool.clear();
+    group_reports_.insert_or_assign(std::move(group), group_report{std::move(from.backlogs), now});
+}
+
+duration stage_runner::expected_time(const stage_plan& plan, const routing_table& table, time_point now) const
+{
+    const auto report = group_reports_.find({scheduling_group(plan, table), {}});
+    const bool fresh = report != group_reports_.end() && now - report->second.at < fresh_backlog_age;
+    if (!fresh)
+        return minimum_time(plan, table);
+    const auto time_to_end = time_to_end_after(plan.stages, plan.pieces, table);
+    std::vector<chain_stage> stages;
+    std::vector<stage_load> loads;
+    for (std::size_t n = 0; n < plan.stages.size(); ++n) {
+        const auto& spec = plan.stages[n];
+        stages.push_back({spec.pool, static_cast<std::uint32_t>(n), plan.pieces[n], time_to_end[n], {}});
+        for (const auto dependency : spec.dependencies)
+            if (dependency < n)
+                stages.back().after.push_back(dependency);
+        const pool* const it = table.find_pool(spec.pool);
+        const auto found = report->second.pools.find(spec.pool);
+        stage_load load;
+        if (plan.pieces[n] > 0 && it != nullptr && it->stage) {
+            load.call_time = stage_time(spec, plan.pieces[n], table);
+            stage_task task;
+            task.objective_time = plan.objective_time - time_to_end[n];
+            task.priority = plan.priority;
+            task.tokens_per_piece = plan.tokens_per_piece;
+            batch_options options;
+            options.call_ms = it->stage->call_ms;
+            options.piece_ms = it->stage->piece_ms;
+            if (found != report->second.pools.end())
+                load.before =
+                    time_before(found->second, order_key(task, options, now), now - report->second.at);
+        }
+        loads.push_back(load);
+    }
+    return estimate_chain(stages, loads).end;
+}
+
 awaitable<stage_outcome> stage_runner::run(stage_plan plan, std::shared_ptr<const routing_table> table)
 {
     const auto state = std::make_shared<run_state>(std::move(plan), std::move(table), executor_);
@@ -341,6 +450,7 @@
     stage_outcome out;
     out.status = state->status;
     out.reason = state->reason;
+    out.retry_after = state->retry_after;
     if (out.status != stage_status::done)
         co_return out;
     guard.dismiss();
@@ -406,6 +516,8 @@
     task.next_pools = state->next_pools(index);
     task.priority = state->plan.priority;
     task.tokens_per_piece = state->plan.tokens_per_piece;
+    task.chain = state->chain(index);
+    task.team = state->plan.team;
     auto result = co_await self.run_task(state, index, std::move(task));
     result_group produced{std::exchange(state->assigned_to[index], {}), {}};
     auto failure = piece_failure::none;
@@ -423,7 +535,8 @@
     if (state->abandoned)
         co_return;
     if (result.status != stage_task_result::task_status::done) {
-        state->fail(stage_status::unavailable, result.reason);
+        state->retry_after = result.retry_after.value_or(duration{0});
+        state->fail(result.retry_after ? stage_status::refused : stage_status::unavailable, result.reason);
         co_return;
     }
     if (!done) {
@@ -476,7 +589,7 @@
         stage_task copy = task;
         pool_key target = key;
         auto result = co_await run_task_at(state, instance, std::move(target), std::move(copy));
-        if (result && result->status == stage_task_result::task_status::done)
+        if (result && (result->status == stage_task_result::task_status::done || result->retry_after))
             co_return std::move(*result);
         if (result)
             last = std::move(*result);
@@ -506,6 +619,7 @@
     while (!state->abandoned) {
         const time_point now = boot_clock::now();
         result.reset();
+        task.admitted = state->admitted;
         if (local) {
             stage_task copy = task;
             pool_key pool = key;
@@ -524,6 +638,9 @@
         if (!result)
             co_return std::nullopt;
         record_backlog(key, result->backlog, boot_clock::now());
+        record_backlogs(key, *result, boot_clock::now());
+        if (result->status != stage_task_result::task_status::refused)
+            state->admitted = true;
         if (result->status != stage_task_result::task_status::in_progress)
             break;
     }
--- a/lib/gateway/stage_runner.hpp
+++ b/lib/gateway/stage_runner.hpp
@@ -33,11 +33,13 @@
     std::string domain;          ///< failure domain of the endpoint that is expected to fetch the results
     int priority{0};             ///< 0 is the most urgent
     double tokens_per_piece{0};  ///< tokens of the request divided by its pieces; 0 if unknown
+    std::string team;            ///< whose request it is; empty if unknown
+    bool admitted{false};        ///< the stages were admitted before; see chain_admission.hpp
 };
 
 /// How the stages of a request ended. `unavailable` means that no instance ran a task, `failed` that a piece
-/// failed for another reason than its deadline.
-enum class stage_status : std::uint8_t { done, late, unavailable, failed };
+/// failed for another reason than its deadline, `refused` that the stages have no room in time.
+enum class stage_status : std::uint8_t { done, late, unavailable, failed, refused };
 
 std::string_view to_string(stage_status it);
 
@@ -45,6 +47,7 @@
     stage_status status{stage_status::failed};
     std::vector<result_group> inputs; ///< results that no other stage takes; the request itself needs them
     std::string reason;
+    duration retry_after{0}; ///< of refused stages: time until they may have room
 };
 
 /// Runs the stages of all requests of this instance.
@@ -61,6 +64,10 @@
     /// Expected time of the stages of a request if no other pieces wait.
     static duration minimum_time(const stage_plan& plan, const routing_table& table);
 
+    /// Expected time of the stages behind the pieces that go before them, by the last replies of the
+    /// responsible instances. Pools without a fresh reply count as empty.
+    duration expected_time(const stage_plan& plan, const routing_table& table, time_point now) const;
+
     /// Expected time until the pools of the request have done the pieces that wait there now, by the last
     /// replies of the responsible instances. Pools without a recent reply count as empty.
     duration backlog(const stage_plan& plan, const routing_table& table, time_point now) const;
@@ -76,6 +83,7 @@
     boost::asio::awaitable<std::optional<stage_task_result>>
     run_task_at(std::shared_ptr<run_state> state, std::string instance, pool_key key, stage_task task);
     void record_backlog(const pool_key& key, duration backlog, time_point now);
+    void record_backlogs(const pool_key& key, stage_task_result& from, time_point now);
     boost::asio::awaitable<void> cancel_at(std::string instance, std::string request_id, std::uint32_t stage);
     void cancel_tasks(run_state& state);
     std::string scheduling_group(const stage_plan& plan, const routing_table& table) const;
@@ -91,6 +99,13 @@
     result_returns& returns_;
     const endpoint_selector& selector_;
     std::map<pool_key, backlog_report> backlogs_;
+
+    /// Outlines of all pools of a group, from one reply.
+    struct group_report {
+        std::map<std::string, std::vector<backlog_point>> pools;
+        time_point at{};
+    };
+    std::map<pool_key, group_report> group_reports_; ///< by group, as a key without the pool
 };
 
 } // namespace limpetlock::gateway
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
 namespace limpetlock::gateway {
@@ -54,6 +55,16 @@
     return out;
 }
 
+/// For the order keys in a pool that this instance doesn't have.
+const batch_options default_batch_options;
+
+/// The group of a pool, as a key without the pool: the same instance is responsible for all pools of a group.
+pool_key group_of(pool_key key)
+{
+    key.pool.clear();
+    return key;
+}
+
 /// Name of an element of batch_vacancy::places_by_reason.
 std::string_view vacancy_reason(std::size_t n)
 {
@@ -120,7 +131,13 @@
       metrics_(metrics),
       calls_(metrics.get_counter("limpetlock_stage_calls_total", "calls to endpoints of stage pools")),
       pieces_(metrics.get_counter("limpetlock_stage_pieces_total", "pieces sent in stage calls")),
-      repeated_pieces_(metrics.get_counter("limpetlock_stage_pieces_repeated_total", "pieces sent again"))
+      repeated_pieces_(metrics.get_counter("limpetlock_stage_pieces_repeated_total", "pieces sent again")),
+      chains_admitted_(metrics.get_counter("limpetlock_stage_chains_total",
+                                           "requests for whose stages the responsible instance decided",
+                                           {{"decision", "admitted"}})),
+      chains_refused_(metrics.get_counter("limpetlock_stage_chains_total",
+                                          "requests for whose stages the responsible instance decided",
+                                          {{"decision", "refused"}}))
 {
     spawn_loop(executor_, "stage_tick_loop", [this] { return tick_loop(); });
 }
@@ -207,6 +224,99 @@
     };
 }
 
+/// The profiles are kept for a tick, since each one sorts all waiting pieces of its pool.
+stage_scheduler::group_profiles& stage_scheduler::profiles_of(const pool_key& group, time_point now)
+{
+    auto& out = group_profiles_[group_of(group)];
+    if (now - out.at < tick_interval)
+        return out;
+    out = {now, {}};
+    const task_filter deferred = congestion_filter(group.domain, now);
+    for (const auto& [key, state] : pools_)
+        if (group_of(key) == group_of(group) && state->dispatcher.has_endpoints())
+            out.pools.emplace(key.pool, state->dispatcher.profile(now, deferred));
+    std::set<task_key> counted;
+    for (const auto& [id, it] : open_tasks_) {
+        if (group_of(it->pool) != group_of(group) || it->missing_results == 0)
+            continue;
+        for (std::size_t n = 1; n < it->task->chain.size(); ++n)
+            if (counted.emplace(id.first, it->task->chain[n].stage).second)
+                add_stage(group, *it->task, it->task->chain[n], out, now);
+    }
+    return out;
+}
+
+time_point stage_scheduler::order_key_of(const pool_key& group, const stage_task& task,
+                                         const chain_stage& later, time_point now) const
+{
+    pool_key key = group;
+    key.pool = later.pool;
+    const auto found = pools_.find(key);
+    const batch_options& options =
+        found == pools_.end() ? default_batch_options : found->second->dispatcher.options();
+    return order_key(later_task(task, later), options, now);
+}
+
+/// Counts a stage of a request that doesn't wait in its queue yet.
+void stage_scheduler::add_stage(const pool_key& group, const stage_task& task, const chain_stage& later,
+                                group_profiles& to, time_point now) const
+{
+    const auto profile = to.pools.find(later.pool);
+    if (profile != to.pools.end())
+        profile->second.add(order_key_of(group, task, later, now), later.pieces);
+}
+
+std::map<std::string, std::vector<backlog_point>> stage_scheduler::outlines_of(const pool_key& group,
+                                                                               time_point now)
+{
+    std::map<std::string, std::vector<backlog_point>> out;
+    for (const auto& [pool, profile] : profiles_of(group, now).pools)
+        if (auto outline = profile.outline(); !outline.empty())
+            out.emplace(pool, std::move(outline));
+    return out;
+}
+
+/// Returns the refusal of a task whose stages can't all be done in time; nullopt if the task is admitted.
+std::optional<stage_task_result> stage_scheduler::refusal_of(const pool_key& key, const stage_task& task,
+                                                             time_point now)
+{
+    if (!task.inputs.empty() || task.chain.empty() || task.admitted)
+        return std::nullopt;
+    auto& group = profiles_of(key, now);
+    std::vector<stage_load> loads;
+    for (const auto& it : task.chain) {
+        const auto profile = group.pools.find(it.pool);
+        loads.push_back(profile == group.pools.end()
+                            ? stage_load{}
+                            : stage_load{profile->second.least_time_before(order_key_of(key, task, it, now)),
+                                         profile->second.call_time(it.pieces)});
+    }
+    const auto estimate = estimate_chain(task.chain, loads);
+    const duration time_left = task.deadline + task.chain.front().time_to_end - now;
+    const auto decision = decide_admission(estimate, time_left);
+    if (decision.admitted) {
+        chains_admitted_.add();
+        for (const auto& it : task.chain)
+            add_stage(key, task, it, group, now);
+        return std::nullopt;
+    }
+    chains_refused_.add();
+    const std::string& bottleneck = task.chain[estimate.bottleneck].pool;
+    log::info("stage_chain_refused", {{"request", task.request_id},
+                                      {"team", task.team.empty() ? "-" : task.team},
+                                      {"priority", fmt::to_string(task.priority)},
+                                      {"pool", bottleneck},
+                                      {"pool_wait_ms", fmt::to_string(estimate.wait.count())},
+                                      {"expected_ms", fmt::to_string(estimate.end.count())},
+                                      {"left_ms", fmt::to_string(time_left.count())},
+                                      {"profile_age_ms", fmt::to_string((now - group.at).count())},
+                                      {"retry_after_ms", fmt::to_string(decision.retry_after.count())}});
+    stage_task_result out;
+    out.reason = "no room in pool " + bottleneck;
+    out.retry_after = decision.retry_after;
+    return out;
+}
+
 awaitable<void> stage_scheduler::tick_loop()
 {
     for (;;) {
@@ -273,6 +383,14 @@
     }
     const time_point now = boot_clock::now();
     const task_key task_id{task.request_id, task.stage};
+    const auto open = open_tasks_.find(task_id);
+    if (open == open_tasks_.end() || open->second->cancelled) {
+        auto refusal = refusal_of(key, task, now);
+        if (refusal) {
+            refusal->backlogs = outlines_of(key, now);
+            co_return std::move(*refusal);
+        }
+    }
     auto& slot = open_tasks_[task_id];
     if (!slot || slot->cancelled) {
         slot = std::make_shared<open_task>(std::move(task), key, executor_);
@@ -293,6 +411,7 @@
     it->last_requested = boot_clock::now();
     out.backlog = state->dispatcher.backlog_ahead(it->last_requested,
                                                   congestion_filter(key.domain, it->last_requested));
+    out.backlogs = outlines_of(key, it->last_requested);
     if (it->cancelled) {
         out.reason = "cancelled";
         co_return out;
@@ -524,7 +643,8 @@
                                            time_point now)
 {
     const auto found = open_tasks_.find({piece.task->request_id, piece.task->stage});
-    if (found == open_tasks_.end() || found->second->task != piece.task)
+    if (found == open_tasks_.end() || found->second->task != piece.task ||
+        found->second->missing_results == 0)
         return;
     --found->second->started_pieces;
     at.dispatcher.requeue_for_lack_of_storage(endpoint_id, std::move(piece), now);
@@ -535,10 +655,11 @@
 {
     const time_point now = boot_clock::now();
     for (const auto& it : pieces) {
-        if (!open_tasks_.contains({it.task->request_id, it.task->stage}))
+        const auto found = open_tasks_.find({it.task->request_id, it.task->stage});
+        if (found == open_tasks_.end() || found->second->missing_results == 0)
             continue;
         repeated_pieces_.add();
-        --open_tasks_.at({it.task->request_id, it.task->stage})->started_pieces;
+        --found->second->started_pieces;
         queued_piece copy = it;
         if (!at.dispatcher.retry(std::move(copy), now)) {
             log::warning("stage_piece_failed", {{"request", it.task->request_id},
@@ -564,10 +685,26 @@
     auto& it = *found->second;
     it.has_result[piece.index] = true;
     it.results[piece.index] = std::move(result);
-    if (--it.missing_results == 0)
+    if (it.results[piece.index].handle.empty())
+        end_task(it, it.results[piece.index].failure);
+    else if (--it.missing_results == 0)
         it.done.cancel();
 }
 
+/// Ends a task of which a piece failed for good, since the request can't be served any more. Results that its
+/// other pieces still get are released when they arrive.
+void stage_scheduler::end_task(open_task& it, piece_failure failure)
+{
+    for (std::size_t n = 0; n < it.results.size(); ++n)
+        if (!it.has_result[n])
+            it.results[n].failure = failure;
+    it.has_result.assign(it.results.size(), true);
+    it.missing_results = 0;
+    if (const auto pool = pools_.find(it.pool); pool != pools_.end())
+        pool->second->dispatcher.cancel(it.task->request_id, it.task->stage);
+    it.done.cancel();
+}
+
 void stage_scheduler::expire(time_point now)
 {
     for (const auto& [name, state] : pools_)
--- a/lib/gateway/stage_scheduler.hpp
+++ b/lib/gateway/stage_scheduler.hpp
@@ -34,6 +34,10 @@
     std::vector<piece_result> pieces; ///< in the order of the task's pieces
     std::string reason;
     duration backlog{0}; ///< time that the pool needs for the pieces that wait now
+    /// Set if the stages of the request have no room at any instance; time until they may have.
+    std::optional<duration> retry_after;
+    /// Outlines of the work that waits for the pools of the group; pools without waiting work are missing.
+    std::map<std::string, std::vector<backlog_point>> backlogs;
 };
 
 /// A stage pool, or the part of it in one failure domain.
@@ -60,9 +64,10 @@
     /// Replaces the routing table and the endpoints, and dispatches the calls that they allow.
     void configure(std::shared_ptr<const routing_table> table, std::vector<endpoint> endpoints);
 
-    /// Submits a task and waits up to `max_wait` for its results. A task that is already open isn't submitted
-    /// again. When the result says in_progress, the caller has to call again with the same task: one that
-    /// isn't requested for a while is dropped, and its results are released.
+    /// Submits a task and waits up to `max_wait` for its results. A task without inputs is refused at once
+    /// if the stages of its request can't be done in time (see chain_admission.hpp). A task that is already
+    /// open isn't submitted again. When the result says in_progress, the caller has to call again with the
+    /// same task: one that isn't requested for a while is dropped, and its results are released.
     boost::asio::awaitable<stage_task_result> run(pool_key key, stage_task task, duration max_wait);
 
     /// Drops a task and releases its results.
@@ -85,6 +90,20 @@
     std::vector<std::shared_ptr<open_task>> record_started(const stage_dispatch& call);
     pool_state* find_pool(const pool_key& key);
     void configure(const pool_key& key, pool_state& state);
+    /// Profiles of the pools of a group at one moment. They include the pieces of later stages of the tasks
+    /// that are open, but not those of deferred tasks.
+    struct group_profiles {
+        time_point at{};
+        std::map<std::string, backlog_profile> pools;
+    };
+    group_profiles& profiles_of(const pool_key& group, time_point now);
+    void add_stage(const pool_key& group, const stage_task& task, const chain_stage& later,
+                   group_profiles& to, time_point now) const;
+    time_point order_key_of(const pool_key& group, const stage_task& task, const chain_stage& later,
+                            time_point now) const;
+    std::optional<stage_task_result> refusal_of(const pool_key& key, const stage_task& task, time_point now);
+    std::map<std::string, std::vector<backlog_point>> outlines_of(const pool_key& group, time_point now);
+    void end_task(open_task& it, piece_failure failure);
     task_filter congestion_filter(const std::string& domain, time_point now) const;
     void dispatch_calls(const pool_key& key);
     void hold_back_by_statements(const pool_key& key, time_point now);
@@ -112,10 +131,13 @@
     metrics::counter& calls_;
     metrics::counter& pieces_;
     metrics::counter& repeated_pieces_;
+    metrics::counter& chains_admitted_;
+    metrics::counter& chains_refused_;
     std::shared_ptr<const routing_table> table_;
     std::vector<endpoint> endpoints_;
     std::map<pool_key, std::unique_ptr<pool_state>> pools_;
     std::map<task_key, std::shared_ptr<open_task>> open_tasks_;
+    std::map<pool_key, group_profiles> group_profiles_; ///< by group; see group_of
 
     /// A result that occupies storage at its producer until it is released or expires.
     struct stored_result {
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -224,6 +224,15 @@
   2: list<string> handles;
 }
 
+/// One of the remaining stages of a request.
+struct chain_stage_message {
+  1: string pool;
+  2: i32 stage;
+  3: i32 pieces;
+  4: i64 time_to_end_ms;  // from its end to the end of the last stage, if no other pieces wait
+  5: list<i32> after;     // indexes into the chain of the stages whose results it takes
+}
+
 struct stage_order_message {
   1: string pool;
   2: string request_id;
@@ -240,6 +249,17 @@
   13: i64 transfer_bytes; // input and result bytes that endpoints fetch for these pieces
   14: string group;       // failure domain whose endpoints may be used; empty for all
   15: list<string> next_pools; // pools of the stages that follow
+  20: optional list<chain_stage_message> chain; // this stage and those that depend on it
+  21: optional bool admitted;  // an instance has admitted the stages of the request already
+  22: optional string team;    // whose request it is; absent if unknown
+}
+
+/// Work that waits for a pool: `before_ms[n]` passes until the pieces with order keys of up to `key_ms[n]`
+/// from now are done.
+struct pool_backlog_message {
+  1: string pool;
+  2: list<i64> key_ms;
+  3: list<i64> before_ms;
 }
 
 struct piece_result_message {
@@ -252,6 +272,8 @@
   2: list<piece_result_message> pieces;
   3: string reason;
   4: i64 backlog_ms;      // time that the pool needs for its waiting pieces
+  10: optional i64 retry_after_ms; // refused for lack of room, also at other instances, until then
+  11: optional list<pool_backlog_message> backlogs; // of all pools of the group with waiting pieces
 }
 
 struct stage_cancel_message {
