Log a caller that leaves during the stages as such

Cause: the request is ended by a cancellation, and the handler records every exception before the first attempt as an unexpected error.

Change: a cancellation has a reason of its own, and the line of a request whose caller left has reason="caller gone".

--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -44,6 +44,9 @@
 /// comes from another instance.
 constexpr duration max_stage_retry_after{10'000};
 
+/// Refusal of a request that was cancelled: its caller left, or the process ends.
+constexpr std::string_view cancelled_reason = "cancelled";
+
 /// Time from the end of the stages to the first event of an idle engine.
 constexpr duration engine_first_event{120};
 
@@ -288,10 +291,13 @@
         if (first.index() == 2)
             refuse_at_end(it);
     }
-    if (it.caller_gone)
+    if (it.caller_gone) {
         callers_gone_.add();
-    else if (it.refusal.status != 0 && !io.answered())
+        if (it.refusal.reason.empty() || it.refusal.reason == cancelled_reason)
+            it.refusal.reason = "caller gone";
+    } else if (it.refusal.status != 0 && !io.answered()) {
         co_await answer_refusal(it);
+    }
     log_end(it);
 }
 
@@ -364,9 +370,9 @@
                                       {"reason", describe(failure)},
                                       {"attempts", fmt::to_string(it.attempts)},
                                       {"answered", it.io.answered() ? "yes" : "no"}});
+    const std::string_view reason = is_cancellation(failure) ? cancelled_reason : "unexpected error";
     if (it.refusal.status == 0)
-        refuse(it, it.attempts == 0 ? 503 : 502, "unexpected error",
-               it.attempts == 0 ? min_retry_after : duration{0});
+        refuse(it, it.attempts == 0 ? 503 : 502, reason, it.attempts == 0 ? min_retry_after : duration{0});
 }
 
 /// Chooses the pool and sets the criteria for the endpoint, then runs the stages.
--- a/test/platform/platform_fleet.cpp
+++ b/test/platform/platform_fleet.cpp
@@ -103,7 +103,7 @@
     std::ofstream(file) << site_->settings(
         fmt::format("instance-{}", instance), port(instance, caller_listener),
         port(instance, readiness_listener), port(instance, peer_listener), seeds);
-    const std::string log = fmt::format("{}/instance-{}.log", directory_, instance);
+    const std::string log = log_file(instance);
     const pid_t pid = fork();
     if (pid == 0) {
         const int out = open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
@@ -126,6 +126,21 @@
     }
 }
 
+std::string platform_fleet::log_file(std::size_t instance) const
+{
+    return fmt::format("{}/instance-{}.log", directory_, instance);
+}
+
+std::vector<std::string> platform_fleet::log_lines(std::size_t instance, std::string_view text) const
+{
+    std::vector<std::string> out;
+    std::ifstream file(log_file(instance));
+    for (std::string line; std::getline(file, line);)
+        if (line.find(text) != std::string::npos)
+            out.push_back(std::move(line));
+    return out;
+}
+
 std::size_t platform_fleet::peak_memory_kb(std::size_t instance) const
 {
     std::ifstream file(fmt::format("/proc/{}/status", processes_[instance]));
--- a/test/platform/platform_fleet.hpp
+++ b/test/platform/platform_fleet.hpp
@@ -15,6 +15,7 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -71,6 +72,9 @@
     void start(std::size_t instance);
     void signal(std::size_t instance, int signal_number);
 
+    /// The log lines of an instance so far that contain a text.
+    std::vector<std::string> log_lines(std::size_t instance, std::string_view text) const;
+
     /// The most memory that the process has used, in kB.
     std::size_t peak_memory_kb(std::size_t instance) const;
 
@@ -86,6 +90,7 @@
     boost::asio::awaitable<platform_answer> call_and_disconnect(std::size_t instance, platform_call call);
     /// Returns the port of a listener, where `listener` is one of the offsets in the source file.
     std::uint16_t port(std::size_t instance, int listener) const;
+    std::string log_file(std::size_t instance) const;
 
     std::string address_;
     std::string directory_;
--- a/test/platform/stage_admission_test.cpp
+++ b/test/platform/stage_admission_test.cpp
@@ -124,3 +124,22 @@
     for (int n = 0; n < 4; ++n)
         cr_expect_eq(fleet.send_and_wait(0, stream_call(requests + n)).status, 200);
 }
+
+// Guards against a caller that leaves during the stages and is logged as an unexpected error.
+Test(stage_admission, a_caller_that_leaves_during_the_stages_is_no_error)
+{
+    platform_fleet fleet(1, scarce_stages());
+    cr_assert(fleet.wait_ready());
+    auto call = stream_call(0);
+    call.disconnect_after = milliseconds(150);
+    fleet.send_and_wait(0, call);
+    std::vector<std::string> lines;
+    for (int n = 0; n < 100 && lines.empty(); ++n) {
+        std::this_thread::sleep_for(milliseconds(20));
+        lines = fleet.log_lines(0, "event=request id=" + call.request_id);
+    }
+    cr_assert_eq(lines.size(), 1);
+    cr_expect_neq(lines.front().find("caller_gone=yes"), std::string::npos);
+    cr_expect_neq(lines.front().find("reason=\"caller gone\""), std::string::npos, "%s",
+                  lines.front().c_str());
+}
