Serve the teams of a contested stage pool in equal shares

Cause: no component knows the team of a piece, so a flood of one team leaves the others nothing of a stage pool.

Change: stage orders carry the team. While tasks of several teams wait for more than one batch, the queue orders the tasks of one priority by start-time fair queueing of the cost of their pieces, in turns of a full batch; within a turn and within a team the order stays that by priority, objective and tokens per piece. Unused shares are lent without debt, a team yields for at most 2 s of the pool's time, and only teams that are ahead are held. Admission estimates the wait at the request's place in this order, and replies outline only what goes before any team.

--- a/include/limpetlock/gateway/piece_queue.hpp
+++ b/include/limpetlock/gateway/piece_queue.hpp
@@ -5,6 +5,7 @@
 
 #include <limpetlock/gateway/chain_admission.hpp>
 #include <limpetlock/gateway/model.hpp>
+#include <limpetlock/gateway/team_order.hpp>
 #include <limpetlock/support/time.hpp>
 
 #include <array>
@@ -83,6 +84,8 @@
     std::size_t fill_threshold{SIZE_MAX};
     /// Every n-th batch begins with the pieces that have waited longest, so that none waits for ever.
     std::uint32_t oldest_first_interval{4};
+    /// A team that has used this much more than another one owes no more, in milliseconds of calls.
+    double max_team_lead_ms{0};
 
     /// Expected time of a call with this many pieces.
     duration call_time(std::size_t pieces) const
@@ -138,6 +141,12 @@
     batch_vacancy vacancy;
 };
 
+/// The task as far as its place in the queue depends on it, with this number of pieces.
+order_item make_order_item(const stage_task& it, std::size_t pieces, const batch_options& options,
+                           time_point now);
+
+team_order_options to_team_order_options(const batch_options& options);
+
 /// The pieces that wait for an endpoint of one stage pool.
 class piece_queue {
 public:
@@ -160,16 +169,24 @@
     /// Number of pieces whose objective time is not before `objective` and whose task isn't deferred.
     std::size_t count_with_objective_from(time_point objective, const task_filter& deferred) const;
 
-    /// Order keys of the waiting pieces in ascending order, without those of deferred tasks.
-    std::vector<time_point> order_keys(const batch_options& options, const task_filter& deferred,
-                                       time_point now) const;
+    /// The waiting tasks without the deferred ones.
+    std::vector<order_item> items(const batch_options& options, const task_filter& deferred,
+                                  time_point now) const;
+
+    /// What the teams have used.
+    const rank_shares& shares() const { return shares_; }
 
     bool empty() const { return waiting_.empty(); }
     std::size_t size() const { return waiting_.size(); }
 
+    struct waiting_task;
+
 private:
+    void sort(std::vector<waiting_task>& tasks, const batch_options& options);
+
     std::list<queued_piece> waiting_;
     std::uint32_t batches_{0}; ///< batches formed so far
+    rank_shares shares_;
 };
 
 } // namespace limpetlock::gateway
--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -72,9 +72,9 @@
     /// Time that the pool needs for the running calls and for the waiting pieces with a smaller order key.
     duration time_before(time_point order_key) const;
 
-    /// The same for the decision whether a new task has room. Waiting pieces with the same key go before it.
-    /// While no endpoint is available, it is the time until the first one is.
-    duration least_time_before(time_point order_key) const;
+    /// Time that the pool needs for what goes before a new task at its place among all teams. While no
+    /// endpoint is available, it is the time until the first one is.
+    duration least_time_before(const order_item& it) const;
 
     /// Time of a call with the typical number of pieces.
     duration typical_call_time() const;
@@ -84,15 +84,22 @@
     duration call_time(std::size_t pieces) const;
 
     /// Counts pieces that will wait as well: those of a later stage of a request.
-    void add(time_point order_key, std::size_t pieces);
+    void add(order_item it);
 
-    /// A few points of the distribution of the waiting pieces; none if no piece waits.
+    /// A few points of the distribution of the waiting pieces that go before a new task with a greater key
+    /// of any team; none if no piece waits.
     std::vector<backlog_point> outline() const;
 
 private:
     friend class stage_dispatcher;
 
-    std::vector<time_point> order_keys_; ///< of the waiting pieces, in ascending order
+    std::vector<order_place> places() const { return places_of(items_); }
+    std::vector<order_place> places_of(const std::vector<order_item>& items) const;
+
+    std::vector<order_item> items_; ///< the waiting tasks
+    rank_shares shares_;
+    team_order_options team_options_;
+    std::vector<time_point> order_keys_; ///< of the waiting pieces at their places, in ascending order
     double effective_endpoints_{0};      ///< endpoints that aren't backed off, each divided by its slowness
     duration until_first_{0};            ///< until an endpoint is available, if all are backed off
     double running_ms_{0};               ///< sum of the remaining times of the running calls
--- a/lib/gateway/piece_queue.cpp
+++ b/lib/gateway/piece_queue.cpp
@@ -20,8 +20,10 @@
 /// The offsets for priority and tokens per piece count this many times among late tasks.
 constexpr std::int64_t late_offset_factor = 4;
 
+} // namespace
+
 /// A task and its waiting pieces.
-struct waiting_task {
+struct piece_queue::waiting_task {
     const stage_task* task{nullptr};
     time_point queued_at{};
     std::size_t pieces{0};
@@ -32,6 +34,10 @@
     bool started() const { return pieces < task->pieces.size(); }
 };
 
+namespace {
+
+using waiting_task = piece_queue::waiting_task;
+
 bool is_late(const stage_task& it, const batch_options& options, time_point now)
 {
     return it.objective_time < now + options.call_time(1);
@@ -211,15 +217,26 @@
     return out;
 }
 
-std::vector<time_point> piece_queue::order_keys(const batch_options& options, const task_filter& deferred,
-                                                time_point now) const
+order_item make_order_item(const stage_task& it, std::size_t pieces, const batch_options& options,
+                           time_point now)
+{
+    return {order_key(it, options, now), pieces, it.priority, is_late(it, options, now), it.team};
+}
+
+team_order_options to_team_order_options(const batch_options& options)
+{
+    const auto places = static_cast<double>(options.max_pieces);
+    const double full_call = std::max(1.0, options.call_ms + options.piece_ms * places);
+    return {full_call / places, full_call, options.max_team_lead_ms};
+}
+
+std::vector<order_item> piece_queue::items(const batch_options& options, const task_filter& deferred,
+                                           time_point now) const
 {
-    std::vector<time_point> out;
-    out.reserve(waiting_.size());
+    std::vector<order_item> out;
     for (const auto& it : group_by_task(waiting_, options, now))
         if (it.started() || !deferred || !deferred(*it.task))
-            out.insert(out.end(), it.pieces, it.order_key);
-    std::sort(out.begin(), out.end());
+            out.push_back({it.order_key, it.pieces, it.task->priority, it.late, it.task->team});
     return out;
 }
 
@@ -228,6 +245,30 @@
     waiting_.push_back(std::move(it));
 }
 
+/// Sorts the tasks for the next batch, and updates the shares of the teams.
+void piece_queue::sort(std::vector<waiting_task>& tasks, const batch_options& options)
+{
+    const bool oldest_first = options.oldest_first_interval > 0 &&
+                              batches_ % options.oldest_first_interval == options.oldest_first_interval - 1;
+    std::vector<order_item> items;
+    items.reserve(tasks.size());
+    for (const auto& it : tasks)
+        items.push_back({oldest_first ? it.queued_at : it.order_key, it.pieces, it.task->priority,
+                         it.late && !oldest_first, it.task->team});
+    shares_.set_waiting(items);
+    if (!is_contested(items, options.max_pieces)) {
+        std::sort(tasks.begin(), tasks.end(), [oldest_first](const waiting_task& a, const waiting_task& b) {
+            return oldest_first ? a.queued_at < b.queued_at : a.order_key < b.order_key;
+        });
+        return;
+    }
+    std::vector<waiting_task> sorted;
+    sorted.reserve(tasks.size());
+    for (const auto& it : team_order(items, shares_, to_team_order_options(options)))
+        sorted.push_back(tasks[it.item]);
+    tasks = std::move(sorted);
+}
+
 piece_batch piece_queue::pop_batch(const batch_options& options, std::string_view domain,
                                    const domain_free_times& free, std::uint64_t free_bytes,
                                    const task_filter& deferred, time_point now)
@@ -235,17 +276,12 @@
     auto tasks = group_by_task(waiting_, options, now);
     const bool fills =
         waiting_.size() > options.fill_threshold && exceeds_fill_threshold(tasks, options, deferred, now);
-    const bool oldest_first = options.oldest_first_interval > 0 &&
-                              batches_ % options.oldest_first_interval == options.oldest_first_interval - 1;
+    sort(tasks, options);
     // The rest of a split task goes first, so that its early results occupy storage no longer than one call.
-    const auto goes_first = [&](const waiting_task& it) {
-        return fills && it.started() && it.pieces < options.max_pieces;
-    };
-    std::sort(tasks.begin(), tasks.end(), [&](const waiting_task& a, const waiting_task& b) {
-        if (goes_first(a) != goes_first(b))
-            return goes_first(a);
-        return oldest_first ? a.queued_at < b.queued_at : a.order_key < b.order_key;
-    });
+    if (fills)
+        std::stable_partition(tasks.begin(), tasks.end(), [&](const waiting_task& it) {
+            return it.started() && it.pieces < options.max_pieces;
+        });
     std::map<std::string_view, std::size_t> pieces_ahead;
     const duration full_call = options.call_time(options.max_pieces);
     // Has to be called for each task in the order of `tasks`, because it counts the pieces ahead.
@@ -294,6 +330,8 @@
         out.pieces.push_back(std::move(*it));
         it = waiting_.erase(it);
     }
+    for (const auto& it : out.pieces)
+        shares_.charge(it.task->priority, it.task->team, 1, to_team_order_options(options));
     if (!out.pieces.empty())
         ++batches_;
     return out;
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -50,6 +50,10 @@
 /// Least assumed backlog of a pool whose endpoints are all backed off.
 constexpr duration unknown_backlog{2'000};
 
+/// A team that was served more than another one yields to it for no longer than this, in time of all
+/// endpoints of the pool.
+constexpr duration max_team_lead{2'000};
+
 /// An endpoint that is avoided for no longer than this counts in estimates of the backlog as one that works
 /// meanwhile. If it counted as lost, refusals for lack of storage would multiply the estimate.
 constexpr duration short_avoidance{200};
@@ -90,6 +94,7 @@
         next.emplace(std::move(id), std::move(entry));
     }
     endpoints_ = std::move(next);
+    options_.max_team_lead_ms = static_cast<double>(max_team_lead.count() * endpoints_.size());
 }
 
 void stage_dispatcher::submit(const std::shared_ptr<const stage_task>& task, time_point now)
@@ -314,7 +319,11 @@
 backlog_profile stage_dispatcher::profile(time_point now, const task_filter& deferred) const
 {
     backlog_profile out = capacity_profile(now);
-    out.order_keys_ = queue_.order_keys(options_, deferred, now);
+    out.items_ = queue_.items(options_, deferred, now);
+    out.shares_ = queue_.shares();
+    out.team_options_ = to_team_order_options(options_);
+    for (const auto& it : out.places())
+        out.order_keys_.insert(out.order_keys_.end(), out.items_[it.item].pieces, it.key);
     return out;
 }
 
@@ -346,12 +355,33 @@
     return time_for(static_cast<std::size_t>(end - order_keys_.begin()));
 }
 
-duration backlog_profile::least_time_before(time_point order_key) const
+/// The places of the tasks in the order in which the queue serves them.
+std::vector<order_place> backlog_profile::places_of(const std::vector<order_item>& items) const
+{
+    if (is_contested(items, static_cast<std::size_t>(max_pieces_)))
+        return team_order(items, shares_, team_options_);
+    std::vector<order_place> out;
+    out.reserve(items.size());
+    for (std::size_t n = 0; n < items.size(); ++n)
+        out.push_back({n, items[n].key, 0});
+    std::stable_sort(out.begin(), out.end(),
+                     [](const order_place& a, const order_place& b) { return a.key < b.key; });
+    return out;
+}
+
+duration backlog_profile::least_time_before(const order_item& it) const
 {
     if (effective_endpoints_ <= 0)
         return until_first_;
-    const auto end = std::upper_bound(order_keys_.begin(), order_keys_.end(), order_key);
-    return time_for(static_cast<std::size_t>(end - order_keys_.begin()));
+    auto items = items_;
+    items.push_back(it);
+    std::size_t pieces = 0;
+    for (const auto& place : places_of(items)) {
+        if (place.item == items_.size())
+            break;
+        pieces += items[place.item].pieces;
+    }
+    return time_for(pieces);
 }
 
 duration backlog_profile::typical_call_time() const
@@ -367,19 +397,25 @@
     return duration(static_cast<std::int64_t>(rounds * (call_ms_ + piece_ms_ * std::min(all, max_pieces_))));
 }
 
-void backlog_profile::add(time_point order_key, std::size_t pieces)
+void backlog_profile::add(order_item it)
 {
-    order_keys_.insert(std::upper_bound(order_keys_.begin(), order_keys_.end(), order_key), pieces,
-                       order_key);
+    order_keys_.insert(std::upper_bound(order_keys_.begin(), order_keys_.end(), it.key), it.pieces, it.key);
+    items_.push_back(std::move(it));
 }
 
+/// Tasks of a later turn may yield to a new task of another team, so they aren't counted.
 std::vector<backlog_point> backlog_profile::outline() const
 {
+    std::vector<time_point> keys;
+    if (effective_endpoints_ > 0)
+        for (const auto& it : places())
+            if (it.turn == 0)
+                keys.insert(keys.end(), items_[it.item].pieces, it.key);
     std::vector<backlog_point> out;
-    const std::size_t count = effective_endpoints_ > 0 ? order_keys_.size() : 0;
+    const std::size_t count = keys.size();
     for (std::size_t n = 1; n <= outline_points && count > 0; ++n) {
         const std::size_t end = std::max<std::size_t>(1, count * n / outline_points);
-        out.push_back({order_keys_[end - 1], time_for(end)});
+        out.push_back({keys[end - 1], time_for(end)});
     }
     return out;
 }
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -230,7 +230,7 @@
     auto& out = group_profiles_[group_of(group)];
     if (now - out.at < tick_interval)
         return out;
-    out = {now, {}};
+    out = {now, {}, {}};
     const task_filter deferred = congestion_filter(group.domain, now);
     for (const auto& [key, state] : pools_)
         if (group_of(key) == group_of(group) && state->dispatcher.has_endpoints())
@@ -243,18 +243,21 @@
             if (counted.emplace(id.first, it->task->chain[n].stage).second)
                 add_stage(group, *it->task, it->task->chain[n], out, now);
     }
+    for (const auto& [pool, profile] : out.pools)
+        if (auto outline = profile.outline(); !outline.empty())
+            out.outlines.emplace(pool, std::move(outline));
     return out;
 }
 
-time_point stage_scheduler::order_key_of(const pool_key& group, const stage_task& task,
-                                         const chain_stage& later, time_point now) const
+order_item stage_scheduler::order_item_of(const pool_key& group, const stage_task& task,
+                                          const chain_stage& later, time_point now) const
 {
     pool_key key = group;
     key.pool = later.pool;
     const auto found = pools_.find(key);
     const batch_options& options =
         found == pools_.end() ? default_batch_options : found->second->dispatcher.options();
-    return order_key(later_task(task, later), options, now);
+    return make_order_item(later_task(task, later), later.pieces, options, now);
 }
 
 /// Counts a stage of a request that doesn't wait in its queue yet.
@@ -263,17 +266,13 @@
 {
     const auto profile = to.pools.find(later.pool);
     if (profile != to.pools.end())
-        profile->second.add(order_key_of(group, task, later, now), later.pieces);
+        profile->second.add(order_item_of(group, task, later, now));
 }
 
 std::map<std::string, std::vector<backlog_point>> stage_scheduler::outlines_of(const pool_key& group,
                                                                                time_point now)
 {
-    std::map<std::string, std::vector<backlog_point>> out;
-    for (const auto& [pool, profile] : profiles_of(group, now).pools)
-        if (auto outline = profile.outline(); !outline.empty())
-            out.emplace(pool, std::move(outline));
-    return out;
+    return profiles_of(group, now).outlines;
 }
 
 /// Returns the refusal of a task whose stages can't all be done in time; nullopt if the task is admitted.
@@ -288,7 +287,7 @@
         const auto profile = group.pools.find(it.pool);
         loads.push_back(profile == group.pools.end()
                             ? stage_load{}
-                            : stage_load{profile->second.least_time_before(order_key_of(key, task, it, now)),
+                            : stage_load{profile->second.least_time_before(order_item_of(key, task, it, now)),
                                          profile->second.call_time(it.pieces)});
     }
     const auto estimate = estimate_chain(task.chain, loads);
--- a/lib/gateway/stage_scheduler.hpp
+++ b/lib/gateway/stage_scheduler.hpp
@@ -95,12 +95,13 @@
     struct group_profiles {
         time_point at{};
         std::map<std::string, backlog_profile> pools;
+        std::map<std::string, std::vector<backlog_point>> outlines; ///< of the pools with waiting pieces
     };
     group_profiles& profiles_of(const pool_key& group, time_point now);
     void add_stage(const pool_key& group, const stage_task& task, const chain_stage& later,
                    group_profiles& to, time_point now) const;
-    time_point order_key_of(const pool_key& group, const stage_task& task, const chain_stage& later,
-                            time_point now) const;
+    order_item order_item_of(const pool_key& group, const stage_task& task, const chain_stage& later,
+                             time_point now) const;
     std::optional<stage_task_result> refusal_of(const pool_key& key, const stage_task& task, time_point now);
     std::map<std::string, std::vector<backlog_point>> outlines_of(const pool_key& group, time_point now);
     void end_task(open_task& it, piece_failure failure);
--- a/unittests/gateway/chain_test.cpp
+++ b/unittests/gateway/chain_test.cpp
@@ -55,8 +55,8 @@
 stage_load load_of(const stage_dispatcher& pool, const stage_task& task)
 {
     const auto profile = pool.profile(at(0));
-    return {profile.least_time_before(order_key(task, pool.options(), at(0))),
-            profile.call_time(task.pieces.size())};
+    const auto item = make_order_item(task, task.pieces.size(), pool.options(), at(0));
+    return {profile.least_time_before(item), profile.call_time(task.pieces.size())};
 }
 
 } // namespace
@@ -102,12 +102,12 @@
     int admitted = 0;
     for (int n = 0; n < 50; ++n) {
         const auto task = make_task("r", 10, 5'000 + n);
-        const time_point key = order_key(*task, last.options(), at(0));
+        const auto item = make_order_item(*task, 10, last.options(), at(0));
         const auto estimate = estimate_chain(
-            two_stages, {{duration(0), duration(240)}, {profile.least_time_before(key), duration(300)}});
+            two_stages, {{duration(0), duration(240)}, {profile.least_time_before(item), duration(300)}});
         if (!decide_admission(estimate, duration(3'000)).admitted)
             continue;
-        profile.add(key, 10);
+        profile.add(item);
         ++admitted;
     }
     cr_expect_eq(admitted, 10, "a call takes 300 ms, and the margin is shorter than a call");
@@ -120,7 +120,7 @@
     auto pool = make_pool(2);
     for (int n = 0; n < 4; ++n)
         pool.submit(make_task("r" + std::to_string(n), 10, 1'000), at(0));
-    const time_point key = order_key(*make_task("new", 1, 2'000), pool.options(), at(0));
+    const auto key = make_order_item(*make_task("new", 1, 2'000), 1, pool.options(), at(0));
     const duration before = pool.profile(at(0)).least_time_before(key);
     cr_expect_eq(before, duration(600));
     pool.hold_back("e0", at(100));
