Keep stage results until they are fetched where two instances call an endpoint

An instance that refused a task for any reason, also for lack of a table or because a late cancellation of an earlier run of the same request hit it, moved the task to the group of all domains, whose instance then called the same endpoints. Change: a task has the number of its run, so a cancellation only ends its own run; only an instance that knows the list and has no endpoint of the pool lets a task move to another group; inputs are released at the end of the call for 3 s after an instance begins to schedule a pool, and for 3 s after the endpoint refused a call or took half as long again as expected.

--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -25,6 +25,12 @@
 constexpr double hung_factor = 3;
 constexpr duration hung_margin{400};
 
+/// A call that takes one and a half times its expected time and this margin has waited at the endpoint.
+constexpr duration contention_margin{60};
+
+/// Calls of another instance are expected for this long after the last sign of one.
+constexpr duration contention_memory{3'000};
+
 /// Weight of one call in the moving average of the slowness.
 constexpr double slowness_weight = 0.4;
 
@@ -40,12 +46,27 @@
 /// A pool in which more full batches than this wait is overloaded.
 constexpr std::size_t overload_batches = 1;
 
+/// The last places of a call take parts of tasks while more full batches than this wait: the calls in
+/// progress then decide when the queue ends, and a split task ends with the next call at the latest.
+constexpr std::size_t fill_batches = 2;
+
 /// Weight of one call in the moving average of the pieces of a call.
 constexpr double typical_pieces_weight = 0.1;
 
 /// Least assumed backlog of a pool whose endpoints are all backed off.
 constexpr duration unknown_backlog{2'000};
 
+/// A team that was served more than another one yields to it for no longer than this, in time of all
+/// endpoints of the pool.
+constexpr duration max_team_lead{2'000};
+
+/// An endpoint that is avoided for no longer than this counts in estimates of the backlog as one that works
+/// meanwhile. If it counted as lost, refusals for lack of storage would multiply the estimate.
+constexpr duration short_avoidance{200};
+
+/// Points of the outline of a backlog. Replies to other instances carry them for each pool.
+constexpr std::size_t outline_points = 4;
+
 constexpr double bytes_per_mb = 1e6;
 
 } // namespace
@@ -64,6 +85,7 @@
     options_.call_ms = capacity.call_ms;
     options_.piece_ms = capacity.piece_ms;
     options_.overload_threshold = options_.max_pieces * overload_batches;
+    options_.fill_threshold = options_.max_pieces * fill_batches;
     std::map<std::string, endpoint_state, std::less<>> next;
     for (auto& it : endpoints) {
         if (it.leaving || it.evacuated)
@@ -78,6 +100,7 @@
         next.emplace(std::move(id), std::move(entry));
     }
     endpoints_ = std::move(next);
+    options_.max_team_lead_ms = static_cast<double>(max_team_lead.count() * endpoints_.size());
 }
 
 void stage_dispatcher::submit(const std::shared_ptr<const stage_task>& task, time_point now)
@@ -95,6 +118,13 @@
     return true;
 }
 
+bool stage_dispatcher::is_contended(std::string_view endpoint_id, time_point now) const
+{
+    const auto it = endpoints_.find(endpoint_id);
+    return it != endpoints_.end() && it->second.contended_at &&
+           now - *it->second.contended_at < contention_memory;
+}
+
 bool stage_dispatcher::usable(const endpoint_state& it, time_point now) const
 {
     return !it.busy && it.avoid_until <= now;
@@ -168,8 +198,8 @@
         endpoint_state* const to = pick_endpoint(now, excluded);
         if (to == nullptr)
             return std::nullopt;
-        auto pieces = queue_.pop_batch(options_, to->listed.domain, free_times(now), free_result_bytes(*to),
-                                       deferred, now);
+        auto [pieces, vacancy] = queue_.pop_batch(options_, to->listed.domain, free_times(now),
+                                                  free_result_bytes(*to), deferred, now);
         if (pieces.empty()) {
             excluded.push_back(to->listed.id);
             continue;
@@ -186,7 +216,8 @@
             bytes += it.task->result_bytes;
         to->stored_bytes += bytes;
         calls_[++last_call_] = {to->listed.id, now, pieces.size(), bytes};
-        return stage_dispatch{last_call_, to->listed, std::move(pieces), now + timeout + hung_margin};
+        return stage_dispatch{last_call_, to->listed, std::move(pieces), now + timeout + hung_margin,
+                              vacancy};
     }
     return std::nullopt;
 }
@@ -273,10 +304,13 @@
     switch (outcome) {
     case call_outcome::answered:
         it.failures = 0;
+        if (now - ended.started > call_time(ended.pieces) * 3 / 2 + contention_margin)
+            it.contended_at = now;
         if (!suspended)
             record_call_time(it, ended, now);
         break;
     case call_outcome::overloaded:
+        it.contended_at = now;
         avoid(it, now + overloaded_back_off, avoidance::overloaded);
         break;
     case call_outcome::unreachable:
@@ -298,10 +332,14 @@
     return capacity_profile(now).time_for(queue_.count_with_objective_from(now + call_time(1), deferred));
 }
 
-backlog_profile stage_dispatcher::profile(time_point now) const
+backlog_profile stage_dispatcher::profile(time_point now, const task_filter& deferred) const
 {
     backlog_profile out = capacity_profile(now);
-    out.order_keys_ = queue_.order_keys(options_, now);
+    out.items_ = queue_.items(options_, deferred, now);
+    out.shares_ = queue_.shares();
+    out.team_options_ = to_team_order_options(options_);
+    for (const auto& it : out.places())
+        out.order_keys_.insert(out.order_keys_.end(), out.items_[it.item].pieces, it.key);
     return out;
 }
 
@@ -310,17 +348,18 @@
 {
     backlog_profile out;
     for (const auto& [id, it] : endpoints_) {
-        if (it.avoid_until > now) {
-            const duration left = it.avoid_until - now;
+        const duration left = std::max(duration{0}, it.avoid_until - now);
+        if (left > short_avoidance) {
             out.until_first_ = out.until_first_ == duration{0} ? left : std::min(left, out.until_first_);
             continue;
         }
         out.effective_endpoints_ += 1 / std::max(0.5, slowness_of(it, now));
-        if (it.busy && it.busy_until > now)
-            out.running_ms_ += static_cast<double>((it.busy_until - now).count());
+        const duration busy = it.busy ? it.busy_until - now : duration{0};
+        out.running_ms_ += static_cast<double>(std::max(busy, left).count());
     }
     out.typical_pieces_ =
         std::max(1.0, typical_pieces_ > 0 ? typical_pieces_ : static_cast<double>(options_.max_pieces));
+    out.max_pieces_ = static_cast<double>(options_.max_pieces);
     out.call_ms_ = capacity_.call_ms;
     out.piece_ms_ = capacity_.piece_ms;
     return out;
@@ -332,11 +371,80 @@
     return time_for(static_cast<std::size_t>(end - order_keys_.begin()));
 }
 
+/// The places of the tasks in the order in which the queue serves them.
+std::vector<order_place> backlog_profile::places_of(const std::vector<order_item>& items) const
+{
+    if (is_contested(items, static_cast<std::size_t>(max_pieces_)))
+        return team_order(items, shares_, team_options_);
+    std::vector<order_place> out;
+    out.reserve(items.size());
+    for (std::size_t n = 0; n < items.size(); ++n)
+        out.push_back({n, items[n].key, 0});
+    std::stable_sort(out.begin(), out.end(),
+                     [](const order_place& a, const order_place& b) { return a.key < b.key; });
+    return out;
+}
+
+duration backlog_profile::least_time_before(const order_item& it) const
+{
+    if (effective_endpoints_ <= 0)
+        return until_first_;
+    auto items = items_;
+    items.push_back(it);
+    std::size_t pieces = 0;
+    for (const auto& place : places_of(items)) {
+        if (place.item == items_.size())
+            break;
+        pieces += items[place.item].pieces;
+    }
+    return time_for(pieces);
+}
+
 duration backlog_profile::typical_call_time() const
 {
     return duration(static_cast<std::int64_t>(call_ms_ + piece_ms_ * typical_pieces_));
 }
 
+duration backlog_profile::call_time(std::size_t pieces) const
+{
+    const auto all = static_cast<double>(pieces);
+    const double calls = std::ceil(all / std::max(1.0, max_pieces_));
+    const double rounds = std::max(1.0, std::ceil(calls / std::max(1.0, effective_endpoints_)));
+    return duration(static_cast<std::int64_t>(rounds * (call_ms_ + piece_ms_ * std::min(all, max_pieces_))));
+}
+
+void backlog_profile::add(order_item it)
+{
+    order_keys_.insert(std::upper_bound(order_keys_.begin(), order_keys_.end(), it.key), it.pieces, it.key);
+    items_.push_back(std::move(it));
+}
+
+/// Tasks of a later turn may yield to a new task of another team, so they aren't counted.
+std::vector<backlog_point> backlog_profile::outline() const
+{
+    std::vector<time_point> keys;
+    if (effective_endpoints_ > 0)
+        for (const auto& it : places())
+            if (it.turn == 0)
+                keys.insert(keys.end(), items_[it.item].pieces, it.key);
+    std::vector<backlog_point> out;
+    const std::size_t count = keys.size();
+    for (std::size_t n = 1; n <= outline_points && count > 0; ++n) {
+        const std::size_t end = std::max<std::size_t>(1, count * n / outline_points);
+        out.push_back({keys[end - 1], time_for(end)});
+    }
+    return out;
+}
+
+duration time_before(const std::vector<backlog_point>& outline, time_point order_key, duration age)
+{
+    duration out{0};
+    for (const auto& it : outline)
+        if (it.order_key < order_key)
+            out = std::max(out, it.before - age);
+    return out;
+}
+
 duration backlog_profile::time_for(std::size_t pieces) const
 {
     if (effective_endpoints_ <= 0)
--- a/lib/gateway/stage_runner.cpp
+++ b/lib/gateway/stage_runner.cpp
@@ -44,6 +44,10 @@
 /// A backlog report is ignored when it is older than this.
 constexpr duration backlog_lifetime{1'500};
 
+/// Backlogs decide on the refusal of a request only while they are younger than this: the responsible
+/// instance decides by its own queue otherwise.
+constexpr duration fresh_backlog_age{300};
+
 /// Share of a full batch that a call typically holds, for the expected time of a call.
 constexpr double typical_fill_share = 0.4;
 
@@ -78,6 +82,7 @@
     wire::stage_order_message out;
     out.pool = key.pool;
     out.request_id = it.request_id;
+    out.run = static_cast<std::int32_t>(it.run);
     out.stage = static_cast<std::int32_t>(it.stage);
     out.pieces.assign(it.pieces.begin(), it.pieces.end());
     out.key = it.key;
@@ -98,17 +103,57 @@
     out.shard = static_cast<std::int32_t>(key.shard);
     out.shards = static_cast<std::int32_t>(key.shards);
     out.next_pools = it.next_pools;
+    std::vector<wire::chain_stage_message> chain;
+    for (const auto& stage : it.chain) {
+        wire::chain_stage_message message;
+        message.pool = stage.pool;
+        message.stage = static_cast<std::int32_t>(stage.stage);
+        message.pieces = static_cast<std::int32_t>(stage.pieces);
+        message.time_to_end_ms = stage.time_to_end.count();
+        message.after.assign(stage.after.begin(), stage.after.end());
+        chain.push_back(std::move(message));
+    }
+    out.__set_chain(chain);
+    out.__set_admitted(it.admitted);
+    if (!it.team.empty())
+        out.__set_team(it.team);
+    return out;
+}
+
+/// Bounds of the figures in a reply.
+constexpr std::size_t max_reported_pools = 64;
+constexpr std::size_t max_reported_points = 16;
+constexpr std::int64_t max_reported_ms = 48LL * 3'600'000;
+
+std::map<std::string, std::vector<backlog_point>>
+from_message(const std::vector<wire::pool_backlog_message>& from, time_point now)
+{
+    const auto bounded = [](std::int64_t ms) {
+        return duration(std::clamp(ms, -max_reported_ms, max_reported_ms));
+    };
+    std::map<std::string, std::vector<backlog_point>> out;
+    for (const auto& it : from) {
+        if (out.size() >= max_reported_pools)
+            break;
+        const std::size_t points = std::min({it.key_ms.size(), it.before_ms.size(), max_reported_points});
+        auto& to = out[it.pool];
+        for (std::size_t n = 0; n < points; ++n)
+            to.push_back({now + bounded(it.key_ms[n]), bounded(it.before_ms[n])});
+    }
     return out;
 }
 
 std::optional<stage_task_result> from_message(const wire::stage_result_message& it, std::size_t pieces)
 {
     stage_task_result out;
-    if (it.status < 0 || it.status > 2)
+    if (it.status < 0 || it.status > static_cast<std::int32_t>(stage_task_result::task_status::cancelled))
         return std::nullopt;
     out.status = static_cast<stage_task_result::task_status>(it.status);
     out.reason = it.reason;
     out.backlog = duration(std::max<std::int64_t>(0, it.backlog_ms));
+    if (it.__isset.retry_after_ms)
+        out.retry_after = duration(std::clamp<std::int64_t>(it.retry_after_ms, 0, max_reported_ms));
+    out.backlogs = from_message(it.backlogs, boot_clock::now());
     for (const auto& piece : it.pieces) {
         if (piece.failure < 0 || piece.failure > static_cast<std::int32_t>(piece_failure::error))
             return std::nullopt;
@@ -123,7 +168,8 @@
 
 std::string_view to_string(stage_status it)
 {
-    static constexpr std::array<std::string_view, 4> names{"done", "late", "unavailable", "failed"};
+    static constexpr std::array<std::string_view, 5> names{"done", "late", "unavailable", "failed",
+                                                           "refused"};
     return names[static_cast<std::size_t>(it)];
 }
 
@@ -134,7 +180,7 @@
         : plan(std::move(it)), table(std::move(its_table)), group(std::move(its_group)),
           time_to_end(time_to_end_after(plan.stages, plan.pieces, *table)), results(plan.stages.size()),
           ended(plan.stages.size(), false), assigned_to(plan.stages.size()),
-          progress(executor, asio::steady_timer::time_point::max())
+          progress(executor, asio::steady_timer::time_point::max()), admitted(plan.admitted)
     {
     }
 
@@ -238,6 +284,25 @@
         return out;
     }
 
+    /// The given stage and those that depend on it, directly or not.
+    std::vector<chain_stage> chain(std::size_t index) const
+    {
+        std::vector<chain_stage> out;
+        std::vector<std::optional<std::uint32_t>> places(plan.stages.size());
+        for (std::size_t n = index; n < plan.stages.size(); ++n) {
+            chain_stage it{
+                plan.stages[n].pool, static_cast<std::uint32_t>(n), plan.pieces[n], time_to_end[n], {}};
+            for (const auto dependency : plan.stages[n].dependencies)
+                if (places[dependency])
+                    it.after.push_back(*places[dependency]);
+            if (plan.pieces[n] == 0 || (n != index && it.after.empty()))
+                continue;
+            places[n] = static_cast<std::uint32_t>(out.size());
+            out.push_back(std::move(it));
+        }
+        return out;
+    }
+
     /// Bytes that are fetched for a task: each of its pieces fetches all inputs, and each piece of a
     /// dependent stage fetches all results.
     std::uint64_t transfer_bytes(std::size_t index) const
@@ -273,6 +338,8 @@
     std::uint64_t changes{0};
     stage_status status{stage_status::done};
     std::string reason;
+    duration retry_after{0};
+    bool admitted{false};  ///< an instance has begun to run the stages
     bool abandoned{false}; ///< the run failed or its coroutine was destroyed
 };
 
@@ -325,7 +392,8 @@
         const auto& pool = plan.stages[n].pool;
         const auto it = backlogs_.find(key_of(layout_.group_of_pool(group, pool), pool));
         if (plan.pieces[n] > 0 && it != backlogs_.end() && now - it->second.at < backlog_lifetime)
-            out = out.value_or(duration{0}) + it->second.length;
+            out =
+                out.value_or(duration{0}) + std::max(duration{0}, it->second.length - (now - it->second.at));
     }
     return out;
 }
@@ -335,6 +403,49 @@
     backlogs_.insert_or_assign(key, backlog_report{backlog, now});
 }
 
+void stage_runner::record_backlogs(const pool_key& key, stage_task_result& from, time_point now)
+{
+    pool_key group = key;
+    group.pool.clear();
+    group_reports_.insert_or_assign(std::move(group), group_report{std::move(from.backlogs), now});
+}
+
+duration stage_runner::expected_time(const stage_plan& plan, const routing_table& table, time_point now) const
+{
+    const auto report = group_reports_.find(key_of(choose_group(plan, now), {}));
+    const bool fresh = report != group_reports_.end() && now - report->second.at < fresh_backlog_age;
+    if (!fresh)
+        return minimum_time(plan, table);
+    const auto time_to_end = time_to_end_after(plan.stages, plan.pieces, table);
+    std::vector<chain_stage> stages;
+    std::vector<stage_load> loads;
+    for (std::size_t n = 0; n < plan.stages.size(); ++n) {
+        const auto& spec = plan.stages[n];
+        stages.push_back({spec.pool, static_cast<std::uint32_t>(n), plan.pieces[n], time_to_end[n], {}});
+        for (const auto dependency : spec.dependencies)
+            if (dependency < n)
+                stages.back().after.push_back(dependency);
+        const pool* const it = table.find_pool(spec.pool);
+        const auto found = report->second.pools.find(spec.pool);
+        stage_load load;
+        if (plan.pieces[n] > 0 && it != nullptr && it->stage) {
+            load.call_time = stage_time(spec, plan.pieces[n], table);
+            stage_task task;
+            task.objective_time = plan.objective_time - time_to_end[n];
+            task.priority = plan.priority;
+            task.tokens_per_piece = plan.tokens_per_piece;
+            batch_options options;
+            options.call_ms = it->stage->call_ms;
+            options.piece_ms = it->stage->piece_ms;
+            if (found != report->second.pools.end())
+                load.before =
+                    time_before(found->second, order_key(task, options, now), now - report->second.at);
+        }
+        loads.push_back(load);
+    }
+    return estimate_chain(stages, loads).end;
+}
+
 awaitable<stage_outcome> stage_runner::run(stage_plan plan, std::shared_ptr<const routing_table> table)
 {
     auto group = choose_group(plan, boot_clock::now());
@@ -353,6 +464,7 @@
     stage_outcome out;
     out.status = state->status;
     out.reason = state->reason;
+    out.retry_after = state->retry_after;
     if (out.status != stage_status::done)
         co_return out;
     guard.dismiss();
@@ -371,19 +483,21 @@
         const std::string instance = std::exchange(state.assigned_to[n], {});
         const auto stage = static_cast<std::uint32_t>(n);
         if (instance == fleet_.view().own().name)
-            scheduler_.cancel(state.plan.request_id, stage);
+            scheduler_.cancel(state.plan.request_id, stage, state.plan.run);
         else if (!instance.empty())
             spawn_background(executor_, "stage_cancellation",
-                             cancel_at(instance, state.plan.request_id, stage));
+                             cancel_at(instance, state.plan.request_id, stage, state.plan.run));
     }
 }
 
-awaitable<void> stage_runner::cancel_at(std::string instance, std::string request_id, std::uint32_t stage)
+awaitable<void> stage_runner::cancel_at(std::string instance, std::string request_id, std::uint32_t stage,
+                                        std::uint32_t run)
 {
     wire::frame message;
     wire::stage_cancel_message body;
     body.request_id = std::move(request_id);
     body.stage = static_cast<std::int32_t>(stage);
+    body.run = static_cast<std::int32_t>(run);
     message.__set_stage_cancel(body);
     co_await fleet_.call(std::move(instance), std::move(message), boot_clock::now() + cancel_timeout);
 }
@@ -404,6 +518,7 @@
     const stage_spec& spec = state->plan.stages[index];
     stage_task task;
     task.request_id = state->plan.request_id;
+    task.run = state->plan.run;
     task.stage = static_cast<std::uint32_t>(index);
     for (std::uint32_t n = 0; n < state->plan.pieces[index]; ++n)
         task.pieces.push_back(n);
@@ -418,6 +533,8 @@
     task.next_pools = state->next_pools(index);
     task.priority = state->plan.priority;
     task.tokens_per_piece = state->plan.tokens_per_piece;
+    task.chain = state->chain(index);
+    task.team = state->plan.team;
     auto result = co_await self.run_task(state, index, std::move(task));
     result_group produced{std::exchange(state->assigned_to[index], {}), {}};
     auto failure = piece_failure::none;
@@ -435,7 +552,8 @@
     if (state->abandoned)
         co_return;
     if (result.status != stage_task_result::task_status::done) {
-        state->fail(stage_status::unavailable, result.reason);
+        state->retry_after = result.retry_after.value_or(duration{0});
+        state->fail(result.retry_after ? stage_status::refused : stage_status::unavailable, result.reason);
         co_return;
     }
     if (!done) {
@@ -518,7 +636,7 @@
         stage_task copy = task;
         pool_key target = key;
         auto result = co_await run_task_at(state, instance, std::move(target), std::move(copy));
-        if (result && result->status == stage_task_result::task_status::done)
+        if (result && (result->status == stage_task_result::task_status::done || result->retry_after))
             co_return std::move(*result);
         if (result)
             last = std::move(*result);
@@ -528,8 +646,12 @@
                                            {"group", responsibility_key(*group)},
                                            {"from", instance},
                                            {"reason", result ? last.reason : "no answer"}});
-        // The group may have no endpoint of the pool left, so the next one is used instead.
-        if (result && group + 1 != groups.end()) {
+        // Only a group without an endpoint is left. A second instance that makes calls to the same endpoints
+        // holds up those of the first one.
+        const bool no_endpoints = result && result->status == stage_task_result::task_status::no_endpoints;
+        if (result && result->status == stage_task_result::task_status::cancelled)
+            tried.pop_back();
+        if (no_endpoints && group + 1 != groups.end()) {
             key = key_of(*++group, pool);
             tried.clear();
         }
@@ -549,6 +671,7 @@
     while (!state->abandoned) {
         const time_point now = boot_clock::now();
         result.reset();
+        task.admitted = state->admitted;
         if (local) {
             stage_task copy = task;
             pool_key pool = key;
@@ -567,6 +690,10 @@
         if (!result)
             co_return std::nullopt;
         record_backlog(key, result->backlog, boot_clock::now());
+        record_backlogs(key, *result, boot_clock::now());
+        if (result->status == stage_task_result::task_status::done ||
+            result->status == stage_task_result::task_status::in_progress)
+            state->admitted = true;
         if (result->status != stage_task_result::task_status::in_progress)
             break;
     }
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
 namespace limpetlock::gateway {
@@ -40,6 +41,10 @@
 /// one and a half calls.
 constexpr duration congested_backlog{700};
 
+/// Another instance may still make calls to the endpoints for this long after this one began to: instances
+/// that start or meet again need this time to agree who is responsible.
+constexpr duration takeover_time{3'000};
+
 /// Interval of the check which endpoints are avoided.
 constexpr duration avoided_log_interval{250};
 
@@ -59,6 +64,33 @@
     return out;
 }
 
+/// For the order keys in a pool that this instance doesn't have.
+const batch_options default_batch_options;
+
+/// The group of a pool, as a key without the pool: the same instance is responsible for all pools of a group.
+pool_key group_of(pool_key key)
+{
+    key.pool.clear();
+    return key;
+}
+
+/// Name of an element of batch_vacancy::places_by_reason.
+std::string_view vacancy_reason(std::size_t n)
+{
+    return n < pass_over_reason_count ? to_string(static_cast<pass_over_reason>(n)) : "queue_empty";
+}
+
+/// The empty places of a call by reason, such as "size:3,deferred:1"; "-" for a full call.
+std::string vacancy_text(const batch_vacancy& it)
+{
+    const auto places = it.places_by_reason();
+    std::string out;
+    for (std::size_t n = 0; n < places.size(); ++n)
+        if (places[n] > 0)
+            out += fmt::format("{}{}:{}", out.empty() ? "" : ",", vacancy_reason(n), places[n]);
+    return out.empty() ? "-" : out;
+}
+
 } // namespace
 
 /// A task of this or another instance and its results so far.
@@ -102,6 +134,7 @@
     std::vector<std::string> listed;   ///< ids of the endpoints in the domain; only with several shards
     std::vector<std::uint32_t> shards; ///< of each of them
     time_point last_requested{};
+    time_point opened{boot_clock::now()}; ///< when this instance began to schedule the pool
 };
 
 pool_key key_of(const stage_group& group, std::string pool)
@@ -120,7 +153,13 @@
       pieces_(metrics.get_counter("limpetlock_stage_pieces_total", "pieces sent in stage calls")),
       repeated_pieces_(metrics.get_counter("limpetlock_stage_pieces_repeated_total", "pieces sent again")),
       evacuated_tasks_(metrics.get_counter("limpetlock_stage_tasks_evacuated_total",
-                                           "tasks ended because their endpoints were evacuated"))
+                                           "tasks ended because their endpoints were evacuated")),
+      chains_admitted_(metrics.get_counter("limpetlock_stage_chains_total",
+                                           "requests for whose stages the responsible instance decided",
+                                           {{"decision", "admitted"}})),
+      chains_refused_(metrics.get_counter("limpetlock_stage_chains_total",
+                                          "requests for whose stages the responsible instance decided",
+                                          {{"decision", "refused"}}))
 {
     spawn_loop(executor_, "stage_tick_loop", [this] { return tick_loop(); });
 }
@@ -195,7 +234,7 @@
                                            {"pieces", fmt::to_string(it->task->pieces.size())},
                                            {"started_pieces", fmt::to_string(it->started_pieces)}});
         it->evacuated = true;
-        cancel(it->task->request_id, it->task->stage);
+        cancel(it->task->request_id, it->task->stage, it->task->run);
     }
 }
 
@@ -253,6 +292,98 @@
     };
 }
 
+/// The profiles are kept for a tick, since each one sorts all waiting pieces of its pool.
+stage_scheduler::group_profiles& stage_scheduler::profiles_of(const pool_key& group, time_point now)
+{
+    auto& out = group_profiles_[group_of(group)];
+    if (now - out.at < tick_interval)
+        return out;
+    out = {now, {}, {}};
+    const task_filter deferred = congestion_filter(group.group(), now);
+    for (const auto& [key, state] : pools_)
+        if (group_of(key) == group_of(group) && state->dispatcher.has_endpoints())
+            out.pools.emplace(key.pool, state->dispatcher.profile(now, deferred));
+    std::set<task_key> counted;
+    for (const auto& [id, it] : open_tasks_) {
+        if (group_of(it->pool) != group_of(group) || it->missing_results == 0)
+            continue;
+        for (std::size_t n = 1; n < it->task->chain.size(); ++n)
+            if (counted.insert({id.request_id, it->task->chain[n].stage, id.run}).second)
+                add_stage(group, *it->task, it->task->chain[n], out, now);
+    }
+    for (const auto& [pool, profile] : out.pools)
+        if (auto outline = profile.outline(); !outline.empty())
+            out.outlines.emplace(pool, std::move(outline));
+    return out;
+}
+
+order_item stage_scheduler::order_item_of(const pool_key& group, const stage_task& task,
+                                          const chain_stage& later, time_point now) const
+{
+    pool_key key = group;
+    key.pool = later.pool;
+    const auto found = pools_.find(key);
+    const batch_options& options =
+        found == pools_.end() ? default_batch_options : found->second->dispatcher.options();
+    return make_order_item(later_task(task, later), later.pieces, options, now);
+}
+
+/// Counts a stage of a request that doesn't wait in its queue yet.
+void stage_scheduler::add_stage(const pool_key& group, const stage_task& task, const chain_stage& later,
+                                group_profiles& to, time_point now) const
+{
+    const auto profile = to.pools.find(later.pool);
+    if (profile != to.pools.end())
+        profile->second.add(order_item_of(group, task, later, now));
+}
+
+std::map<std::string, std::vector<backlog_point>> stage_scheduler::outlines_of(const pool_key& group,
+                                                                               time_point now)
+{
+    return profiles_of(group, now).outlines;
+}
+
+/// Returns the refusal of a task whose stages can't all be done in time; nullopt if the task is admitted.
+std::optional<stage_task_result> stage_scheduler::refusal_of(const pool_key& key, const stage_task& task,
+                                                             time_point now)
+{
+    if (!task.inputs.empty() || task.chain.empty() || task.admitted)
+        return std::nullopt;
+    auto& group = profiles_of(key, now);
+    std::vector<stage_load> loads;
+    for (const auto& it : task.chain) {
+        const auto profile = group.pools.find(it.pool);
+        loads.push_back(profile == group.pools.end()
+                            ? stage_load{}
+                            : stage_load{profile->second.least_time_before(order_item_of(key, task, it, now)),
+                                         profile->second.call_time(it.pieces)});
+    }
+    const auto estimate = estimate_chain(task.chain, loads);
+    const duration time_left = task.deadline + task.chain.front().time_to_end - now;
+    const auto decision = decide_admission(estimate, time_left);
+    if (decision.admitted) {
+        chains_admitted_.add();
+        for (const auto& it : task.chain)
+            add_stage(key, task, it, group, now);
+        return std::nullopt;
+    }
+    chains_refused_.add();
+    const std::string& bottleneck = task.chain[estimate.bottleneck].pool;
+    log::info("stage_chain_refused", {{"request", task.request_id},
+                                      {"team", task.team.empty() ? "-" : task.team},
+                                      {"priority", fmt::to_string(task.priority)},
+                                      {"pool", bottleneck},
+                                      {"pool_wait_ms", fmt::to_string(estimate.wait.count())},
+                                      {"expected_ms", fmt::to_string(estimate.end.count())},
+                                      {"left_ms", fmt::to_string(time_left.count())},
+                                      {"profile_age_ms", fmt::to_string((now - group.at).count())},
+                                      {"retry_after_ms", fmt::to_string(decision.retry_after.count())}});
+    stage_task_result out;
+    out.reason = "no room in pool " + bottleneck;
+    out.retry_after = decision.retry_after;
+    return out;
+}
+
 awaitable<void> stage_scheduler::tick_loop()
 {
     for (;;) {
@@ -342,12 +473,23 @@
     stage_task_result out;
     pool_state* const state = find_pool(key);
     if (state == nullptr || !state->dispatcher.has_endpoints()) {
+        // Without a table or list, another instance may know the endpoints.
+        if (state != nullptr && !endpoints_.empty())
+            out.status = stage_task_result::task_status::no_endpoints;
         out.reason = "no endpoints in pool " + key.pool;
         co_return out;
     }
     const time_point now = boot_clock::now();
     state->last_requested = now;
-    const task_key task_id{task.request_id, task.stage};
+    const task_key task_id = id_of(task);
+    const auto open = open_tasks_.find(task_id);
+    if (open == open_tasks_.end() || open->second->cancelled) {
+        auto refusal = refusal_of(key, task, now);
+        if (refusal) {
+            refusal->backlogs = outlines_of(key, now);
+            co_return std::move(*refusal);
+        }
+    }
     auto& slot = open_tasks_[task_id];
     if (!slot || slot->cancelled) {
         slot = std::make_shared<open_task>(std::move(task), key, executor_);
@@ -368,7 +510,10 @@
     it->last_requested = boot_clock::now();
     out.backlog = state->dispatcher.backlog_ahead(it->last_requested,
                                                   congestion_filter(key.group(), it->last_requested));
+    out.backlogs = outlines_of(key, it->last_requested);
     if (it->cancelled) {
+        out.status = it->evacuated ? stage_task_result::task_status::no_endpoints
+                                   : stage_task_result::task_status::cancelled;
         out.reason = it->evacuated ? "endpoints of pool " + key.pool + " are evacuated" : "cancelled";
         co_return out;
     }
@@ -382,9 +527,9 @@
     co_return out;
 }
 
-void stage_scheduler::cancel(const std::string& request_id, std::uint32_t stage)
+void stage_scheduler::cancel(const std::string& request_id, std::uint32_t stage, std::uint32_t run)
 {
-    const auto found = open_tasks_.find({request_id, stage});
+    const auto found = open_tasks_.find({request_id, stage, run});
     if (found == open_tasks_.end())
         return;
     const auto it = found->second;
@@ -393,7 +538,7 @@
     it->done.cancel();
     release(it->handles());
     if (const auto pool = pools_.find(it->pool); pool != pools_.end())
-        pool->second->dispatcher.cancel(request_id, stage);
+        pool->second->dispatcher.cancel(request_id, stage, run);
 }
 
 void stage_scheduler::dispatch_calls(const pool_key& key)
@@ -466,9 +611,13 @@
         pieces.push_back({it.task->request_id, it.task->stage, it.task->pieces[it.index],
                           std::max(duration{1}, it.task->deadline - started), it.task->key,
                           handles_of(it.task->inputs)});
-    spawn_background(executor_, "input_release", release_inputs_after_fetch(record_started(call)));
+    auto with_inputs = record_started(call);
+    const bool fetched_soon = fetches_inputs_soon(key, call.to.id, started);
+    if (fetched_soon)
+        spawn_background(executor_, "input_release", release_inputs_after_fetch(with_inputs));
     calls_.add();
     pieces_.add(pieces.size());
+    count_vacancy(key.pool, call.vacancy);
     http::call_error error;
     const auto answer = co_await client_.call(call.to.address, codec_.encode_stage_call(pieces, call.to.id),
                                               call.timeout_at, http::connection_policy::fresh, error);
@@ -495,11 +644,14 @@
     log::info("stage_call", {{"pool", key.pool},
                              {"endpoint", call.to.id},
                              {"pieces", fmt::to_string(pieces.size())},
+                             {"vacant", vacancy_text(call.vacancy)},
                              {"requests", fmt::format("{}", pieces.front().request_id)},
                              {"took_ms", fmt::to_string((now - started).count())},
                              {"status", answer ? fmt::to_string(answer->status) : error.reason},
                              {"waiting", fmt::to_string(state.dispatcher.waiting())}});
     if (results) {
+        if (!fetched_soon)
+            release_inputs(with_inputs);
         record_results(key, call, *results, now);
         process_results(state, call, *results);
     } else {
@@ -517,7 +669,7 @@
         return false;
     state.dispatcher.finish_call(call.call_id, call_outcome::unreachable, boot_clock::now());
     std::erase_if(call.pieces, [this](const queued_piece& it) {
-        const auto found = open_tasks_.find({it.task->request_id, it.task->stage});
+        const auto found = open_tasks_.find(id_of(*it.task));
         return found == open_tasks_.end() || found->second->task != it.task;
     });
     state.dispatcher.requeue(std::move(call.pieces));
@@ -526,13 +678,25 @@
     return true;
 }
 
+void stage_scheduler::count_vacancy(const std::string& pool, const batch_vacancy& vacancy)
+{
+    const auto places = vacancy.places_by_reason();
+    for (std::size_t n = 0; n < places.size(); ++n)
+        if (places[n] > 0)
+            metrics_
+                .get_counter("limpetlock_stage_vacant_places_total",
+                             "places of stage calls that stayed empty, by the reason",
+                             {{"pool", pool}, {"reason", std::string(vacancy_reason(n))}})
+                .add(places[n]);
+}
+
 /// Counts the pieces of the call as started and returns the tasks among them that have inputs.
 std::vector<std::shared_ptr<stage_scheduler::open_task>>
 stage_scheduler::record_started(const stage_dispatch& call)
 {
     std::vector<std::shared_ptr<open_task>> out;
     for (const auto& piece : call.pieces) {
-        const auto found = open_tasks_.find({piece.task->request_id, piece.task->stage});
+        const auto found = open_tasks_.find(id_of(*piece.task));
         if (found == open_tasks_.end() || found->second->task != piece.task)
             continue;
         ++found->second->started_pieces;
@@ -549,6 +713,21 @@
     if (tasks.empty())
         co_return;
     co_await sleep_for(input_fetch_time);
+    release_inputs(tasks);
+}
+
+/// Whether a call begins as soon as it arrives, so that its inputs are fetched then. A call that waits at the
+/// endpoint for the call of another instance fetches them later, and would find them gone.
+bool stage_scheduler::fetches_inputs_soon(const pool_key& key, const std::string& endpoint_id,
+                                          time_point now) const
+{
+    const auto& state = *pools_.at(key);
+    return now - state.opened >= takeover_time && !state.dispatcher.is_contended(endpoint_id, now);
+}
+
+/// Releases the inputs of the tasks whose pieces have all begun.
+void stage_scheduler::release_inputs(const std::vector<std::shared_ptr<open_task>>& tasks)
+{
     for (const auto& it : tasks) {
         if (it->inputs_released || it->cancelled || it->started_pieces < it->task->pieces.size())
             continue;
@@ -613,8 +792,9 @@
 void stage_scheduler::requeue_without_room(pool_state& at, const std::string& endpoint_id, queued_piece piece,
                                            time_point now)
 {
-    const auto found = open_tasks_.find({piece.task->request_id, piece.task->stage});
-    if (found == open_tasks_.end() || found->second->task != piece.task)
+    const auto found = open_tasks_.find(id_of(*piece.task));
+    if (found == open_tasks_.end() || found->second->task != piece.task ||
+        found->second->missing_results == 0)
         return;
     --found->second->started_pieces;
     at.dispatcher.requeue_for_lack_of_storage(endpoint_id, std::move(piece), now);
@@ -625,10 +805,11 @@
 {
     const time_point now = boot_clock::now();
     for (const auto& it : pieces) {
-        if (!open_tasks_.contains({it.task->request_id, it.task->stage}))
+        const auto found = open_tasks_.find(id_of(*it.task));
+        if (found == open_tasks_.end() || found->second->missing_results == 0)
             continue;
         repeated_pieces_.add();
-        --open_tasks_.at({it.task->request_id, it.task->stage})->started_pieces;
+        --found->second->started_pieces;
         queued_piece copy = it;
         if (!at.dispatcher.retry(std::move(copy), now)) {
             log::warning("stage_piece_failed", {{"request", it.task->request_id},
@@ -644,7 +825,7 @@
 /// one, is released.
 void stage_scheduler::complete_piece(const queued_piece& piece, piece_result result)
 {
-    const auto found = open_tasks_.find({piece.task->request_id, piece.task->stage});
+    const auto found = open_tasks_.find(id_of(*piece.task));
     if (found == open_tasks_.end() || found->second->task != piece.task ||
         found->second->has_result[piece.index]) {
         if (!result.handle.empty())
@@ -654,10 +835,26 @@
     auto& it = *found->second;
     it.has_result[piece.index] = true;
     it.results[piece.index] = std::move(result);
-    if (--it.missing_results == 0)
+    if (it.results[piece.index].handle.empty())
+        end_task(it, it.results[piece.index].failure);
+    else if (--it.missing_results == 0)
         it.done.cancel();
 }
 
+/// Ends a task of which a piece failed for good, since the request can't be served any more. Results that its
+/// other pieces still get are released when they arrive.
+void stage_scheduler::end_task(open_task& it, piece_failure failure)
+{
+    for (std::size_t n = 0; n < it.results.size(); ++n)
+        if (!it.has_result[n])
+            it.results[n].failure = failure;
+    it.has_result.assign(it.results.size(), true);
+    it.missing_results = 0;
+    if (const auto pool = pools_.find(it.pool); pool != pools_.end())
+        pool->second->dispatcher.cancel(it.task->request_id, it.task->stage, it.task->run);
+    it.done.cancel();
+}
+
 void stage_scheduler::expire(time_point now)
 {
     for (const auto& [name, state] : pools_)
@@ -678,7 +875,7 @@
                                             {"stage", fmt::to_string(open->task->stage)},
                                             {"pool", open->pool.pool}});
         const std::string id = open->task->request_id;
-        cancel(id, open->task->stage);
+        cancel(id, open->task->stage, open->task->run);
     }
 }
 
--- a/lib/gateway/stage_scheduler.hpp
+++ b/lib/gateway/stage_scheduler.hpp
@@ -29,12 +29,22 @@
 
 /// State and results of a stage task.
 struct stage_task_result {
-    enum class task_status : std::uint8_t { done, in_progress, refused };
+    enum class task_status : std::uint8_t {
+        done,
+        in_progress,
+        refused,
+        no_endpoints, ///< the group has no endpoint of the pool that accepts work
+        cancelled     ///< no instance asked for the task for a while, or it was withdrawn
+    };
 
     task_status status{task_status::refused};
     std::vector<piece_result> pieces; ///< in the order of the task's pieces
     std::string reason;
     duration backlog{0}; ///< time that the pool needs for the pieces that wait now
+    /// Set if the stages of the request have no room at any instance; time until they may have.
+    std::optional<duration> retry_after;
+    /// Outlines of the work that waits for the pools of the group; pools without waiting work are missing.
+    std::map<std::string, std::vector<backlog_point>> backlogs;
 };
 
 /// A stage pool, or the part of it in one failure domain or in one shard of a domain.
@@ -67,13 +77,14 @@
     /// Replaces the routing table and the endpoints, and dispatches the calls that they allow.
     void configure(std::shared_ptr<const routing_table> table, std::vector<endpoint> endpoints);
 
-    /// Submits a task and waits up to `max_wait` for its results. A task that is already open isn't submitted
-    /// again. When the result says in_progress, the caller has to call again with the same task: one that
-    /// isn't requested for a while is dropped, and its results are released.
+    /// Submits a task and waits up to `max_wait` for its results. A task without inputs is refused at once
+    /// if the stages of its request can't be done in time (see chain_admission.hpp). A task that is already
+    /// open isn't submitted again. When the result says in_progress, the caller has to call again with the
+    /// same task: one that isn't requested for a while is dropped, and its results are released.
     boost::asio::awaitable<stage_task_result> run(pool_key key, stage_task task, duration max_wait);
 
     /// Drops a task and releases its results.
-    void cancel(const std::string& request_id, std::uint32_t stage);
+    void cancel(const std::string& request_id, std::uint32_t stage, std::uint32_t run);
 
     /// Requests that the producers drop these results, and counts their storage as free.
     void release(const std::vector<std::string>& handles);
@@ -87,17 +98,41 @@
 private:
     struct open_task;
     struct pool_state;
-    using task_key = std::pair<std::string, std::uint32_t>;
+    struct task_key {
+        std::string request_id;
+        std::uint32_t stage{0};
+        std::uint32_t run{0};
+
+        friend auto operator<=>(const task_key&, const task_key&) = default; // NOLINT(modernize-use-nullptr)
+    };
+    static task_key id_of(const stage_task& it) { return {it.request_id, it.stage, it.run}; }
 
     boost::asio::awaitable<void> tick_loop();
     boost::asio::awaitable<void> make_call(pool_key key, stage_dispatch call);
     boost::asio::awaitable<void> release_inputs_after_fetch(std::vector<std::shared_ptr<open_task>> tasks);
+    bool fetches_inputs_soon(const pool_key& key, const std::string& endpoint_id, time_point now) const;
+    void release_inputs(const std::vector<std::shared_ptr<open_task>>& tasks);
     std::vector<std::shared_ptr<open_task>> record_started(const stage_dispatch& call);
     pool_state* find_pool(const pool_key& key);
     void configure(const pool_key& key, pool_state& state);
     task_filter congestion_filter(const stage_group& group, time_point now) const;
     void remove_idle_pools(time_point now);
     metrics::gauge& avoided_gauge(const pool_key& key);
+    /// Profiles of the pools of a group at one moment. They include the pieces of later stages of the tasks
+    /// that are open, but not those of deferred tasks.
+    struct group_profiles {
+        time_point at{};
+        std::map<std::string, backlog_profile> pools;
+        std::map<std::string, std::vector<backlog_point>> outlines; ///< of the pools with waiting pieces
+    };
+    group_profiles& profiles_of(const pool_key& group, time_point now);
+    void add_stage(const pool_key& group, const stage_task& task, const chain_stage& later,
+                   group_profiles& to, time_point now) const;
+    order_item order_item_of(const pool_key& group, const stage_task& task, const chain_stage& later,
+                             time_point now) const;
+    std::optional<stage_task_result> refusal_of(const pool_key& key, const stage_task& task, time_point now);
+    std::map<std::string, std::vector<backlog_point>> outlines_of(const pool_key& group, time_point now);
+    void end_task(open_task& it, piece_failure failure);
     void dispatch_calls(const pool_key& key);
     void hold_back_by_statements(const pool_key& key, time_point now);
     void end_evacuated_tasks(const pool_key& key);
@@ -111,6 +146,7 @@
     void record_results(const pool_key& key, const stage_dispatch& call,
                         const std::vector<piece_result>& results, time_point now);
     bool remove_result(const std::string& handle);
+    void count_vacancy(const std::string& pool, const batch_vacancy& vacancy);
     void expire(time_point now);
     void log_avoided_endpoints(time_point now);
 
@@ -126,10 +162,13 @@
     metrics::counter& pieces_;
     metrics::counter& repeated_pieces_;
     metrics::counter& evacuated_tasks_;
+    metrics::counter& chains_admitted_;
+    metrics::counter& chains_refused_;
     std::shared_ptr<const routing_table> table_;
     std::vector<endpoint> endpoints_;
     std::map<pool_key, std::unique_ptr<pool_state>> pools_;
     std::map<task_key, std::shared_ptr<open_task>> open_tasks_;
+    std::map<pool_key, group_profiles> group_profiles_; ///< by group; see group_of
 
     /// A result that occupies storage at its producer until it is released or expires.
     struct stored_result {
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -226,6 +226,15 @@
   2: list<string> handles;
 }
 
+/// One of the remaining stages of a request.
+struct chain_stage_message {
+  1: string pool;
+  2: i32 stage;
+  3: i32 pieces;
+  4: i64 time_to_end_ms;  // from its end to the end of the last stage, if no other pieces wait
+  5: list<i32> after;     // indexes into the chain of the stages whose results it takes
+}
+
 struct stage_order_message {
   1: string pool;
   2: string request_id;
@@ -244,6 +253,18 @@
   15: list<string> next_pools; // pools of the stages that follow
   20: i32 shard;          // part of the group's endpoints, from 0
   21: i32 shards;         // number of parts; 0 or 1: the group isn't divided
+  22: optional list<chain_stage_message> chain; // this stage and those that depend on it
+  23: optional bool admitted;  // an instance has admitted the stages of the request already
+  24: optional string team;    // whose request it is; absent if unknown
+  30: i32 run;            // distinguishes the runs of the stages for the same request
+}
+
+/// Work that waits for a pool: `before_ms[n]` passes until the pieces with order keys of up to `key_ms[n]`
+/// from now are done.
+struct pool_backlog_message {
+  1: string pool;
+  2: list<i64> key_ms;
+  3: list<i64> before_ms;
 }
 
 struct piece_result_message {
@@ -252,15 +273,19 @@
 }
 
 struct stage_result_message {
-  1: i32 status;          // 0 done, 1 still in progress, 2 refused
+  // 0 done, 1 still in progress, 2 refused, 3 the group has no endpoint of the pool, 4 cancelled
+  1: i32 status;
   2: list<piece_result_message> pieces;
   3: string reason;
   4: i64 backlog_ms;      // time that the pool needs for its waiting pieces
+  10: optional i64 retry_after_ms; // refused for lack of room, also at other instances, until then
+  11: optional list<pool_backlog_message> backlogs; // of all pools of the group with waiting pieces
 }
 
 struct stage_cancel_message {
   1: string request_id;
   2: i32 stage;
+  10: i32 run;
 }
 
 /// Results that the sender no longer needs, for the instance that ran the stage.
