Count requests with stages by team and priority

Cause: nothing shows what each team asked of the stage pools, what it got and why it was refused.

Change: counters of asked, admitted and refused requests (by forecast, no_room or late) and of the endpoint time used, by team and priority. 64 teams have series of their own, the rest shares those of other.

--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -157,7 +157,7 @@
           service_client(io.get_executor(), service_limits()),
           reader(io.get_executor(), settings, *codec, state, metrics, [this] { return reader_role(); }),
           releaser(io.get_executor(), *codec, endpoint_client, statements, issuer),
-          scheduler(io.get_executor(), *codec, endpoint_client, releaser, statements, issuer, metrics,
+          scheduler(io.get_executor(), *codec, endpoint_client, releaser, statements, issuer, metrics, teams,
                     [this](const std::vector<result_group>& used) { return_results(used); }),
           peers(io.get_executor(), settings, random_run_id(), state, quarantine, statements, metrics,
                 peer_handlers()),
@@ -165,7 +165,7 @@
           returns(io.get_executor(), peers, scheduler, releaser),
           runner(io.get_executor(), peers, scheduler, returns, selector),
           handler({*codec, settings, state, reader, quarantine, selector, statements, endpoint_permits,
-                   runner, returns, peers, endpoint_client, service_client, metrics}),
+                   runner, returns, peers, endpoint_client, service_client, metrics, teams}),
           stop(stop_settings_of(settings.bounds)), signals(io, SIGTERM, SIGINT), hangups(io, SIGHUP)
     {
         // Posted, because the handler is called in the middle of attempts and stage calls.
@@ -474,6 +474,7 @@
     settings_loader reload;
     asio::io_context io{1};
     metrics::registry metrics;
+    team_counters teams{metrics};
     metrics::gauge& dropped_lines{
         metrics.get_gauge("limpetlock_log_lines_dropped", "log lines that standard output did not take")};
     metrics::gauge& background_failures{
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -450,18 +450,20 @@
 {
     const time_point now = boot_clock::now();
     const duration left = it.plan.deadline - now;
-    if (min_time > left) {
-        refuse(it, 503, "stages can't be done in time", retry_after(it, now));
-        return true;
-    }
-    if (it.plan.admitted)
-        return false;
     chain_estimate estimate;
-    estimate.end = dependencies_.runner.expected_time(it.plan, *it.table, now);
+    if (!it.plan.admitted)
+        estimate.end = dependencies_.runner.expected_time(it.plan, *it.table, now);
     const auto decision = decide_admission(estimate, left);
-    if (!decision.admitted)
-        refuse(it, 503, "stages can't be done in time", stage_retry_after(decision.retry_after));
-    return !decision.admitted;
+    if (min_time <= left && decision.admitted)
+        return false;
+    const duration retry_time =
+        decision.admitted ? retry_after(it, now) : stage_retry_after(decision.retry_after);
+    refuse(it, 503, "stages can't be done in time", retry_time);
+    if (!it.plan.admitted) {
+        dependencies_.teams.count_asked(it.plan.team, it.priority);
+        dependencies_.teams.count_refused(it.plan.team, it.priority, stage_refusal::forecast);
+    }
+    return true;
 }
 
 /// The Retry-After of a request that has to wait this long until its stages have room. The random part keeps
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -16,6 +16,7 @@
 #include <limpetlock/gateway/published_state.hpp>
 #include <limpetlock/gateway/retry_share.hpp>
 #include <limpetlock/gateway/settings.hpp>
+#include <limpetlock/gateway/team_counters.hpp>
 #include <limpetlock/http/client.hpp>
 #include <limpetlock/http/server.hpp>
 #include <limpetlock/support/metrics.hpp>
@@ -51,6 +52,7 @@
     http::client& engine_client; ///< for streamed answers
     http::client& service_client;
     metrics::registry& metrics;
+    team_counters& teams;
 };
 
 /// An endpoint to which a request may be sent, and when.
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -125,19 +125,15 @@
 stage_scheduler::stage_scheduler(asio::any_io_executor executor, const platform_codec& codec,
                                  http::client& client, result_releaser& releaser,
                                  endpoint_statements& statements, permit_issuer& issuer,
-                                 metrics::registry& metrics, inputs_fetched_handler on_inputs_fetched)
+                                 metrics::registry& metrics, team_counters& teams,
+                                 inputs_fetched_handler on_inputs_fetched)
     : executor_(std::move(executor)), codec_(codec), client_(client), releaser_(releaser),
       statements_(statements), issuer_(issuer), on_inputs_fetched_(std::move(on_inputs_fetched)),
       metrics_(metrics),
       calls_(metrics.get_counter("limpetlock_stage_calls_total", "calls to endpoints of stage pools")),
       pieces_(metrics.get_counter("limpetlock_stage_pieces_total", "pieces sent in stage calls")),
       repeated_pieces_(metrics.get_counter("limpetlock_stage_pieces_repeated_total", "pieces sent again")),
-      chains_admitted_(metrics.get_counter("limpetlock_stage_chains_total",
-                                           "requests for whose stages the responsible instance decided",
-                                           {{"decision", "admitted"}})),
-      chains_refused_(metrics.get_counter("limpetlock_stage_chains_total",
-                                          "requests for whose stages the responsible instance decided",
-                                          {{"decision", "refused"}}))
+      teams_(teams)
 {
     spawn_loop(executor_, "stage_tick_loop", [this] { return tick_loop(); });
 }
@@ -281,6 +277,7 @@
 {
     if (!task.inputs.empty() || task.chain.empty() || task.admitted)
         return std::nullopt;
+    teams_.count_asked(task.team, task.priority);
     auto& group = profiles_of(key, now);
     std::vector<stage_load> loads;
     for (const auto& it : task.chain) {
@@ -294,12 +291,12 @@
     const duration time_left = task.deadline + task.chain.front().time_to_end - now;
     const auto decision = decide_admission(estimate, time_left);
     if (decision.admitted) {
-        chains_admitted_.add();
+        teams_.count_admitted(task.team, task.priority);
         for (const auto& it : task.chain)
             add_stage(key, task, it, group, now);
         return std::nullopt;
     }
-    chains_refused_.add();
+    teams_.count_refused(task.team, task.priority, stage_refusal::no_room);
     const std::string& bottleneck = task.chain[estimate.bottleneck].pool;
     log::info("stage_chain_refused", {{"request", task.request_id},
                                       {"team", task.team.empty() ? "-" : task.team},
@@ -502,6 +499,7 @@
     calls_.add();
     pieces_.add(pieces.size());
     count_vacancy(key.pool, call.vacancy);
+    count_used(call, pools_.at(key)->dispatcher.options());
     http::call_error error;
     const auto answer = co_await client_.call(call.to.address, codec_.encode_stage_call(pieces, call.to.id),
                                               call.timeout_at, http::connection_policy::fresh, error);
@@ -554,6 +552,16 @@
                 .add(places[n]);
 }
 
+void stage_scheduler::count_used(const stage_dispatch& call, const batch_options& options)
+{
+    std::map<std::pair<std::string_view, int>, std::size_t> pieces;
+    for (const auto& it : call.pieces)
+        ++pieces[{it.task->team, it.task->priority}];
+    const double piece_cost = to_team_order_options(options).piece_cost;
+    for (const auto& [whose, count] : pieces)
+        teams_.count_used(whose.first, whose.second, static_cast<double>(count) * piece_cost);
+}
+
 /// Counts the pieces of the call as started and returns the tasks among them that have inputs.
 std::vector<std::shared_ptr<stage_scheduler::open_task>>
 stage_scheduler::record_started(const stage_dispatch& call)
@@ -707,8 +715,12 @@
 void stage_scheduler::expire(time_point now)
 {
     for (const auto& [name, state] : pools_)
-        for (const auto& it : state->dispatcher.expire(now))
+        for (const auto& it : state->dispatcher.expire(now)) {
+            const auto found = open_tasks_.find({it.task->request_id, it.task->stage});
+            if (found != open_tasks_.end() && found->second->missing_results > 0)
+                teams_.count_refused(it.task->team, it.task->priority, stage_refusal::late);
             complete_piece(it, {{}, piece_failure::late});
+        }
     std::vector<std::string> expired;
     for (const auto& [handle, it] : stored_results_)
         if (it.expires <= now)
--- a/lib/gateway/stage_scheduler.hpp
+++ b/lib/gateway/stage_scheduler.hpp
@@ -6,6 +6,7 @@
 #include <limpetlock/gateway/permit_issuer.hpp>
 #include <limpetlock/gateway/platform_codec.hpp>
 #include <limpetlock/gateway/stage_dispatcher.hpp>
+#include <limpetlock/gateway/team_counters.hpp>
 #include <limpetlock/http/client.hpp>
 #include <limpetlock/support/metrics.hpp>
 
@@ -56,7 +57,8 @@
 
     stage_scheduler(boost::asio::any_io_executor executor, const platform_codec& codec, http::client& client,
                     result_releaser& releaser, endpoint_statements& statements, permit_issuer& issuer,
-                    metrics::registry& metrics, inputs_fetched_handler on_inputs_fetched);
+                    metrics::registry& metrics, team_counters& teams,
+                    inputs_fetched_handler on_inputs_fetched);
     ~stage_scheduler();
     stage_scheduler(const stage_scheduler&) = delete;
     stage_scheduler& operator=(const stage_scheduler&) = delete;
@@ -117,6 +119,7 @@
     void record_results(const pool_key& key, const stage_dispatch& call,
                         const std::vector<piece_result>& results, time_point now);
     bool remove_result(const std::string& handle);
+    void count_used(const stage_dispatch& call, const batch_options& options);
     void count_vacancy(const std::string& pool, const batch_vacancy& vacancy);
     void expire(time_point now);
     void log_avoided_endpoints(time_point now);
@@ -132,8 +135,7 @@
     metrics::counter& calls_;
     metrics::counter& pieces_;
     metrics::counter& repeated_pieces_;
-    metrics::counter& chains_admitted_;
-    metrics::counter& chains_refused_;
+    team_counters& teams_;
     std::shared_ptr<const routing_table> table_;
     std::vector<endpoint> endpoints_;
     std::map<pool_key, std::unique_ptr<pool_state>> pools_;
--- a/test/platform/stage_admission_test.cpp
+++ b/test/platform/stage_admission_test.cpp
@@ -90,6 +90,10 @@
                       served);
     });
     cr_expect_geq(served, 10, "served %d", served);
+    std::size_t lines = 0;
+    for (std::size_t n = 0; n < 2; ++n)
+        lines += fleet.log_lines(n, "event=stage_chain_refused").size();
+    cr_expect_gt(lines, 0, "the decisions are logged");
     cr_expect_geq(refused_at_once, refused * 4 / 5, "%d of %d", refused_at_once, refused);
     cr_expect_lt(took, seconds(6));
 }
--- a/unittests/gateway/team_test.cpp
+++ b/unittests/gateway/team_test.cpp
@@ -1,5 +1,6 @@
 #include <limpetlock/admission/team_shares.hpp>
 #include <limpetlock/gateway/stage_dispatcher.hpp>
+#include <limpetlock/gateway/team_counters.hpp>
 
 #include <criterion/criterion.h>
 
@@ -262,3 +263,26 @@
     for (const auto& it : profile.outline())
         cr_expect_leq(it.before, before("large"));
 }
+
+// Guards against series without bound where callers have many teams.
+Test(team_counters, the_series_are_bounded)
+{
+    metrics::registry registry;
+    team_counters counters(registry);
+    for (int n = 0; n < 300; ++n) {
+        const std::string team = "team-" + std::to_string(n);
+        counters.count_asked(team, 1);
+        counters.count_refused(team, 1, stage_refusal::no_room);
+    }
+    counters.count_asked("team-3", 1);
+    const auto asked = [&registry](const std::string& team) {
+        return registry
+            .get_counter("limpetlock_stage_requests_asked_total", "", {{"team", team}, {"rank", "1"}})
+            .value();
+    };
+    cr_expect_eq(asked("team-3"), 2);
+    cr_expect_eq(asked("other"), 300 - team_counters::max_teams);
+    const std::string page = registry.render();
+    cr_expect_eq(page.find("team-64"), std::string::npos);
+    cr_expect_neq(page.find("reason=\"no_room\""), std::string::npos);
+}
