Don't take small calls beside deferred tasks as typical

Cause: the average number of pieces of a call includes calls that are small because the other tasks are deferred or wait for their failure domain, so the estimated backlog of the pool is a multiple of the true one.

Change: only full calls count, and those that pass over half a batch of pieces for their size or for lack of storage.

--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -203,7 +203,7 @@
     static double slowness_of(const endpoint_state& it, time_point now);
     void record_call_time(endpoint_state& it, const running_call& ended, time_point now) const;
     std::uint64_t free_result_bytes(const endpoint_state& it) const;
-    void record_batch_size(std::size_t pieces);
+    void record_batch_size(std::size_t pieces, const batch_vacancy& vacancy);
     backlog_profile capacity_profile(time_point now) const;
 
     stage_capacity capacity_;
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -193,7 +193,7 @@
         }
         const duration expected(static_cast<std::int64_t>(
             static_cast<double>(call_time(pieces.size()).count()) * std::max(1.0, slowness_of(*to, now))));
-        record_batch_size(pieces.size());
+        record_batch_size(pieces.size(), vacancy);
         to->busy = true;
         to->busy_until = now + expected;
         const duration timeout(
@@ -248,13 +248,16 @@
     queue_.push(std::move(it));
 }
 
-/// Only full calls and calls that leave many pieces waiting count: they show how many pieces fit into a call,
-/// which is less than a batch if the memory for results is short.
-void stage_dispatcher::record_batch_size(std::size_t pieces)
+/// Only full calls count, and those that leave pieces waiting which didn't fit: they show how many pieces fit
+/// into a call, which is less than a batch if the memory for results is short. A call that is small because
+/// the other tasks are deferred or wait for their own failure domain says nothing of that.
+void stage_dispatcher::record_batch_size(std::size_t pieces, const batch_vacancy& vacancy)
 {
     if (typical_pieces_ <= 0)
         typical_pieces_ = static_cast<double>(options_.max_pieces);
-    if (queue_.size() >= options_.max_pieces / 2 || pieces == options_.max_pieces)
+    const std::size_t too_large =
+        vacancy.passed_over(pass_over_reason::size) + vacancy.passed_over(pass_over_reason::storage);
+    if (vacancy.places == 0 || too_large >= options_.max_pieces / 2)
         typical_pieces_ += typical_pieces_weight * (static_cast<double>(pieces) - typical_pieces_);
 }
 
--- a/unittests/gateway/chain_test.cpp
+++ b/unittests/gateway/chain_test.cpp
@@ -156,3 +156,23 @@
     cr_expect_not(is_valid({{"p", 0, 1, duration(0), {}}, {"q", 1, 1, duration(0), {7}}}));
     cr_expect_not(is_valid({{"p", 0, UINT32_MAX, duration(0), {}}}));
 }
+
+// Guards against refusals because deferred tasks make the calls of a pool small: they would count as all that
+// fits into a call, and the estimated backlog would be a multiple of the true one.
+Test(chain_admission, small_calls_beside_deferred_tasks_are_not_typical)
+{
+    auto pool = make_pool(1);
+    for (int n = 0; n < 10; ++n)
+        pool.submit(make_task("deferred-" + std::to_string(n), 10, 5'000), at(0));
+    const duration typical = pool.profile(at(0)).typical_call_time();
+    std::int64_t now = 0;
+    for (int n = 0; n < 30; ++n) {
+        pool.submit(make_task("small-" + std::to_string(n), 1, now + 5'000), at(now));
+        const auto call = pool.next_call(
+            at(now), [](const stage_task& it) { return it.request_id.starts_with("deferred"); });
+        cr_assert(call.has_value());
+        cr_expect_eq(call->pieces.size(), 1);
+        pool.finish_call(call->call_id, call_outcome::answered, at(now += 210));
+    }
+    cr_expect_eq(pool.profile(at(now)).typical_call_time(), typical);
+}
