--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -158,7 +158,7 @@
           reader(io.get_executor(), settings, *codec, state, metrics, [this] { return reader_role(); }),
           releaser(io.get_executor(), *codec, endpoint_client, statements, state.evacuation_orders(), issuer,
                    metrics),
-          scheduler(io.get_executor(), *codec, endpoint_client, releaser, statements, issuer, metrics,
+          scheduler(io.get_executor(), *codec, endpoint_client, releaser, statements, issuer, metrics, teams,
                     [this](const std::vector<result_group>& used) { return_results(used); }),
           peers(io.get_executor(), settings, random_run_id(), state, quarantine, statements, metrics,
                 peer_handlers()),
@@ -166,7 +166,7 @@
           returns(io.get_executor(), peers, scheduler, releaser),
           runner(io.get_executor(), peers, scheduler, returns, metrics),
           handler({*codec, settings, state, reader, quarantine, selector, statements, endpoint_permits,
-                   runner, returns, peers, endpoint_client, service_client, metrics}),
+                   runner, returns, peers, endpoint_client, service_client, metrics, teams}),
           stop(stop_settings_of(settings.bounds)), signals(io, SIGTERM, SIGINT), hangups(io, SIGHUP)
     {
         // Posted, because the handler is called in the middle of attempts and stage calls.
@@ -516,6 +516,7 @@
     settings_loader reload;
     asio::io_context io{1};
     metrics::registry metrics;
+    team_counters teams{metrics};
     metrics::gauge& dropped_lines{
         metrics.get_gauge("limpetlock_log_lines_dropped", "log lines that standard output did not take")};
     metrics::gauge& background_failures{
