Give up duties while the instance is slow

Cause: an instance that is slow but alive kept its duties, and all requests of its shard waited for it.

Change: overload_detector decides from late timer ticks and from the bytes that wait for the network (in the messenger and in the kernel, on connections that still progress): more than 200 ms for over a second. The instance then states for 5 to 40 s in its member messages and stage replies that it is overloaded, and all others rank it last; if all are overloaded, the order is as before. The time doubles when the overload returns, against flapping. A task that is moved for lack of an answer is cancelled at the instance that it left, and a late instance dispatches orders only with its next tick, so that a cancellation behind the order has effect.

--- a/include/limpetlock/gateway/fleet_view.hpp
+++ b/include/limpetlock/gateway/fleet_view.hpp
@@ -22,6 +22,7 @@
     std::int64_t capacity{1000}; ///< thousandths of a core
     std::int64_t run_id{0};      ///< random; distinguishes two processes of one name
     bool stopping{false};        ///< takes no new work
+    bool overloaded{false};      ///< gives up the duties that others can take
 
     friend bool operator==(const member&, const member&) = default;
 };
@@ -54,6 +55,16 @@
         ++version_;
     }
 
+    /// Records whether this instance gives up its duties.
+    void set_overloaded(bool it)
+    {
+        own_.overloaded = it;
+        ++version_;
+    }
+
+    /// Records that the instance stated in a reply that it gives up its duties.
+    void mark_overloaded(std::string_view name);
+
     /// Grows when an instance appears, is removed, becomes unreachable or reachable again, or changes its
     /// data. It doesn't show that an instance stops being live for lack of contact.
     std::uint64_t version() const { return version_; }
@@ -98,7 +109,7 @@
 };
 
 /// Returns the instances in the order in which they are responsible for a key. It is rendezvous hashing with
-/// weights that strongly prefer instances of large capacity.
+/// weights that strongly prefer instances of large capacity. Overloaded instances are last.
 std::vector<member> by_responsibility(std::string_view key, std::vector<member> members);
 
 } // namespace limpetlock::gateway
--- a/include/limpetlock/gateway/stage_shards.hpp
+++ b/include/limpetlock/gateway/stage_shards.hpp
@@ -95,11 +95,12 @@
     stage_duties() = default;
 
     /// `divided` are the groups to assign in order, each to the instance that is most responsible for it
-    /// among those with the fewest groups so far. `members` are the live instances.
+    /// among those with the fewest groups so far. `members` are the live instances; overloaded ones get a
+    /// group only if all are.
     stage_duties(std::vector<stage_group> divided, std::vector<member> members);
 
     /// Names of the instances in the order in which they are responsible for a group: for an assigned group
-    /// its holder, then the instances without a group, then the others.
+    /// its holder, then the instances without a group, then the others, and then overloaded ones.
     const std::vector<std::string>& order(const stage_group& it);
 
     const std::vector<member>& members() const { return members_; }
--- a/include/limpetlock/peer/messenger.hpp
+++ b/include/limpetlock/peer/messenger.hpp
@@ -42,6 +42,7 @@
     std::uint64_t malformed{0};       ///< frames that could not be decoded; each closes its connection
     std::uint64_t old_incarnation{0}; ///< frames of an earlier incarnation of their sender, which are dropped
     std::uint64_t late_replies{0};    ///< replies to calls that had ended
+    std::uint64_t waiting_bytes{0};   ///< that waited for the network at the last measure_waiting_bytes
 };
 
 /// Handles a received message. Returns the reply, or nullopt if the message has none. Runs on the messenger's
@@ -78,6 +79,10 @@
 
     messenger_counters counters() const;
 
+    /// Measures the bytes that wait for the network, in this process and in the kernel, on connections from
+    /// which something arrived lately. The result is in the counters soon after.
+    void measure_waiting_bytes();
+
     /// Highest incarnation seen of each sender.
     std::map<std::string, std::int64_t> incarnations() const;
 
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -34,6 +34,11 @@
 
 constexpr duration pull_timeout{1'000};
 
+/// Interval of the timer that shows whether the event loop is late, and number of ticks between two checks of
+/// the bytes that wait for the network.
+constexpr duration duty_tick{100};
+constexpr std::size_t ticks_per_link_check = 3;
+
 /// In a fleet up to full_mesh_size every instance pings every other one in each round; in a larger fleet it
 /// pings pings_per_round of them.
 constexpr std::size_t full_mesh_size = 8;
@@ -81,14 +86,17 @@
     out.life = it.run_id;
     out.age_ms = age.count();
     out.stopping = it.stopping;
+    out.overloaded = it.overloaded;
     return out;
 }
 
 member_report from_message(const wire::member_message& it)
 {
     member_report out;
-    out.info = {it.name,    {it.host, static_cast<std::uint16_t>(it.port)}, it.domain, it.capacity, it.life,
-                it.stopping};
+    out.info = {it.name,      {it.host, static_cast<std::uint16_t>(it.port)},
+                it.domain,    it.capacity,
+                it.life,      it.stopping,
+                it.overloaded};
     out.age = age_from_peer(it.age_ms);
     return out;
 }
@@ -182,7 +190,7 @@
 
 member own_member(const gateway_settings& it, std::int64_t run_id)
 {
-    return {it.name, it.peer_address, it.domain, it.capacity_millicores, run_id, false};
+    return {it.name, it.peer_address, it.domain, it.capacity_millicores, run_id, false, false};
 }
 
 peer::address to_peer(const http::address& it)
@@ -199,11 +207,11 @@
              metrics::registry& metrics, handlers its_handlers)
     : executor_(std::move(executor)), settings_(settings), state_(state), quarantine_(quarantine),
       statements_(statements), handlers_(std::move(its_handlers)), view_(own_member(settings, run_id)),
-      suspensions_(boot_clock::now(), max_tick_gap),
+      suspensions_(boot_clock::now(), max_tick_gap), overload_(boot_clock::now(), duty_tick),
       suspension_count_(metrics.get_counter("limpetlock_suspensions_total",
                                             "times that this process stood still for over 600 ms")),
-      messenger_(executor_, settings.name, 0, to_peer(settings.peer_address),
-                 [this](wire::frame message) { return answer(std::move(message)); }),
+      metrics_(metrics), messenger_(executor_, settings.name, 0, to_peer(settings.peer_address),
+                                    [this](wire::frame message) { return answer(std::move(message)); }),
       random_(static_cast<std::minstd_rand::result_type>(hash64(settings.name, 1)))
 {
 }
@@ -212,6 +220,7 @@
 {
     spawn_loop(executor_, "ping_loop", [this] { return ping_loop(); });
     spawn_loop(executor_, "spread_loop", [this] { return spread_loop(); });
+    spawn_loop(executor_, "duty_loop", [this] { return duty_loop(); });
 }
 
 void fleet::detect_suspension(time_point now)
@@ -362,6 +371,46 @@
     }
 }
 
+/// Gives up the duties of this instance while it is overloaded, and tells a few peers at once.
+awaitable<void> fleet::duty_loop()
+{
+    auto& overloaded =
+        metrics_.get_gauge("limpetlock_overloaded", "1 while this instance gives up its duties to others");
+    for (std::size_t n = 0;; ++n) {
+        co_await sleep_for(duty_tick);
+        const time_point now = boot_clock::now();
+        overload_.record_tick(now);
+        if (n % ticks_per_link_check == 0) {
+            const auto counters = messenger_.counters();
+            overload_.record_link(counters.bytes_sent, counters.waiting_bytes, now);
+            messenger_.measure_waiting_bytes();
+        }
+        const bool before = view_.own().overloaded;
+        if (overload_.overloaded(now) == before)
+            continue;
+        view_.set_overloaded(!before);
+        overloaded.set(before ? 0 : 1);
+        if (before)
+            log::info("duties_resumed", {{"held_ms", fmt::to_string(overload_.hold().count())}});
+        else
+            log_given_up();
+        for (auto& to : ping_targets(now))
+            spawn_background(executor_, "ping", ping(std::move(to)));
+    }
+}
+
+void fleet::log_given_up()
+{
+    const std::string cause(to_string(overload_.cause()));
+    metrics_
+        .get_counter("limpetlock_duties_given_up_total", "times that this instance gave up its duties",
+                     {{"cause", cause}})
+        .add();
+    log::warning("duties_given_up", {{"cause", cause},
+                                     {"hold_ms", fmt::to_string(overload_.hold().count())},
+                                     {"waiting_bytes", fmt::to_string(messenger_.counters().waiting_bytes)}});
+}
+
 awaitable<void> fleet::pull(std::string from)
 {
     const time_point sent = boot_clock::now();
@@ -537,7 +586,8 @@
         co_return reply;
     }
     if (message.__isset.stage_order) {
-        const auto result = co_await handlers_.on_stage_task(std::move(message.stage_order));
+        auto result = co_await handlers_.on_stage_task(std::move(message.stage_order));
+        result.overloaded = view_.own().overloaded;
         reply.__set_stage_result(result);
         co_return reply;
     }
--- a/lib/gateway/fleet.hpp
+++ b/lib/gateway/fleet.hpp
@@ -4,6 +4,7 @@
 
 #include <limpetlock/gateway/endpoint_statements.hpp>
 #include <limpetlock/gateway/fleet_view.hpp>
+#include <limpetlock/gateway/overload_detector.hpp>
 #include <limpetlock/gateway/permit_issuer.hpp>
 #include <limpetlock/gateway/prompt_quarantine.hpp>
 #include <limpetlock/gateway/published_state.hpp>
@@ -80,6 +81,7 @@
 private:
     boost::asio::awaitable<void> ping_loop();
     boost::asio::awaitable<void> spread_loop();
+    boost::asio::awaitable<void> duty_loop();
     boost::asio::awaitable<void> ping(std::string to);
     boost::asio::awaitable<void> pull(std::string from);
     boost::asio::awaitable<std::optional<wire::frame>> answer(wire::frame message);
@@ -103,6 +105,7 @@
     void set_positions(Message& out) const;
     void refresh_links(time_point now);
     void detect_suspension(time_point now);
+    void log_given_up();
 
     boost::asio::any_io_executor executor_;
     const gateway_settings& settings_;
@@ -112,7 +115,9 @@
     handlers handlers_;
     fleet_view view_;
     suspension_detector suspensions_;
+    overload_detector overload_;
     metrics::counter& suspension_count_;
+    metrics::registry& metrics_;
     peer::messenger messenger_;
     std::minstd_rand random_;
     std::map<std::string, peer::address> links_; ///< by name of the instance or of the seed
--- a/lib/gateway/fleet_view.cpp
+++ b/lib/gateway/fleet_view.cpp
@@ -59,6 +59,15 @@
     ++version_;
 }
 
+void fleet_view::mark_overloaded(std::string_view name)
+{
+    const auto it = others_.find(name);
+    if (it == others_.end() || it->second.info.overloaded)
+        return;
+    it->second.info.overloaded = true;
+    ++version_;
+}
+
 void fleet_view::record_suspension(duration length, time_point now)
 {
     suspension_ = length;
@@ -123,7 +132,9 @@
         const double weight = std::pow(capacity, capacity_exponent);
         ranked.emplace_back(-weight / std::log(unit_interval(hash64(it.name, seed))), std::move(it));
     }
-    std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+    std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
+        return a.second.overloaded != b.second.overloaded ? b.second.overloaded : a.first > b.first;
+    });
     std::vector<member> out;
     out.reserve(ranked.size());
     for (auto& [score, it] : ranked)
--- a/lib/gateway/stage_runner.cpp
+++ b/lib/gateway/stage_runner.cpp
@@ -520,8 +520,12 @@
         auto result = co_await run_task_at(state, instance, std::move(target), std::move(copy));
         if (result && result->status == stage_task_result::task_status::done)
             co_return std::move(*result);
+        // The instance may only be slow. It drops the task so that it doesn't run here and there.
         if (result)
             last = std::move(*result);
+        else if (instance != fleet_.view().own().name)
+            spawn_background(executor_, "stage_cancellation",
+                             cancel_at(instance, task.request_id, task.stage));
         log::warning("stage_order_moved", {{"request", task.request_id},
                                            {"stage", fmt::to_string(task.stage)},
                                            {"pool", key.pool},
@@ -558,8 +562,11 @@
             message.__set_stage_order(to_message(task, key, now));
             auto reply = co_await fleet_.call(instance, std::move(message),
                                               now + task_poll_timeout + task_reply_margin);
-            if (reply && reply->__isset.stage_result)
+            if (reply && reply->__isset.stage_result) {
                 result = from_message(reply->stage_result, pieces);
+                if (reply->stage_result.overloaded)
+                    fleet_.view().mark_overloaded(instance);
+            }
         }
         // The instance may have answered while this process was suspended, so it is asked once more.
         if (!result && fleet_.suspended_since(now) && boot_clock::now() < task.deadline)
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -28,6 +28,9 @@
 /// pass without an event.
 constexpr duration tick_interval{25};
 
+/// The event loop is late if the last tick was this long ago.
+constexpr duration late_tick{200};
+
 /// A task that no instance requested for this long is dropped, and its results are released: the instance
 /// that submitted it is gone.
 constexpr duration abandoned_after{2'500};
@@ -317,7 +320,10 @@
         slot = std::make_shared<open_task>(std::move(task), key, executor_);
         state->dispatcher.submit(slot->task, now);
         slot->last_requested = now;
-        dispatch_calls(key);
+        // In a process that is late, the next tick dispatches the task: a cancellation that waits behind the
+        // order has to be handled before.
+        if (now - last_tick_ < late_tick)
+            dispatch_calls(key);
     }
     const auto it = slot;
     it->last_requested = now;
--- a/lib/gateway/stage_shards.cpp
+++ b/lib/gateway/stage_shards.cpp
@@ -156,12 +156,16 @@
 stage_duties::stage_duties(std::vector<stage_group> divided, std::vector<member> members)
     : members_(std::move(members))
 {
-    if (members_.empty())
+    auto usable = members_;
+    std::erase_if(usable, [](const member& it) { return it.overloaded; });
+    if (usable.empty())
+        usable = members_;
+    if (usable.empty())
         return;
     std::size_t fewest = 0; // groups that every instance has by now
     std::size_t assigned = 0;
     for (auto& group : divided) {
-        for (const auto& it : by_responsibility(responsibility_key(group), members_)) {
+        for (const auto& it : by_responsibility(responsibility_key(group), usable)) {
             auto& n = held_[it.name];
             if (n > fewest)
                 continue;
@@ -169,7 +173,7 @@
             holders_.emplace(std::move(group), it.name);
             break;
         }
-        if (++assigned % members_.size() == 0)
+        if (++assigned % usable.size() == 0)
             ++fewest;
     }
 }
@@ -180,17 +184,19 @@
     auto& out = found->second;
     if (!added)
         return out;
-    for (const auto& ranked : by_responsibility(responsibility_key(it), members_))
-        out.push_back(ranked.name);
-    const auto holder = holders_.find(it);
-    if (holder == holders_.end())
-        return out;
-    const auto rank = [this, &holder](const std::string& name) {
-        const auto n = held_.find(name);
-        return name == holder->second ? 0 : n == held_.end() || n->second == 0 ? 1 : 2;
-    };
-    std::stable_sort(out.begin(), out.end(),
-                     [&rank](const std::string& a, const std::string& b) { return rank(a) < rank(b); });
+    auto ranked = by_responsibility(responsibility_key(it), members_);
+    if (const auto holder = holders_.find(it); holder != holders_.end()) {
+        const auto rank = [this, &holder](const member& candidate) {
+            const auto n = held_.find(candidate.name);
+            if (candidate.name == holder->second)
+                return 0;
+            return candidate.overloaded ? 3 : n == held_.end() || n->second == 0 ? 1 : 2;
+        };
+        std::stable_sort(ranked.begin(), ranked.end(),
+                         [&rank](const member& a, const member& b) { return rank(a) < rank(b); });
+    }
+    for (auto& candidate : ranked)
+        out.push_back(std::move(candidate.name));
     return out;
 }
 
--- a/lib/peer/messenger.cpp
+++ b/lib/peer/messenger.cpp
@@ -14,6 +14,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <deque>
@@ -40,6 +42,10 @@
 /// the peer may have become unreachable without a reset, and a new connection may work.
 constexpr duration silent_connection_timeout{400}; // ms
 
+/// Bytes on connections from which nothing arrived for this long don't count as waiting for the network: the
+/// peer may be gone.
+constexpr duration progress_timeout{2'000}; // ms
+
 /// A connected socket with a queue of encoded frames, which write_loop() sends in order.
 struct peer_connection {
     explicit peer_connection(tcp::socket it) : socket(std::move(it)), output_ready(socket.get_executor()) {}
@@ -52,6 +58,18 @@
         closed = true;
     }
 
+    /// Bytes that the peer has not acknowledged and those that were not given to the kernel yet.
+    std::size_t waiting_bytes()
+    {
+        int unsent = 0;
+        if (closed || ::ioctl(socket.native_handle(), SIOCOUTQ, &unsent) != 0)
+            return 0;
+        std::size_t out = static_cast<std::size_t>(std::max(0, unsent));
+        for (const auto& it : outgoing)
+            out += it.size();
+        return out;
+    }
+
     tcp::socket socket;
     asio::steady_timer output_ready; ///< cancelled when outgoing grows or closed is set
     std::deque<std::string> outgoing;
@@ -187,6 +205,7 @@
             auto bytes = co_await read_frame(connection->socket);
             if (!bytes)
                 break;
+            connection->last_received = boot_clock::now();
             auto message = self->decode_and_count(*bytes);
             if (!message)
                 break;
@@ -396,6 +415,22 @@
         co_return std::nullopt;
     }
 
+    void measure_waiting_bytes()
+    {
+        const time_point now = boot_clock::now();
+        std::size_t n = 0;
+        const auto add = [&n, now](const connection_ptr& it) {
+            if (it && now - it->last_received < progress_timeout)
+                n += it->waiting_bytes();
+        };
+        for (const auto& it : inbound_connections)
+            add(it);
+        for (const auto& [to, it] : peers)
+            add(it.connection);
+        const std::lock_guard lock(mutex);
+        counters.waiting_bytes = n;
+    }
+
     void set_peers(std::map<std::string, address> table)
     {
         for (auto it = peers.begin(); it != peers.end();) {
@@ -485,6 +520,11 @@
     return impl_->counters;
 }
 
+void messenger::measure_waiting_bytes()
+{
+    asio::post(impl_->strand, [it = impl_] { it->measure_waiting_bytes(); });
+}
+
 std::map<std::string, std::int64_t> messenger::incarnations() const
 {
     const std::lock_guard lock(impl_->mutex);
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -255,6 +255,7 @@
   2: list<piece_result_message> pieces;
   3: string reason;
   4: i64 backlog_ms;      // time that the pool needs for its waiting pieces
+  10: bool overloaded;    // as in member_message, for the sender of the order
 }
 
 struct stage_cancel_message {
--- a/test/platform/shards_test.cpp
+++ b/test/platform/shards_test.cpp
@@ -5,9 +5,10 @@
 #include <criterion/criterion.h>
 #include <fmt/format.h>
 
+#include <atomic>
 #include <csignal>
-#include <set>
 #include <thread>
+#include <utility>
 
 using namespace limpetlock::test;
 using limpetlock::platformkit::site;
@@ -100,3 +101,31 @@
         cr_expect(answer.complete);
     }
 }
+
+// Guards against slow instances that keep their shards: these run for a tenth of the time only. Requests that
+// arrive after they gave the shards up don't depend on them, so no task moves and no piece runs twice.
+Test(shards, slow_instances_give_up_their_shards)
+{
+    platform_fleet fleet(instances, divided_site());
+    cr_assert(fleet.wait_ready());
+    std::this_thread::sleep_for(milliseconds(700));
+    std::atomic<bool> slow{true};
+    auto slowdown = std::async(std::launch::async, [&] {
+        while (slow) {
+            for (const auto& [number, length] : {std::pair(SIGSTOP, 360), std::pair(SIGCONT, 40)}) {
+                for (std::size_t n = entries; n < instances; ++n)
+                    fleet.signal(n, number);
+                std::this_thread::sleep_for(milliseconds(length));
+            }
+        }
+    });
+    for (auto& it : send_streams(fleet, 0x1000))
+        cr_expect_eq(it.get().status, 200);
+    std::this_thread::sleep_for(milliseconds(2'500));
+    const std::size_t before = first_stage_pieces(fleet);
+    for (auto& it : send_streams(fleet, 0x2000))
+        cr_expect_eq(it.get().status, 200);
+    cr_expect_eq(first_stage_pieces(fleet) - before, std::size_t{2} * requests);
+    slow = false;
+    slowdown.get();
+}
