--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -280,6 +280,7 @@
   4: i64 backlog_ms;      // time that the pool needs for its waiting pieces
   10: optional i64 retry_after_ms; // refused for lack of room, also at other instances, until then
   11: optional list<pool_backlog_message> backlogs; // of all pools of the group with waiting pieces
+  12: bool overloaded;    // as in member_message, for the sender of the order
 }
 
 struct stage_cancel_message {
