Keep the rate of requests to cold endpoints

Cause: an endpoint that has just started crashes at a rate well above what it tolerates while cold, and a domain that comes back has all endpoints cold at the same moment. Change: coldness is one more statement of endpoint_statements, from new entries (coldLeftMs), from answers (Limpetlock-Cold-Ms, spread to peers as limits are) and from the end of an evacuation. A cold endpoint takes permits of the issuer of limits, at a rate and with a lifetime of 250 ms with which two issuers with full balances keep coldPerS x coldOver + coldSlack in any second. The selector prefers warm endpoints that have room. Enabled by the bounds coldOver and coldSlack, in pools with coldS and coldPerS.

--- a/include/limpetlock/gateway/endpoint_selector.hpp
+++ b/include/limpetlock/gateway/endpoint_selector.hpp
@@ -104,6 +104,7 @@
         const endpoint_state* state;
         bool avoided;    ///< backed off after failures
         bool returning;  ///< left out at this moment, because it returns gradually
+        bool cold;       ///< left out, because it is cold and a warm endpoint has room
         bool suspected;  ///< crashed on a part of the prompt
         bool overloaded; ///< too loaded for requests with affinity
         double load;     ///< requests and cost of errors, divided by its slots
@@ -112,6 +113,7 @@
     };
 
     bool is_paused(const std::string& id, time_point now) const;
+    bool is_cold(const std::string& id, time_point now) const;
     bool is_left_out(const endpoint_state& it, time_point now) const;
     double load_of(const endpoint_state& it, time_point now) const;
     /// The endpoints of the pool that weren't tried.
--- a/include/limpetlock/gateway/model.hpp
+++ b/include/limpetlock/gateway/model.hpp
@@ -82,6 +82,8 @@
     std::uint32_t max_connections{1}; ///< of one endpoint, over all its clients
     std::optional<stage_capacity> stage;
     std::optional<engine_capacity> engine;
+    duration cold_time{0}; ///< longest time for which an endpoint is cold after its start
+    double cold_rate{0};   ///< requests a second that an endpoint tolerates while it is cold; 0: no limit
 
     friend bool operator==(const pool&, const pool&) = default;
 };
@@ -131,6 +133,10 @@
     bool leaving{false};        ///< takes no new work
     bool evacuated{false};      ///< gets no new work, by an order of the operators for its failure domain
     std::int64_t started_ms{0}; ///< Unix time of its start in milliseconds; 0 if unknown
+    /// Time from the writing of the entry until the endpoint isn't cold any more. This and entry_number are 0
+    /// in lists of endpoints, which would change with each entry otherwise.
+    duration cold_left{0};
+    std::int64_t entry_number{0}; ///< rises with each entry of the same process
 
     friend bool operator==(const endpoint&, const endpoint&) = default;
 };
@@ -196,6 +202,9 @@
     /// Time for which the endpoint, which refused for lack of capacity, wants no requests of this instance.
     std::optional<duration> retry_after;
     bool malformed_retry_after{false}; ///< it states such a time that can't be read
+    /// Time for which the endpoint is still cold; nullopt if it doesn't say.
+    std::optional<duration> cold_left;
+    bool malformed_cold_left{false}; ///< it states such a time that can't be read
 
     friend bool operator==(const answer_metadata&, const answer_metadata&) = default;
 };
--- a/include/limpetlock/gateway/permit_issuer.hpp
+++ b/include/limpetlock/gateway/permit_issuer.hpp
@@ -11,12 +11,17 @@
 
 namespace limpetlock::gateway {
 
+/// Permits that an endpoint with a limit has at most. The platform allows a burst of 5.
+inline constexpr double max_saved_permits = 3;
+
 /// A request for a permit: the right to send one request to an endpoint.
 struct permit_request {
     std::string endpoint;
-    double max_rate{0};   ///< limit of the endpoint in requests a second
-    duration max_wait{0}; ///< longest time that the request can wait until it is sent
-    std::string team;     ///< that the request belongs to; empty if unknown
+    double max_rate{0};                  ///< limit of the endpoint in requests a second
+    duration max_wait{0};                ///< longest time that the request can wait until it is sent
+    std::string team;                    ///< that the request belongs to; empty if unknown
+    double max_saved{max_saved_permits}; ///< permits that accumulate at most
+    bool cold{false};                    ///< the endpoint is cold, as far as the one that asks knows
 
     friend bool operator==(const permit_request&, const permit_request&) = default;
 };
@@ -25,6 +30,7 @@
     bool granted{false};
     /// If granted, the time until the request may be sent; otherwise the time after which to ask again.
     duration wait{0};
+    duration lifetime{0}; ///< longest time from then until its use; 0 if the issuer doesn't say
 
     friend bool operator==(const permit&, const permit&) = default;
 };
@@ -37,8 +43,7 @@
 /// While permits are short, a team that got more than its share takes no permits of the future.
 class permit_issuer {
 public:
-    /// Permits that an endpoint has at most. The platform allows a burst of 5.
-    static constexpr double max_saved = 3;
+    static constexpr double max_saved = max_saved_permits;
 
     /// Least rate of permits, in permits a second. An endpoint that takes nothing would otherwise never be
     /// asked again whether it does.
@@ -56,7 +61,7 @@
     permit request(const permit_request& it, time_point now);
 
     /// Time until a permit is available, without taking it.
-    duration time_to_permit(std::string_view endpoint, double max_rate, time_point now);
+    duration time_to_permit(std::string_view endpoint, double max_rate, double max_permits, time_point now);
 
 private:
     void remove_expired(time_point now);
@@ -72,7 +77,7 @@
         std::map<std::string, team_share, std::less<>> teams;
     };
 
-    account& update(std::string_view endpoint, double max_rate, time_point now);
+    account& update(std::string_view endpoint, double max_rate, double max_permits, time_point now);
     static duration time_to_permit(const account& it);
     static bool exceeds_share(const account& it, const std::string& team);
 
--- a/include/limpetlock/gateway/published_state.hpp
+++ b/include/limpetlock/gateway/published_state.hpp
@@ -35,6 +35,9 @@
     struct callbacks {
         std::function<void(const std::shared_ptr<const routing_table>&)> on_table;
         std::function<void(const std::vector<endpoint>&)> on_endpoints;
+        /// Called before on_endpoints with the endpoints whose entries were written anew, with their
+        /// cold_left.
+        std::function<void(const std::vector<endpoint>&)> on_entries{};
         /// Called when orders to evacuate failure domains take effect or end. If it isn't set, the orders are
         /// ignored.
         std::function<void(const evacuation_changes&)> on_evacuations{};
@@ -123,7 +126,7 @@
     void update_endpoints(time_point now);
     void update_evacuations(time_point now);
     void report_evacuations(const evacuation_changes& changes, time_point now);
-    std::vector<endpoint> decode_entries();
+    std::vector<endpoint> decode_entries(std::vector<endpoint>& written);
     void retain_lapsed_endpoints(std::vector<endpoint>& next, bool unsettled, time_point now);
     void log_changes(const std::vector<endpoint>& next, bool unsettled) const;
 
@@ -131,6 +134,7 @@
     struct decoded_entry {
         state_revision revision;
         std::optional<endpoint> decoded; ///< nullopt if the entry was rejected
+        std::int64_t number{0};          ///< endpoint::entry_number
     };
 
     const platform_codec& codec_;
--- a/include/limpetlock/gateway/settings.hpp
+++ b/include/limpetlock/gateway/settings.hpp
@@ -2,6 +2,7 @@
 /// Settings of a gateway process.
 #pragma once
 
+#include <limpetlock/gateway/cold_rate.hpp>
 #include <limpetlock/http/client.hpp>
 #include <limpetlock/support/time.hpp>
 
@@ -28,6 +29,7 @@
     /// From the order to evacuate a failure domain until nothing more is sent there; nullopt: orders are
     /// neither read nor followed.
     std::optional<duration> evacuation_time;
+    std::optional<cold_bound> cold; ///< nullopt: cold endpoints are treated like warm ones
 
     friend bool operator==(const operating_bounds&, const operating_bounds&) = default;
 };
--- a/lib/gateway/endpoint_selector.cpp
+++ b/lib/gateway/endpoint_selector.cpp
@@ -93,6 +93,11 @@
     return statements_ != nullptr && statements_->paused_until(id, now).has_value();
 }
 
+bool endpoint_selector::is_cold(const std::string& id, time_point now) const
+{
+    return statements_ != nullptr && statements_->is_cold(id, now);
+}
+
 std::optional<time_point> endpoint_selector::next_pause_end(const selection_criteria& criteria,
                                                             time_point now) const
 {
@@ -129,8 +134,15 @@
         const bool suspected = std::find(criteria.suspected.begin(), criteria.suspected.end(),
                                          it->listed.id) != criteria.suspected.end();
         const bool overloaded = criteria.affinity_hash != 0 && load > affinity_load_limit;
-        out.push_back({it, it->avoid_until > now, is_left_out(*it, now), suspected, overloaded, load, 0});
+        out.push_back({it, it->avoid_until > now, is_left_out(*it, now), is_cold(it->listed.id, now),
+                       suspected, overloaded, load, 0});
     }
+    const bool warm_has_room = std::any_of(out.begin(), out.end(), [](const candidate& it) {
+        return !it.avoided && !it.returning && !it.cold && !it.suspected && it.load <= affinity_load_limit;
+    });
+    if (!warm_has_room)
+        for (auto& it : out)
+            it.cold = false;
     return out;
 }
 
@@ -162,8 +174,8 @@
     if (all.empty())
         return std::nullopt;
     const auto by_state = [](const candidate& a, const candidate& b) {
-        return std::tie(a.avoided, a.suspected, a.returning, a.overloaded) <
-               std::tie(b.avoided, b.suspected, b.returning, b.overloaded);
+        return std::tie(a.avoided, a.suspected, a.returning, a.cold, a.overloaded) <
+               std::tie(b.avoided, b.suspected, b.returning, b.cold, b.overloaded);
     };
     const candidate best = *std::min_element(all.begin(), all.end(), by_state);
     std::erase_if(all, [&](const candidate& it) { return by_state(best, it); });
--- a/lib/gateway/endpoint_statements.cpp
+++ b/lib/gateway/endpoint_statements.cpp
@@ -1,4 +1,5 @@
 #include <limpetlock/gateway/endpoint_statements.hpp>
+#include <limpetlock/gateway/permit_issuer.hpp>
 #include <limpetlock/support/log.hpp>
 
 #include <fmt/format.h>
@@ -36,6 +37,7 @@
     };
     std::erase_if(leavings_, restarted);
     std::erase_if(pauses_, restarted);
+    std::erase_if(cold_, restarted);
 }
 
 void endpoint_statements::record_answer(const endpoint& from, const answer_metadata& answer, bool genuine,
@@ -57,6 +59,8 @@
         record_leaving({from.id, from.started_ms, own_name_, now}, now);
     if (answer.retry_after || answer.malformed_retry_after)
         record_pause(from, answer, now);
+    if (answer.cold_left || answer.malformed_cold_left)
+        record_answered_cold(from, answer, sent, now);
     record_limit(from, answer, genuine, sent, now);
 }
 
@@ -112,12 +116,155 @@
 std::optional<time_point> endpoint_statements::paused_until(std::string_view endpoint_id,
                                                             time_point now) const
 {
+    std::optional<time_point> out;
     const auto it = pauses_.find(endpoint_id);
-    if (it == pauses_.end() || it->second.until <= now)
+    if (it != pauses_.end() && it->second.until > now)
+        out = it->second.until;
+    if (const auto cold = cold_until(endpoint_id, now))
+        if (!coldness_of(listed_.find(endpoint_id)->second.pool)->terms)
+            out = std::max(*cold, out.value_or(*cold));
+    return out;
+}
+
+void endpoint_statements::set_cold_pools(std::map<std::string, pool_coldness, std::less<>> pools)
+{
+    for (auto& [name, it] : pools)
+        it.max_time = std::min(it.max_time, max_cold_time);
+    cold_pools_ = std::move(pools);
+}
+
+const pool_coldness* endpoint_statements::coldness_of(const std::string& pool) const
+{
+    const auto it = cold_pools_.find(pool);
+    return it == cold_pools_.end() ? nullptr : &it->second;
+}
+
+std::optional<time_point> endpoint_statements::cold_until(std::string_view endpoint_id, time_point now) const
+{
+    const auto it = cold_.find(endpoint_id);
+    const auto listed = listed_.find(endpoint_id);
+    if (it == cold_.end() || it->second.until <= now || listed == listed_.end() ||
+        coldness_of(listed->second.pool) == nullptr)
         return std::nullopt;
     return it->second.until;
 }
 
+std::size_t endpoint_statements::count_cold(time_point now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        cold_.begin(), cold_.end(), [this, now](const auto& it) { return is_cold(it.first, now); }));
+}
+
+std::optional<sending_limit> endpoint_statements::limit_of(std::string_view endpoint_id, time_point now) const
+{
+    std::optional<sending_limit> out;
+    if (const auto* const stated = find(endpoint_id))
+        out = {*stated->max_rate, permit_issuer::max_saved, permit_lifetime, false};
+    if (!cold_until(endpoint_id, now))
+        return out;
+    const auto terms = coldness_of(listed_.find(endpoint_id)->second.pool)->terms;
+    if (!terms)
+        return out;
+    return sending_limit{out ? std::min(out->max_rate, terms->max_rate) : terms->max_rate, terms->max_saved,
+                         cold_permit_lifetime, true};
+}
+
+void endpoint_statements::record_entry(const endpoint& it, time_point now)
+{
+    const auto known = cold_.find(it.id);
+    const bool is_known = known != cold_.end() && known->second.started_ms == it.started_ms;
+    if (it.cold_left <= duration{0} && !(is_known && known->second.until > now))
+        return;
+    cold_statement next{
+        it.id, it.started_ms, now + std::clamp(it.cold_left, duration{0}, max_cold_time), {}, 0, now};
+    if (is_known && now - known->second.at < entry_delay) {
+        if (next.until <= known->second.until)
+            return;
+        // A statement of an answer is younger than this entry as long as the entry may have been on its way.
+        next.at = known->second.at + duration(1);
+    }
+    update_cold(std::move(next), it.pool, "entry", now);
+}
+
+void endpoint_statements::record_idleness(const endpoint& it, time_point now)
+{
+    if (const auto* const pool = coldness_of(it.pool))
+        update_cold({it.id, it.started_ms, now + pool->max_time, {}, 0, now}, it.pool, "evacuation", now);
+}
+
+void endpoint_statements::record_answered_cold(const endpoint& from, const answer_metadata& answer,
+                                               time_point sent, time_point now)
+{
+    if (answer.malformed_cold_left) {
+        log::warning("endpoint_cold_rejected", {{"endpoint", from.id}, {"reason", "malformed time"}});
+        return;
+    }
+    const duration left = std::clamp(*answer.cold_left, duration{0}, max_cold_time);
+    // As with limits, an answer that was on its way when a coldness was stated doesn't end it.
+    const time_point at = left > duration{0} ? now : sent;
+    if (left > duration{0} || is_cold(from.id, now))
+        update_cold({from.id, from.started_ms, now + left, own_name_, to_ms(now), at}, from.pool, "answer",
+                    now);
+}
+
+/// The newest statement holds.
+void endpoint_statements::update_cold(cold_statement it, const std::string& pool, std::string_view source,
+                                      time_point now)
+{
+    const pool_coldness* const limits = coldness_of(pool);
+    const auto known = cold_.find(it.endpoint);
+    const bool is_known = known != cold_.end() && known->second.started_ms == it.started_ms;
+    if (limits == nullptr || (is_known && known->second.at >= it.at))
+        return;
+    it.until = std::min(it.until, now + limits->max_time);
+    const bool was_cold = is_known && known->second.until > now;
+    const bool becomes_cold = it.until > now;
+    if (was_cold != becomes_cold) {
+        ++version_;
+        log::info(becomes_cold ? "endpoint_cold" : "endpoint_warm",
+                  {{"endpoint", it.endpoint},
+                   {"pool", pool},
+                   {"left_ms", fmt::to_string((it.until - now).count())},
+                   {"source", std::string(source)},
+                   {"reporter", it.reporter.empty() ? "-" : it.reporter},
+                   {"age_ms", fmt::to_string((now - it.at).count())},
+                   {"max_rate", limits->terms ? fmt::format("{:.2f}", limits->terms->max_rate) : "0"}});
+    }
+    std::string id = it.endpoint;
+    cold_.insert_or_assign(std::move(id), std::move(it));
+}
+
+/// The time left is counted anew from the arrival of each message, so a statement that comes back by another
+/// way must not replace the same one: it would never end.
+void endpoint_statements::merge(cold_statement it, time_point now)
+{
+    const auto listed = listed_.find(it.endpoint);
+    if (listed == listed_.end() || listed->second.started_ms != it.started_ms || it.at > now ||
+        it.reporter.empty())
+        return;
+    const auto known = cold_.find(it.endpoint);
+    if (known != cold_.end() && known->second.reporter == it.reporter && known->second.number == it.number)
+        return;
+    update_cold(std::move(it), listed->second.pool, "peer", now);
+}
+
+std::vector<cold_statement> endpoint_statements::cold_for_peers(time_point now, std::size_t max_statements)
+{
+    std::erase_if(cold_, [now](const auto& it) { return now - it.second.until >= end_memory; });
+    std::vector<cold_statement> out;
+    auto it = cold_.upper_bound(last_told_cold_);
+    for (std::size_t n = 0; n < cold_.size() && out.size() < max_statements; ++n) {
+        if (it == cold_.end())
+            it = cold_.begin();
+        last_told_cold_ = it->first;
+        // Entries come with the published state, and each instance sees the end of an evacuation itself.
+        if (!it->second.reporter.empty())
+            out.push_back(it->second);
+        ++it;
+    }
+    return out;
+}
+
 void endpoint_statements::record_return(const endpoint& it, time_point now)
 {
     auto& known = pauses_[it.id];
@@ -137,8 +284,9 @@
 
 bool endpoint_statements::any_paused(time_point now) const
 {
-    return std::any_of(pauses_.begin(), pauses_.end(),
-                       [now](const auto& it) { return it.second.until > now; });
+    const auto holds = [now](const auto& it) { return it.second.until > now; };
+    return std::any_of(pauses_.begin(), pauses_.end(), holds) ||
+           std::any_of(cold_.begin(), cold_.end(), holds);
 }
 
 void endpoint_statements::mark_leaving(std::vector<endpoint>& list) const
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -61,6 +61,9 @@
 /// Limits of endpoints that one ping or pong carries.
 constexpr std::size_t limits_per_message = 24;
 
+/// Cold endpoints that one ping or pong carries.
+constexpr std::size_t cold_per_message = 24;
+
 const char* const seed_prefix = "seed/";
 
 /// An age as a peer states it. Anything beyond a day is as old, and must not overflow the time.
@@ -156,6 +159,28 @@
     return out;
 }
 
+std::vector<wire::endpoint_cold_message> to_messages(const std::vector<cold_statement>& list, time_point now)
+{
+    std::vector<wire::endpoint_cold_message> out;
+    for (const auto& it : list) {
+        wire::endpoint_cold_message message;
+        message.endpoint = it.endpoint;
+        message.started_ms = it.started_ms;
+        message.left_ms = std::max<std::int64_t>(0, (it.until - now).count());
+        message.reporter = it.reporter;
+        message.number = it.number;
+        message.age_ms = std::max<std::int64_t>(0, (now - it.at).count());
+        out.push_back(std::move(message));
+    }
+    return out;
+}
+
+cold_statement from_message(const wire::endpoint_cold_message& it, time_point now)
+{
+    return {it.endpoint, it.started_ms, now + age_from_peer(it.left_ms),
+            it.reporter, it.number,     now - age_from_peer(it.age_ms)};
+}
+
 leaving_statement from_message(const wire::endpoint_leaving_message& it, time_point now)
 {
     return {it.endpoint, it.started_ms, it.reporter, now - age_from_peer(it.age_ms)};
@@ -308,6 +333,7 @@
     body.suspects = to_messages(quarantine_.evidence_for_peers(sent, suspects_per_message), sent);
     body.limits = to_messages(statements_.statements_for_peers(sent, limits_per_message), sent);
     body.leaving = to_messages(statements_.leavings_for_peers(sent, leavings_per_message), sent);
+    body.cold = to_messages(statements_.cold_for_peers(sent, cold_per_message), sent);
     message.__set_member_ping(body);
     peer::call_error error;
     const auto reply = co_await messenger_.call(to, std::move(message), sent + ping_timeout, error);
@@ -324,6 +350,7 @@
     merge_suspects(it.suspects, boot_clock::now());
     merge_limits(it.limits, boot_clock::now());
     merge_leavings(it.leaving, boot_clock::now());
+    merge_cold(it.cold, boot_clock::now());
     if (it.proof_age_ms >= 0)
         state_.record_proof(
             {{it.table_revision, it.table_era}, sent - duration(it.proof_age_ms), it.table_version});
@@ -423,6 +450,7 @@
     out.suspects = to_messages(quarantine_.evidence_for_peers(now, suspects_per_message), now);
     out.limits = to_messages(statements_.statements_for_peers(now, limits_per_message), now);
     out.leaving = to_messages(statements_.leavings_for_peers(now, leavings_per_message), now);
+    out.cold = to_messages(statements_.cold_for_peers(now, cold_per_message), now);
     return out;
 }
 
@@ -438,6 +466,12 @@
         statements_.merge(from_message(it, now), now);
 }
 
+void fleet::merge_cold(const std::vector<wire::endpoint_cold_message>& list, time_point now)
+{
+    for (const auto& it : list)
+        statements_.merge(from_message(it, now), now);
+}
+
 void fleet::merge_suspects(const std::vector<wire::part_evidence_message>& list, time_point now)
 {
     for (const auto& it : list)
@@ -521,6 +555,7 @@
         merge_suspects(message.member_ping.suspects, now);
         merge_limits(message.member_ping.limits, now);
         merge_leavings(message.member_ping.leaving, now);
+        merge_cold(message.member_ping.cold, now);
         if (links_.contains(message.member_ping.own.name))
             pull_if_newer(message.member_ping.own.name, positions_of(message.member_ping));
         reply.__set_member_pong(make_pong(now));
@@ -533,11 +568,15 @@
     if (message.__isset.permit_request) {
         const auto& it = message.permit_request;
         const bool sound = std::isfinite(it.max_rate) && it.max_rate >= 0;
-        const permit given = handlers_.on_permit_request(
-            {it.endpoint, sound ? it.max_rate : 0, age_from_peer(it.max_wait_ms), it.team});
+        permit_request asked{it.endpoint, sound ? it.max_rate : 0, age_from_peer(it.max_wait_ms), it.team};
+        if (std::isfinite(it.max_saved) && it.max_saved > 0)
+            asked.max_saved = std::clamp(it.max_saved, 1.0, permit_issuer::max_saved);
+        asked.cold = it.cold;
+        const permit given = handlers_.on_permit_request(asked);
         wire::permit_reply_message body;
         body.granted = given.granted;
         body.wait_ms = given.wait.count();
+        body.lifetime_ms = given.lifetime.count();
         reply.__set_permit_reply(body);
         co_return reply;
     }
--- a/lib/gateway/fleet.hpp
+++ b/lib/gateway/fleet.hpp
@@ -96,6 +96,7 @@
     void merge_suspects(const std::vector<wire::part_evidence_message>& list, time_point now);
     void merge_limits(const std::vector<wire::endpoint_limit_message>& list, time_point now);
     void merge_leavings(const std::vector<wire::endpoint_leaving_message>& list, time_point now);
+    void merge_cold(const std::vector<wire::endpoint_cold_message>& list, time_point now);
     void process_pong(const std::string& from, const wire::member_pong_message& it, time_point sent);
     void pull_if_newer(const std::string& from, const state_positions& peer);
     /// Sets the own positions in a ping or pong.
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -144,6 +144,7 @@
     {
         published_state::callbacks out;
         out.on_table = [this](const std::shared_ptr<const routing_table>& it) {
+            set_cold_pools(*it);
             scheduler.configure(it, endpoints);
             set_caller_limits(it->limits);
         };
@@ -152,6 +153,12 @@
             statements.set_endpoints(it);
             apply_endpoints();
         };
+        if (settings.bounds.cold)
+            out.on_entries = [this](const std::vector<endpoint>& written) {
+                const time_point now = boot_clock::now();
+                for (const auto& it : written)
+                    statements.record_entry(it, now);
+            };
         if (settings.bounds.evacuation_time)
             out.on_evacuations = [this](const evacuation_changes& it) {
                 begin_returns(it);
@@ -160,14 +167,28 @@
         return out;
     }
 
+    /// Sets the terms for the cold endpoints of each pool.
+    void set_cold_pools(const routing_table& table)
+    {
+        std::map<std::string, pool_coldness, std::less<>> pools;
+        if (settings.bounds.cold)
+            for (const auto& [name, it] : table.pools)
+                if (it.cold_rate > 0)
+                    pools.emplace(name, pool_coldness{it.cold_time,
+                                                      cold_terms_for(it.cold_rate, *settings.bounds.cold)});
+        statements.set_cold_pools(std::move(pools));
+    }
+
     /// Lets the endpoints of failure domains whose evacuation has ended return gradually.
     void begin_returns(const evacuation_changes& changes)
     {
         const time_point now = boot_clock::now();
         for (const auto& order : changes.ended)
             for (const auto& it : listed)
-                if (it.domain == order.domain)
+                if (it.domain == order.domain) {
                     statements.record_return(it, now);
+                    statements.record_idleness(it, now);
+                }
     }
 
     /// Requests and stage calls in flight at the endpoints of evacuated failure domains.
@@ -338,6 +359,7 @@
             background_failures.set(static_cast<std::int64_t>(background_failure_count()));
             limits_in_force.set(static_cast<std::int64_t>(statements.count()));
             leaving_endpoints.set(static_cast<std::int64_t>(statements.leaving_count()));
+            cold_endpoints.set(static_cast<std::int64_t>(statements.count_cold(boot_clock::now())));
             evacuations_in_force.set(static_cast<std::int64_t>(state.evacuation_orders().count()));
             in_flight_evacuated.set(static_cast<std::int64_t>(count_in_flight_evacuated()));
             answer = {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.render()};
@@ -475,6 +497,8 @@
         "limpetlock_endpoint_limits", "endpoints that limit the rate of requests, as far as known here")};
     metrics::gauge& leaving_endpoints{metrics.get_gauge(
         "limpetlock_endpoints_stating_leaving", "endpoints that stated in an answer that they leave")};
+    metrics::gauge& cold_endpoints{metrics.get_gauge(
+        "limpetlock_endpoints_cold", "endpoints that get few requests because they are cold")};
     metrics::gauge& evacuations_in_force{metrics.get_gauge(
         "limpetlock_evacuations", "orders in force to send nothing more to a failure domain")};
     metrics::gauge& in_flight_evacuated{
--- a/lib/gateway/permit_issuer.cpp
+++ b/lib/gateway/permit_issuer.cpp
@@ -17,13 +17,14 @@
 
 } // namespace
 
-permit_issuer::account& permit_issuer::update(std::string_view endpoint, double max_rate, time_point now)
+permit_issuer::account& permit_issuer::update(std::string_view endpoint, double max_rate, double max_permits,
+                                              time_point now)
 {
     const auto [found, added] = accounts_.try_emplace(std::string(endpoint));
     account& it = found->second;
     if (!added) {
         const auto ms = static_cast<double>((now - it.at).count());
-        it.permits = std::min(max_saved, it.permits + it.rate * ms / 1'000);
+        it.permits = std::min(max_permits, it.permits + it.rate * ms / 1'000);
         const double decay = std::exp(-ms / static_cast<double>(share_time.count()));
         for (auto& [name, share] : it.teams) {
             share.requested *= decay;
@@ -41,9 +42,10 @@
     return it.permits >= 1 ? duration{0} : seconds_to_duration((1 - it.permits) / it.rate);
 }
 
-duration permit_issuer::time_to_permit(std::string_view endpoint, double max_rate, time_point now)
+duration permit_issuer::time_to_permit(std::string_view endpoint, double max_rate, double max_permits,
+                                       time_point now)
 {
-    return time_to_permit(update(endpoint, max_rate, now));
+    return time_to_permit(update(endpoint, max_rate, max_permits, now));
 }
 
 /// Whether the team got more than an equal part of the permits of the teams that ask for them.
@@ -59,7 +61,7 @@
 permit permit_issuer::request(const permit_request& it, time_point now)
 {
     remove_expired(now);
-    account& from = update(it.endpoint, it.max_rate, now);
+    account& from = update(it.endpoint, it.max_rate, it.max_saved, now);
     from.teams[it.team].requested += 1;
     const duration wait = time_to_permit(from);
     const duration max_wait = exceeds_share(from, it.team) ? duration{0} : it.max_wait;
--- a/lib/gateway/permits.cpp
+++ b/lib/gateway/permits.cpp
@@ -32,6 +32,7 @@
                          {"issuer", issuer},
                          {"outcome", std::string(outcome)},
                          {"limit", fmt::format("{:g}", asked.max_rate)},
+                         {"cold", asked.cold ? "yes" : "no"},
                          {"max_wait_ms", fmt::to_string(asked.max_wait.count())},
                          {"wait_ms", fmt::to_string(given.wait.count())}});
 }
@@ -51,9 +52,16 @@
 {
     // This instance may know a newer limit than the one that asks.
     permit_request known = it;
-    if (const auto* statement = statements_.find(it.endpoint))
-        known.max_rate = *statement->max_rate;
-    return issuer_.request(known, now);
+    const auto own = statements_.limit_of(it.endpoint, now);
+    if (own) {
+        // The one that asks may know of a coldness that hasn't come here yet.
+        known.max_rate = it.cold && !own->cold ? std::min(own->max_rate, it.max_rate) : own->max_rate;
+        known.max_saved = std::min(own->max_saved, it.max_saved);
+        known.cold = known.cold || own->cold;
+    }
+    permit out = issuer_.request(known, now);
+    out.lifetime = known.cold ? cold_permit_lifetime : endpoint_statements::permit_lifetime;
+    return out;
 }
 
 awaitable<permit> permits::acquire(permit_request it)
@@ -73,6 +81,8 @@
         body.max_rate = it.max_rate;
         body.max_wait_ms = it.max_wait.count();
         body.team = it.team;
+        body.max_saved = it.max_saved;
+        body.cold = it.cold;
         message.__set_permit_request(body);
         std::string responsible = issuer;
         const auto reply =
@@ -83,7 +93,8 @@
             log_permit(asked, issuer, "unanswered", out);
             co_return out;
         }
-        out = {reply->permit_reply.granted, duration(std::max<std::int64_t>(0, reply->permit_reply.wait_ms))};
+        out = {reply->permit_reply.granted, duration(std::max<std::int64_t>(0, reply->permit_reply.wait_ms)),
+               duration(std::max<std::int64_t>(0, reply->permit_reply.lifetime_ms))};
         // A permit later than asked for isn't of use, and no peer makes a request wait beyond its own bound.
         if (out.granted && out.wait > asked.max_wait)
             out.granted = false;
--- a/lib/gateway/published_state.cpp
+++ b/lib/gateway/published_state.cpp
@@ -124,7 +124,9 @@
     callbacks_.on_table(table_);
 }
 
-std::vector<endpoint> published_state::decode_entries()
+/// Returns all endpoints, and adds to `written` those whose entry is another one than before. An entry that
+/// was only read again, under another revision of a later era, isn't.
+std::vector<endpoint> published_state::decode_entries(std::vector<endpoint>& written)
 {
     std::vector<endpoint> out;
     std::map<std::string, decoded_entry, std::less<>> next;
@@ -135,11 +137,22 @@
             entry = std::move(found->second);
         } else {
             std::string reason;
-            entry = {it->revision, codec_.decode_endpoint(it->key, it->value, reason)};
+            entry = {it->revision, codec_.decode_endpoint(it->key, it->value, reason), 0};
             if (!entry.decoded)
                 log::warning("endpoint_entry_rejected", {{"key", it->key},
                                                          {"revision", fmt::to_string(it->revision.number)},
                                                          {"reason", reason}});
+            if (entry.decoded) {
+                endpoint& now_listed = *entry.decoded;
+                entry.number = now_listed.entry_number;
+                const bool same = found != decoded_.end() && found->second.decoded &&
+                                  found->second.decoded->started_ms == now_listed.started_ms &&
+                                  found->second.number == entry.number;
+                if (!same)
+                    written.push_back(now_listed);
+                now_listed.cold_left = duration{0};
+                now_listed.entry_number = 0;
+            }
         }
         if (entry.decoded)
             out.push_back(*entry.decoded);
@@ -201,7 +214,10 @@
 void published_state::update_endpoints(time_point now)
 {
     const bool unsettled = store_failed_at_ && now - *store_failed_at_ < unsettled_after_failure;
-    auto next = decode_entries();
+    std::vector<endpoint> written;
+    auto next = decode_entries(written);
+    if (callbacks_.on_entries && !written.empty())
+        callbacks_.on_entries(written);
     retain_lapsed_endpoints(next, unsettled, now);
     if (next == endpoints_)
         return;
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -58,6 +58,7 @@
     endpoint to;
     time_point from{};
     time_point until{};
+    bool cold{false}; ///< the permit is one for a cold endpoint
 };
 
 enum class attempt_end : std::uint8_t;
--- a/lib/gateway/request_permit.cpp
+++ b/lib/gateway/request_permit.cpp
@@ -20,10 +20,6 @@
 /// Most permits that one request asks for before it takes an endpoint without a limit or is refused.
 constexpr std::size_t max_permit_requests = 3;
 
-/// A permit can be used for this long. Requests that come late by up to this time don't make the endpoint
-/// exceed its limit within the window in which the platform counts.
-constexpr duration permit_lifetime{2'000};
-
 /// Part of the latency objective, and of the time until the deadline, for which a request of the most urgent
 /// priority waits for a permit. Less urgent requests wait for less, so they leave the permits of the near
 /// future to more urgent ones.
@@ -70,20 +66,27 @@
             refuse_while_paused(it);
             co_return std::nullopt;
         }
-        const auto* const limit = dependencies_.statements.find(to->id);
-        if (limit == nullptr)
+        const auto limit = dependencies_.statements.limit_of(to->id, now);
+        if (!limit)
             co_return send_slot{*to, now, time_point::max()};
-        permit_request body{to->id, *limit->max_rate, max_wait, it.team.value_or("")};
+        permit_request body{to->id,           limit->max_rate, max_wait, it.team.value_or(""),
+                            limit->max_saved, limit->cold};
         const permit given = co_await dependencies_.endpoint_permits.acquire(std::move(body));
         const time_point answered = boot_clock::now();
-        if (given.granted)
-            co_return send_slot{*to, answered + given.wait, answered + given.wait + permit_lifetime};
+        if (given.granted) {
+            duration lifetime = limit->lifetime;
+            if (given.lifetime > duration{0})
+                lifetime = std::min(lifetime, given.lifetime);
+            // The issuer decided after `now`, so this ends no later than its own count.
+            co_return send_slot{*to, answered + given.wait, now + given.wait + lifetime,
+                                limit->cold || lifetime <= cold_permit_lifetime};
+        }
         selector.hold_back(to->id, answered + std::min(given.wait, max_hold));
         next_permit = std::min(next_permit, given.wait);
     }
     auto unlimited = it.endpoint_criteria;
     for (const auto& other : selector.available_endpoints(it.pool))
-        if (dependencies_.statements.find(other.id) != nullptr)
+        if (dependencies_.statements.limit_of(other.id, boot_clock::now()))
             unlimited.tried.push_back(other.id);
     if (auto to = selector.select(unlimited, boot_clock::now()))
         co_return send_slot{*to, boot_clock::now(), time_point::max()};
@@ -102,8 +105,11 @@
         const time_point now = boot_clock::now();
         if (slot->from > now)
             co_await sleep_for(slot->from - now);
-        const bool paused = dependencies_.statements.paused_until(slot->to.id, boot_clock::now()).has_value();
-        if (boot_clock::now() <= slot->until && !paused && dependencies_.selector.accepts_work(slot->to.id))
+        const time_point then = boot_clock::now();
+        const bool paused = dependencies_.statements.paused_until(slot->to.id, then).has_value();
+        const bool became_cold = !slot->cold && dependencies_.statements.is_cold(slot->to.id, then);
+        if (then <= slot->until && !paused && !became_cold &&
+            dependencies_.selector.accepts_work(slot->to.id))
             co_return slot->to;
         slot.reset();
     }
@@ -148,10 +154,13 @@
     std::string text;
     std::size_t named = 0;
     for (const auto& endpoint : dependencies_.selector.available_endpoints(it.pool)) {
-        const auto* const limit = dependencies_.statements.find(endpoint.id);
-        if (limit != nullptr && named++ < max_logged_limits)
-            text += fmt::format("{}{}:{:g}@{}/{}ms", text.empty() ? "" : ",", endpoint.id, *limit->max_rate,
-                                limit->reporter, (now - limit->at).count());
+        const auto limit = dependencies_.statements.limit_of(endpoint.id, now);
+        if (!limit || named++ >= max_logged_limits)
+            continue;
+        const auto* const stated = dependencies_.statements.find(endpoint.id);
+        text += fmt::format("{}{}:{:g}@{}/{}ms", text.empty() ? "" : ",", endpoint.id, limit->max_rate,
+                            limit->cold ? std::string("cold") : stated->reporter,
+                            stated == nullptr ? 0 : (now - stated->at).count());
     }
     const auto jitter = static_cast<std::int64_t>(random_() % 300);
     const duration retry_after = std::max(min_retry_after, next_permit) + duration(jitter);
--- a/lib/gateway/result_releaser.cpp
+++ b/lib/gateway/result_releaser.cpp
@@ -68,9 +68,9 @@
         if (drop_if_evacuated(producer, handles.size()))
             continue;
         const std::string id = statements_.endpoint_at(producer);
-        const auto* const limit = statements_.find(id);
+        const auto limit = statements_.limit_of(id, now);
         const auto paused_until = statements_.paused_until(id, now);
-        if (limit == nullptr && !paused_until) {
+        if (!limit && !paused_until) {
             spawn_background(executor_, "release", send(producer, std::move(handles)));
             continue;
         }
@@ -81,8 +81,9 @@
             continue;
         duration wait = paused_until ? *paused_until - now : duration{0};
         bool granted = wait <= max_permit_wait;
-        if (granted && limit != nullptr) {
-            const auto given = issuer_.request({id, *limit->max_rate, max_permit_wait, {}}, now);
+        if (granted && limit) {
+            const auto given = issuer_.request(
+                {id, limit->max_rate, max_permit_wait, {}, limit->max_saved, limit->cold}, now);
             granted = given.granted;
             wait = std::max(wait, given.wait);
         }
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -351,8 +351,9 @@
     const task_filter deferred = congestion_filter(key.domain, now);
     hold_back_by_statements(key, now);
     while (auto call = state.dispatcher.next_call(now, deferred)) {
-        if (const auto* limit = statements_.find(call->to.id))
-            issuer_.request({call->to.id, *limit->max_rate, duration{0}, {}}, now);
+        if (const auto limit = statements_.limit_of(call->to.id, now))
+            issuer_.request({call->to.id, limit->max_rate, duration{0}, {}, limit->max_saved, limit->cold},
+                            now);
         spawn_background(executor_, "stage_call", make_call(key, std::move(*call)));
     }
 }
@@ -369,10 +370,10 @@
             continue;
         if (const auto until = statements_.paused_until(it.id, now))
             dispatcher.hold_back(it.id, *until);
-        const auto* const limit = statements_.find(it.id);
-        if (limit == nullptr)
+        const auto limit = statements_.limit_of(it.id, now);
+        if (!limit)
             continue;
-        const duration wait = issuer_.time_to_permit(it.id, *limit->max_rate, now);
+        const duration wait = issuer_.time_to_permit(it.id, limit->max_rate, limit->max_saved, now);
         if (wait > duration{0})
             dispatcher.hold_back(it.id, now + std::min(wait, max_hold));
     }
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -165,6 +165,16 @@
   4: i64 age_ms;
 }
 
+/// An endpoint that stated in an answer that it is cold.
+struct endpoint_cold_message {
+  1: string endpoint;
+  2: i64 started_ms;     // start of its process
+  3: i64 left_ms;        // time until it is warm, from the sending of this message; 0 when it is warm
+  4: string reporter;    // instance that got the answer
+  5: i64 number;         // tells the statements of one reporter apart
+  6: i64 age_ms;
+}
+
 struct member_ping_message {
   1: member_message own;
   2: list<member_message> known;
@@ -176,6 +186,7 @@
   8: i64 table_era;
   9: i64 table_version;
   10: list<endpoint_leaving_message> leaving;
+  11: list<endpoint_cold_message> cold;
 }
 
 struct member_pong_message {
@@ -190,6 +201,7 @@
   9: i64 table_era;
   10: i64 table_version;
   11: list<endpoint_leaving_message> leaving;
+  12: list<endpoint_cold_message> cold;
 }
 
 struct state_pull_message {
@@ -271,11 +283,14 @@
   2: double max_rate;     // the endpoint's limit as the sender knows it
   3: i64 max_wait_ms;     // longest time until the request is sent
   4: string team;
+  5: double max_saved;    // permits that accumulate at most; 0 if the sender doesn't say
+  6: bool cold;           // the endpoint is cold, as the sender knows it
 }
 
 struct permit_reply_message {
   1: bool granted;
   2: i64 wait_ms;         // time until the request may be sent, or after which to ask again
+  3: i64 lifetime_ms;     // longest time from then until the request is sent; 0 if the sender doesn't say
 }
 
 struct frame {
--- a/unittests/platform/platform_test.cpp
+++ b/unittests/platform/platform_test.cpp
@@ -212,6 +212,41 @@
     }
 }
 
+// Guards against times of coldness that are absurd, negative or malformed.
+Test(platform_entry, coldness_is_decoded_and_bounded)
+{
+    const auto codec = platform::make_codec();
+    std::string reason;
+    json table = table_json();
+    table["services"][0]["coldS"] = 2.5;
+    table["services"][0]["coldPerS"] = 11;
+    table["services"][1]["coldS"] = -1;
+    table["services"][1]["coldPerS"] = -3;
+    const auto pools = codec->decode_table(table.dump(), reason)->pools;
+    cr_expect_eq(pools.at("s1").cold_time, duration(2'500));
+    cr_expect_eq(pools.at("s1").cold_rate, 11);
+    cr_expect_eq(pools.at("s2").cold_time, duration(0));
+    cr_expect_eq(pools.at("s2").cold_rate, 0);
+    cr_expect_eq(pools.at("p1").cold_rate, 0);
+    const auto left_of = [&](const std::string& text) {
+        return codec->decode_answer_metadata(200, {{"Limpetlock-Cold-Ms", text}});
+    };
+    cr_expect_eq(left_of("1200").cold_left.value_or(duration(-1)), duration(1'200));
+    cr_expect_eq(left_of("0").cold_left.value_or(duration(-1)), duration(0));
+    cr_expect_leq(left_of("99999999999999999999").cold_left.value_or(duration(-1)), duration(1'000'000'000));
+    for (const char* const text : {"", "-5", "soon", "1e3"})
+        cr_expect(left_of(text).malformed_cold_left && !left_of(text).cold_left, "%s", text);
+    const auto settings = [&](const json& bounds) {
+        json it = json::parse(settings_text);
+        it["bounds"].update(bounds);
+        return platform::parse_settings(it.dump(), reason)->bounds;
+    };
+    cr_expect(settings({{"coldOver", 1.5}, {"coldSlack", 5}}).cold == (gateway::cold_bound{1.5, 5}));
+    cr_expect_not(settings({{"coldOver", 1.5}}).cold.has_value());
+    cr_expect_eq(settings({{"evacMs", 5'000}}).evacuation_time.value_or(duration(0)), duration(5'000));
+    cr_expect_not(settings(json::object()).evacuation_time.has_value());
+}
+
 // Guards against an order to evacuate that is lost for its value, which says nothing, and against keys
 // without a usable domain.
 Test(platform_store, order_to_evacuate_is_its_key_alone)
