Read load reports with a fourth figure and the health path of pools

Cause: some services add how long work takes now, in percent of the usual, to their load reports. The decoder accepted exactly three figures, so the whole report of such an endpoint was dropped.

Change: three figures or more are read, the fourth as time_percent, and further ones are ignored. A figure that can't be right (not a number, over a million requests, under 1 or over 100,000 percent) costs the report and is counted in limpetlock_load_reports_refused_total. Pools have the path of their health checks, answers the id that the endpoint states.

--- a/include/limpetlock/gateway/model.hpp
+++ b/include/limpetlock/gateway/model.hpp
@@ -82,6 +82,7 @@
     std::uint32_t max_connections{1}; ///< of one endpoint, over all its clients
     std::optional<stage_capacity> stage;
     std::optional<engine_capacity> engine;
+    std::string health_path{}; ///< target of health checks of its endpoints; empty if they have none
 
     friend bool operator==(const pool&, const pool&) = default;
 };
@@ -174,6 +175,9 @@
     std::uint32_t running{0};
     std::uint32_t waiting{0};
     std::uint32_t slots{0};
+    /// Time that work takes on the endpoint's machine now, in percent of the usual time; nullopt if the
+    /// endpoint doesn't state it.
+    std::optional<double> time_percent{};
 
     friend bool operator==(const load_report&, const load_report&) = default;
 };
@@ -188,6 +192,8 @@
     bool closing{false};         ///< the endpoint closes the connection
     std::optional<std::string> request_id;
     std::optional<load_report> load;
+    bool malformed_load{false};             ///< it has a load report that can't be read
+    std::optional<std::string> endpoint_id; ///< of the endpoint that answered, in answers to health checks
     /// Requests a second that the endpoint takes from all instances together; nullopt if it states no limit.
     std::optional<double> max_rate;
     bool malformed_max_rate{false}; ///< it states a limit that can't be read
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -155,6 +155,9 @@
       paused_(dependencies.metrics.get_counter(
           "limpetlock_requests_paused_total",
           "requests refused because all endpoints of their pool asked for no requests for a while")),
+      refused_reports_(dependencies.metrics.get_counter(
+          "limpetlock_load_reports_refused_total",
+          "answers whose load report was ignored because its figures can't be right")),
       confirmations_(dependencies.metrics.get_counter(
           "limpetlock_table_confirmations_total",
           "requests that waited for a read of the table because its proof was too old")),
@@ -641,6 +644,8 @@
         to.conclude(attempt_outcome::broken, boot_clock::now());
         co_return out;
     }
+    if (metadata.malformed_load)
+        refused_reports_.add();
     if (metadata.load)
         dependencies_.selector.record_load(to.target.id, *metadata.load, boot_clock::now());
     dependencies_.statements.record_answer(to.target, metadata, metadata.has_signature || metadata.not_run,
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -168,6 +168,7 @@
     metrics::counter& engines_lost_;
     metrics::counter& limited_;
     metrics::counter& paused_;
+    metrics::counter& refused_reports_;
     metrics::counter& confirmations_;
     metrics::counter& unproven_tables_;
     metrics::summary& proof_ages_;
--- a/unittests/platform/platform_test.cpp
+++ b/unittests/platform/platform_test.cpp
@@ -345,9 +345,50 @@
     cr_assert(load.has_value());
     cr_expect_eq(load->waiting, 1);
     cr_expect_not(codec().decode_answer_metadata(200, {{"Limpetlock-Server-Load", "3,1"}}).load.has_value());
+    cr_expect_not(load->time_percent.has_value());
     cr_expect_not(codec().matches_request_id({{"Limpetlock-Request-Id", "other"}}, "9c41"));
 }
 
+// Guards against load reports that are dropped because a service states more than three figures, and against
+// absurd figures that make an endpoint look idle or fast.
+Test(platform_answers, load_reports_have_three_figures_or_more)
+{
+    const auto decode = [](const std::string& text) {
+        return codec().decode_answer_metadata(200, {{"Limpetlock-Server-Load", text}});
+    };
+    cr_expect(decode("3,1,8").load == gateway::load_report({3, 1, 8, std::nullopt}));
+    cr_expect(decode("3,1,8,250").load == gateway::load_report({3, 1, 8, 250}));
+    cr_expect(decode(" 3, 1 ,8, 97.5 ").load == gateway::load_report({3, 1, 8, 97.5}));
+    cr_expect(decode("3,1,8,100,17,new").load == gateway::load_report({3, 1, 8, 100}),
+              "ignores later figures");
+    for (const auto* malformed :
+         {"", "3,1", "3,,8,100", "-3,1,8", "3,1,8,", "3,1,8,x", "3,1,8,0", "3,1,8,-5", "3,1,8,nan",
+          "3,1,8,1e3", "3,1,8,9999999", "4000000000,1,8", "3,99999999999,8,100", "3,1,8;100"}) {
+        const auto it = decode(malformed);
+        cr_expect(it.malformed_load && !it.load, "%s", malformed);
+    }
+    cr_expect_not(codec().decode_answer_metadata(200, {}).malformed_load);
+    cr_expect_eq(codec().decode_answer_metadata(200, {{"Limpetlock-Instance-Id", "i-7"}}).endpoint_id, "i-7");
+}
+
+// Guards against a request line that a health path could break, and against a table that is rejected for it.
+Test(platform_table, health_path_is_read_or_left_out)
+{
+    auto table = table_json();
+    const auto path_of_s1 = [&table] {
+        std::string reason;
+        const auto it = codec().decode_table(table.dump(), reason);
+        cr_assert(it.has_value(), "%s", reason.c_str());
+        return it->find_pool("s1")->health_path;
+    };
+    cr_expect_eq(path_of_s1(), "/healthz");
+    for (const json& unusable : {json(nullptr), json(7), json(""), json("healthz"), json("/a b"),
+                                 json("/a\r\nX: y"), json(std::string(300, '/'))}) {
+        table["services"][0]["healthPath"] = unusable;
+        cr_expect_eq(path_of_s1(), "");
+    }
+}
+
 // Guards against results that are assigned to the pieces of another request because their number differs from
 // the number of pieces.
 Test(platform_stage, answer_with_another_number_of_results_is_rejected)
