--- a/include/limpetlock/gateway/endpoint_selector.hpp
+++ b/include/limpetlock/gateway/endpoint_selector.hpp
@@ -40,6 +40,21 @@
     std::vector<std::string> suspected;
 };
 
+/// An endpoint that may be selected for a request.
+struct eligible_endpoint {
+    const endpoint* listed{nullptr}; ///< valid until the list of endpoints changes
+    /// Factor of the cost of its errors, and of its smaller share after a pause; 1 for most.
+    double handicap{1};
+};
+
+/// The endpoints among which a request has the choice.
+struct eligible_endpoints {
+    std::vector<eligible_endpoint> all;
+    /// Those that requests with the same affinity hash go to, or the one that `select` returns. That one is
+    /// the first.
+    std::vector<eligible_endpoint> homes;
+};
+
 /// The state of all listed endpoints, from the attempts of this instance and the load that endpoints report.
 class endpoint_selector {
 public:
@@ -54,7 +69,10 @@
 
     /// Returns the endpoint for a request; nullopt if the pool has none that wasn't tried and isn't held
     /// back. Endpoints that are backed off after failures are selected only if there is no other.
-    std::optional<endpoint> select(const selection_criteria& criteria, time_point now);
+    std::optional<endpoint> select(const selection_criteria& criteria, time_point now) const;
+
+    /// The endpoints among which `select` chooses, without regard to their load.
+    eligible_endpoints eligible(const selection_criteria& criteria, time_point now) const;
 
     /// Leaves the endpoint out of the selection until then, since it has no permit for a request.
     void hold_back(const std::string& id, time_point until);
@@ -109,6 +127,9 @@
     /// The endpoints of the pool that weren't tried.
     std::vector<const endpoint_state*> untried(const selection_criteria& criteria) const;
     std::vector<candidate> candidates(const selection_criteria& criteria, time_point now) const;
+    /// Sorts those that requests with this affinity go to before the others, and returns their number.
+    std::size_t sort_homes(std::vector<candidate>& all, const selection_criteria& criteria) const;
+    double return_share(const std::string& id, time_point now) const;
     void penalize(endpoint_state& it, duration base, time_point now);
 
     const endpoint_statements* statements_{nullptr};
--- a/lib/gateway/endpoint_selector.cpp
+++ b/lib/gateway/endpoint_selector.cpp
@@ -42,6 +42,9 @@
 /// A request goes to another failure domain only if the load per slot there is smaller by more than this.
 constexpr double domain_cost = 0.02;
 
+/// Bound of the handicap of an endpoint that has just ended its pause.
+constexpr double min_return_share = 0.05;
+
 } // namespace
 
 void endpoint_selector::set_endpoints(const std::vector<endpoint>& endpoints, time_point now)
@@ -73,8 +76,13 @@
     double load = it.in_flight;
     if (it.load_at != time_point{} && now - it.load_at < report_lifetime)
         load = std::max(load, static_cast<double>(it.load.running + it.load.waiting));
-    const double share = statements_ == nullptr ? 1 : statements_->return_share(it.listed.id, now);
-    return (load + it.error_share * error_cost) / std::max<double>(1, it.listed.slots) / share;
+    return (load + it.error_share * error_cost) / std::max<double>(1, it.listed.slots) /
+           return_share(it.listed.id, now);
+}
+
+double endpoint_selector::return_share(const std::string& id, time_point now) const
+{
+    return statements_ == nullptr ? 1 : statements_->return_share(id, now);
 }
 
 bool endpoint_selector::is_paused(const std::string& id, time_point now) const
@@ -145,7 +153,7 @@
 
 /// Endpoints with affinity are selected by rendezvous hashing, so most hashes keep their endpoints when the
 /// list changes.
-std::optional<endpoint> endpoint_selector::select(const selection_criteria& criteria, time_point now)
+std::optional<endpoint> endpoint_selector::select(const selection_criteria& criteria, time_point now) const
 {
     auto all = candidates(criteria, now);
     if (all.empty())
@@ -169,20 +177,51 @@
                                 [&](const candidate& a, const candidate& b) { return cost(a) < cost(b); })
             ->state->listed;
     }
-    for (auto& it : all)
-        it.hash_score = hash64(it.state->listed.id, criteria.affinity_hash);
-    const auto higher = [](const candidate& a, const candidate& b) { return a.hash_score > b.hash_score; };
-    const std::size_t copies = std::clamp<std::size_t>(pools_.at(criteria.pool).size() / endpoints_per_copy,
-                                                       1, std::min(max_copies, all.size()));
-    const auto end = all.begin() + static_cast<std::ptrdiff_t>(copies);
-    std::partial_sort(all.begin(), end, all.end(), higher);
+    const auto end = all.begin() + static_cast<std::ptrdiff_t>(sort_homes(all, criteria));
     if (criteria.session_hash == 0)
         return all.front().state->listed;
     for (auto it = all.begin(); it != end; ++it)
         it->hash_score = hash64(it->state->listed.id, criteria.session_hash);
+    const auto higher = [](const candidate& a, const candidate& b) { return a.hash_score > b.hash_score; };
     return std::min_element(all.begin(), end, higher)->state->listed;
 }
 
+std::size_t endpoint_selector::sort_homes(std::vector<candidate>& all,
+                                          const selection_criteria& criteria) const
+{
+    for (auto& it : all)
+        it.hash_score = hash64(it.state->listed.id, criteria.affinity_hash);
+    const auto higher = [](const candidate& a, const candidate& b) { return a.hash_score > b.hash_score; };
+    const std::size_t copies = std::clamp<std::size_t>(pools_.at(criteria.pool).size() / endpoints_per_copy,
+                                                       1, std::min(max_copies, all.size()));
+    std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(copies), all.end(), higher);
+    return copies;
+}
+
+eligible_endpoints endpoint_selector::eligible(const selection_criteria& criteria, time_point now) const
+{
+    eligible_endpoints out;
+    const auto usual = select(criteria, now);
+    if (!usual)
+        return out;
+    auto all = candidates(criteria, now);
+    const auto by_state = [](const candidate& a, const candidate& b) {
+        return std::tie(a.avoided, a.suspected) < std::tie(b.avoided, b.suspected);
+    };
+    const candidate best = *std::min_element(all.begin(), all.end(), by_state);
+    std::erase_if(all, [&](const candidate& it) { return by_state(best, it); });
+    const std::size_t homes = criteria.affinity_hash == 0 ? 0 : sort_homes(all, criteria);
+    for (const auto& it : all) {
+        const double share = std::max(min_return_share, return_share(it.state->listed.id, now));
+        out.all.push_back({&it.state->listed, (1 + it.state->error_share * error_cost) / share});
+        if (it.state->listed.id == usual->id)
+            out.homes.insert(out.homes.begin(), out.all.back());
+        else if (out.all.size() <= homes)
+            out.homes.push_back(out.all.back());
+    }
+    return out;
+}
+
 bool endpoint_selector::has_waiting_requests(const std::string& id, time_point now) const
 {
     const auto it = endpoints_.find(id);
