Select endpoints by expected time and probe their load

Cause: reports of answers are seconds old when an instance chooses an engine, so they don't show its queue or a slow period of 0.6 s.

Change: when the engine of a request is chosen, after its stages, load_prober requests the health path of the candidates without a report younger than 100 ms, in parallel, and waits 12 ms at most. Later answers are recorded up to 100 ms after the probe was sent. At most 32 probes are on their way, one for each endpoint. Answers of another endpoint id are ignored, and neither a failure nor a status is evidence. endpoint_choice is the log line of one choice in 16. Pools whose endpoints don't state how long work takes choose as before and send no probes. The stand-in's engines answer the health path.

--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -1,4 +1,5 @@
 #include "fleet.hpp"
+#include "load_prober.hpp"
 #include "permits.hpp"
 #include "request_handler.hpp"
 #include "result_releaser.hpp"
@@ -10,10 +11,12 @@
 #include <limpetlock/gateway/endpoint_selector.hpp>
 #include <limpetlock/gateway/endpoint_statements.hpp>
 #include <limpetlock/gateway/instance.hpp>
+#include <limpetlock/gateway/load_aware_selector.hpp>
 #include <limpetlock/gateway/permit_issuer.hpp>
 #include <limpetlock/gateway/published_state.hpp>
 #include <limpetlock/lifecycle/stop_sequence.hpp>
 #include <limpetlock/support/background.hpp>
+#include <limpetlock/support/hash.hpp>
 #include <limpetlock/support/log.hpp>
 #include <limpetlock/support/metrics.hpp>
 #include <limpetlock/support/sleep_for.hpp>
@@ -66,6 +69,9 @@
 /// string grows by doubling, and it is copied when the request is sent on.
 constexpr std::size_t memory_per_body_bytes = 8;
 
+/// Makes the random choices of instances differ.
+constexpr std::uint64_t load_aware_seed = 3;
+
 constexpr duration connect_timeout{350};
 constexpr std::size_t idle_connections = 8;
 
@@ -118,9 +124,11 @@
 struct instance::impl {
     impl(gateway_settings its_settings, std::unique_ptr<platform_codec> its_codec, settings_loader its_reload)
         : settings(std::move(its_settings)), codec(std::move(its_codec)), reload(std::move(its_reload)),
-          statements(settings.name), selector(statements), state(*codec, callbacks()),
-          endpoint_client(io.get_executor(), endpoint_limits()),
+          statements(settings.name), selector(statements),
+          load_aware(selector, statements, hash64(settings.name, load_aware_seed)),
+          state(*codec, callbacks()), endpoint_client(io.get_executor(), endpoint_limits()),
           service_client(io.get_executor(), service_limits()),
+          prober(io.get_executor(), endpoint_client, *codec, statements, load_aware, metrics),
           reader(io.get_executor(), settings, *codec, state, metrics, [this] { return reader_role(); }),
           releaser(io.get_executor(), *codec, endpoint_client, statements, issuer),
           scheduler(io.get_executor(), *codec, endpoint_client, releaser, statements, issuer, metrics,
@@ -130,8 +138,8 @@
           endpoint_permits(peers, statements, issuer, metrics),
           returns(io.get_executor(), peers, scheduler, releaser),
           runner(io.get_executor(), peers, scheduler, returns, selector),
-          handler({*codec, settings, state, reader, quarantine, selector, statements, endpoint_permits,
-                   runner, returns, peers, endpoint_client, service_client, metrics}),
+          handler({*codec, settings, state, reader, quarantine, selector, statements, load_aware, prober,
+                   endpoint_permits, runner, returns, peers, endpoint_client, service_client, metrics}),
           stop(stop_settings_of(settings.bounds)), signals(io, SIGTERM, SIGINT), hangups(io, SIGHUP)
     {
         // Posted, because the handler is called in the middle of attempts and stage calls.
@@ -160,6 +168,7 @@
         endpoints = listed;
         statements.mark_leaving(endpoints);
         selector.set_endpoints(endpoints, boot_clock::now());
+        load_aware.set_endpoints(endpoints);
         if (const auto table = state.table())
             scheduler.configure(table, endpoints);
     }
@@ -445,11 +454,13 @@
     std::vector<endpoint> endpoints; ///< with those that leave by their own statement
     endpoint_statements statements;
     endpoint_selector selector;
+    load_aware_selector load_aware;
     permit_issuer issuer;
     prompt_quarantine quarantine;
     published_state state;
     http::client endpoint_client;
     http::client service_client;
+    load_prober prober;
     store_reader reader;
     result_releaser releaser;
     stage_scheduler scheduler;
--- a/lib/gateway/load_aware_selector.cpp
+++ b/lib/gateway/load_aware_selector.cpp
@@ -14,6 +14,10 @@
 constexpr double other_domain_ms = 6;
 constexpr double results_elsewhere_ms = 25;
 
+/// Shared parts of one prompt that are remembered, so that a prompt of many parts doesn't displace the
+/// others.
+constexpr std::size_t max_recorded_parts = 16;
+
 routing::candidate candidate_of(const eligible_endpoint& it)
 {
     return {it.listed->id, it.listed->domain};
@@ -162,7 +166,7 @@
     const auto work = work_at(to, it, selector_.eligible(it.criteria, now), now);
     const begun_request out{++requests_begun_, estimator_.expected_time(to.pool, to.id, work, now)};
     estimator_.begin_request(to.pool, to.id, out.number, work, now);
-    for (std::size_t n = 0; n + 1 < it.prompt.size(); ++n)
+    for (std::size_t n = 0; n + 1 < it.prompt.size() && n < max_recorded_parts; ++n)
         placements_.record(it.prompt[n].id, to.id, now);
     return out;
 }
--- a/lib/gateway/request_answer.cpp
+++ b/lib/gateway/request_answer.cpp
@@ -110,6 +110,7 @@
     }
     const int status = whole.status;
     it.first_byte = boot_clock::now();
+    record_first_event(it);
     co_await it.io.respond(std::move(whole));
     it.status = status;
     out.end = attempt_end::delivered;
@@ -141,8 +142,10 @@
             break;
         if (events.empty())
             continue;
-        if (!first_event)
+        if (!first_event) {
             first_event = boot_clock::now();
+            record_first_event(it);
+        }
         if (!it.streaming) {
             it.streaming = true;
             it.status = from.status();
--- a/lib/gateway/request_context.hpp
+++ b/lib/gateway/request_context.hpp
@@ -118,6 +118,7 @@
     std::optional<send_slot> reserved_slot; ///< of the next attempt, found before the stages began
     std::string pool;
     selection_criteria endpoint_criteria;
+    std::optional<estimated_request> estimated; ///< of the attempt, in pools that state their load
     stage_plan plan;
     /// Shared with the timer that releases them once the engine has fetched them.
     std::shared_ptr<held_results> inputs{std::make_shared<held_results>()};
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -155,9 +155,17 @@
       paused_(dependencies.metrics.get_counter(
           "limpetlock_requests_paused_total",
           "requests refused because all endpoints of their pool asked for no requests for a while")),
-      refused_reports_(dependencies.metrics.get_counter(
-          "limpetlock_load_reports_refused_total",
-          "answers whose load report was ignored because its figures can't be right")),
+      usual_choices_(dependencies.metrics.get_counter("limpetlock_endpoint_choices_total",
+                                                      "endpoints that were selected by their expected time",
+                                                      {{"endpoint", "usual"}})),
+      other_choices_(dependencies.metrics.get_counter("limpetlock_endpoint_choices_total",
+                                                      "endpoints that were selected by their expected time",
+                                                      {{"endpoint", "other"}})),
+      report_ages_(dependencies.metrics.get_summary(
+          "limpetlock_load_report_age_ms", "age of the load reports by which endpoints were selected")),
+      estimate_ratios_(dependencies.metrics.get_summary(
+          "limpetlock_first_event_estimate_ratio",
+          "time to the first event as a multiple of the time that was expected when the request was sent")),
       confirmations_(dependencies.metrics.get_counter(
           "limpetlock_table_confirmations_total",
           "requests that waited for a read of the table because its proof was too old")),
@@ -531,9 +539,13 @@
         }
         attempt_guard attempt(dependencies_.selector, *to, boot_clock::now());
         ++it.attempts;
+        // What continues a stream takes another time than the request.
+        if (!it.streaming && dependencies_.load_aware.is_enabled(it.pool, boot_clock::now()))
+            it.estimated.emplace(dependencies_.load_aware, *to, profile_of(it), boot_clock::now());
         it.endpoint_criteria.tried.push_back(to->id);
         it.endpoint_id = to->id;
         last = co_await run_attempt(it, attempt);
+        it.estimated.reset();
         record_prompt_evidence(it, *to, last);
         if (last.end == attempt_end::delivered && last.outcome == attempt_outcome::answered)
             answer_times_.record(it.matched_route->name, boot_clock::now() - it.last_sent);
@@ -644,8 +656,7 @@
         to.conclude(attempt_outcome::broken, boot_clock::now());
         co_return out;
     }
-    if (metadata.malformed_load)
-        refused_reports_.add();
+    dependencies_.prober.record_load(to.target, metadata, boot_clock::now());
     if (metadata.load)
         dependencies_.selector.record_load(to.target.id, *metadata.load, boot_clock::now());
     dependencies_.statements.record_answer(to.target, metadata, metadata.has_signature || metadata.not_run,
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "fleet.hpp"
+#include "load_prober.hpp"
 #include "permits.hpp"
 #include "result_returns.hpp"
 #include "stage_runner.hpp"
@@ -11,6 +12,7 @@
 #include <limpetlock/gateway/answer_times.hpp>
 #include <limpetlock/gateway/endpoint_selector.hpp>
 #include <limpetlock/gateway/endpoint_statements.hpp>
+#include <limpetlock/gateway/load_aware_selector.hpp>
 #include <limpetlock/gateway/platform_codec.hpp>
 #include <limpetlock/gateway/prompt_quarantine.hpp>
 #include <limpetlock/gateway/published_state.hpp>
@@ -44,6 +46,8 @@
     prompt_quarantine& quarantine;
     endpoint_selector& selector;
     endpoint_statements& statements;
+    load_aware_selector& load_aware;
+    load_prober& prober;
     permits& endpoint_permits;
     stage_runner& runner;
     result_returns& returns;
@@ -123,6 +127,14 @@
     boost::asio::awaitable<std::optional<endpoint>> select_endpoint(request_context& it);
     /// Finds an endpoint with a permit, or without a limit. A permit may begin later.
     boost::asio::awaitable<std::optional<send_slot>> find_send_slot(request_context& it);
+    /// Selects an endpoint by the load that is known, or with `may_probe`, after a short wait for the load of
+    /// a few endpoints.
+    boost::asio::awaitable<std::optional<endpoint>> choose_endpoint(request_context& it, bool may_probe);
+    void record_choice(const request_context& it, const load_aware_choice& choice,
+                       const probe_outcome& probes);
+    static request_profile profile_of(const request_context& it);
+    /// The first event of an attempt, or its whole answer, arrived.
+    void record_first_event(request_context& it);
     boost::asio::awaitable<bool> reserve_slot(request_context& it);
     /// Refuses the request if all endpoints that may serve it want no requests now. Returns whether it did.
     bool refuse_while_paused(request_context& it);
@@ -168,7 +180,11 @@
     metrics::counter& engines_lost_;
     metrics::counter& limited_;
     metrics::counter& paused_;
-    metrics::counter& refused_reports_;
+    std::uint64_t choices_{0}; ///< by load reports
+    metrics::counter& usual_choices_;
+    metrics::counter& other_choices_;
+    metrics::summary& report_ages_;
+    metrics::summary& estimate_ratios_;
     metrics::counter& confirmations_;
     metrics::counter& unproven_tables_;
     metrics::summary& proof_ages_;
--- a/lib/gateway/request_permit.cpp
+++ b/lib/gateway/request_permit.cpp
@@ -59,8 +59,8 @@
     auto& selector = dependencies_.selector;
     duration next_permit = duration::max();
     for (std::size_t n = 0; n < max_permit_requests; ++n) {
+        auto to = co_await choose_endpoint(it, n == 0);
         const time_point now = boot_clock::now();
-        auto to = selector.select(it.endpoint_criteria, now);
         duration max_wait{0};
         if (!to) {
             to = selector.next_held_back(it.endpoint_criteria, now);
--- a/utils/platformkit/endpoints.cpp
+++ b/utils/platformkit/endpoints.cpp
@@ -135,9 +135,36 @@
     return failures[served_ / fail_every_ % failures.size()];
 }
 
+std::string service_endpoint::load_report() const
+{
+    std::string out = fmt::format("{},0,{}", running_requests_, options_.slots);
+    if (time_percent_)
+        out += fmt::format(",{}", *time_percent_);
+    return out;
+}
+
+awaitable<void> service_endpoint::answer_health_check(http::exchange& io)
+{
+    using namespace asio::experimental::awaitable_operators;
+    ++health_checks_;
+    if (health_behaviour_ == health_behaviour::hang) {
+        co_await (wait(hang_time) || io.wait_closed());
+        co_return;
+    }
+    const bool other = health_behaviour_ == health_behaviour::other_id;
+    http::response answer = http::json_response(200, "{}");
+    answer.headers.push_back({std::string(header::instance_id), other ? "i-other" : options_.id});
+    answer.headers.push_back({std::string(header::server_load), other ? "0,0,8,1" : load_report()});
+    co_await io.respond(std::move(answer));
+}
+
 awaitable<void> service_endpoint::serve(http::exchange& io)
 {
     using namespace asio::experimental::awaitable_operators;
+    if (io.message().target == "/healthz") {
+        co_await answer_health_check(io);
+        co_return;
+    }
     limit.record_arrival();
     const behaviour how = next_behaviour();
     const std::string expected = header_value(io.message(), header::expect_instance);
@@ -165,7 +192,7 @@
                        how == behaviour::wrong_id ? "0000000000000000" : runs_[run].request_id});
     if (how != behaviour::without_signature)
         headers.push_back({std::string(header::stamp), "stamp-" + options_.id});
-    headers.push_back({std::string(header::server_load), fmt::format("1,0,{}", options_.slots)});
+    headers.push_back({std::string(header::server_load), load_report()});
     limit.add_to(headers, how == behaviour::fail ? 500 : 200);
     if (how == behaviour::old_refusal) {
         http::response answer = not_run(503);
--- a/utils/platformkit/endpoints.hpp
+++ b/utils/platformkit/endpoints.hpp
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -38,6 +39,13 @@
 /// How much of the answer an engine writes before it crashes.
 enum class crash_moment : std::uint8_t { inside_first_event, after_first_event };
 
+/// How an endpoint answers its health path.
+enum class health_behaviour : std::uint8_t {
+    normal,
+    hang,    ///< never answers
+    other_id ///< answers with the id of another endpoint, and a load as if nothing took any time
+};
+
 /// One request that an endpoint began to run.
 struct run_record {
     std::string request_id;
@@ -125,6 +133,14 @@
     /// From now on every n-th request fails, in each of several ways in turn; 0 turns this off.
     void fail_every(std::size_t n) { fail_every_ = n; }
 
+    /// From now on load reports have this fourth figure: the time that work takes, in percent of the usual.
+    void state_time_percent(int percent) { time_percent_ = percent; }
+
+    void behave_when_checked(health_behaviour how) { health_behaviour_ = how; }
+
+    /// Number of requests of the health path.
+    std::size_t health_checks() const { return health_checks_; }
+
     const std::vector<run_record>& runs() const { return runs_; }
 
     request_limit limit;
@@ -140,6 +156,8 @@
 
 private:
     boost::asio::awaitable<void> serve(http::exchange& io);
+    boost::asio::awaitable<void> answer_health_check(http::exchange& io);
+    std::string load_report() const;
     behaviour next_behaviour();
     boost::asio::awaitable<void> answer_request(http::exchange& io, std::size_t run, behaviour how);
     boost::asio::awaitable<void> stream_events(http::exchange& io, std::size_t run, behaviour how,
@@ -166,6 +184,9 @@
     std::size_t served_{0};
     std::size_t endless_bytes_{0};
     std::size_t running_requests_{0};
+    std::optional<int> time_percent_;
+    health_behaviour health_behaviour_{health_behaviour::normal};
+    std::size_t health_checks_{0};
     std::vector<run_record> runs_;
     std::unique_ptr<http::server> server_;
 };
--- a/utils/platformkit/site.cpp
+++ b/utils/platformkit/site.cpp
@@ -86,6 +86,7 @@
         auto it = make("engine", n);
         it.events = options.events;
         it.event_gap = options.event_gap;
+        it.service_time = options.engine_time;
         engines.push_back(std::make_unique<service_endpoint>(executor, options.address, std::move(it)));
     }
     for (std::size_t n = 0; n < options.plain; ++n)
--- a/utils/platformkit/site.hpp
+++ b/utils/platformkit/site.hpp
@@ -24,6 +24,7 @@
     std::size_t plain{2};           ///< endpoints of the plain service
     std::size_t events{8};          ///< of each streamed answer
     std::chrono::milliseconds event_gap{2};
+    std::chrono::milliseconds engine_time{5};      ///< before the first event of a streamed answer
     std::chrono::milliseconds stage_call_time{20}; ///< time that each stage call takes
     std::size_t max_batch_pieces{8};               ///< pieces of one stage call
     std::size_t result_capacity{64};               ///< results that one stage endpoint stores
