Pause probes of endpoints that don't answer their health path in time

Cause: while a health path didn't answer, each request waited 12 ms for it.

Change: after two probes in a row without an answer in time, the endpoint isn't probed for 1 s, doubled with each further one up to 16 s.

--- a/include/limpetlock/gateway/endpoint_selector.hpp
+++ b/include/limpetlock/gateway/endpoint_selector.hpp
@@ -127,6 +127,8 @@
     /// The endpoints of the pool that weren't tried.
     std::vector<const endpoint_state*> untried(const selection_criteria& criteria) const;
     std::vector<candidate> candidates(const selection_criteria& criteria, time_point now) const;
+    std::optional<endpoint> select_among(std::vector<candidate> all, const selection_criteria& criteria,
+                                         time_point now) const;
     /// Sorts those that requests with this affinity go to before the others, and returns their number.
     std::size_t sort_homes(std::vector<candidate>& all, const selection_criteria& criteria) const;
     double return_share(const std::string& id, time_point now) const;
--- a/include/limpetlock/gateway/load_aware_selector.hpp
+++ b/include/limpetlock/gateway/load_aware_selector.hpp
@@ -11,6 +11,8 @@
 #include <limpetlock/support/time.hpp>
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <optional>
 #include <random>
 #include <string>
@@ -58,6 +60,11 @@
     /// Records the load that the endpoint had at `as_of` or later.
     void record_load(const endpoint& from, const load_report& load, time_point as_of);
 
+    /// A probe of the endpoint ended, in time for the request that waited for it or not. An endpoint that
+    /// doesn't answer in time several times in a row isn't probed for a while, since each request would wait
+    /// for it in vain.
+    void record_probe(const std::string& endpoint_id, bool in_time, time_point now);
+
     /// The expected time from sending the request to the endpoint now until its first event.
     routing::time_estimate expected_time(const endpoint& to, const request_profile& it, time_point now) const;
 
@@ -94,8 +101,16 @@
                                   const eligible_endpoints& eligible, time_point now) const;
     double domain_cost(const endpoint& to, const request_profile& it) const;
 
+    struct probe_state {
+        std::uint32_t unanswered{0}; ///< probes in a row
+        time_point not_before{};
+    };
+
+    bool may_probe(const std::string& endpoint_id, time_point now) const;
+
     const endpoint_selector& selector_;
     const endpoint_statements& statements_;
+    std::map<std::string, probe_state, std::less<>> unanswered_probes_;
     routing::time_estimator estimator_;
     routing::part_placements placements_;
     std::minstd_rand random_;
@@ -113,6 +128,9 @@
     estimated_request& operator=(const estimated_request&) = delete;
     ~estimated_request() { selector_.end_request(to_.id, begun_.number); }
 
+    /// The time that was expected when the request was sent.
+    const routing::time_estimate& estimate() const { return begun_.estimate; }
+
     /// The first event arrived. Returns the measured time as a multiple of the estimate; nullopt if it
     /// arrived before.
     std::optional<double> record_first_event(time_point now);
--- a/lib/gateway/endpoint_selector.cpp
+++ b/lib/gateway/endpoint_selector.cpp
@@ -151,11 +151,17 @@
     return best->listed;
 }
 
+std::optional<endpoint> endpoint_selector::select(const selection_criteria& criteria, time_point now) const
+{
+    return select_among(candidates(criteria, now), criteria, now);
+}
+
 /// Endpoints with affinity are selected by rendezvous hashing, so most hashes keep their endpoints when the
 /// list changes.
-std::optional<endpoint> endpoint_selector::select(const selection_criteria& criteria, time_point now) const
+std::optional<endpoint> endpoint_selector::select_among(std::vector<candidate> all,
+                                                        const selection_criteria& criteria,
+                                                        time_point now) const
 {
-    auto all = candidates(criteria, now);
     if (all.empty())
         return std::nullopt;
     const auto by_state = [](const candidate& a, const candidate& b) {
@@ -201,10 +207,10 @@
 eligible_endpoints endpoint_selector::eligible(const selection_criteria& criteria, time_point now) const
 {
     eligible_endpoints out;
-    const auto usual = select(criteria, now);
+    auto all = candidates(criteria, now);
+    const auto usual = select_among(all, criteria, now);
     if (!usual)
         return out;
-    auto all = candidates(criteria, now);
     const auto by_state = [](const candidate& a, const candidate& b) {
         return std::tie(a.avoided, a.suspected) < std::tie(b.avoided, b.suspected);
     };
--- a/lib/gateway/load_aware_selector.cpp
+++ b/lib/gateway/load_aware_selector.cpp
@@ -1,3 +1,4 @@
+#include <limpetlock/gateway/back_off.hpp>
 #include <limpetlock/gateway/load_aware_selector.hpp>
 
 #include <algorithm>
@@ -18,6 +19,11 @@
 /// others.
 constexpr std::size_t max_recorded_parts = 16;
 
+/// Probes in a row without an answer in time after which an endpoint isn't probed, at first and at most.
+constexpr std::uint32_t tolerated_unanswered = 2;
+constexpr duration min_probe_pause{1'000};
+constexpr duration max_probe_pause{16'000};
+
 routing::candidate candidate_of(const eligible_endpoint& it)
 {
     return {it.listed->id, it.listed->domain};
@@ -47,6 +53,26 @@
         pools.insert(it.pool);
     }
     estimator_.retain(ids, pools);
+    std::erase_if(unanswered_probes_, [&ids](const auto& it) { return !ids.contains(it.first); });
+}
+
+void load_aware_selector::record_probe(const std::string& endpoint_id, bool in_time, time_point now)
+{
+    if (in_time) {
+        unanswered_probes_.erase(endpoint_id);
+        return;
+    }
+    auto& it = unanswered_probes_[endpoint_id];
+    if (++it.unanswered >= tolerated_unanswered)
+        it.not_before =
+            now + back_off(min_probe_pause, it.unanswered - tolerated_unanswered, max_probe_pause);
+}
+
+bool load_aware_selector::may_probe(const std::string& endpoint_id, time_point now) const
+{
+    const auto it = unanswered_probes_.find(endpoint_id);
+    return statements_.find(endpoint_id) == nullptr &&
+           (it == unanswered_probes_.end() || it->second.not_before <= now);
 }
 
 bool load_aware_selector::is_enabled(std::string_view pool, time_point now) const
@@ -129,7 +155,7 @@
         estimator_.expected_time(usual.pool, usual.id, work_at(usual, it, eligible, now), now);
     for (const auto& one : routing::draw_candidates(homes, others, domain, random_)) {
         const auto& listed = *find(eligible.all, one.endpoint)->listed;
-        out.push_back({listed, usual_time.ms >= min_probed_ms && statements_.find(listed.id) == nullptr &&
+        out.push_back({listed, usual_time.ms >= min_probed_ms && may_probe(listed.id, now) &&
                                    !estimator_.has_fresh_report(listed.id, now)});
     }
     return out;
--- a/lib/gateway/load_prober.cpp
+++ b/lib/gateway/load_prober.cpp
@@ -121,12 +121,9 @@
     http::request message{"GET", std::move(path), {}, {}};
     const auto answer = co_await client_.call(to.address, std::move(message), sent + probe_timeout,
                                               http::connection_policy::pooled, error);
-    if (!answer) {
-        count("failed");
-        co_return;
-    }
-    const std::string_view outcome = record_answer(to, *answer, sent);
+    const std::string_view outcome = answer ? record_answer(to, *answer, sent) : "failed";
     answered = outcome == "in_time";
+    selector_.record_probe(to.id, answered, boot_clock::now());
     count(outcome);
 }
 
