--- a/lib/gateway/stage_runner.cpp
+++ b/lib/gateway/stage_runner.cpp
@@ -643,7 +643,7 @@
             last = std::move(*result);
         else if (instance != fleet_.view().own().name)
             spawn_background(executor_, "stage_cancellation",
-                             cancel_at(instance, task.request_id, task.stage));
+                             cancel_at(instance, task.request_id, task.stage, task.run));
         log::warning("stage_order_moved", {{"request", task.request_id},
                                            {"stage", fmt::to_string(task.stage)},
                                            {"pool", key.pool},
--- a/unittests/gateway/overload_test.cpp
+++ b/unittests/gateway/overload_test.cpp
@@ -124,7 +124,7 @@
         it->configure(capacity, {listed});
         it->submit(task, at(0));
     }
-    slow.cancel("r", 0);
+    slow.cancel("r", 0, 0);
     cr_expect_not(slow.next_call(at(900)).has_value());
     cr_expect(slow.idle());
     cr_expect_eq(next.next_call(at(900))->pieces.size(), 2);
