Poll stage tasks by their name instead of repeating the order

Cause: while a task is open, its order was repeated every 500 ms with all handles of its inputs.

Change: once the responsible instance has replied, the next orders of the task name only request and stage. It answers that it doesn't know the task after a restart, and then gets the full order. The replies announce that polls are understood, so instances of the former release get full orders only.

--- a/lib/gateway/fleet.hpp
+++ b/lib/gateway/fleet.hpp
@@ -74,6 +74,9 @@
     boost::asio::awaitable<std::optional<wire::frame>> call(std::string to, wire::frame message,
                                                             time_point deadline);
 
+    /// Status of the reply to a poll for a task that isn't open.
+    static constexpr std::int32_t unknown_task_status = 3;
+
     void announce_stop() { view_.set_stopping(); }
     void stop() { messenger_.stop(); }
     peer::messenger_counters counters() const { return messenger_.counters(); }
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -183,7 +183,9 @@
     fleet::handlers peer_handlers()
     {
         fleet::handlers out;
-        out.on_stage_task = [this](wire::stage_order_message it) { return run_task(std::move(it)); };
+        out.on_stage_task = [this](wire::stage_order_message it) {
+            return it.poll ? poll_task(std::move(it)) : run_task(std::move(it));
+        };
         out.on_stage_cancel = [this](const wire::stage_cancel_message& it) {
             scheduler.cancel(it.request_id, static_cast<std::uint32_t>(it.stage));
         };
@@ -196,6 +198,35 @@
         return out;
     }
 
+    static wire::stage_result_message to_message(const stage_task_result& it)
+    {
+        wire::stage_result_message out;
+        out.status = static_cast<std::int32_t>(it.status);
+        out.reason = it.reason;
+        out.backlog_ms = it.backlog.count();
+        out.accepts_polls = true;
+        for (const auto& piece : it.pieces) {
+            wire::piece_result_message message;
+            message.handle = piece.handle;
+            message.failure = static_cast<std::int32_t>(piece.failure);
+            out.pieces.push_back(std::move(message));
+        }
+        return out;
+    }
+
+    /// Asks for a stage task of another instance, which this one has from an earlier message.
+    awaitable<wire::stage_result_message> poll_task(wire::stage_order_message it)
+    {
+        const auto result = co_await scheduler.poll(std::move(it.request_id),
+                                                    static_cast<std::uint32_t>(it.stage), task_reply_wait);
+        wire::stage_result_message out;
+        if (result)
+            out = to_message(*result);
+        else
+            out.status = fleet::unknown_task_status;
+        co_return out;
+    }
+
     /// Runs a stage task of another instance. The times in its message are relative to its arrival here.
     awaitable<wire::stage_result_message> run_task(wire::stage_order_message it)
     {
@@ -220,17 +251,7 @@
         const auto shard = static_cast<std::uint32_t>(std::max(0, it.shard)) % shards;
         pool_key key{it.group, it.pool, shard, shards};
         const auto result = co_await scheduler.run(std::move(key), std::move(task), task_reply_wait);
-        wire::stage_result_message out;
-        out.status = static_cast<std::int32_t>(result.status);
-        out.reason = result.reason;
-        out.backlog_ms = result.backlog.count();
-        for (const auto& piece : result.pieces) {
-            wire::piece_result_message message;
-            message.handle = piece.handle;
-            message.failure = static_cast<std::int32_t>(piece.failure);
-            out.pieces.push_back(std::move(message));
-        }
-        co_return out;
+        co_return to_message(result);
     }
 
     void return_results(const std::vector<result_group>& used)
--- a/lib/gateway/stage_runner.cpp
+++ b/lib/gateway/stage_runner.cpp
@@ -101,6 +101,17 @@
     return out;
 }
 
+/// Asks for a task that the instance has. Without the inputs and pools, the message is a fraction of an
+/// order.
+wire::stage_order_message to_poll(const stage_task& it)
+{
+    wire::stage_order_message out;
+    out.request_id = it.request_id;
+    out.stage = static_cast<std::int32_t>(it.stage);
+    out.poll = true;
+    return out;
+}
+
 std::optional<stage_task_result> from_message(const wire::stage_result_message& it, std::size_t pieces)
 {
     stage_task_result out;
@@ -550,6 +561,7 @@
     const bool local = instance == fleet_.view().own().name;
     const std::size_t pieces = task.pieces.size();
     std::optional<stage_task_result> result;
+    bool may_poll = false;
     while (!state->abandoned) {
         const time_point now = boot_clock::now();
         result.reset();
@@ -559,13 +571,18 @@
             result = co_await scheduler_.run(std::move(pool), std::move(copy), task_poll_timeout);
         } else {
             wire::frame message;
-            message.__set_stage_order(to_message(task, key, now));
+            const bool polls = std::exchange(may_poll, false);
+            message.__set_stage_order(polls ? to_poll(task) : to_message(task, key, now));
             auto reply = co_await fleet_.call(instance, std::move(message),
                                               now + task_poll_timeout + task_reply_margin);
             if (reply && reply->__isset.stage_result) {
                 result = from_message(reply->stage_result, pieces);
                 if (reply->stage_result.overloaded)
                     fleet_.view().mark_overloaded(instance);
+                // The instance has dropped the task or started again since the last order.
+                if (polls && reply->stage_result.status == fleet::unknown_task_status)
+                    continue;
+                may_poll = reply->stage_result.accepts_polls;
             }
         }
         // The instance may have answered while this process was suspended, so it is asked once more.
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -352,6 +352,20 @@
     co_return out;
 }
 
+awaitable<std::optional<stage_task_result>> stage_scheduler::poll(std::string request_id, std::uint32_t stage,
+                                                                  duration max_wait)
+{
+    const auto found = open_tasks_.find({request_id, stage});
+    if (found == open_tasks_.end() || found->second->cancelled)
+        co_return std::nullopt;
+    pool_key key = found->second->pool;
+    stage_task task;
+    task.request_id = std::move(request_id);
+    task.stage = stage;
+    auto out = co_await run(std::move(key), std::move(task), max_wait);
+    co_return out;
+}
+
 void stage_scheduler::cancel(const std::string& request_id, std::uint32_t stage)
 {
     const auto found = open_tasks_.find({request_id, stage});
--- a/lib/gateway/stage_scheduler.hpp
+++ b/lib/gateway/stage_scheduler.hpp
@@ -72,6 +72,10 @@
     /// isn't requested for a while is dropped, and its results are released.
     boost::asio::awaitable<stage_task_result> run(pool_key key, stage_task task, duration max_wait);
 
+    /// Waits up to `max_wait` for the results of a task that is open already. Returns nullopt if it isn't.
+    boost::asio::awaitable<std::optional<stage_task_result>> poll(std::string request_id, std::uint32_t stage,
+                                                                  duration max_wait);
+
     /// Drops a task and releases its results.
     void cancel(const std::string& request_id, std::uint32_t stage);
 
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -243,6 +243,7 @@
   15: list<string> next_pools; // pools of the stages that follow
   20: i32 shard;          // part of the group's endpoints, from 0
   21: i32 shards;         // number of parts; 0 or 1: the group isn't divided
+  22: bool poll;          // asks for an open task: only request_id and stage are set
 }
 
 struct piece_result_message {
@@ -251,11 +252,12 @@
 }
 
 struct stage_result_message {
-  1: i32 status;          // 0 done, 1 still in progress, 2 refused
+  1: i32 status;          // 0 done, 1 still in progress, 2 refused, 3 the polled task isn't open here
   2: list<piece_result_message> pieces;
   3: string reason;
   4: i64 backlog_ms;      // time that the pool needs for its waiting pieces
   10: bool overloaded;    // as in member_message, for the sender of the order
+  11: bool accepts_polls; // the next orders for the task may be polls
 }
 
 struct stage_cancel_message {
--- a/test/platform/shards_test.cpp
+++ b/test/platform/shards_test.cpp
@@ -22,11 +22,11 @@
 constexpr int requests = 150;
 
 /// 144 endpoints in two stage pools of one domain, which has three shards.
-site_options divided_site()
+site_options divided_site(milliseconds call_time = milliseconds(120))
 {
     site_options out;
     out.stage_endpoints = 72;
-    out.stage_call_time = milliseconds(120);
+    out.stage_call_time = call_time;
     return out;
 }
 
@@ -69,10 +69,11 @@
 } // namespace
 
 // Guards against pieces that run twice because two shards use the same endpoint, and against results that no
-// instance releases because their shard isn't known there.
+// instance releases because their shard isn't known there. The calls take longer than an instance waits for a
+// reply, so each task is polled.
 Test(shards, pieces_run_once_and_results_are_released)
 {
-    platform_fleet fleet(instances, divided_site());
+    platform_fleet fleet(instances, divided_site(milliseconds(700)));
     cr_assert(fleet.wait_ready());
     std::this_thread::sleep_for(milliseconds(700));
     for (auto& it : send_streams(fleet, 0x1000)) {
--- a/unittests/gateway/shards_test.cpp
+++ b/unittests/gateway/shards_test.cpp
@@ -1,9 +1,12 @@
+#include <limpetlock/gateway/stage_dispatcher.hpp>
 #include <limpetlock/gateway/stage_shards.hpp>
+#include <limpetlock/support/hash.hpp>
 
 #include <criterion/criterion.h>
 
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -206,3 +209,112 @@
         cr_expect(n == 2 || n == 3);
     cr_expect_eq(counts.size(), 10);
 }
+
+namespace {
+
+/// Figures of one simulated run of a stage pool.
+struct pool_run {
+    double fill{0}; ///< mean pieces of a call
+    std::int64_t median_ms{0};
+    std::int64_t p95_ms{0};
+    std::int64_t p99_ms{0};
+};
+
+/// Runs 192 endpoints as shards of this size on the same arrivals for a minute, at this utilization with full
+/// batches. A request goes to the shorter of its two queues if `choose` is set, by figures without delay;
+/// otherwise to the first.
+pool_run simulate(std::size_t shard_size, double utilization, bool choose)
+{
+    constexpr std::size_t endpoints = 192;
+    constexpr std::int64_t step_ms = 10;
+    constexpr std::int64_t end_ms = 60'000;
+    stage_capacity capacity;
+    capacity.max_batch_pieces = 12;
+    capacity.call_ms = 240;
+    capacity.piece_ms = 10;
+    const std::size_t n = endpoints / shard_size;
+    std::vector<stage_dispatcher> queues(n);
+    for (std::size_t k = 0; k < n; ++k) {
+        std::vector<endpoint> list;
+        for (std::size_t e = 0; e < shard_size; ++e) {
+            endpoint it;
+            it.id = std::to_string(k) + "/" + std::to_string(e);
+            it.domain = "a";
+            list.push_back(std::move(it));
+        }
+        queues[k].configure(capacity, std::move(list));
+    }
+    struct running {
+        std::size_t queue;
+        stage_dispatch call;
+    };
+    std::multimap<std::int64_t, running> calls;
+    std::vector<std::int64_t> times;
+    std::size_t pieces = 0;
+    std::size_t call_count = 0;
+    // Requests of three pieces; a step has as many as the hash of its number selects, from 0 to twice the
+    // mean.
+    const double rate = utilization * endpoints * 12 / 360.0 / 3 * step_ms;
+    double owed = 0;
+    std::size_t next_id = 0;
+    for (std::int64_t ms = 0; ms < end_ms; ms += step_ms) {
+        const time_point now{duration(1'000'000 + ms)};
+        while (!calls.empty() && calls.begin()->first <= ms) {
+            auto& it = calls.begin()->second;
+            queues[it.queue].finish_call(it.call.call_id, call_outcome::answered, now);
+            for (const auto& piece : it.call.pieces)
+                times.push_back((now - piece.queued_at).count());
+            calls.erase(calls.begin());
+        }
+        owed += rate * 2 * static_cast<double>(hash64(std::to_string(ms)) % 1'000) / 1'000;
+        for (; owed >= 1; owed -= 1) {
+            auto task = std::make_shared<stage_task>();
+            task->request_id = std::to_string(next_id++);
+            task->pieces = {0, 1, 2};
+            task->objective_time = now + duration(3'000);
+            task->deadline = now + duration(20'000);
+            task->domain = "a";
+            const std::size_t first = hash64(task->request_id, 1) % n;
+            const std::size_t second =
+                n == 1 ? first : (first + 1 + hash64(task->request_id, 2) % (n - 1)) % n;
+            const bool shorter = choose && prefers_second(queues[first].backlog_ahead(now, {}),
+                                                          queues[second].backlog_ahead(now, {}));
+            queues[shorter ? second : first].submit(task, now);
+        }
+        for (std::size_t k = 0; k < n; ++k)
+            while (auto call = queues[k].next_call(now)) {
+                pieces += call->pieces.size();
+                ++call_count;
+                const auto took = queues[k].call_time(call->pieces.size()).count();
+                calls.emplace(ms + took, running{k, std::move(*call)});
+            }
+    }
+    std::sort(times.begin(), times.end());
+    const auto at_share = [&times](double share) {
+        return times[static_cast<std::size_t>(share * static_cast<double>(times.size() - 1))];
+    };
+    return {static_cast<double>(pieces) / static_cast<double>(call_count), at_share(0.5), at_share(0.95),
+            at_share(0.99)};
+}
+
+} // namespace
+
+// Guards against shards so small that the division costs more than the limit of one machine: compares the
+// time of pieces with one queue for all endpoints. The figures are in docs/design/sharded-responsibility.md.
+Test(stage_shards, cost_little_against_one_queue)
+{
+    constexpr double utilization = 0.9;
+    const auto one = simulate(192, utilization, false);
+    for (const std::size_t size : {12, 24, 48, 96}) {
+        const auto chosen = simulate(size, utilization, true);
+        const auto first = simulate(size, utilization, false);
+        cr_log_info("%zu endpoints a shard: fill %.1f, %ld/%ld/%ld ms; without choice %.1f, %ld/%ld/%ld ms",
+                    size, chosen.fill, chosen.median_ms, chosen.p95_ms, chosen.p99_ms, first.fill,
+                    first.median_ms, first.p95_ms, first.p99_ms);
+        if (size >= endpoints_per_shard) {
+            cr_expect_lt(chosen.p95_ms, one.p95_ms * 5 / 4);
+            cr_expect_lt(first.p95_ms, one.p95_ms * 2);
+        }
+    }
+    cr_log_info("one queue: fill %.1f, %ld/%ld/%ld ms", one.fill, one.median_ms, one.p95_ms, one.p99_ms);
+}
