--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -530,6 +530,21 @@
     co_return out;
 }
 
+awaitable<std::optional<stage_task_result>> stage_scheduler::poll(std::string request_id, std::uint32_t stage,
+                                                                  std::uint32_t run, duration max_wait)
+{
+    const auto found = open_tasks_.find({request_id, stage, run});
+    if (found == open_tasks_.end() || found->second->cancelled)
+        co_return std::nullopt;
+    pool_key key = found->second->pool;
+    stage_task task;
+    task.request_id = std::move(request_id);
+    task.stage = stage;
+    task.run = run;
+    auto out = co_await this->run(std::move(key), std::move(task), max_wait);
+    co_return out;
+}
+
 void stage_scheduler::cancel(const std::string& request_id, std::uint32_t stage, std::uint32_t run)
 {
     const auto found = open_tasks_.find({request_id, stage, run});
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -268,6 +268,7 @@
   22: optional list<chain_stage_message> chain; // this stage and those that depend on it
   23: optional bool admitted;  // an instance has admitted the stages of the request already
   24: optional string team;    // whose request it is; absent if unknown
+  25: bool poll;          // asks for an open task: only request_id, stage and run are set
   30: i32 run;            // distinguishes the runs of the stages for the same request
 }
 
@@ -285,7 +286,8 @@
 }
 
 struct stage_result_message {
-  // 0 done, 1 still in progress, 2 refused, 3 the group has no endpoint of the pool, 4 cancelled
+  // 0 done, 1 still in progress, 2 refused, 3 the group has no endpoint of the pool, 4 cancelled,
+  // 5 the polled task isn't open here
   1: i32 status;
   2: list<piece_result_message> pieces;
   3: string reason;
@@ -293,6 +295,7 @@
   10: optional i64 retry_after_ms; // refused for lack of room, also at other instances, until then
   11: optional list<pool_backlog_message> backlogs; // of all pools of the group with waiting pieces
   12: bool overloaded;    // as in member_message, for the sender of the order
+  13: bool accepts_polls; // the next orders for the task may be polls
 }
 
 struct stage_cancel_message {
