Rebuild the profiles of a group half as often

Cause: a trial measured 0.19 ms for the profile of a pool with 300 waiting tasks, and a group needed one for each of its pools every 25 ms.

Change: profiles are used for 50 ms, and the admission subtracts their age.

--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -41,6 +41,10 @@
 /// one and a half calls.
 constexpr duration congested_backlog{700};
 
+/// The profiles of a group of pools are used for this long: a new one for 300 waiting tasks takes 0.2 ms of
+/// processor time for each pool.
+constexpr duration profile_lifetime{50};
+
 /// Interval of the check which endpoints are avoided.
 constexpr duration avoided_log_interval{250};
 
@@ -222,11 +226,11 @@
     };
 }
 
-/// The profiles are kept for a tick, since each one sorts all waiting pieces of its pool.
+/// The profiles are kept for a while, since each one sorts all waiting tasks of its pool.
 stage_scheduler::group_profiles& stage_scheduler::profiles_of(const pool_key& group, time_point now)
 {
     auto& out = group_profiles_[group_of(group)];
-    if (now - out.at < tick_interval)
+    if (now - out.at < profile_lifetime)
         return out;
     out = {now, {}, {}};
     const task_filter deferred = congestion_filter(group.domain, now);
@@ -284,10 +288,13 @@
     std::vector<stage_load> loads;
     for (const auto& it : task.chain) {
         const auto profile = group.pools.find(it.pool);
-        loads.push_back(profile == group.pools.end()
-                            ? stage_load{}
-                            : stage_load{profile->second.least_time_before(order_item_of(key, task, it, now)),
-                                         profile->second.call_time(it.pieces)});
+        stage_load load;
+        if (profile != group.pools.end()) {
+            const auto item = order_item_of(key, task, it, now);
+            load.before = std::max(duration{0}, profile->second.least_time_before(item) - (now - group.at));
+            load.call_time = profile->second.call_time(it.pieces);
+        }
+        loads.push_back(load);
     }
     const auto estimate = estimate_chain(task.chain, loads);
     const duration time_left = task.deadline + task.chain.front().time_to_end - now;
--- a/lib/gateway/team_order.cpp
+++ b/lib/gateway/team_order.cpp
@@ -92,6 +92,7 @@
         levels_[{it.late, it.priority}].push_back({place.turn, it.key, place.key, it.pieces});
     }
     std::vector<const order_item*> by_key;
+    by_key.reserve(items.size());
     for (const auto& it : items)
         by_key.push_back(&it);
     std::stable_sort(by_key.begin(), by_key.end(),
