Admit a request that would be late only if late tasks are still served

Cause: tasks that can meet their objective go before late ones, so a request that becomes late while it waits starves behind later arrivals, and its first stages are wasted. The estimate took its place from the moment of arrival.

Change: a request that would be late by the time the work before it is done waits for the late tasks too, with the part of the capacity that the arrivals of the last 0.5 s leave. The Retry-After is no longer than the longest queue before the request.

--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -76,8 +76,10 @@
     duration time_before(const order_item& it) const;
 
     /// The same for the decision whether a new task has room: while no endpoint is available, it is the time
-    /// until the first one is.
-    duration least_time_before(const order_item& it) const;
+    /// until the first one is. `slack` is the time until the task is late for its objective. One that would
+    /// be late by then has to wait for the late tasks as well, with the part of the capacity that the recent
+    /// arrivals leave, since tasks that can meet their objective go first.
+    duration least_time_before(const order_item& it, duration slack) const;
 
     /// Time of a call with the typical number of pieces.
     duration typical_call_time() const;
@@ -104,6 +106,7 @@
     rank_shares shares_;
     team_order_options team_options_;
     mutable std::optional<queue_positions> positions_; ///< of items_; nullopt until it is needed
+    double inflow_share_{0};        ///< of the capacity, for recent arrivals that can meet their objective
     double effective_endpoints_{0}; ///< endpoints that aren't backed off, each divided by its slowness
     duration until_first_{0};       ///< until an endpoint is available, if all are backed off
     double running_ms_{0};          ///< sum of the remaining times of the running calls
@@ -207,6 +210,7 @@
     static double slowness_of(const endpoint_state& it, time_point now);
     void record_call_time(endpoint_state& it, const running_call& ended, time_point now) const;
     std::uint64_t free_result_bytes(const endpoint_state& it) const;
+    double inflow_at(time_point now) const;
     void record_batch_size(std::size_t pieces, const batch_vacancy& vacancy);
     backlog_profile capacity_profile(time_point now) const;
 
@@ -217,6 +221,8 @@
     std::map<std::uint64_t, running_call> calls_;
     std::uint64_t last_call_{0};
     std::optional<suspension_detector> suspensions_; ///< nullopt before the first tick
+    double inflow_ms_{0}; ///< decaying sum of the cost of tasks that arrived in time; see inflow_at
+    time_point inflow_since_{};
     double typical_pieces_{0}; ///< moving average of the pieces of a call while more wait than fit
 };
 
--- a/include/limpetlock/gateway/team_order.hpp
+++ b/include/limpetlock/gateway/team_order.hpp
@@ -84,6 +84,11 @@
     /// Pieces that go before a new task.
     std::size_t pieces_before(const order_item& it) const;
 
+    /// Pieces that wait although they are late, and on whose account a new task must not start: those of its
+    /// own team, and those of other teams whose turn comes before. Only tasks of its own priority and of more
+    /// urgent ones count.
+    std::size_t late_pieces_for(const order_item& it) const;
+
     /// Keys of all pieces at their places, in ascending order.
     const std::vector<time_point>& keys() const { return keys_; }
 
@@ -100,6 +105,7 @@
         time_point own_key{};
         time_point key{}; ///< at its place
         std::size_t pieces{0};
+        std::string team;
     };
 
     /// A task of a team and the team's lead after it.
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -58,6 +58,10 @@
 /// meanwhile. If it counted as lost, refusals for lack of storage would multiply the estimate.
 constexpr duration short_avoidance{200};
 
+/// Time constant of the average rate of arrivals. With a longer one, requests are refused for a burst that
+/// has ended.
+constexpr duration inflow_window{500};
+
 /// Points of the outline of a backlog. Replies to other instances carry them for each pool.
 constexpr std::size_t outline_points = 4;
 
@@ -99,6 +103,11 @@
 
 void stage_dispatcher::submit(const std::shared_ptr<const stage_task>& task, time_point now)
 {
+    if (task->objective_time >= now + call_time(1)) {
+        const double piece_cost = to_team_order_options(options_).piece_cost;
+        inflow_ms_ = inflow_at(now) + piece_cost * static_cast<double>(task->pieces.size());
+        inflow_since_ = now;
+    }
     for (std::size_t n = 0; n < task->pieces.size(); ++n)
         queue_.push({task, n, 0, now});
 }
@@ -117,6 +126,12 @@
     return !it.busy && it.avoid_until <= now;
 }
 
+double stage_dispatcher::inflow_at(time_point now) const
+{
+    const auto age = static_cast<double>((now - inflow_since_).count());
+    return inflow_ms_ * std::exp(-std::max(0.0, age) / static_cast<double>(inflow_window.count()));
+}
+
 void stage_dispatcher::tick(time_point now)
 {
     if (!suspensions_)
@@ -328,6 +343,10 @@
         out.pieces_ += it.pieces;
     out.shares_ = queue_.shares();
     out.team_options_ = to_team_order_options(options_);
+    // Every n-th batch begins with the oldest tasks, so late ones always have a part of the capacity.
+    const double most = options_.oldest_first_interval > 0 ? 1 - 1.0 / options_.oldest_first_interval : 1;
+    const double capacity = out.effective_endpoints_ * static_cast<double>(inflow_window.count());
+    out.inflow_share_ = capacity > 0 ? std::min(most, inflow_at(now) / capacity) : 0;
     return out;
 }
 
@@ -378,9 +397,17 @@
     return is_contested() ? time_for(positions().pieces_before(it)) : time_before(it.key);
 }
 
-duration backlog_profile::least_time_before(const order_item& it) const
+duration backlog_profile::least_time_before(const order_item& it, duration slack) const
 {
-    return effective_endpoints_ > 0 ? time_for(positions().pieces_before(it)) : until_first_;
+    if (effective_endpoints_ <= 0)
+        return until_first_;
+    const std::size_t before = positions().pieces_before(it);
+    const duration in_time = time_for(before);
+    if (!it.late && in_time <= slack)
+        return in_time;
+    const std::size_t all = it.late ? before : before + positions().late_pieces_for(it);
+    return duration(
+        static_cast<std::int64_t>(static_cast<double>(time_for(all).count()) / (1 - inflow_share_)));
 }
 
 duration backlog_profile::typical_call_time() const
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -286,19 +286,26 @@
     teams_.count_asked(task.team, task.priority);
     auto& group = profiles_of(key, now);
     std::vector<stage_load> loads;
+    duration longest_queue{0}; // at the place of the request
     for (const auto& it : task.chain) {
         const auto profile = group.pools.find(it.pool);
         stage_load load;
         if (profile != group.pools.end()) {
             const auto item = order_item_of(key, task, it, now);
-            load.before = std::max(duration{0}, profile->second.least_time_before(item) - (now - group.at));
             load.call_time = profile->second.call_time(it.pieces);
+            const duration slack = later_task(task, it).objective_time - now - load.call_time;
+            longest_queue = std::max(longest_queue, profile->second.time_before(item));
+            load.before =
+                std::max(duration{0}, profile->second.least_time_before(item, slack) - (now - group.at));
         }
         loads.push_back(load);
     }
     const auto estimate = estimate_chain(task.chain, loads);
     const duration time_left = task.deadline + task.chain.front().time_to_end - now;
-    const auto decision = decide_admission(estimate, time_left);
+    auto decision = decide_admission(estimate, time_left);
+    // Once the work before it is done, a request has room, also if it would have to wait longer as a late
+    // one.
+    decision.retry_after = std::min(decision.retry_after, longest_queue);
     if (decision.admitted) {
         teams_.count_admitted(task.team, task.priority);
         for (const auto& it : task.chain)
--- a/lib/gateway/team_order.cpp
+++ b/lib/gateway/team_order.cpp
@@ -89,7 +89,7 @@
         if (place.turn == 0)
             first_turn_keys_.insert(first_turn_keys_.end(), it.pieces, place.key);
         // Within a level, the places are in the order of turns and own keys.
-        levels_[{it.late, it.priority}].push_back({place.turn, it.key, place.key, it.pieces});
+        levels_[{it.late, it.priority}].push_back({place.turn, it.key, place.key, it.pieces, it.team});
     }
     std::vector<const order_item*> by_key;
     by_key.reserve(items.size());
@@ -139,4 +139,15 @@
     return static_cast<std::size_t>(end - keys_.begin()) - yielding;
 }
 
+std::size_t queue_positions::late_pieces_for(const order_item& it) const
+{
+    const std::uint64_t turn = turn_of(it);
+    std::size_t out = 0;
+    for (const auto& [of, places] : levels_)
+        if (of.first && of.second <= it.priority)
+            for (const auto& place : places)
+                out += place.team == it.team || place.turn <= turn ? place.pieces : 0;
+    return out;
+}
+
 } // namespace limpetlock::gateway
--- a/unittests/gateway/team_test.cpp
+++ b/unittests/gateway/team_test.cpp
@@ -256,7 +256,7 @@
     }
     const auto profile = pool.profile(at(0));
     const auto before = [&profile](const std::string& team) {
-        return profile.least_time_before({at(20'000), 6, 0, false, team});
+        return profile.least_time_before({at(20'000), 6, 0, false, team}, duration(100'000));
     };
     cr_expect_geq(before("large"), duration(20 * 360));
     cr_expect_leq(before("small"), duration(360), "%ld", static_cast<long>(before("small").count()));
