Tighten the process tests of load probes

Cause: two mutations of the code passed the tests. With a false id accepted, the false report made the engine look idle, and its true reports corrected that. Waiting for the end of probes delayed too few requests to show in the 90th percentile.

Change: the false report shows a slow and busy engine, which then must still get requests, and the third slowest request is checked instead of the 90th percentile. The bound on the slow engine is 4 of 48 instead of 2; by affinity it gets 20 of 48.

--- a/test/platform/load_test.cpp
+++ b/test/platform/load_test.cpp
@@ -81,7 +81,10 @@
     cr_expect_leq(checks, 6 * engines, "%zu", checks);
     const auto median = [](const std::vector<milliseconds>& all) { return all[all.size() / 2].count(); };
     cr_expect_leq(median(with), median(without) + 10, "%ld, before %ld", median(with), median(without));
-    cr_expect_lt(with[with.size() * 9 / 10].count(), without[without.size() * 9 / 10].count() + 40);
+    // A request that waited for the end of its probes would take 100 ms longer. Two may be slow for other
+    // reasons.
+    const auto third_slowest = with[with.size() - 3].count();
+    cr_expect_lt(third_slowest, median(without) + 60, "%ld", third_slowest);
 }
 
 // Guards against requests that go to an engine in a slow period because their prompts lead there, and against
@@ -108,7 +111,9 @@
     send_prompts(fleet, 48);
     std::array<std::size_t, engines> after{};
     count(after);
-    cr_expect_leq(after[0] - before[0], 2, "%zu", after[0] - before[0]);
-    cr_expect_lt(after[1] - before[1], 32, "%zu", after[1] - before[1]);
-    cr_expect_gt(after[2] + after[3] - before[2] - before[3], 12);
+    std::array<std::size_t, engines> served{};
+    for (std::size_t n = 0; n < engines; ++n)
+        served[n] = after[n] - before[n];
+    cr_expect_leq(served[0], 4, "%zu of 48; 20 by affinity alone", served[0]);
+    cr_expect_geq(served[1], 6, "%zu", served[1]);
 }
--- a/utils/platformkit/endpoints.cpp
+++ b/utils/platformkit/endpoints.cpp
@@ -154,7 +154,7 @@
     const bool other = health_behaviour_ == health_behaviour::other_id;
     http::response answer = http::json_response(200, "{}");
     answer.headers.push_back({std::string(header::instance_id), other ? "i-other" : options_.id});
-    answer.headers.push_back({std::string(header::server_load), other ? "0,0,8,1" : load_report()});
+    answer.headers.push_back({std::string(header::server_load), other ? "8,99,8,2000" : load_report()});
     co_await io.respond(std::move(answer));
 }
 
--- a/utils/platformkit/endpoints.hpp
+++ b/utils/platformkit/endpoints.hpp
@@ -43,7 +43,7 @@
 enum class health_behaviour : std::uint8_t {
     normal,
     hang,    ///< never answers
-    other_id ///< answers with the id of another endpoint, and a load as if nothing took any time
+    other_id ///< answers with the id of another endpoint, and the load of one that is slow and busy
 };
 
 /// One request that an endpoint began to run.
