Leave the time of a suspension out of the measured times

Cause: the time to the first event of a request during which this process stood still counted as the endpoint's, and raised its speed figure by up to 1.4 (one sample of weight 0.25, bounded to a factor of 4).

Change: such a request isn't measured, as failures across a suspension are no evidence against an endpoint.

No test shows the fault by itself.

--- a/lib/gateway/request_choice.cpp
+++ b/lib/gateway/request_choice.cpp
@@ -91,6 +91,11 @@
 {
     if (!it.estimated)
         return;
+    // The time in which this process stood still isn't the endpoint's.
+    if (dependencies_.peers.suspended_since(it.last_sent)) {
+        it.estimated.reset();
+        return;
+    }
     if (const auto ratio = it.estimated->record_first_event(boot_clock::now()))
         estimate_ratios_.observe(*ratio);
 }
