Decide on second attempts against slow answers, off by default

Cause: a few slow answers spoil the figures of the operators, who accept some extra work on endpoints against them, within a limit that they set. Flags of limpetlock platform set it, checked at the start; the share is 0 unless set. Nothing uses the decisions yet. Invalid flags end the process with 3.

--- a/include/limpetlock/gateway/retry_share.hpp
+++ b/include/limpetlock/gateway/retry_share.hpp
@@ -32,6 +32,9 @@
     /// of instances that share the budget.
     bool try_acquire_retry(std::size_t instances, time_point now);
 
+    /// Whether try_acquire_retry would return true.
+    bool can_retry(std::size_t instances, time_point now);
+
 private:
     void expire(time_point now);
 
--- a/include/limpetlock/gateway/settings.hpp
+++ b/include/limpetlock/gateway/settings.hpp
@@ -29,6 +29,16 @@
     friend bool operator==(const operating_bounds&, const operating_bounds&) = default;
 };
 
+/// Second attempts (hedged requests) against slow answers.
+struct second_attempt_settings {
+    double share{0};        ///< most second attempts, as a share of first requests; 0 turns them off
+    duration min_delay{50}; ///< no second attempt before it, however fast the answers usually are
+    bool reads{true};       ///< for requests of idempotent routes
+    bool streams{true};     ///< for resumable streams, before their first event
+
+    friend bool operator==(const second_attempt_settings&, const second_attempt_settings&) = default;
+};
+
 struct gateway_settings {
     std::string name;                          ///< unique among the instances
     std::string domain;                        ///< failure domain
@@ -42,6 +52,7 @@
     std::optional<std::size_t> memory_bytes{}; ///< beyond which the process is killed
     double store_reads_per_second{0};          ///< read calls to the store, for all instances together
     operating_bounds bounds;
+    second_attempt_settings second_attempts{};
 
     friend bool operator==(const gateway_settings&, const gateway_settings&) = default;
 };
--- a/lib/gateway/retry_share.cpp
+++ b/lib/gateway/retry_share.cpp
@@ -19,13 +19,18 @@
     first_attempts_.push_back(now);
 }
 
-bool retry_share::try_acquire_retry(std::size_t instances, time_point now)
+bool retry_share::can_retry(std::size_t instances, time_point now)
 {
     expire(now);
     const double extra = options_.extra / static_cast<double>(std::max<std::size_t>(1, instances));
     const double share =
         options_.safety_factor * (options_.ratio * static_cast<double>(first_attempts_.size()) + extra);
-    if (static_cast<double>(retries_.size()) + 1 > share)
+    return static_cast<double>(retries_.size()) + 1 <= share;
+}
+
+bool retry_share::try_acquire_retry(std::size_t instances, time_point now)
+{
+    if (!can_retry(instances, now))
         return false;
     retries_.push_back(now);
     return true;
--- a/tools/limpetlock/commands.cpp
+++ b/tools/limpetlock/commands.cpp
@@ -4,6 +4,7 @@
 
 #include <limpetlock/config/document.hpp>
 #include <limpetlock/gateway/instance.hpp>
+#include <limpetlock/gateway/second_attempts.hpp>
 #include <limpetlock/http/client.hpp>
 #include <limpetlock/server/instance.hpp>
 #include <limpetlock/server/settings.hpp>
@@ -26,6 +27,10 @@
 DEFINE_string(settings, "", "settings file of the instance");
 DEFINE_string(config, "", "configuration document to check");
 DEFINE_string(admin, "127.0.0.1:9080", "admin listener of a running instance, IP:PORT");
+DEFINE_double(second_attempt_share, 0,
+              "most second attempts against slow answers, as a share of first requests, 0 to 0.2; 0: off");
+DEFINE_int64(second_attempt_min_delay_ms, 50, "least time before a second attempt, in milliseconds");
+DEFINE_string(second_attempt_kinds, "read,stream", "requests that may have a second attempt: read, stream");
 
 namespace limpetlock::tool {
 
@@ -128,8 +133,12 @@
 exit_code serve_platform()
 {
     std::string reason;
-    const auto settings = platform::load_settings(reason);
-    if (!settings) {
+    auto settings = platform::load_settings(reason);
+    const auto second_attempts = gateway::make_second_attempt_settings(
+        FLAGS_second_attempt_share, FLAGS_second_attempt_min_delay_ms, FLAGS_second_attempt_kinds, reason);
+    if (settings && second_attempts)
+        settings->second_attempts = *second_attempts;
+    if (!settings || !second_attempts) {
         fmt::print(stderr, "limpetlock: {}\n", reason);
         return exit_code::invalid_input;
     }
--- a/tools/limpetlock/main.cpp
+++ b/tools/limpetlock/main.cpp
@@ -35,13 +35,16 @@
     std::string out = "usage: limpetlock SUBCOMMAND [--flag=value ...]\n\nSubcommands:\n";
     for (const auto& it : subcommands)
         out += fmt::format("  {:<9} {}\n", it.name, it.summary);
-    out += "\nFlags:\n"
-           "  --settings=FILE  settings of the instance (serve, check)\n"
-           "  --config=FILE    configuration document to check (check)\n"
-           "  --admin=IP:PORT  admin listener of a running instance (state)\n"
-           "\nExit codes: 0 success, 1 failure, 2 wrong usage, 3 invalid settings or configuration, 4 "
-           "stopped after\n"
-           "requests had to be cut.\n";
+    out +=
+        "\nFlags:\n"
+        "  --settings=FILE  settings of the instance (serve, check)\n"
+        "  --config=FILE    configuration document to check (check)\n"
+        "  --admin=IP:PORT  admin listener of a running instance (state)\n"
+        "  --second_attempt_share=S, --second_attempt_min_delay_ms=MS, --second_attempt_kinds=read,stream\n"
+        "                   second attempts against slow answers; off unless S is above 0 (platform)\n"
+        "\nExit codes: 0 success, 1 failure, 2 wrong usage, 3 invalid settings or configuration, 4 "
+        "stopped after\n"
+        "requests had to be cut.\n";
     return out;
 }
 
