Send second attempts against slow answers

Cause: a request waits for a slow endpoint although another one would answer at once. The first usable answer is relayed. A failure ends the request only if the other attempt has failed too.

--- a/include/limpetlock/gateway/endpoint_selector.hpp
+++ b/include/limpetlock/gateway/endpoint_selector.hpp
@@ -6,6 +6,7 @@
 #include <limpetlock/gateway/model.hpp>
 #include <limpetlock/support/time.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -79,6 +80,19 @@
     /// Whether requests wait at the endpoint, by its last load report; false if that report is too old.
     bool has_waiting_requests(const std::string& id, time_point now) const;
 
+    /// The endpoints of the pool that weren't tried and have a recent load report, and those of them at which
+    /// requests wait.
+    struct waiting_count {
+        std::size_t reporting{0};
+        std::size_t waiting{0};
+
+        friend bool operator==(const waiting_count&, const waiting_count&) = default;
+    };
+    waiting_count count_waiting(const selection_criteria& criteria, time_point now) const;
+
+    /// Whether the endpoint is backed off after failures.
+    bool is_backed_off(const std::string& id, time_point now) const;
+
     /// Whether the endpoint is listed and accepts new work.
     bool accepts_work(const std::string& id) const;
 
--- a/include/limpetlock/gateway/second_attempts.hpp
+++ b/include/limpetlock/gateway/second_attempts.hpp
@@ -72,12 +72,13 @@
 struct hedging_situation {
     bool stopping{false};
     bool suspected_part{false};
-    std::size_t reporting_endpoints{0}; ///< other endpoints with a recent load report
-    std::size_t waiting_endpoints{0};   ///< those of them at which requests wait
-    bool other_waiting{false};          ///< requests wait at the other endpoint
-    bool other_backed_off{false};       ///< the other endpoint has failed lately
-    std::optional<std::string> other;   ///< the endpoint of the second attempt; nullopt if there is none
-    duration elapsed{0};                ///< since the first attempt was sent
+    std::size_t reporting_endpoints{0};  ///< other endpoints with a recent load report
+    std::size_t waiting_endpoints{0};    ///< those of them at which requests wait
+    bool other_waiting{false};           ///< requests wait at the other endpoint
+    bool other_backed_off{false};        ///< the other endpoint has failed lately
+    std::optional<std::string> other;    ///< the endpoint of the second attempt; nullopt if there is none
+    duration time_left{duration::max()}; ///< until the deadline of the request
+    duration elapsed{0};                 ///< since the first attempt was sent
 
     friend bool operator==(const hedging_situation&, const hedging_situation&) = default;
 };
@@ -151,6 +152,9 @@
     /// endpoint's recent times compare to it.
     duration expected_time(const time_class& of, const std::string& endpoint, time_point now) const;
 
+    /// The time that a request without an answer after `elapsed` is expected to need still.
+    duration expected_rest(const time_class& of, duration elapsed, time_point now) const;
+
     /// Whether the second attempt is worth sending; the share and the budget come last, in acquire().
     second_attempt_verdict decide(const hedged_request& request, const time_class& of,
                                   const hedging_situation& now_known, time_point now) const;
--- a/lib/gateway/endpoint_selector.cpp
+++ b/lib/gateway/endpoint_selector.cpp
@@ -190,6 +190,25 @@
            now - it->second.load_at < report_lifetime && it->second.load.waiting > 0;
 }
 
+endpoint_selector::waiting_count endpoint_selector::count_waiting(const selection_criteria& criteria,
+                                                                  time_point now) const
+{
+    waiting_count out;
+    for (const auto* it : untried(criteria)) {
+        if (it->load_at == time_point{} || now - it->load_at >= report_lifetime)
+            continue;
+        ++out.reporting;
+        out.waiting += it->load.waiting > 0 ? 1 : 0;
+    }
+    return out;
+}
+
+bool endpoint_selector::is_backed_off(const std::string& id, time_point now) const
+{
+    const auto it = endpoints_.find(id);
+    return it != endpoints_.end() && it->second.avoid_until > now;
+}
+
 void endpoint_selector::begin_attempt(const std::string& id, time_point)
 {
     const auto it = endpoints_.find(id);
--- a/lib/gateway/request_answer.cpp
+++ b/lib/gateway/request_answer.cpp
@@ -21,9 +21,6 @@
 /// Bound of one answer that is read whole.
 constexpr std::size_t max_answer_bytes = std::size_t{8} * 1024 * 1024;
 
-/// Bytes of a stream in which an event with a new id has to come; beyond that it isn't an answer.
-constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
-
 /// Bound of the answers and parts of streams that are in memory, over all requests. Up to small_answer_bytes
 /// are read in any case.
 constexpr std::size_t max_buffered_bytes = std::size_t{32} * 1024 * 1024;
@@ -118,8 +115,9 @@
 }
 
 /// Relays the complete events of a stream to the caller. When the connection to the endpoint fails, the part
-/// of an event that has arrived is discarded.
-awaitable<attempt_result> request_handler::relay_stream(request_context& it, http::answer_reader& from)
+/// of an event that has arrived is discarded. `begun` are the bytes that were read before.
+awaitable<attempt_result> request_handler::relay_stream(request_context& it, http::answer_reader& from,
+                                                        std::string begun)
 {
     attempt_result out;
     std::optional<time_point> first_event;
@@ -131,7 +129,11 @@
     const bool unusable = continues && (from.status() != it.status || stated == false);
     buffer_share share(buffered_bytes_);
     while (!unusable) {
-        const auto bytes = co_await from.read(it.deadline);
+        std::optional<std::string> bytes;
+        if (begun.empty())
+            bytes = co_await from.read(it.deadline);
+        else
+            bytes = std::exchange(begun, {});
         if (!bytes)
             break;
         const std::string events = it.framing.feed(*bytes);
--- a/lib/gateway/request_context.hpp
+++ b/lib/gateway/request_context.hpp
@@ -6,6 +6,7 @@
 
 #include <limpetlock/gateway/event_framing.hpp>
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,6 +15,16 @@
 
 namespace limpetlock::gateway {
 
+/// Limit of the attempts of one request, including those at endpoints that refuse or can't be reached.
+inline constexpr std::size_t max_attempts = 5;
+
+/// Least number of instances that an instance assumes, since a new one doesn't know the others yet. The
+/// retries beyond the ratio are divided among them.
+inline constexpr std::size_t min_fleet_size = 6;
+
+/// Bytes of a stream in which an event with a new id has to come; beyond that it isn't an answer.
+inline constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
+
 /// Owns the stage results that a request passes to an endpoint, and returns them on release or destruction.
 class held_results {
 public:
@@ -41,6 +52,14 @@
         groups_.clear();
     }
 
+    /// Moves the results to an object of their own, so that release() of this one has no effect.
+    std::shared_ptr<held_results> transfer()
+    {
+        return std::make_shared<held_results>(*returns_, std::exchange(groups_, {}));
+    }
+
+    bool empty() const { return groups_.empty(); }
+
 private:
     result_returns* returns_{nullptr};
     std::vector<result_group> groups_;
@@ -71,6 +90,14 @@
 
 std::string_view to_string(attempt_end it);
 
+/// An attempt that was sent. Its answer, if it has a usable one, waits to be relayed.
+struct opened_attempt {
+    std::unique_ptr<http::answer_reader> answer{}; ///< nullptr if the attempt has ended
+    attempt_result ended{};                        ///< if there is no answer
+    std::string begun{};                           ///< bytes of a stream that were read already
+    time_point sent{};
+};
+
 /// Whether an endpoint may have begun to work on the request.
 inline bool may_have_run(attempt_end it)
 {
@@ -95,6 +122,33 @@
 /// since each one takes a separate step of the engine.
 double tokens_per_piece(const caller_request& it);
 
+/// Records an attempt at an endpoint in the endpoint selector. An attempt that is destroyed without an
+/// outcome counts as cancelled.
+class request_handler::attempt_guard {
+public:
+    attempt_guard(endpoint_selector& selector, endpoint to, time_point now)
+        : target(std::move(to)), selector_(selector)
+    {
+        selector_.begin_attempt(target.id, now);
+    }
+    attempt_guard(const attempt_guard&) = delete;
+    attempt_guard& operator=(const attempt_guard&) = delete;
+    ~attempt_guard() { conclude(attempt_outcome::cancelled, boot_clock::now()); }
+
+    void conclude(attempt_outcome outcome, time_point now)
+    {
+        if (!std::exchange(open_, false))
+            return;
+        selector_.end_attempt(target.id, outcome, now);
+    }
+
+    const endpoint target;
+
+private:
+    endpoint_selector& selector_;
+    bool open_{true};
+};
+
 struct request_handler::request_context {
     request_context(http::exchange& exchange, time_point now) : io(exchange), arrival(now) {}
 
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -26,10 +26,6 @@
 
 constexpr auto as_tuple_awaitable = asio::as_tuple(asio::use_awaitable);
 
-/// Least number of instances that an instance assumes, since a new one doesn't know the others yet. The
-/// retries beyond the ratio are divided among them.
-constexpr std::size_t min_fleet_size = 6;
-
 /// A key is accepted only while the proof of the table is younger than key_revocation_time by this margin.
 constexpr duration proof_margin{300};
 
@@ -46,9 +42,6 @@
 /// before it reads the prompt. Their storage at the producers can be freed then.
 constexpr duration input_fetch_time{45};
 
-/// Limit of the attempts of one request, including those at endpoints that refuse or can't be reached.
-constexpr std::size_t max_attempts = 5;
-
 /// Parts of a prompt that a log line names.
 constexpr std::size_t max_logged_parts = 8;
 
@@ -75,33 +68,6 @@
 
 } // namespace
 
-/// Records an attempt at an endpoint in the endpoint selector. An attempt that is destroyed without an
-/// outcome counts as cancelled.
-class request_handler::attempt_guard {
-public:
-    attempt_guard(endpoint_selector& selector, endpoint to, time_point now)
-        : target(std::move(to)), selector_(selector)
-    {
-        selector_.begin_attempt(target.id, now);
-    }
-    attempt_guard(const attempt_guard&) = delete;
-    attempt_guard& operator=(const attempt_guard&) = delete;
-    ~attempt_guard() { conclude(attempt_outcome::cancelled, boot_clock::now()); }
-
-    void conclude(attempt_outcome outcome, time_point now)
-    {
-        if (!std::exchange(open_, false))
-            return;
-        selector_.end_attempt(target.id, outcome, now);
-    }
-
-    const endpoint target;
-
-private:
-    endpoint_selector& selector_;
-    bool open_{true};
-};
-
 /// Keeps a timer in a set during its own lifetime.
 class request_handler::timer_registration {
 public:
@@ -139,6 +105,7 @@
 request_handler::request_handler(const handler_dependencies& dependencies)
     : dependencies_(dependencies),
       random_(static_cast<std::minstd_rand::result_type>(hash64(dependencies.settings.name, 2))),
+      second_attempts_(dependencies.settings.second_attempts),
       repeats_(
           dependencies.metrics.get_counter("limpetlock_repeats_total", "requests sent to a second endpoint")),
       callers_gone_(dependencies.metrics.get_counter("limpetlock_callers_gone_total",
@@ -178,6 +145,11 @@
     return retry_shares_.try_emplace(pool, options).first->second;
 }
 
+std::size_t request_handler::fleet_size(time_point now) const
+{
+    return dependencies_.peers.view().size_estimate(now, min_fleet_size);
+}
+
 std::string request_handler::pick_pool(const route& it)
 {
     std::uint64_t total = 0;
@@ -373,6 +345,8 @@
         co_return refuse(it, 503, "the instance ends before the answer would", min_retry_after);
     it.pool = pick_pool(*it.matched_route);
     retry_share_of(it.pool).record_first_attempt(it.arrival);
+    if (second_attempts_.enabled())
+        second_attempts_.record_first_request(it.pool, it.arrival);
     it.endpoint_criteria.pool = it.pool;
     it.endpoint_criteria.domain = dependencies_.settings.domain;
     it.endpoint_criteria.affinity_hash = prompt_affinity(it.request);
@@ -503,13 +477,29 @@
         if (it.streaming && !resumes)
             return false;
     }
-    const bool allowed = retry_share_of(it.pool).try_acquire_retry(
-        dependencies_.peers.view().size_estimate(now, min_fleet_size), now);
+    const bool allowed = retry_share_of(it.pool).try_acquire_retry(fleet_size(now), now);
     if (allowed)
         repeats_.add();
     return allowed;
 }
 
+/// Records the end of an attempt that the request had no answer from, or whose answer was relayed.
+void request_handler::record_attempt(request_context& it, const endpoint& to, const attempt_result& last)
+{
+    record_prompt_evidence(it, to, last);
+    if (last.end == attempt_end::delivered)
+        return;
+    if (may_have_run(last.end))
+        ++it.possible_executions;
+    log::info("sending_failed", {{"request", it.request.id},
+                                 {"endpoint", to.id},
+                                 {"end", std::string(to_string(last.end))},
+                                 {"reason", last.reason},
+                                 {"status", fmt::to_string(last.status)},
+                                 {"any_event", last.any_event ? "yes" : "no"},
+                                 {"parts", shared_parts_text(it.request)}});
+}
+
 awaitable<void> request_handler::forward(request_context& it)
 {
     attempt_result last;
@@ -530,21 +520,11 @@
         ++it.attempts;
         it.endpoint_criteria.tried.push_back(to->id);
         it.endpoint_id = to->id;
-        last = co_await run_attempt(it, attempt);
-        record_prompt_evidence(it, *to, last);
+        last = co_await run_attempts(it, attempt);
         if (last.end == attempt_end::delivered && last.outcome == attempt_outcome::answered)
             answer_times_.record(it.matched_route->name, boot_clock::now() - it.last_sent);
         if (last.end == attempt_end::delivered)
             co_return;
-        if (may_have_run(last.end))
-            ++it.possible_executions;
-        log::info("sending_failed", {{"request", it.request.id},
-                                     {"endpoint", to->id},
-                                     {"end", std::string(to_string(last.end))},
-                                     {"reason", last.reason},
-                                     {"status", fmt::to_string(last.status)},
-                                     {"any_event", last.any_event ? "yes" : "no"},
-                                     {"parts", shared_parts_text(it.request)}});
         bool again = may_retry(it, last);
         const bool needs_inputs = !it.matched_route->stages.empty() && it.inputs->handles().empty();
         if (again && (last.end == attempt_end::inputs_gone || needs_inputs))
@@ -598,8 +578,19 @@
 }
 
 awaitable<attempt_result> request_handler::run_attempt(request_context& it, attempt_guard& to)
+{
+    auto opened = co_await open_attempt(it, to, input_release::after_fetch);
+    if (!opened.answer)
+        co_return std::move(opened.ended);
+    co_return co_await relay_answer(it, to, std::move(opened));
+}
+
+awaitable<opened_attempt> request_handler::open_attempt(request_context& it, attempt_guard& to,
+                                                        input_release release)
 {
     const time_point now = boot_clock::now();
+    opened_attempt opened;
+    opened.sent = now;
     it.last_sent = now;
     forwarding_metadata extra;
     extra.time_left = std::max(duration{1}, it.deadline - now);
@@ -617,21 +608,23 @@
         it.matched_route->repeatable ? http::connection_policy::pooled : http::connection_policy::fresh;
     http::call_error error;
     asio::steady_timer fetched(it.executor, input_fetch_time);
-    if (!dependencies_.selector.has_waiting_requests(to.target.id, now))
+    if (release == input_release::after_fetch &&
+        !dependencies_.selector.has_waiting_requests(to.target.id, now))
         fetched.async_wait([inputs = it.inputs](const boost::system::error_code& ec) {
             if (!ec)
                 inputs->release();
         });
     http::client& client =
         it.matched_route->stream ? dependencies_.engine_client : dependencies_.service_client;
-    const auto answer = co_await client.open_answer(to.target.address, std::move(message), it.deadline, reuse,
-                                                    error, std::move(belongs_to_request));
-    attempt_result out;
+    opened.answer = co_await client.open_answer(to.target.address, std::move(message), it.deadline, reuse,
+                                                error, std::move(belongs_to_request));
+    auto& answer = opened.answer;
+    auto& out = opened.ended;
     if (!answer) {
         out = failed_attempt(error);
         out.lost_at_begin = error.code == http::errc::closed && error.answer_begun;
         to.conclude(evidence_of(out.outcome, now), boot_clock::now());
-        co_return out;
+        co_return opened;
     }
     const auto metadata = dependencies_.codec.decode_answer_metadata(answer->status(), answer->headers());
     // On a connection that was in use before, an answer without an id may be a copy of an earlier one.
@@ -639,7 +632,8 @@
         out.end = attempt_end::broken;
         out.reason = "answer without a request id";
         to.conclude(attempt_outcome::broken, boot_clock::now());
-        co_return out;
+        answer.reset();
+        co_return opened;
     }
     if (metadata.load)
         dependencies_.selector.record_load(to.target.id, *metadata.load, boot_clock::now());
@@ -652,23 +646,37 @@
                                                 : attempt_outcome::overloaded;
         out.reason = fmt::format("refused with status {}", answer->status());
         to.conclude(out.outcome, boot_clock::now());
-        co_return out;
+        answer.reset();
+        co_return opened;
     }
     if (!metadata.has_signature || metadata.content_encoded) {
         out.end = attempt_end::broken;
         out.reason = "spoiled answer";
         to.conclude(attempt_outcome::broken, boot_clock::now());
-        co_return out;
+        answer.reset();
+        co_return opened;
     }
     const bool success = answer->status() >= 200 && answer->status() < 300;
     if (success)
-        it.inputs->release();
-    if (success && it.matched_route->stream)
-        out = co_await relay_stream(it, *answer);
-    else
-        out = co_await relay_whole(it, *answer, !success);
+        co_return opened;
+    out = co_await relay_whole(it, *answer, true);
     out.status = answer->status();
     to.conclude(evidence_of(out.outcome, now), boot_clock::now());
+    answer.reset();
+    co_return opened;
+}
+
+awaitable<attempt_result> request_handler::relay_answer(request_context& it, attempt_guard& to,
+                                                        opened_attempt opened)
+{
+    it.inputs->release();
+    attempt_result out;
+    if (it.matched_route->stream)
+        out = co_await relay_stream(it, *opened.answer, std::move(opened.begun));
+    else
+        out = co_await relay_whole(it, *opened.answer, false);
+    out.status = opened.answer->status();
+    to.conclude(evidence_of(out.outcome, opened.sent), boot_clock::now());
     co_return out;
 }
 
--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -15,6 +15,7 @@
 #include <limpetlock/gateway/prompt_quarantine.hpp>
 #include <limpetlock/gateway/published_state.hpp>
 #include <limpetlock/gateway/retry_share.hpp>
+#include <limpetlock/gateway/second_attempts.hpp>
 #include <limpetlock/gateway/settings.hpp>
 #include <limpetlock/http/client.hpp>
 #include <limpetlock/http/server.hpp>
@@ -62,6 +63,14 @@
 
 enum class attempt_end : std::uint8_t;
 struct attempt_result;
+struct opened_attempt;
+
+/// What a permit is asked for. A second attempt doesn't wait for one, and has no effect on the request if
+/// there is no endpoint for it.
+enum class slot_use : std::uint8_t { attempt, second_attempt };
+
+/// When the results of the stages are released: once an idle engine has fetched them, or by the answer.
+enum class input_release : std::uint8_t { after_fetch, by_answer };
 
 /// Finds the route of a request, checks its key, runs its stages, forwards the request to an endpoint and
 /// relays the answer to the caller.
@@ -92,6 +101,7 @@
 private:
     struct request_context;
     class attempt_guard;
+    struct attempt_pair;
 
     /// Least time after which a refused request may come back.
     static constexpr duration min_retry_after{300};
@@ -122,7 +132,9 @@
     /// those that are left have no permit in time; the request is refused then.
     boost::asio::awaitable<std::optional<endpoint>> select_endpoint(request_context& it);
     /// Finds an endpoint with a permit, or without a limit. A permit may begin later.
-    boost::asio::awaitable<std::optional<send_slot>> find_send_slot(request_context& it);
+    boost::asio::awaitable<std::optional<send_slot>> find_send_slot(request_context& it,
+                                                                    slot_use use = slot_use::attempt);
+    bool is_usable(const send_slot& it) const;
     boost::asio::awaitable<bool> reserve_slot(request_context& it);
     /// Refuses the request if all endpoints that may serve it want no requests now. Returns whether it did.
     bool refuse_while_paused(request_context& it);
@@ -132,9 +144,39 @@
     /// What the end of an attempt says of its endpoint.
     attempt_outcome evidence_of(attempt_outcome outcome, time_point sent) const;
     boost::asio::awaitable<attempt_result> run_attempt(request_context& it, attempt_guard& to);
+    /// Sends the request and reads the header of the answer. One that isn't a success is read whole.
+    boost::asio::awaitable<opened_attempt> open_attempt(request_context& it, attempt_guard& to,
+                                                        input_release release);
+    boost::asio::awaitable<attempt_result> relay_answer(request_context& it, attempt_guard& to,
+                                                        opened_attempt opened);
+    void record_attempt(request_context& it, const endpoint& to, const attempt_result& last);
+
+    /// Runs an attempt, and a second one at another endpoint if the answer is slow. The first usable answer
+    /// is relayed. Returns and records the end of the attempts.
+    boost::asio::awaitable<attempt_result> run_attempts(request_context& it, attempt_guard& to);
+    boost::asio::awaitable<void> run_first(request_context& it, attempt_pair& pair);
+    boost::asio::awaitable<void> run_second(request_context& it, attempt_pair& pair);
+    boost::asio::awaitable<opened_attempt> open_usable(request_context& it, attempt_guard& to,
+                                                       input_release release);
+    /// Decides on the second attempt. Returns its endpoint, or nullopt if there is no second attempt.
+    boost::asio::awaitable<std::optional<endpoint>> choose_second(request_context& it,
+                                                                  const attempt_pair& pair);
+    hedged_request hedged_request_of(const request_context& it) const;
+    hedging_situation situation_of(const request_context& it, const attempt_pair& pair,
+                                   std::optional<endpoint> other, time_point now);
+    void log_second(const request_context& it, const attempt_pair& pair, const hedging_situation& known,
+                    second_attempt_verdict verdict);
+    void record_first_time(const attempt_pair& pair, const opened_attempt& ended);
+    /// Records the attempt that isn't relayed: one that failed before, or one that is cancelled now.
+    void record_loser(request_context& it, attempt_pair& pair);
+    /// Returns and records the more decisive of two failed attempts, after the other.
+    attempt_result record_failures(request_context& it, attempt_pair& pair);
+    void count_second(std::string_view outcome);
+    void count_second_suppressed(second_attempt_verdict why);
     boost::asio::awaitable<attempt_result> relay_whole(request_context& it, http::answer_reader& from,
                                                        bool keep_answer);
-    boost::asio::awaitable<attempt_result> relay_stream(request_context& it, http::answer_reader& from);
+    boost::asio::awaitable<attempt_result> relay_stream(request_context& it, http::answer_reader& from,
+                                                        std::string begun);
     boost::asio::awaitable<bool> rerun_stages(request_context& it);
     /// Whether the request may be sent to an engine, by the parts of its prompt. Sets the refusal if not.
     bool passes_quarantine(request_context& it);
@@ -147,12 +189,14 @@
     void log_end(const request_context& it);
     void count_end(const request_context& it, time_point now);
     retry_share& retry_share_of(const std::string& pool);
+    std::size_t fleet_size(time_point now) const;
     duration retry_after(const request_context& it, time_point now);
     std::string pick_pool(const route& it);
 
     handler_dependencies dependencies_;
     std::map<std::string, retry_share, std::less<>> retry_shares_;
     std::minstd_rand random_;
+    second_attempts second_attempts_;
     std::size_t in_flight_{0};
     std::size_t buffered_bytes_{0}; ///< of the answers that are read whole
     bool refusing_new_work_{false};
--- a/lib/gateway/second_attempts.cpp
+++ b/lib/gateway/second_attempts.cpp
@@ -198,6 +198,12 @@
     return duration(static_cast<std::int64_t>(static_cast<double>(median->count()) * factor));
 }
 
+duration second_attempts::expected_rest(const time_class& of, duration elapsed, time_point now) const
+{
+    const auto it = times_.find(of);
+    return it == times_.end() ? elapsed : it->second.expected_rest(elapsed, now);
+}
+
 second_attempt_verdict second_attempts::decide(const hedged_request& request, const time_class& of,
                                                const hedging_situation& now_known, time_point now) const
 {
@@ -216,8 +222,8 @@
         return second_attempt_verdict::no_better_endpoint;
     if (now_known.other_waiting || 2 * now_known.waiting_endpoints > now_known.reporting_endpoints)
         return second_attempt_verdict::requests_waiting;
-    const duration rest = times_.at(of).expected_rest(now_known.elapsed, now);
-    if (expected_time(of, *now_known.other, now) >= rest)
+    const duration useful = std::min(expected_rest(of, now_known.elapsed, now), now_known.time_left);
+    if (expected_time(of, *now_known.other, now) >= useful)
         return second_attempt_verdict::no_better_endpoint;
     return second_attempt_verdict::send;
 }
--- a/test/platform/platform_fleet.cpp
+++ b/test/platform/platform_fleet.cpp
@@ -11,6 +11,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <csignal>
 #include <cstdlib>
@@ -61,9 +62,10 @@
 
 } // namespace
 
-platform_fleet::platform_fleet(std::size_t instances, platformkit::site_options options)
+platform_fleet::platform_fleet(std::size_t instances, platformkit::site_options options,
+                               std::vector<std::string> flags)
     : address_(unique_loopback_address()), directory_(fmt::format("/tmp/limpetlock-platform-{}", getpid())),
-      work_(io_.get_executor()), processes_(instances, -1)
+      flags_(std::move(flags)), work_(io_.get_executor()), processes_(instances, -1)
 {
     options.address = address_;
     std::filesystem::create_directories(directory_);
@@ -104,6 +106,10 @@
         fmt::format("instance-{}", instance), port(instance, caller_listener),
         port(instance, readiness_listener), port(instance, peer_listener), seeds);
     const std::string log = fmt::format("{}/instance-{}.log", directory_, instance);
+    std::vector<std::string> words{"limpetlock", "platform"};
+    words.insert(words.end(), flags_.begin(), flags_.end());
+    std::vector<char*> argv(words.size() + 1, nullptr);
+    std::transform(words.begin(), words.end(), argv.begin(), [](std::string& it) { return it.data(); });
     const pid_t pid = fork();
     if (pid == 0) {
         const int out = open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
@@ -111,7 +117,7 @@
         dup2(out, STDERR_FILENO);
         close_range(STDERR_FILENO + 1, ~0U, 0);
         setenv("LIMPETLOCK_CONFIG", file.c_str(), 1);
-        execl(LIMPETLOCK_BINARY, "limpetlock", "platform", nullptr);
+        execv(LIMPETLOCK_BINARY, argv.data());
         _exit(127);
     }
     processes_[instance] = pid;
--- a/test/platform/platform_fleet.hpp
+++ b/test/platform/platform_fleet.hpp
@@ -48,7 +48,9 @@
 /// Gateway processes and the stand-in site that they serve. The site runs on a thread of its own.
 class platform_fleet {
 public:
-    explicit platform_fleet(std::size_t instances, platformkit::site_options options = {});
+    /// `flags` are passed to all instances.
+    explicit platform_fleet(std::size_t instances, platformkit::site_options options = {},
+                            std::vector<std::string> flags = {});
     ~platform_fleet();
     platform_fleet(const platform_fleet&) = delete;
     platform_fleet& operator=(const platform_fleet&) = delete;
@@ -89,6 +91,7 @@
 
     std::string address_;
     std::string directory_;
+    std::vector<std::string> flags_;
     boost::asio::io_context io_{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
     std::unique_ptr<platformkit::site> site_;
--- a/unittests/gateway/second_attempts_test.cpp
+++ b/unittests/gateway/second_attempts_test.cpp
@@ -300,6 +300,9 @@
     auto failing = usual;
     failing.other_backed_off = true;
     cr_expect_eq(it.decide(read_request(), reads, failing, start), verdict::no_better_endpoint);
+    auto late = usual;
+    late.time_left = duration(90);
+    cr_expect_eq(it.decide(read_request(), reads, late, start), verdict::no_better_endpoint);
     auto released = read_request();
     released.inputs_released = true;
     cr_expect_eq(it.decide(released, reads, usual, start), verdict::inputs_released);
