Second attempts only at endpoints that need no permit

Cause: a second attempt waited for the permit of a limited endpoint. When the first attempt answered meanwhile, the call to the issuing instance was cancelled, which marks that instance as unreachable and holds the endpoint back. Found by reading. Change: the second endpoint is chosen without suspension, among those without a limit. Limited endpoints take less than is sent to them anyway.

--- a/lib/gateway/request_handler.hpp
+++ b/lib/gateway/request_handler.hpp
@@ -65,10 +65,6 @@
 struct attempt_result;
 struct opened_attempt;
 
-/// What a permit is asked for. A second attempt doesn't wait for one, and has no effect on the request if
-/// there is no endpoint for it.
-enum class slot_use : std::uint8_t { attempt, second_attempt };
-
 /// When the results of the stages are released: once an idle engine has fetched them, or by the answer.
 enum class input_release : std::uint8_t { after_fetch, by_answer };
 
@@ -132,9 +128,8 @@
     /// those that are left have no permit in time; the request is refused then.
     boost::asio::awaitable<std::optional<endpoint>> select_endpoint(request_context& it);
     /// Finds an endpoint with a permit, or without a limit. A permit may begin later.
-    boost::asio::awaitable<std::optional<send_slot>> find_send_slot(request_context& it,
-                                                                    slot_use use = slot_use::attempt);
-    bool is_usable(const send_slot& it) const;
+    boost::asio::awaitable<std::optional<send_slot>> find_send_slot(request_context& it);
+    selection_criteria without_limited(const request_context& it) const;
     boost::asio::awaitable<bool> reserve_slot(request_context& it);
     /// Refuses the request if all endpoints that may serve it want no requests now. Returns whether it did.
     bool refuse_while_paused(request_context& it);
@@ -159,11 +154,10 @@
     boost::asio::awaitable<opened_attempt> open_usable(request_context& it, attempt_guard& to,
                                                        input_release release);
     /// Decides on the second attempt. Returns its endpoint, or nullopt if there is no second attempt.
-    boost::asio::awaitable<std::optional<endpoint>> choose_second(request_context& it,
-                                                                  const attempt_pair& pair);
+    std::optional<endpoint> choose_second(request_context& it, const attempt_pair& pair, time_point now);
     hedged_request hedged_request_of(const request_context& it) const;
     hedging_situation situation_of(const request_context& it, const attempt_pair& pair,
-                                   std::optional<endpoint> other, time_point now);
+                                   const std::optional<endpoint>& other, time_point now);
     void log_second(const request_context& it, const attempt_pair& pair, const hedging_situation& known,
                     second_attempt_verdict verdict);
     void record_first_time(const attempt_pair& pair, const opened_attempt& ended);
--- a/lib/gateway/request_pair.cpp
+++ b/lib/gateway/request_pair.cpp
@@ -191,8 +191,13 @@
 {
     asio::steady_timer first_ends(it.executor, asio::steady_timer::time_point::max());
     std::optional<endpoint> to;
-    if (pair.delay)
-        to = co_await choose_second(it, pair);
+    if (pair.delay) {
+        co_await sleep_for(*pair.delay);
+        const auto cancelled = co_await asio::this_coro::cancellation_state;
+        if (cancelled.cancelled() != asio::cancellation_type::none)
+            co_return;
+        to = choose_second(it, pair, boot_clock::now());
+    }
     if (to) {
         // The first attempt must not release what the second one needs.
         if (!it.inputs->empty())
@@ -212,38 +217,24 @@
     co_await first_ends.async_wait(as_tuple_awaitable);
 }
 
-awaitable<std::optional<endpoint>> request_handler::choose_second(request_context& it,
-                                                                  const attempt_pair& pair)
+/// Endpoints that need a permit get no second attempts: they take less than is sent to them anyway, and to
+/// wait for the permit would delay the answer of the first attempt.
+std::optional<endpoint> request_handler::choose_second(request_context& it, const attempt_pair& pair,
+                                                       time_point now)
 {
-    co_await sleep_for(*pair.delay);
-    const auto cancelled = co_await asio::this_coro::cancellation_state;
-    if (cancelled.cancelled() != asio::cancellation_type::none)
-        co_return std::nullopt;
-    it.endpoint_criteria.suspected =
-        dependencies_.quarantine.suspected_endpoints(shared_parts(it.request), boot_clock::now());
-    auto other = dependencies_.selector.select(it.endpoint_criteria, boot_clock::now());
-    auto known = situation_of(it, pair, std::move(other), boot_clock::now());
-    auto verdict = second_attempts_.decide(hedged_request_of(it), pair.of, known, boot_clock::now());
-    std::optional<send_slot> slot;
-    if (verdict == second_attempt_verdict::send) {
-        slot = co_await find_send_slot(it, slot_use::second_attempt);
-        // Meanwhile the state may have changed, and the endpoint may be another one.
-        const time_point now = boot_clock::now();
-        const bool usable = slot && slot->from <= now && is_usable(*slot);
-        known = situation_of(it, pair, usable ? std::optional(slot->to) : std::nullopt, now);
-        verdict = pair.first ? second_attempt_verdict::no_better_endpoint
-                             : second_attempts_.decide(hedged_request_of(it), pair.of, known, now);
-        if (verdict == second_attempt_verdict::send)
-            verdict = second_attempts_.acquire(it.pool, retry_share_of(it.pool), fleet_size(now), now);
-    }
+    auto to = dependencies_.selector.select(without_limited(it), now);
+    const auto known = situation_of(it, pair, to, now);
+    auto verdict = second_attempts_.decide(hedged_request_of(it), pair.of, known, now);
+    if (verdict == second_attempt_verdict::send)
+        verdict = second_attempts_.acquire(it.pool, retry_share_of(it.pool), fleet_size(now), now);
     log_second(it, pair, known, verdict);
     if (verdict != second_attempt_verdict::send)
-        co_return std::nullopt;
-    co_return slot->to;
+        to.reset();
+    return to;
 }
 
 hedging_situation request_handler::situation_of(const request_context& it, const attempt_pair& pair,
-                                                std::optional<endpoint> other, time_point now)
+                                                const std::optional<endpoint>& other, time_point now)
 {
     const auto& selector = dependencies_.selector;
     const auto parts = shared_parts(it.request);
@@ -260,7 +251,7 @@
         return out;
     out.other_waiting = selector.has_waiting_requests(other->id, now);
     out.other_backed_off = selector.is_backed_off(other->id, now);
-    out.other = std::move(other->id);
+    out.other = other->id;
     return out;
 }
 
--- a/lib/gateway/request_permit.cpp
+++ b/lib/gateway/request_permit.cpp
@@ -54,7 +54,17 @@
     });
 }
 
-awaitable<std::optional<send_slot>> request_handler::find_send_slot(request_context& it, slot_use use)
+/// The criteria of the request without the endpoints that need a permit.
+selection_criteria request_handler::without_limited(const request_context& it) const
+{
+    auto out = it.endpoint_criteria;
+    for (const auto& other : dependencies_.selector.available_endpoints(it.pool))
+        if (dependencies_.statements.find(other.id) != nullptr)
+            out.tried.push_back(other.id);
+    return out;
+}
+
+awaitable<std::optional<send_slot>> request_handler::find_send_slot(request_context& it)
 {
     auto& selector = dependencies_.selector;
     duration next_permit = duration::max();
@@ -62,8 +72,6 @@
         const time_point now = boot_clock::now();
         auto to = selector.select(it.endpoint_criteria, now);
         duration max_wait{0};
-        if (!to && use == slot_use::second_attempt)
-            co_return std::nullopt;
         if (!to) {
             to = selector.next_held_back(it.endpoint_criteria, now);
             max_wait = max_permit_wait(it, now);
@@ -83,25 +91,12 @@
         selector.hold_back(to->id, answered + std::min(given.wait, max_hold));
         next_permit = std::min(next_permit, given.wait);
     }
-    auto unlimited = it.endpoint_criteria;
-    for (const auto& other : selector.available_endpoints(it.pool))
-        if (dependencies_.statements.find(other.id) != nullptr)
-            unlimited.tried.push_back(other.id);
-    if (auto to = selector.select(unlimited, boot_clock::now()))
+    if (auto to = selector.select(without_limited(it), boot_clock::now()))
         co_return send_slot{*to, boot_clock::now(), time_point::max()};
-    if (use == slot_use::attempt)
-        refuse_without_permit(it, next_permit);
+    refuse_without_permit(it, next_permit);
     co_return std::nullopt;
 }
 
-/// Whether the slot hasn't expired and its endpoint still takes work.
-bool request_handler::is_usable(const send_slot& it) const
-{
-    const time_point now = boot_clock::now();
-    const bool paused = dependencies_.statements.paused_until(it.to.id, now).has_value();
-    return now <= it.until && !paused && dependencies_.selector.accepts_work(it.to.id);
-}
-
 awaitable<std::optional<endpoint>> request_handler::select_endpoint(request_context& it)
 {
     auto slot = std::exchange(it.reserved_slot, std::nullopt);
@@ -113,7 +108,8 @@
         const time_point now = boot_clock::now();
         if (slot->from > now)
             co_await sleep_for(slot->from - now);
-        if (is_usable(*slot))
+        const bool paused = dependencies_.statements.paused_until(slot->to.id, boot_clock::now()).has_value();
+        if (boot_clock::now() <= slot->until && !paused && dependencies_.selector.accepts_work(slot->to.id))
             co_return slot->to;
         slot.reset();
     }
--- a/test/platform/second_attempt_test.cpp
+++ b/test/platform/second_attempt_test.cpp
@@ -69,9 +69,11 @@
 public:
     using handler = raw_endpoint::handler;
 
-    arena(std::string route, std::vector<std::string> flags, handler first, handler second)
-        : route_(std::move(route)), first_(std::move(first)), second_(std::move(second)),
-          fleet(1, options(), std::move(flags)),
+    /// `stated` are further header lines of the usual answers, each after a line end.
+    arena(std::string route, std::vector<std::string> flags, handler first, handler second,
+          std::string stated = "")
+        : route_(std::move(route)), stated_(std::move(stated)), first_(std::move(first)),
+          second_(std::move(second)), fleet(1, options(), std::move(flags)),
           one_([this](auto& socket, const auto& it) { serve(socket, it); }),
           two_([this](auto& socket, const auto& it) { serve(socket, it); })
     {
@@ -123,7 +125,8 @@
     void serve(tcp::socket& socket, const raw_request& request)
     {
         if (request.id != slow_id)
-            write_bytes(socket, is_stream() ? stream(request, "any") : whole(request, "any"));
+            write_bytes(socket,
+                        is_stream() ? stream(request, "any") : whole(request, "any", "200 OK" + stated_));
         else if (asked++ == 0)
             first_(socket, request);
         else
@@ -131,6 +134,7 @@
     }
 
     const std::string route_;
+    const std::string stated_;
     const handler first_;
     const handler second_;
     int sent_{0};
@@ -294,6 +298,18 @@
     }
 }
 
+// Guards against second attempts at endpoints that limit the rate of their requests.
+Test(second_attempt, limited_endpoints_get_none)
+{
+    const auto late = [](tcp::socket& socket, const raw_request& request) {
+        std::this_thread::sleep_for(milliseconds(300));
+        write_bytes(socket, whole(request, "first"));
+    };
+    arena it("lookup", on, late, answer_second, "\r\nServer-Limit: 2000");
+    cr_expect_eq(it.ask().body, "first " + slow_id);
+    cr_expect_eq(it.asked.load(), 1);
+}
+
 // Guards against a stream with events of two runs, and against a wait for an engine that has sent its header
 // but no event.
 Test(second_attempt, stream_has_the_events_of_one_run)
