--- a/test/platform/second_attempt_test.cpp
+++ b/test/platform/second_attempt_test.cpp
@@ -70,13 +70,19 @@
     using handler = raw_endpoint::handler;
 
     /// `stated` are further header lines of the usual answers, each after a line end.
-    arena(std::string route, std::vector<std::string> flags, handler first, handler second,
+    arena(const std::string& route, std::vector<std::string> flags, handler first, handler second,
           std::string stated = "")
-        : route_(std::move(route)), stated_(std::move(stated)), first_(std::move(first)),
-          second_(std::move(second)), fleet(1, options(), std::move(flags)),
+        : route_(route == "staged" ? "resumable" : route), staged_(route == "staged"),
+          stated_(std::move(stated)), first_(std::move(first)), second_(std::move(second)),
+          fleet(1, options(), std::move(flags)),
           one_([this](auto& socket, const auto& it) { serve(socket, it); }),
           two_([this](auto& socket, const auto& it) { serve(socket, it); })
     {
+        if (staged_)
+            fleet.with_site([](site& it) {
+                it.config["routes"][1]["stages"] = it.config["routes"][0]["stages"];
+                it.publish_config();
+            });
         cr_assert(fleet.wait_ready());
         const std::string pool = is_stream() ? "engine" : "plain";
         one_.list(fleet, pool, "i-raw-one");
@@ -101,6 +107,8 @@
         out.request_id = id;
         if (is_stream())
             out.prefix_hashes = "1:50,2:80";
+        if (staged_)
+            out.pieces = "1,1";
         return out;
     }
 
@@ -134,6 +142,7 @@
     }
 
     const std::string route_;
+    const bool staged_;
     const std::string stated_;
     const handler first_;
     const handler second_;
@@ -333,3 +342,51 @@
     cr_expect_lt(it.took.count(), 500);
     cr_expect_eq(it.asked.load(), 2);
 }
+
+// Guards against results of stages that are released while the second attempt still needs them, and against a
+// second attempt without them, since the first engine has fetched them.
+Test(second_attempt, uses_stage_results_only_while_they_are_held)
+{
+    const auto inputs_of = [](const raw_request& request) {
+        const auto begin = request.text.find("Limpetlock-Inputs: ");
+        return begin == std::string::npos
+                   ? ""
+                   : request.text.substr(begin, request.text.find('\r', begin) - begin);
+    };
+    const std::vector<std::string> early{"--second_attempt_share=0.2", "--second_attempt_min_delay_ms=10"};
+    for (const auto& flags : {early, on}) {
+        std::string first_inputs;
+        std::string second_inputs;
+        std::size_t held = 0;
+        const auto count_held = [](site& it) {
+            return it.first_stage[0]->held_results() + it.first_stage[1]->held_results() +
+                   it.second_stage[0]->held_results() + it.second_stage[1]->held_results();
+        };
+        platform_fleet* fleet = nullptr;
+        arena it(
+            "staged", flags,
+            [&](tcp::socket& socket, const raw_request& request) {
+                first_inputs = inputs_of(request);
+                std::this_thread::sleep_for(milliseconds(400));
+                write_bytes(socket, stream(request, "first"));
+            },
+            [&](tcp::socket& socket, const raw_request& request) {
+                second_inputs = inputs_of(request);
+                std::this_thread::sleep_for(milliseconds(150));
+                fleet->with_site([&](site& platform) { held = count_held(platform); });
+                write_bytes(socket, stream(request, "second"));
+            });
+        fleet = &it.fleet;
+        const bool is_early = flags == early;
+        const auto answer = it.ask();
+        const std::string winner = is_early ? "second" : "first";
+        cr_expect_eq(answer.body, fmt::format("id: 1\ndata: {0}\n\nid: 2\ndata: {0}\n\n", winner));
+        cr_expect_eq(it.asked.load(), is_early ? 2 : 1);
+        cr_expect_neq(first_inputs, "");
+        if (is_early) {
+            cr_expect_eq(second_inputs, first_inputs);
+            cr_expect_gt(held, 0U);
+        }
+        cr_expect(it.fleet.wait_until([&](site& platform) { return count_held(platform) == 0; }));
+    }
+}
