--- a/lib/gateway/load_aware_selector.cpp
+++ b/lib/gateway/load_aware_selector.cpp
@@ -71,7 +71,7 @@
 bool load_aware_selector::may_probe(const std::string& endpoint_id, time_point now) const
 {
     const auto it = unanswered_probes_.find(endpoint_id);
-    return statements_.find(endpoint_id) == nullptr &&
+    return !statements_.limit_of(endpoint_id, now) &&
            (it == unanswered_probes_.end() || it->second.not_before <= now);
 }
 
@@ -144,10 +144,10 @@
     std::vector<routing::candidate> homes;
     std::vector<routing::candidate> others;
     for (const auto& one : eligible.homes)
-        if (homes.empty() || statements_.find(one.listed->id) == nullptr)
+        if (homes.empty() || !statements_.limit_of(one.listed->id, now))
             homes.push_back(candidate_of(one));
     for (const auto& one : eligible.all)
-        if (find(eligible.homes, one.listed->id) == nullptr && statements_.find(one.listed->id) == nullptr)
+        if (find(eligible.homes, one.listed->id) == nullptr && !statements_.limit_of(one.listed->id, now))
             others.push_back(candidate_of(one));
     const auto& domain = it.results_domain.empty() ? it.criteria.domain : it.results_domain;
     const auto& usual = *eligible.homes.front().listed;
--- a/lib/gateway/request_permit.cpp
+++ b/lib/gateway/request_permit.cpp
@@ -50,6 +50,16 @@
     });
 }
 
+/// The criteria of the request without the endpoints that need a permit.
+selection_criteria request_handler::without_limited(const request_context& it) const
+{
+    auto out = it.endpoint_criteria;
+    for (const auto& other : dependencies_.selector.available_endpoints(it.pool))
+        if (dependencies_.statements.limit_of(other.id, boot_clock::now()))
+            out.tried.push_back(other.id);
+    return out;
+}
+
 awaitable<std::optional<send_slot>> request_handler::find_send_slot(request_context& it)
 {
     auto& selector = dependencies_.selector;
@@ -84,11 +94,7 @@
         selector.hold_back(to->id, answered + std::min(given.wait, max_hold));
         next_permit = std::min(next_permit, given.wait);
     }
-    auto unlimited = it.endpoint_criteria;
-    for (const auto& other : selector.available_endpoints(it.pool))
-        if (dependencies_.statements.limit_of(other.id, boot_clock::now()))
-            unlimited.tried.push_back(other.id);
-    if (auto to = selector.select(unlimited, boot_clock::now()))
+    if (auto to = selector.select(without_limited(it), boot_clock::now()))
         co_return send_slot{*to, boot_clock::now(), time_point::max()};
     refuse_without_permit(it, next_permit);
     co_return std::nullopt;
