Move evacuated stage tasks to one other domain, and test with processes

Cause: an order could bring the stage pools under the 24 endpoints from which each domain has its own queue. Change: evacuated endpoints count for the division into groups, and with evacMs a refused task goes to the queue of one other domain instead of that of all. The stand-in has evacuation orders, failure domains, engines that start again cold, and a second listener of the store that turns one instance away.

--- a/include/limpetlock/gateway/endpoint_selector.hpp
+++ b/include/limpetlock/gateway/endpoint_selector.hpp
@@ -76,8 +76,8 @@
     /// All endpoints of a pool that accept new work.
     std::vector<endpoint> available_endpoints(std::string_view pool) const;
 
-    /// Whether the pool has an endpoint that gets no work because its failure domain is evacuated.
-    bool has_evacuated(std::string_view pool) const;
+    /// Endpoints of the pool that get no work because their failure domain is evacuated.
+    std::size_t count_evacuated(std::string_view pool) const;
 
     /// Attempts in flight at the endpoints of each failure domain.
     std::map<std::string, std::uint64_t> in_flight_by_domain() const;
@@ -124,6 +124,8 @@
     const endpoint_statements* statements_{nullptr};
     std::map<std::string, endpoint_state, std::less<>> endpoints_;
     std::map<std::string, std::vector<std::string>, std::less<>> pools_;
+    std::map<std::string, std::size_t, std::less<>>
+        evacuated_; ///< number of evacuated endpoints of each pool
 };
 
 } // namespace limpetlock::gateway
--- a/lib/gateway/endpoint_selector.cpp
+++ b/lib/gateway/endpoint_selector.cpp
@@ -48,6 +48,7 @@
 {
     std::map<std::string, endpoint_state, std::less<>> next;
     pools_.clear();
+    evacuated_.clear();
     for (const auto& it : endpoints) {
         const auto found = endpoints_.find(it.id);
         const bool same = found != endpoints_.end() && found->second.listed.started_ms == it.started_ms &&
@@ -57,6 +58,8 @@
         next.emplace(it.id, std::move(entry));
         if (!it.leaving && !it.evacuated)
             pools_[it.pool].push_back(it.id);
+        else if (!it.leaving)
+            ++evacuated_[it.pool];
     }
     // Endpoints with attempts in flight are kept until these end.
     for (auto& [id, it] : endpoints_)
@@ -281,11 +284,10 @@
     return out;
 }
 
-bool endpoint_selector::has_evacuated(std::string_view pool) const
+std::size_t endpoint_selector::count_evacuated(std::string_view pool) const
 {
-    return std::any_of(endpoints_.begin(), endpoints_.end(), [pool](const auto& it) {
-        return it.second.listed.evacuated && it.second.listed.pool == pool;
-    });
+    const auto found = evacuated_.find(pool);
+    return found == evacuated_.end() ? 0 : found->second;
 }
 
 std::map<std::string, std::uint64_t> endpoint_selector::in_flight_by_domain() const
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -130,7 +130,8 @@
                 peer_handlers()),
           endpoint_permits(peers, statements, issuer, metrics),
           returns(io.get_executor(), peers, scheduler, releaser),
-          runner(io.get_executor(), peers, scheduler, returns, selector),
+          runner(io.get_executor(), peers, scheduler, returns, selector,
+                 settings.bounds.evacuation_time.has_value()),
           handler({*codec, settings, state, reader, quarantine, selector, statements, endpoint_permits,
                    runner, returns, peers, endpoint_client, service_client, metrics}),
           stop(stop_settings_of(settings.bounds)), signals(io, SIGTERM, SIGINT), hangups(io, SIGHUP)
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -600,7 +600,7 @@
 {
     const auto& selector = dependencies_.selector;
     const time_point now = boot_clock::now();
-    if (!selector.available_endpoints(it.pool).empty() || !selector.has_evacuated(it.pool))
+    if (!selector.available_endpoints(it.pool).empty() || selector.count_evacuated(it.pool) == 0)
         return refuse(it, 503, "no endpoint", retry_after);
     evacuated_.add();
     const auto age = dependencies_.state.proof_age(now).value_or(duration(-1));
--- a/lib/gateway/stage_runner.cpp
+++ b/lib/gateway/stage_runner.cpp
@@ -1,6 +1,7 @@
 #include "stage_runner.hpp"
 
 #include <limpetlock/support/background.hpp>
+#include <limpetlock/support/hash.hpp>
 #include <limpetlock/support/log.hpp>
 #include <limpetlock/support/scope_exit.hpp>
 
@@ -11,6 +12,8 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace limpetlock::gateway {
@@ -293,8 +296,9 @@
 };
 
 stage_runner::stage_runner(asio::any_io_executor executor, fleet& peers, stage_scheduler& local,
-                           result_returns& returns, const endpoint_selector& selector)
-    : executor_(std::move(executor)), fleet_(peers), scheduler_(local), returns_(returns), selector_(selector)
+                           result_returns& returns, const endpoint_selector& selector, bool moves_to_domains)
+    : executor_(std::move(executor)), fleet_(peers), scheduler_(local), returns_(returns),
+      selector_(selector), moves_to_domains_(moves_to_domains)
 {
 }
 
@@ -442,16 +446,37 @@
 /// Returns the failure domain whose endpoints run the stages; empty for all domains. In a small deployment
 /// one instance is responsible for all stage pools, so it knows the queue of a later stage when it starts an
 /// earlier one. In a large deployment one such instance is responsible for the endpoints of each failure
-/// domain.
+/// domain. Evacuated endpoints count too: if an order changed the groups, the queues of the old and the new
+/// ones would call the same endpoints.
 std::string stage_runner::scheduling_group(const stage_plan& plan, const routing_table& table) const
 {
     std::size_t endpoints = 0;
     for (const auto& [name, it] : table.pools)
         if (it.stage)
-            endpoints += selector_.available_endpoints(name).size();
+            endpoints += selector_.available_endpoints(name).size() + selector_.count_evacuated(name);
     return endpoints >= endpoints_for_domains ? plan.domain : std::string();
 }
 
+/// Returns the failure domain to which a task moves that was refused in these ones: one of the others that
+/// have endpoints of the pool; empty for all domains if there is none. A single queue feeds the endpoints of
+/// each domain then. This doesn't depend on the orders known here: the instance that refused may know a newer
+/// one.
+std::string stage_runner::next_group(const std::string& pool, const std::string& request_id,
+                                     const std::vector<std::string>& refused_in) const
+{
+    if (!moves_to_domains_)
+        return {};
+    std::set<std::string> domains;
+    for (const auto& it : selector_.available_endpoints(pool))
+        domains.insert(it.domain);
+    for (const auto& it : refused_in)
+        domains.erase(it);
+    if (domains.empty())
+        return {};
+    const auto n = static_cast<std::ptrdiff_t>(hash64(request_id) % domains.size());
+    return *std::next(domains.begin(), n);
+}
+
 /// Runs the task at the responsible instance. If that instance doesn't reply or refuses, tries the next one.
 awaitable<stage_task_result> stage_runner::run_task(std::shared_ptr<run_state> state, std::size_t index,
                                                     stage_task task)
@@ -460,6 +485,7 @@
     stage_task_result last;
     last.reason = "no instance runs the pool";
     std::vector<std::string> tried;
+    std::vector<std::string> refused_in;
     for (std::size_t n = 0; n < max_assignments && !state->abandoned; ++n) {
         const time_point now = boot_clock::now();
         std::string instance = fleet_.view().own().name;
@@ -485,9 +511,10 @@
                                            {"pool", key.pool},
                                            {"from", instance},
                                            {"reason", result ? last.reason : "no answer"}});
-        // The failure domain may have no endpoint of the pool left, so the whole pool is used instead.
+        // The failure domain may have no endpoint of the pool left, so others are used instead.
         if (result && !key.domain.empty()) {
-            key.domain.clear();
+            refused_in.push_back(key.domain);
+            key.domain = next_group(key.pool, task.request_id, refused_in);
             tried.clear();
         }
     }
--- a/lib/gateway/stage_runner.hpp
+++ b/lib/gateway/stage_runner.hpp
@@ -51,7 +51,7 @@
 class stage_runner {
 public:
     stage_runner(boost::asio::any_io_executor executor, fleet& peers, stage_scheduler& local,
-                 result_returns& returns, const endpoint_selector& selector);
+                 result_returns& returns, const endpoint_selector& selector, bool moves_to_domains);
 
     /// Runs the stages of a plan. If the returned coroutine is destroyed before its end, its open tasks are
     /// cancelled and its results are returned (see result_returns). The caller has to return the inputs of
@@ -79,6 +79,8 @@
     boost::asio::awaitable<void> cancel_at(std::string instance, std::string request_id, std::uint32_t stage);
     void cancel_tasks(run_state& state);
     std::string scheduling_group(const stage_plan& plan, const routing_table& table) const;
+    std::string next_group(const std::string& pool, const std::string& request_id,
+                           const std::vector<std::string>& refused_in) const;
 
     struct backlog_report {
         duration length{0};
@@ -90,6 +92,7 @@
     stage_scheduler& scheduler_;
     result_returns& returns_;
     const endpoint_selector& selector_;
+    bool moves_to_domains_; ///< a refused task goes to the queue of another domain, not to that of all
     std::map<pool_key, backlog_report> backlogs_;
 };
 
--- a/unittests/gateway/evacuation_test.cpp
+++ b/unittests/gateway/evacuation_test.cpp
@@ -155,7 +155,7 @@
     cr_expect_not(selector.accepts_work("e1"));
     cr_expect_not(dispatcher.has_endpoint("e1"));
     cr_expect_eq(selector.in_flight_by_domain().at("a"), 1, "operators see the request in flight");
-    cr_expect(selector.has_evacuated("pool"));
+    cr_expect_eq(selector.count_evacuated("pool"), 1);
     // All domains at once: there is nothing left, and nothing is picked as a last resort.
     orders.set_orders({{"a", {5, 1}}, {"b", {6, 1}}}, 1, at(300));
     apply(300);
--- a/utils/platformkit/endpoints.cpp
+++ b/utils/platformkit/endpoints.cpp
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -53,12 +54,13 @@
 }
 
 std::string make_entry(const endpoint_options& it, const std::string& address, std::uint16_t port,
-                       const std::string& state, std::uint64_t sequence, std::int64_t started_ms)
+                       const std::string& state, std::uint64_t sequence, std::int64_t started_ms,
+                       std::int64_t cold_left_ms)
 {
-    return json{{"service", it.pool}, {"addr", fmt::format("{}:{}", address, port)},
-                {"zone", it.domain},  {"version", "v1"},
-                {"slots", it.slots},  {"state", state},
-                {"coldLeftMs", 0},    {"seq", sequence},
+    return json{{"service", it.pool},         {"addr", fmt::format("{}:{}", address, port)},
+                {"zone", it.domain},          {"version", "v1"},
+                {"slots", it.slots},          {"state", state},
+                {"coldLeftMs", cold_left_ms}, {"seq", sequence},
                 {"born", started_ms}}
         .dump();
 }
@@ -98,7 +100,10 @@
 
 std::string service_endpoint::entry(const std::string& state)
 {
-    return make_entry(options_, address_, port(), state, ++entries_written_, started_ms_);
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(cold_until_ - std::chrono::steady_clock::now());
+    return make_entry(options_, address_, port(), state, ++entries_written_, started_ms_,
+                      std::max<std::int64_t>(0, left.count()));
 }
 
 awaitable<void> service_endpoint::crash()
@@ -261,7 +266,7 @@
 
 std::string stage_endpoint::entry(const std::string& state)
 {
-    return make_entry(options_, address_, port(), state, ++entries_written_, first_start_ms);
+    return make_entry(options_, address_, port(), state, ++entries_written_, first_start_ms, 0);
 }
 
 http::response stage_endpoint::release(const std::string& body)
--- a/utils/platformkit/endpoints.hpp
+++ b/utils/platformkit/endpoints.hpp
@@ -135,6 +135,14 @@
     /// Number of requests that run at present.
     std::size_t running_requests() const { return running_requests_; }
 
+    /// From now on the endpoint is another process, which is cold for this long. Its entry has to be
+    /// published again.
+    void restart_cold(std::chrono::milliseconds length)
+    {
+        ++started_ms_;
+        cold_until_ = std::chrono::steady_clock::now() + length;
+    }
+
     /// The endpoint's next entry in the store; each has a higher sequence number.
     std::string entry(const std::string& state = "ready");
 
@@ -154,6 +162,7 @@
     std::string address_;
     endpoint_options options_;
     std::uint16_t port_{0};
+    std::chrono::steady_clock::time_point cold_until_{};
     std::int64_t started_ms_{1'700'000'000'000};
     std::uint64_t entries_written_{0};
     std::string deadly_part_;
--- a/utils/platformkit/site.cpp
+++ b/utils/platformkit/site.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace limpetlock::platformkit {
@@ -52,10 +53,9 @@
     open["name"] = "open";
     open["prefix"] = "/open/";
     open["public"] = true;
-    const json engine{{"name", "engine"},
-                      {"healthPath", "/healthz"},
-                      {"maxConns", 500},
-                      {"engine", {{"slots", 8}, {"kvTokens", 100000}}}};
+    const json engine{{"name", "engine"},         {"healthPath", "/healthz"},
+                      {"maxConns", 500},          {"coldS", 20},
+                      {"coldPerS", it.cold_rate}, {"engine", {{"slots", 8}, {"kvTokens", 100000}}}};
     return {{"version", 1},
             {"routes", {stream, resumable, lookup, booking, open}},
             {"services",
@@ -80,6 +80,7 @@
         endpoint_options out;
         out.id = fmt::format("i-{}-{}", pool, n);
         out.pool = pool;
+        out.domain = options.domains[n % options.domains.size()];
         return out;
     };
     for (std::size_t n = 0; n < options.engines; ++n) {
@@ -126,6 +127,23 @@
     list(second_stage);
 }
 
+std::size_t site::count_arrivals(const std::string& domain, std::chrono::steady_clock::time_point since) const
+{
+    std::size_t out = 0;
+    const auto add = [&](const auto& endpoints) {
+        for (const auto& it : endpoints)
+            if (it->options().domain == domain)
+                out += static_cast<std::size_t>(
+                    std::count_if(it->limit.arrivals().begin(), it->limit.arrivals().end(),
+                                  [since](const auto& arrival) { return arrival >= since; }));
+    };
+    add(engines);
+    add(plain);
+    add(first_stage);
+    add(second_stage);
+    return out;
+}
+
 std::string site::settings(const std::string& name, std::uint16_t caller, std::uint16_t ready,
                            std::uint16_t peer, const std::vector<std::uint16_t>& seeds) const
 {
@@ -133,23 +151,31 @@
     json list = json::array();
     for (const auto it : seeds)
         list.push_back(at(it));
-    return json{{"node", name},
-                {"zone", "a"},
-                {"listen", {{"front", at(caller)}, {"ready", at(ready)}, {"control", at(peer)}}},
-                {"seeds", list},
-                {"limits", {{"cpuShare", 0.25}, {"cores", 1}}},
-                {"bounds",
-                 {{"drainMs", 2000},
-                  {"graceS", 8},
-                  {"configMs", 2000},
-                  {"strictRevoke", true},
-                  {"revokeMs", 5000},
-                  {"budgetRatio", 0.2},
-                  {"budgetWindowS", 10},
-                  {"budgetExtra", options.retry_extra},
-                  {"recoverS", 12}}},
-                {"provider", {{"addr", at(state.port())}, {"readsPerS", 2000}}}}
-        .dump();
+    json out{{"node", name},
+             {"zone", "a"},
+             {"listen", {{"front", at(caller)}, {"ready", at(ready)}, {"control", at(peer)}}},
+             {"seeds", list},
+             {"limits", {{"cpuShare", 0.25}, {"cores", 1}}},
+             {"bounds",
+              {{"drainMs", 2000},
+               {"graceS", 8},
+               {"configMs", 2000},
+               {"strictRevoke", true},
+               {"revokeMs", 5000},
+               {"budgetRatio", 0.2},
+               {"budgetWindowS", 10},
+               {"budgetExtra", options.retry_extra},
+               {"recoverS", 12}}},
+             {"provider",
+              {{"addr", at(name == options.second_store_user ? state.second_port() : state.port())},
+               {"readsPerS", 2000}}}};
+    if (options.follows_evacuations)
+        out["bounds"]["evacMs"] = 5000;
+    if (options.cold_rate > 0) {
+        out["bounds"]["coldOver"] = 1.5;
+        out["bounds"]["coldSlack"] = 5;
+    }
+    return out.dump();
 }
 
 } // namespace limpetlock::platformkit
--- a/utils/platformkit/site.hpp
+++ b/utils/platformkit/site.hpp
@@ -28,6 +28,11 @@
     std::size_t max_batch_pieces{8};               ///< pieces of one stage call
     std::size_t result_capacity{64};               ///< results that one stage endpoint stores
     int retry_extra{52};                           ///< retries of all instances beyond the ratio
+    /// Failure domains among which the endpoints of each pool are divided in turn. The instances are in "a".
+    std::vector<std::string> domains{"a"};
+    bool follows_evacuations{false}; ///< the instances have the bound for orders to evacuate
+    double cold_rate{0}; ///< requests a second that a cold engine tolerates; 0: as many as a warm one
+    std::string second_store_user; ///< instance that uses the second listener of the store
 };
 
 /// The servers of the platform and its configuration.
@@ -45,6 +50,13 @@
     /// store, as their writers do after the store lost them.
     void write_again();
 
+    /// Gives the order to evacuate a failure domain, and withdraws it.
+    void evacuate(const std::string& domain) { state.put("op/evacuate/" + domain, "{}"); }
+    void end_evacuation(const std::string& domain) { state.remove("op/evacuate/" + domain); }
+
+    /// All requests, stage calls and releases that the endpoints of a failure domain received since then.
+    std::size_t count_arrivals(const std::string& domain, std::chrono::steady_clock::time_point since) const;
+
     /// Settings file of one instance with its listeners on the given ports; `seeds` are ports of peers.
     std::string settings(const std::string& name, std::uint16_t caller, std::uint16_t ready,
                          std::uint16_t peer, const std::vector<std::uint16_t>& seeds) const;
--- a/utils/platformkit/store.cpp
+++ b/utils/platformkit/store.cpp
@@ -72,6 +72,8 @@
 {
     server_ = std::make_unique<http::server>(executor_, address, 0, http::server_limits{},
                                              [this](http::exchange& io) { return serve(io); });
+    second_server_ = std::make_unique<http::server>(executor_, address, 0, http::server_limits{},
+                                                    [this](http::exchange& io) { return serve_second(io); });
 }
 
 json store::to_json(const change& it)
@@ -219,6 +221,16 @@
     }
 }
 
+awaitable<void> store::serve_second(http::exchange& io)
+{
+    if (!second_turned_away_) {
+        co_await serve(io);
+        co_return;
+    }
+    http::response answer = http::json_response(503, "{}");
+    co_await respond(io, std::move(answer));
+}
+
 awaitable<void> store::serve(http::exchange& io)
 {
     const std::string& target = io.message().target;
--- a/utils/platformkit/store.hpp
+++ b/utils/platformkit/store.hpp
@@ -29,6 +29,10 @@
     store(boost::asio::any_io_executor executor, const std::string& address);
 
     std::uint16_t port() const { return server_->port(); }
+    std::uint16_t second_port() const { return second_server_->port(); }
+
+    /// Whether the second listener answers all requests with status 503.
+    void turn_second_away(bool yes) { second_turned_away_ = yes; }
 
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
@@ -77,6 +81,7 @@
     };
 
     boost::asio::awaitable<void> serve(http::exchange& io);
+    boost::asio::awaitable<void> serve_second(http::exchange& io);
     boost::asio::awaitable<void> respond(http::exchange& io, http::response answer) const;
     boost::asio::awaitable<void> serve_watch(http::exchange& io);
     boost::asio::awaitable<void> hang(http::exchange& io);
@@ -100,6 +105,8 @@
     std::size_t calls_{0};
     std::set<boost::asio::steady_timer*> watches_;
     std::unique_ptr<http::server> server_;
+    std::unique_ptr<http::server> second_server_;
+    bool second_turned_away_{false};
 };
 
 } // namespace limpetlock::platformkit
