Let stage calls run to completion after an order to evacuate

Cause: the instance that submitted a task asks for it every 500 ms. Once all endpoints of the pool were evacuated, it was told that there are none, although its pieces were in calls: they ran a second time in another domain. The other process tests were not run again after this change.

--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -286,12 +286,16 @@
 {
     stage_task_result out;
     pool_state* const state = find_pool(key);
-    if (state == nullptr || !state->dispatcher.has_endpoints()) {
+    const task_key task_id{task.request_id, task.stage};
+    // A task whose pieces are all in calls runs to completion although its endpoints were evacuated since.
+    const auto open = open_tasks_.find(task_id);
+    const bool runs = state != nullptr && state->evacuated && open != open_tasks_.end() &&
+                      !open->second->cancelled && open->second->pool == key;
+    if (state == nullptr || (!state->dispatcher.has_endpoints() && !runs)) {
         out.reason = "no endpoints in pool " + key.pool;
         co_return out;
     }
     const time_point now = boot_clock::now();
-    const task_key task_id{task.request_id, task.stage};
     auto& slot = open_tasks_[task_id];
     if (!slot || slot->cancelled) {
         slot = std::make_shared<open_task>(std::move(task), key, executor_);
--- a/test/platform/evacuation_test.cpp
+++ b/test/platform/evacuation_test.cpp
@@ -148,7 +148,8 @@
 }
 
 // Guards against stage tasks that wait for an evacuated domain, until their deadline or until they are asked
-// for again after 500 ms, while the endpoints of the other domain have room.
+// for again after 500 ms, while the endpoints of the other domain have room; against calls that run when the
+// order is given and whose pieces run elsewhere, too; and against releases of their results.
 Test(evacuation, waiting_stage_tasks_move_to_the_other_domain)
 {
     auto options = two_domains();
@@ -186,6 +187,13 @@
     cr_expect_eq(late, 0, "%zu calls", late);
     const std::size_t moved = arrivals(fleet, other, ordered) - arrivals(fleet, other, ordered + usual_delay);
     cr_expect_geq(moved, 4, "%zu calls at once at the six endpoints of the other domain", moved);
+    std::size_t pieces = 0;
+    fleet.with_site([&pieces](site& it) {
+        for (const auto& endpoint : it.first_stage)
+            for (const auto& call : endpoint->calls())
+                pieces += call.pieces;
+    });
+    cr_expect_eq(pieces, requests, "%zu pieces ran for %d requests", pieces, requests);
 }
 
 // Guards against instances that use evacuated endpoints as a last resort, that let requests wait when there
