--- a/include/limpetlock/gateway/stage_shards.hpp
+++ b/include/limpetlock/gateway/stage_shards.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -68,9 +69,10 @@
     stage_group group_of_pool(const stage_group& group, std::string_view pool) const;
 
     /// Groups to try in order for a pool of a request in `group`: that group, the other shard that the
-    /// request drew, the whole domain and all domains.
+    /// request drew, the whole domain and all domains. With `other_domains`, the other domains that have
+    /// endpoints of the pool go before all domains: a single queue then calls the endpoints of each domain.
     std::vector<stage_group> fallbacks(const stage_group& group, std::string_view request_id,
-                                       std::string_view pool) const;
+                                       std::string_view pool, bool other_domains) const;
 
     /// The groups of all domains in their order, if one of the domains has several shards; otherwise none.
     std::vector<stage_group> divided_groups() const;
@@ -81,6 +83,7 @@
     struct domain_counts {
         std::size_t all{0};
         std::map<std::string, std::size_t, std::less<>> pools;
+        std::set<std::string, std::less<>> usable_pools; ///< with an endpoint that accepts work
 
         friend bool operator==(const domain_counts&, const domain_counts&) = default;
     };
--- a/lib/gateway/stage_runner.cpp
+++ b/lib/gateway/stage_runner.cpp
@@ -1,6 +1,7 @@
 #include "stage_runner.hpp"
 
 #include <limpetlock/support/background.hpp>
+#include <limpetlock/support/hash.hpp>
 #include <limpetlock/support/log.hpp>
 #include <limpetlock/support/scope_exit.hpp>
 
@@ -11,6 +12,8 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace limpetlock::gateway {
@@ -375,8 +378,9 @@
 };
 
 stage_runner::stage_runner(asio::any_io_executor executor, fleet& peers, stage_scheduler& local,
-                           result_returns& returns, metrics::registry& metrics)
-    : executor_(std::move(executor)), fleet_(peers), scheduler_(local), returns_(returns), metrics_(metrics)
+                           result_returns& returns, metrics::registry& metrics, bool moves_to_domains)
+    : executor_(std::move(executor)), fleet_(peers), scheduler_(local), returns_(returns), metrics_(metrics),
+      moves_to_domains_(moves_to_domains)
 {
 }
 
@@ -627,7 +631,7 @@
                                                     stage_task task)
 {
     const std::string& pool = state->plan.stages[index].pool;
-    const auto groups = layout_.fallbacks(state->group, state->plan.request_id, pool);
+    const auto groups = layout_.fallbacks(state->group, state->plan.request_id, pool, moves_to_domains_);
     auto group = groups.begin();
     pool_key key = key_of(*group, pool);
     stage_task_result last;
--- a/lib/gateway/stage_runner.hpp
+++ b/lib/gateway/stage_runner.hpp
@@ -56,7 +56,7 @@
 class stage_runner {
 public:
     stage_runner(boost::asio::any_io_executor executor, fleet& peers, stage_scheduler& local,
-                 result_returns& returns, metrics::registry& metrics);
+                 result_returns& returns, metrics::registry& metrics, bool moves_to_domains);
 
     /// Replaces the numbers of stage endpoints.
     void set_layout(stage_layout it);
@@ -107,6 +107,8 @@
     stage_scheduler& scheduler_;
     result_returns& returns_;
     metrics::registry& metrics_;
+    /// A task that a failure domain has no endpoint for goes to the queue of another domain, not to that of all.
+    bool moves_to_domains_;
     stage_layout layout_;
     std::map<pool_key, backlog_report> backlogs_;
     stage_duties duties_;
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -488,7 +488,12 @@
 {
     stage_task_result out;
     pool_state* const state = find_pool(key);
-    if (state == nullptr || !state->dispatcher.has_endpoints()) {
+    const task_key task_id = id_of(task);
+    // A task whose pieces are all in calls runs to completion although its endpoints were evacuated since.
+    const auto open = open_tasks_.find(task_id);
+    const bool is_open = open != open_tasks_.end() && !open->second->cancelled;
+    const bool runs = state != nullptr && state->evacuated && is_open && open->second->pool == key;
+    if (state == nullptr || (!state->dispatcher.has_endpoints() && !runs)) {
         // Without a table or list, another instance may know the endpoints.
         if (state != nullptr && !endpoints_.empty())
             out.status = stage_task_result::task_status::no_endpoints;
@@ -497,9 +502,7 @@
     }
     const time_point now = boot_clock::now();
     state->last_requested = now;
-    const task_key task_id = id_of(task);
-    const auto open = open_tasks_.find(task_id);
-    if (open == open_tasks_.end() || open->second->cancelled) {
+    if (!is_open) {
         auto refusal = refusal_of(key, task, now);
         if (refusal) {
             refusal->backlogs = outlines_of(key, now);
--- a/lib/gateway/stage_shards.cpp
+++ b/lib/gateway/stage_shards.cpp
@@ -89,6 +89,8 @@
         auto& counts = domains_[it.domain];
         ++counts.all;
         ++counts.pools[it.pool];
+        if (!it.leaving && !it.evacuated)
+            counts.usable_pools.insert(it.pool);
     }
 }
 
@@ -124,7 +126,7 @@
 }
 
 std::vector<stage_group> stage_layout::fallbacks(const stage_group& group, std::string_view request_id,
-                                                 std::string_view pool) const
+                                                 std::string_view pool, bool other_domains) const
 {
     std::vector<stage_group> out{group_of_pool(group, pool)};
     const auto add = [&out](stage_group it) {
@@ -136,6 +138,15 @@
             add(group_of_pool(it, pool));
         add(stage_group{group.domain, 0, 1});
     }
+    if (other_domains && !group.domain.empty()) {
+        std::vector<std::pair<std::uint64_t, std::string>> others;
+        for (const auto& [domain, counts] : domains_)
+            if (domain != group.domain && counts.usable_pools.contains(pool))
+                others.emplace_back(hash64(domain, hash64(request_id)), domain);
+        std::sort(others.begin(), others.end());
+        for (const auto& [score, domain] : others)
+            add(group_of_pool(draw(request_id, domain).front(), pool));
+    }
     add(stage_group{});
     return out;
 }
