Assign shards without ranking all instances for each

Cause: the loss of an instance makes every entry instance assign the shards again, once for each lost instance that it meets. Each assignment ranked and copied all instances for each shard.

Change: the assignment compares the scores only.

--- a/include/limpetlock/gateway/fleet_view.hpp
+++ b/include/limpetlock/gateway/fleet_view.hpp
@@ -108,6 +108,13 @@
     std::uint64_t version_{0};
 };
 
+/// Weight of an instance of this capacity in the order of by_responsibility.
+double responsibility_weight(std::int64_t capacity);
+
+/// Score by which by_responsibility orders the instances that aren't overloaded; the highest is first. `seed`
+/// is the hash of the key.
+double responsibility_score(std::uint64_t seed, std::string_view name, double weight);
+
 /// Returns the instances in the order in which they are responsible for a key. It is rendezvous hashing with
 /// weights that strongly prefer instances of large capacity. Overloaded instances are last.
 std::vector<member> by_responsibility(std::string_view key, std::vector<member> members);
--- a/lib/gateway/fleet_view.cpp
+++ b/lib/gateway/fleet_view.cpp
@@ -122,15 +122,24 @@
         ++version_;
 }
 
+double responsibility_weight(std::int64_t capacity)
+{
+    return std::pow(static_cast<double>(std::max<std::int64_t>(1, capacity)), capacity_exponent);
+}
+
+double responsibility_score(std::uint64_t seed, std::string_view name, double weight)
+{
+    return -weight / std::log(unit_interval(hash64(name, seed)));
+}
+
 std::vector<member> by_responsibility(std::string_view key, std::vector<member> members)
 {
     const std::uint64_t seed = hash64(key);
     std::vector<std::pair<double, member>> ranked;
     ranked.reserve(members.size());
     for (auto& it : members) {
-        const double capacity = static_cast<double>(std::max<std::int64_t>(1, it.capacity));
-        const double weight = std::pow(capacity, capacity_exponent);
-        ranked.emplace_back(-weight / std::log(unit_interval(hash64(it.name, seed))), std::move(it));
+        const double score = responsibility_score(seed, it.name, responsibility_weight(it.capacity));
+        ranked.emplace_back(score, std::move(it));
     }
     std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
         return a.second.overloaded != b.second.overloaded ? b.second.overloaded : a.first > b.first;
--- a/lib/gateway/stage_shards.cpp
+++ b/lib/gateway/stage_shards.cpp
@@ -23,6 +23,13 @@
     std::size_t index{0}; ///< of the endpoint
 };
 
+/// An instance that can get a group.
+struct candidate {
+    const member* info{nullptr};
+    double weight{0};
+    std::size_t groups{0}; ///< that it has by now
+};
+
 } // namespace
 
 std::uint32_t shard_count(std::size_t endpoints)
@@ -156,25 +163,32 @@
 stage_duties::stage_duties(std::vector<stage_group> divided, std::vector<member> members)
     : members_(std::move(members))
 {
-    auto usable = members_;
-    std::erase_if(usable, [](const member& it) { return it.overloaded; });
-    if (usable.empty())
-        usable = members_;
+    std::vector<candidate> usable;
+    for (const auto& it : members_)
+        if (!it.overloaded)
+            usable.push_back({&it, responsibility_weight(it.capacity)});
     if (usable.empty())
-        return;
-    std::size_t fewest = 0; // groups that every instance has by now
-    std::size_t assigned = 0;
+        for (const auto& it : members_)
+            usable.push_back({&it, responsibility_weight(it.capacity)});
     for (auto& group : divided) {
-        for (const auto& it : by_responsibility(responsibility_key(group), usable)) {
-            auto& n = held_[it.name];
-            if (n > fewest)
+        // The instances are scored without a full ranking, which would take too long after each loss of one.
+        const std::uint64_t seed = hash64(responsibility_key(group));
+        candidate* best = nullptr;
+        double best_score = 0;
+        for (auto& it : usable) {
+            if (best != nullptr && it.groups > best->groups)
                 continue;
-            ++n;
-            holders_.emplace(std::move(group), it.name);
-            break;
+            const double score = responsibility_score(seed, it.info->name, it.weight);
+            if (best == nullptr || it.groups < best->groups || score > best_score) {
+                best = &it;
+                best_score = score;
+            }
         }
-        if (++assigned % usable.size() == 0)
-            ++fewest;
+        if (best == nullptr)
+            return;
+        ++best->groups;
+        ++held_[best->info->name];
+        holders_.emplace(std::move(group), best->info->name);
     }
 }
 
@@ -186,17 +200,17 @@
         return out;
     auto ranked = by_responsibility(responsibility_key(it), members_);
     if (const auto holder = holders_.find(it); holder != holders_.end()) {
-        const auto rank = [this, &holder](const member& candidate) {
-            const auto n = held_.find(candidate.name);
-            if (candidate.name == holder->second)
+        const auto rank = [this, &holder](const member& instance) {
+            const auto n = held_.find(instance.name);
+            if (instance.name == holder->second)
                 return 0;
-            return candidate.overloaded ? 3 : n == held_.end() || n->second == 0 ? 1 : 2;
+            return instance.overloaded ? 3 : n == held_.end() || n->second == 0 ? 1 : 2;
         };
         std::stable_sort(ranked.begin(), ranked.end(),
                          [&rank](const member& a, const member& b) { return rank(a) < rank(b); });
     }
-    for (auto& candidate : ranked)
-        out.push_back(std::move(candidate.name));
+    for (auto& instance : ranked)
+        out.push_back(std::move(instance.name));
     return out;
 }
 
