--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -188,6 +188,7 @@
   9: i64 table_version;
   10: list<endpoint_leaving_message> leaving;
   11: list<endpoint_cold_message> cold;
+  20: bool brief;         // has only the sender and its positions, and wants such a pong
 }
 
 struct member_pong_message {
@@ -209,6 +210,7 @@
   1: i64 after_revision;
   2: bool accepts_compressed; // the sender can decompress values
   3: i64 after_era;
+  10: bool accepts_packed; // the sender can unpack items
 }
 
 struct state_item_message {
@@ -230,6 +232,7 @@
   7: i64 table_era;
   8: i64 table_version;
   9: bool has_evacuations; // the sender's state includes the orders to evacuate failure domains
+  10: string packed;      // further items: a state_push_message with items only, in the zlib format
 }
 
 /// Results of a stage and the instance that ran it.
