Rename a struct that had the name of another one in the same namespace

Cause: routing::candidate of candidate_choice.hpp was defined with other members than the one of chooser.hpp. Functions of templates, such as std::vector<candidate>, are merged by the linker, so either could run with the layout of the other.

Change: the new one is drawable_endpoint.

--- a/include/limpetlock/routing/candidate_choice.hpp
+++ b/include/limpetlock/routing/candidate_choice.hpp
@@ -12,11 +12,12 @@
 
 namespace limpetlock::routing {
 
-struct candidate {
+/// An endpoint that may be drawn for a request.
+struct drawable_endpoint {
     std::string endpoint;
     std::string domain; ///< failure domain
 
-    friend bool operator==(const candidate&, const candidate&) = default;
+    friend bool operator==(const drawable_endpoint&, const drawable_endpoint&) = default;
 };
 
 /// Most endpoints that are compared for one request.
@@ -24,9 +25,9 @@
 
 /// The first of the homes is always drawn, then one of the other homes, then others at random. All are in the
 /// `domain` except one at most, unless there would be no second candidate otherwise.
-std::vector<candidate> draw_candidates(const std::vector<candidate>& homes,
-                                       const std::vector<candidate>& others, const std::string& domain,
-                                       std::minstd_rand& random);
+std::vector<drawable_endpoint> draw_candidates(const std::vector<drawable_endpoint>& homes,
+                                               const std::vector<drawable_endpoint>& others,
+                                               const std::string& domain, std::minstd_rand& random);
 
 /// A candidate with its estimate. `cost_ms` adds what the request costs besides, such as another domain.
 struct rated_candidate {
--- a/lib/gateway/load_aware_selector.cpp
+++ b/lib/gateway/load_aware_selector.cpp
@@ -24,7 +24,7 @@
 constexpr duration min_probe_pause{1'000};
 constexpr duration max_probe_pause{16'000};
 
-routing::candidate candidate_of(const eligible_endpoint& it)
+routing::drawable_endpoint candidate_of(const eligible_endpoint& it)
 {
     return {it.listed->id, it.listed->domain};
 }
@@ -141,8 +141,8 @@
     if (eligible.homes.empty())
         return out;
     // Those with a limit need a permit and must not be preferred, so only the usual endpoint may have one.
-    std::vector<routing::candidate> homes;
-    std::vector<routing::candidate> others;
+    std::vector<routing::drawable_endpoint> homes;
+    std::vector<routing::drawable_endpoint> others;
     for (const auto& one : eligible.homes)
         if (homes.empty() || statements_.find(one.listed->id) == nullptr)
             homes.push_back(candidate_of(one));
--- a/lib/routing/candidate_choice.cpp
+++ b/lib/routing/candidate_choice.cpp
@@ -22,10 +22,10 @@
 }
 
 /// Moves a random element out of the list.
-candidate take_random(std::vector<candidate>& from, std::minstd_rand& random)
+drawable_endpoint take_random(std::vector<drawable_endpoint>& from, std::minstd_rand& random)
 {
     const auto at = from.begin() + static_cast<std::ptrdiff_t>(random() % from.size());
-    candidate out = std::move(*at);
+    drawable_endpoint out = std::move(*at);
     *at = std::move(from.back());
     from.pop_back();
     return out;
@@ -33,18 +33,18 @@
 
 } // namespace
 
-std::vector<candidate> draw_candidates(const std::vector<candidate>& homes,
-                                       const std::vector<candidate>& others, const std::string& domain,
-                                       std::minstd_rand& random)
+std::vector<drawable_endpoint> draw_candidates(const std::vector<drawable_endpoint>& homes,
+                                               const std::vector<drawable_endpoint>& others,
+                                               const std::string& domain, std::minstd_rand& random)
 {
-    std::vector<candidate> out;
+    std::vector<drawable_endpoint> out;
     if (homes.empty())
         return out;
     out.push_back(homes.front());
     bool outside = homes.front().domain != domain;
-    const auto add_from = [&](std::vector<candidate> from, std::size_t count) {
-        std::vector<candidate> inside;
-        std::vector<candidate> elsewhere;
+    const auto add_from = [&](std::vector<drawable_endpoint> from, std::size_t count) {
+        std::vector<drawable_endpoint> inside;
+        std::vector<drawable_endpoint> elsewhere;
         for (auto& it : from)
             (it.domain == domain ? inside : elsewhere).push_back(std::move(it));
         for (; count > 0 && !inside.empty(); --count)
--- a/unittests/routing/expected_time_test.cpp
+++ b/unittests/routing/expected_time_test.cpp
@@ -92,11 +92,11 @@
 Test(candidate_choice, at_most_one_candidate_is_in_another_domain)
 {
     std::minstd_rand random(7);
-    std::vector<candidate> others;
+    std::vector<drawable_endpoint> others;
     others.reserve(30);
     for (int n = 0; n < 30; ++n)
         others.push_back({"o" + std::to_string(n), n % 3 == 0 ? "a" : n % 3 == 1 ? "b" : "c"});
-    const std::vector<candidate> homes{{"h0", "b"}, {"h1", "a"}, {"h2", "c"}};
+    const std::vector<drawable_endpoint> homes{{"h0", "b"}, {"h1", "a"}, {"h2", "c"}};
     std::set<std::string> seen;
     for (int n = 0; n < 200; ++n) {
         const auto drawn = draw_candidates(homes, others, "a", random);
