--- a/unittests/gateway/shards_test.cpp
+++ b/unittests/gateway/shards_test.cpp
@@ -133,7 +133,7 @@
     cr_expect(smallest.draw("r1", "a") == std::vector<stage_group>{stage_group{}});
     const auto today = make_layout({{26, 22}, {20, 4}});
     cr_expect(today.draw("r1", "a") == (std::vector<stage_group>{{"a", 0, 1}}));
-    cr_expect(today.fallbacks({"a", 0, 1}, "r1", "embed") ==
+    cr_expect(today.fallbacks({"a", 0, 1}, "r1", "embed", false) ==
               (std::vector<stage_group>{{"a", 0, 1}, stage_group{}}));
     cr_expect(today.divided_groups().empty());
     stage_duties duties(today.divided_groups(), fleet);
@@ -157,7 +157,7 @@
         cr_expect_eq(drawn[0].shards, shards);
         ++first[drawn[0].shard];
         // The pool has three endpoints, which are in the shards 0 to 2.
-        const auto list = layout.fallbacks(drawn[0], id, "embed");
+        const auto list = layout.fallbacks(drawn[0], id, "embed", false);
         cr_expect_lt(list[0].shard, 3);
         cr_expect_eq(list[list.size() - 2], (stage_group{"a", 0, 1}));
         cr_expect_eq(list.back(), stage_group{});
