--- a/include/limpetlock/gateway/endpoint_selector.hpp
+++ b/include/limpetlock/gateway/endpoint_selector.hpp
@@ -6,6 +6,7 @@
 #include <limpetlock/gateway/model.hpp>
 #include <limpetlock/support/time.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -40,6 +41,21 @@
     std::vector<std::string> suspected;
 };
 
+/// An endpoint that may be selected for a request.
+struct eligible_endpoint {
+    const endpoint* listed{nullptr}; ///< valid until the list of endpoints changes
+    /// Factor of the cost of its errors, and of its smaller share after a pause; 1 for most.
+    double handicap{1};
+};
+
+/// The endpoints among which a request has the choice.
+struct eligible_endpoints {
+    std::vector<eligible_endpoint> all;
+    /// Those that requests with the same affinity hash go to, or the one that `select` returns. That one is
+    /// the first.
+    std::vector<eligible_endpoint> homes;
+};
+
 /// The state of all listed endpoints, from the attempts of this instance and the load that endpoints report.
 class endpoint_selector {
 public:
@@ -54,7 +70,10 @@
 
     /// Returns the endpoint for a request; nullopt if the pool has none that wasn't tried and isn't held
     /// back. Endpoints that are backed off after failures are selected only if there is no other.
-    std::optional<endpoint> select(const selection_criteria& criteria, time_point now);
+    std::optional<endpoint> select(const selection_criteria& criteria, time_point now) const;
+
+    /// The endpoints among which `select` chooses, without regard to their load.
+    eligible_endpoints eligible(const selection_criteria& criteria, time_point now) const;
 
     /// Leaves the endpoint out of the selection until then, since it has no permit for a request.
     void hold_back(const std::string& id, time_point until);
@@ -76,9 +95,28 @@
     /// All endpoints of a pool that accept new work.
     std::vector<endpoint> available_endpoints(std::string_view pool) const;
 
+    /// Endpoints of the pool that get no work because their failure domain is evacuated.
+    std::size_t count_evacuated(std::string_view pool) const;
+
+    /// Attempts in flight at the endpoints of each failure domain.
+    std::map<std::string, std::uint64_t> in_flight_by_domain() const;
+
     /// Whether requests wait at the endpoint, by its last load report; false if that report is too old.
     bool has_waiting_requests(const std::string& id, time_point now) const;
 
+    /// The endpoints of the pool that weren't tried and have a recent load report, and those of them at which
+    /// requests wait.
+    struct waiting_count {
+        std::size_t reporting{0};
+        std::size_t waiting{0};
+
+        friend bool operator==(const waiting_count&, const waiting_count&) = default;
+    };
+    waiting_count count_waiting(const selection_criteria& criteria, time_point now) const;
+
+    /// Whether the endpoint is backed off after failures.
+    bool is_backed_off(const std::string& id, time_point now) const;
+
     /// Whether the endpoint is listed and accepts new work.
     bool accepts_work(const std::string& id) const;
 
@@ -97,6 +135,8 @@
     struct candidate {
         const endpoint_state* state;
         bool avoided;    ///< backed off after failures
+        bool returning;  ///< left out at this moment, because it returns gradually
+        bool cold;       ///< left out, because it is cold and a warm endpoint has room
         bool suspected;  ///< crashed on a part of the prompt
         bool overloaded; ///< too loaded for requests with affinity
         double load;     ///< requests and cost of errors, divided by its slots
@@ -105,15 +145,24 @@
     };
 
     bool is_paused(const std::string& id, time_point now) const;
+    bool is_cold(const std::string& id, time_point now) const;
+    bool is_left_out(const endpoint_state& it, time_point now) const;
     double load_of(const endpoint_state& it, time_point now) const;
     /// The endpoints of the pool that weren't tried.
     std::vector<const endpoint_state*> untried(const selection_criteria& criteria) const;
     std::vector<candidate> candidates(const selection_criteria& criteria, time_point now) const;
+    std::optional<endpoint> select_among(std::vector<candidate> all, const selection_criteria& criteria,
+                                         time_point now) const;
+    /// Sorts those that requests with this affinity go to before the others, and returns their number.
+    std::size_t sort_homes(std::vector<candidate>& all, const selection_criteria& criteria) const;
+    double return_share(const std::string& id, time_point now) const;
     void penalize(endpoint_state& it, duration base, time_point now);
 
     const endpoint_statements* statements_{nullptr};
     std::map<std::string, endpoint_state, std::less<>> endpoints_;
     std::map<std::string, std::vector<std::string>, std::less<>> pools_;
+    std::map<std::string, std::size_t, std::less<>>
+        evacuated_; ///< number of evacuated endpoints of each pool
 };
 
 } // namespace limpetlock::gateway
--- a/include/limpetlock/gateway/fleet_view.hpp
+++ b/include/limpetlock/gateway/fleet_view.hpp
@@ -22,6 +22,7 @@
     std::int64_t capacity{1000}; ///< thousandths of a core
     std::int64_t run_id{0};      ///< random; distinguishes two processes of one name
     bool stopping{false};        ///< takes no new work
+    bool overloaded{false};      ///< gives up the duties that others can take
 
     friend bool operator==(const member&, const member&) = default;
 };
@@ -48,7 +49,25 @@
     /// so the instances that were live before stay so for as long as without the suspension.
     void record_suspension(duration length, time_point now);
 
-    void set_stopping() { own_.stopping = true; }
+    void set_stopping()
+    {
+        own_.stopping = true;
+        ++version_;
+    }
+
+    /// Records whether this instance gives up its duties.
+    void set_overloaded(bool it)
+    {
+        own_.overloaded = it;
+        ++version_;
+    }
+
+    /// Records that the instance stated in a reply that it gives up its duties.
+    void mark_overloaded(std::string_view name);
+
+    /// Grows when an instance appears, is removed, becomes unreachable or reachable again, or changes its
+    /// data. It doesn't show that an instance stops being live for lack of contact.
+    std::uint64_t version() const { return version_; }
 
     const member& own() const { return own_; }
 
@@ -86,10 +105,18 @@
     duration suspension_{0}; ///< length of the last suspension
     time_point resumed_at_{};
     std::map<std::string, entry, std::less<>> others_;
+    std::uint64_t version_{0};
 };
 
+/// Weight of an instance of this capacity in the order of by_responsibility.
+double responsibility_weight(std::int64_t capacity);
+
+/// Score by which by_responsibility orders the instances that aren't overloaded; the highest is first. `seed`
+/// is the hash of the key.
+double responsibility_score(std::uint64_t seed, std::string_view name, double weight);
+
 /// Returns the instances in the order in which they are responsible for a key. It is rendezvous hashing with
-/// weights that strongly prefer instances of large capacity.
+/// weights that strongly prefer instances of large capacity. Overloaded instances are last.
 std::vector<member> by_responsibility(std::string_view key, std::vector<member> members);
 
 } // namespace limpetlock::gateway
--- a/include/limpetlock/gateway/model.hpp
+++ b/include/limpetlock/gateway/model.hpp
@@ -82,6 +82,9 @@
     std::uint32_t max_connections{1}; ///< of one endpoint, over all its clients
     std::optional<stage_capacity> stage;
     std::optional<engine_capacity> engine;
+    duration cold_time{0}; ///< longest time for which an endpoint is cold after its start
+    double cold_rate{0};   ///< requests a second that an endpoint tolerates while it is cold; 0: no limit
+    std::string health_path{}; ///< target of health checks of its endpoints; empty if they have none
 
     friend bool operator==(const pool&, const pool&) = default;
 };
@@ -129,7 +132,12 @@
     std::string domain;         ///< failure domain
     std::uint32_t slots{1};     ///< requests that run at the same time
     bool leaving{false};        ///< takes no new work
+    bool evacuated{false};      ///< gets no new work, by an order of the operators for its failure domain
     std::int64_t started_ms{0}; ///< Unix time of its start in milliseconds; 0 if unknown
+    /// Time from the writing of the entry until the endpoint isn't cold any more. This and entry_number are 0
+    /// in lists of endpoints, which would change with each entry otherwise.
+    duration cold_left{0};
+    std::int64_t entry_number{0}; ///< rises with each entry of the same process
 
     friend bool operator==(const endpoint&, const endpoint&) = default;
 };
@@ -174,6 +182,9 @@
     std::uint32_t running{0};
     std::uint32_t waiting{0};
     std::uint32_t slots{0};
+    /// Time that work takes on the endpoint's machine now, in percent of the usual time; nullopt if the
+    /// endpoint doesn't state it.
+    std::optional<double> time_percent{};
 
     friend bool operator==(const load_report&, const load_report&) = default;
 };
@@ -188,6 +199,8 @@
     bool closing{false};         ///< the endpoint closes the connection
     std::optional<std::string> request_id;
     std::optional<load_report> load;
+    bool malformed_load{false};             ///< it has a load report that can't be read
+    std::optional<std::string> endpoint_id; ///< of the endpoint that answered, in answers to health checks
     /// Requests a second that the endpoint takes from all instances together; nullopt if it states no limit.
     std::optional<double> max_rate;
     bool malformed_max_rate{false}; ///< it states a limit that can't be read
@@ -195,6 +208,9 @@
     /// Time for which the endpoint, which refused for lack of capacity, wants no requests of this instance.
     std::optional<duration> retry_after;
     bool malformed_retry_after{false}; ///< it states such a time that can't be read
+    /// Time for which the endpoint is still cold; nullopt if it doesn't say.
+    std::optional<duration> cold_left;
+    bool malformed_cold_left{false}; ///< it states such a time that can't be read
 
     friend bool operator==(const answer_metadata&, const answer_metadata&) = default;
 };
--- a/include/limpetlock/gateway/settings.hpp
+++ b/include/limpetlock/gateway/settings.hpp
@@ -2,6 +2,7 @@
 /// Settings of a gateway process.
 #pragma once
 
+#include <limpetlock/gateway/cold_rate.hpp>
 #include <limpetlock/http/client.hpp>
 #include <limpetlock/support/time.hpp>
 
@@ -25,10 +26,24 @@
     double retry_extra{0};         ///< retries allowed in the window beyond the ratio, over all instances
     duration retry_window{10'000}; ///< sliding window of the two limits above
     duration recovery_time{12'000};
+    /// From the order to evacuate a failure domain until nothing more is sent there; nullopt: orders are
+    /// neither read nor followed.
+    std::optional<duration> evacuation_time;
+    std::optional<cold_bound> cold; ///< nullopt: cold endpoints are treated like warm ones
 
     friend bool operator==(const operating_bounds&, const operating_bounds&) = default;
 };
 
+/// Second attempts (hedged requests) against slow answers.
+struct second_attempt_settings {
+    double share{0};        ///< most second attempts, as a share of first requests; 0 turns them off
+    duration min_delay{50}; ///< no second attempt before it, however fast the answers usually are
+    bool reads{true};       ///< for requests of idempotent routes
+    bool streams{true};     ///< for resumable streams, before their first event
+
+    friend bool operator==(const second_attempt_settings&, const second_attempt_settings&) = default;
+};
+
 struct gateway_settings {
     std::string name;                          ///< unique among the instances
     std::string domain;                        ///< failure domain
@@ -42,6 +57,7 @@
     std::optional<std::size_t> memory_bytes{}; ///< beyond which the process is killed
     double store_reads_per_second{0};          ///< read calls to the store, for all instances together
     operating_bounds bounds;
+    second_attempt_settings second_attempts{};
 
     friend bool operator==(const gateway_settings&, const gateway_settings&) = default;
 };
--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -51,25 +51,67 @@
     endpoint to;
     std::vector<queued_piece> pieces;
     time_point timeout_at{}; ///< the endpoint is taken as hung if it has not answered by then
+    batch_vacancy vacancy;
 };
 
+/// A point of an outline of the waiting pieces of a pool.
+struct backlog_point {
+    time_point order_key{};
+    duration before{0}; ///< time that the pool needs for the pieces up to this key
+
+    friend bool operator==(const backlog_point&, const backlog_point&) = default;
+};
+
+/// The time that a pool needs, at least, for the pieces that go before one with this order key. `age` is the
+/// age of the outline, which is sorted by the key; the pool has worked meanwhile.
+duration time_before(const std::vector<backlog_point>& outline, time_point order_key, duration age);
+
 /// Running calls and waiting pieces of a pool at one moment, for estimates of waiting times.
 class backlog_profile {
 public:
     /// Time that the pool needs for the running calls and for the waiting pieces with a smaller order key.
     duration time_before(time_point order_key) const;
 
+    /// The same for what goes before a new task at its place among all teams.
+    duration time_before(const order_item& it) const;
+
+    /// The same for the decision whether a new task has room: while no endpoint is available, it is the time
+    /// until the first one is. `slack` is the time until the task is late for its objective. One that would
+    /// be late by then has to wait for the late tasks as well, with the part of the capacity that the recent
+    /// arrivals leave, since tasks that can meet their objective go first.
+    duration least_time_before(const order_item& it, duration slack) const;
+
     /// Time of a call with the typical number of pieces.
     duration typical_call_time() const;
 
+    /// Time of a call with this many pieces, or of the calls that run one after the other if they don't fit
+    /// into one call.
+    duration call_time(std::size_t pieces) const;
+
+    /// Counts pieces that will wait as well: those of a later stage of a request.
+    void add(order_item it);
+
+    /// A few points of the distribution of the waiting pieces that go before a new task with a greater key
+    /// of any team; none if no piece waits.
+    std::vector<backlog_point> outline() const;
+
 private:
     friend class stage_dispatcher;
 
-    std::vector<time_point> order_keys_; ///< of the waiting pieces, in ascending order
-    double effective_endpoints_{0};      ///< endpoints that aren't backed off, each divided by its slowness
-    duration until_first_{0};            ///< until an endpoint is available, if all are backed off
-    double running_ms_{0};               ///< sum of the remaining times of the running calls
-    double typical_pieces_{1};           ///< pieces of a typical call
+    bool is_contested() const;
+    const queue_positions& positions() const;
+
+    std::vector<order_item> items_; ///< the waiting tasks
+    std::size_t pieces_{0};         ///< of the waiting tasks
+    rank_shares shares_;
+    team_order_options team_options_;
+    mutable std::optional<queue_positions> positions_; ///< of items_; nullopt until it is needed
+    double inflow_share_{0};        ///< of the capacity, for recent arrivals that can meet their objective
+    double effective_endpoints_{0}; ///< endpoints that aren't backed off, each divided by its slowness
+    duration until_first_{0};       ///< until an endpoint is available, if all are backed off
+    double running_ms_{0};          ///< sum of the remaining times of the running calls
+    double typical_pieces_{1};      ///< pieces of a typical call
+    double max_pieces_{1};          ///< of one call
     double call_ms_{0};
     double piece_ms_{0};
 
@@ -85,7 +127,10 @@
     void configure(const stage_capacity& capacity, std::vector<endpoint> endpoints);
 
     void submit(const std::shared_ptr<const stage_task>& task, time_point now);
-    void cancel(std::string_view request_id, std::uint32_t stage) { queue_.cancel(request_id, stage); }
+    void cancel(std::string_view request_id, std::uint32_t stage, std::uint32_t run)
+    {
+        queue_.cancel(request_id, stage, run);
+    }
 
     /// Returns the next call to make now; nullopt if nothing waits or no endpoint is free. Tasks for which
     /// `deferred` returns true stay in the queue.
@@ -115,10 +160,21 @@
     /// passed.
     bool retry(queued_piece it, time_point now);
 
+    /// Queues the pieces of a call again that was not made, since its endpoint takes no more work.
+    void requeue(std::vector<queued_piece> pieces)
+    {
+        for (auto& it : pieces)
+            queue_.push(std::move(it));
+    }
+
+    /// Whether the endpoint may get calls, now or later.
+    bool has_endpoint(std::string_view id) const { return endpoints_.contains(id); }
+
     /// Removes and returns the pieces that can't be done before their deadline.
     std::vector<queued_piece> expire(time_point now) { return queue_.expire(options_, now); }
 
-    backlog_profile profile(time_point now) const;
+    /// Tasks for which `deferred` returns true aren't counted.
+    backlog_profile profile(time_point now, const task_filter& deferred = {}) const;
     const batch_options& options() const { return options_; }
 
     /// Time that the pool needs for the running calls and for the waiting pieces that a new task has to wait
@@ -128,8 +184,15 @@
     /// Expected time of a call with this many pieces.
     duration call_time(std::size_t pieces) const { return options_.call_time(pieces); }
 
+    /// Whether the endpoint has shown lately that it gets calls of another instance, too: it refused a call
+    /// for lack of capacity or took much longer than expected.
+    bool is_contended(std::string_view endpoint_id, time_point now) const;
+
     bool has_endpoints() const { return !endpoints_.empty(); }
 
+    /// Whether no piece waits and no call runs.
+    bool idle() const { return queue_.empty() && calls_.empty(); }
+
     /// Number of waiting pieces.
     std::size_t waiting() const { return queue_.size(); }
 
@@ -140,11 +203,12 @@
     struct endpoint_state {
         endpoint listed; ///< its entry in the list of endpoints
         bool busy{false};
-        time_point busy_until{};           ///< expected end of its call
-        time_point avoid_until{};          ///< end of its back-off, or of a wait for a permit
-        avoidance reason{avoidance::none}; ///< for which it is avoided until then
-        std::uint32_t failures{0};         ///< failed calls since the last answer
-        std::uint64_t stored_bytes{0};     ///< of results that are stored or being produced
+        time_point busy_until{};                ///< expected end of its call
+        time_point avoid_until{};               ///< end of its back-off, or of a wait for a permit
+        avoidance reason{avoidance::none};      ///< for which it is avoided until then
+        std::uint32_t failures{0};              ///< failed calls since the last answer
+        std::uint64_t stored_bytes{0};          ///< of results that are stored or being produced
+        std::optional<time_point> contended_at; ///< see is_contended
         /// Moving average of the ratio of measured to expected call time, when it was measured last. See
         /// slowness_of.
         double slowness{1};
@@ -167,7 +231,8 @@
     static double slowness_of(const endpoint_state& it, time_point now);
     void record_call_time(endpoint_state& it, const running_call& ended, time_point now) const;
     std::uint64_t free_result_bytes(const endpoint_state& it) const;
-    void record_batch_size(std::size_t pieces);
+    double inflow_at(time_point now) const;
+    void record_batch_size(std::size_t pieces, const batch_vacancy& vacancy);
     backlog_profile capacity_profile(time_point now) const;
 
     stage_capacity capacity_;
@@ -177,6 +242,8 @@
     std::map<std::uint64_t, running_call> calls_;
     std::uint64_t last_call_{0};
     std::optional<suspension_detector> suspensions_; ///< nullopt before the first tick
+    double inflow_ms_{0}; ///< decaying sum of the cost of tasks that arrived in time; see inflow_at
+    time_point inflow_since_{};
     double typical_pieces_{0}; ///< moving average of the pieces of a call while more wait than fit
 };
 
--- a/lib/gateway/endpoint_selector.cpp
+++ b/lib/gateway/endpoint_selector.cpp
@@ -42,12 +42,16 @@
 /// A request goes to another failure domain only if the load per slot there is smaller by more than this.
 constexpr double domain_cost = 0.02;
 
+/// Bound of the handicap of an endpoint that has just ended its pause.
+constexpr double min_return_share = 0.05;
+
 } // namespace
 
 void endpoint_selector::set_endpoints(const std::vector<endpoint>& endpoints, time_point now)
 {
     std::map<std::string, endpoint_state, std::less<>> next;
     pools_.clear();
+    evacuated_.clear();
     for (const auto& it : endpoints) {
         const auto found = endpoints_.find(it.id);
         const bool same = found != endpoints_.end() && found->second.listed.started_ms == it.started_ms &&
@@ -55,8 +59,10 @@
         endpoint_state entry = same ? found->second : endpoint_state{};
         entry.listed = it;
         next.emplace(it.id, std::move(entry));
-        if (!it.leaving)
+        if (!it.leaving && !it.evacuated)
             pools_[it.pool].push_back(it.id);
+        else if (!it.leaving)
+            ++evacuated_[it.pool];
     }
     // Endpoints with attempts in flight are kept until these end.
     for (auto& [id, it] : endpoints_)
@@ -73,8 +79,24 @@
     double load = it.in_flight;
     if (it.load_at != time_point{} && now - it.load_at < report_lifetime)
         load = std::max(load, static_cast<double>(it.load.running + it.load.waiting));
+    return (load + it.error_share * error_cost) / std::max<double>(1, it.listed.slots) /
+           return_share(it.listed.id, now);
+}
+
+double endpoint_selector::return_share(const std::string& id, time_point now) const
+{
+    return statements_ == nullptr ? 1 : statements_->return_share(id, now);
+}
+
+/// Whether the endpoint is left out at this moment so that it gets its share of the usual requests only. The
+/// load alone doesn't thin out the requests to an idle endpoint.
+bool endpoint_selector::is_left_out(const endpoint_state& it, time_point now) const
+{
     const double share = statements_ == nullptr ? 1 : statements_->return_share(it.listed.id, now);
-    return (load + it.error_share * error_cost) / std::max<double>(1, it.listed.slots) / share;
+    if (share >= 1)
+        return false;
+    const std::uint64_t point = hash64(it.listed.id, static_cast<std::uint64_t>(to_ms(now))) >> 11;
+    return static_cast<double>(point) * 0x1p-53 >= share;
 }
 
 bool endpoint_selector::is_paused(const std::string& id, time_point now) const
@@ -82,6 +104,11 @@
     return statements_ != nullptr && statements_->paused_until(id, now).has_value();
 }
 
+bool endpoint_selector::is_cold(const std::string& id, time_point now) const
+{
+    return statements_ != nullptr && statements_->is_cold(id, now);
+}
+
 std::optional<time_point> endpoint_selector::next_pause_end(const selection_criteria& criteria,
                                                             time_point now) const
 {
@@ -118,8 +145,15 @@
         const bool suspected = std::find(criteria.suspected.begin(), criteria.suspected.end(),
                                          it->listed.id) != criteria.suspected.end();
         const bool overloaded = criteria.affinity_hash != 0 && load > affinity_load_limit;
-        out.push_back({it, it->avoid_until > now, suspected, overloaded, load, 0});
+        out.push_back({it, it->avoid_until > now, is_left_out(*it, now), is_cold(it->listed.id, now),
+                       suspected, overloaded, load, 0});
     }
+    const bool warm_has_room = std::any_of(out.begin(), out.end(), [](const candidate& it) {
+        return !it.avoided && !it.returning && !it.cold && !it.suspected && it.load <= affinity_load_limit;
+    });
+    if (!warm_has_room)
+        for (auto& it : out)
+            it.cold = false;
     return out;
 }
 
@@ -143,16 +177,22 @@
     return best->listed;
 }
 
+std::optional<endpoint> endpoint_selector::select(const selection_criteria& criteria, time_point now) const
+{
+    return select_among(candidates(criteria, now), criteria, now);
+}
+
 /// Endpoints with affinity are selected by rendezvous hashing, so most hashes keep their endpoints when the
 /// list changes.
-std::optional<endpoint> endpoint_selector::select(const selection_criteria& criteria, time_point now)
+std::optional<endpoint> endpoint_selector::select_among(std::vector<candidate> all,
+                                                        const selection_criteria& criteria,
+                                                        time_point now) const
 {
-    auto all = candidates(criteria, now);
     if (all.empty())
         return std::nullopt;
     const auto by_state = [](const candidate& a, const candidate& b) {
-        return std::tie(a.avoided, a.suspected, a.overloaded) <
-               std::tie(b.avoided, b.suspected, b.overloaded);
+        return std::tie(a.avoided, a.suspected, a.returning, a.cold, a.overloaded) <
+               std::tie(b.avoided, b.suspected, b.returning, b.cold, b.overloaded);
     };
     const candidate best = *std::min_element(all.begin(), all.end(), by_state);
     std::erase_if(all, [&](const candidate& it) { return by_state(best, it); });
@@ -169,20 +209,51 @@
                                 [&](const candidate& a, const candidate& b) { return cost(a) < cost(b); })
             ->state->listed;
     }
-    for (auto& it : all)
-        it.hash_score = hash64(it.state->listed.id, criteria.affinity_hash);
-    const auto higher = [](const candidate& a, const candidate& b) { return a.hash_score > b.hash_score; };
-    const std::size_t copies = std::clamp<std::size_t>(pools_.at(criteria.pool).size() / endpoints_per_copy,
-                                                       1, std::min(max_copies, all.size()));
-    const auto end = all.begin() + static_cast<std::ptrdiff_t>(copies);
-    std::partial_sort(all.begin(), end, all.end(), higher);
+    const auto end = all.begin() + static_cast<std::ptrdiff_t>(sort_homes(all, criteria));
     if (criteria.session_hash == 0)
         return all.front().state->listed;
     for (auto it = all.begin(); it != end; ++it)
         it->hash_score = hash64(it->state->listed.id, criteria.session_hash);
+    const auto higher = [](const candidate& a, const candidate& b) { return a.hash_score > b.hash_score; };
     return std::min_element(all.begin(), end, higher)->state->listed;
 }
 
+std::size_t endpoint_selector::sort_homes(std::vector<candidate>& all,
+                                          const selection_criteria& criteria) const
+{
+    for (auto& it : all)
+        it.hash_score = hash64(it.state->listed.id, criteria.affinity_hash);
+    const auto higher = [](const candidate& a, const candidate& b) { return a.hash_score > b.hash_score; };
+    const std::size_t copies = std::clamp<std::size_t>(pools_.at(criteria.pool).size() / endpoints_per_copy,
+                                                       1, std::min(max_copies, all.size()));
+    std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(copies), all.end(), higher);
+    return copies;
+}
+
+eligible_endpoints endpoint_selector::eligible(const selection_criteria& criteria, time_point now) const
+{
+    eligible_endpoints out;
+    auto all = candidates(criteria, now);
+    const auto usual = select_among(all, criteria, now);
+    if (!usual)
+        return out;
+    const auto by_state = [](const candidate& a, const candidate& b) {
+        return std::tie(a.avoided, a.suspected) < std::tie(b.avoided, b.suspected);
+    };
+    const candidate best = *std::min_element(all.begin(), all.end(), by_state);
+    std::erase_if(all, [&](const candidate& it) { return by_state(best, it); });
+    const std::size_t homes = criteria.affinity_hash == 0 ? 0 : sort_homes(all, criteria);
+    for (const auto& it : all) {
+        const double share = std::max(min_return_share, return_share(it.state->listed.id, now));
+        out.all.push_back({&it.state->listed, (1 + it.state->error_share * error_cost) / share});
+        if (it.state->listed.id == usual->id)
+            out.homes.insert(out.homes.begin(), out.all.back());
+        else if (out.all.size() <= homes)
+            out.homes.push_back(out.all.back());
+    }
+    return out;
+}
+
 bool endpoint_selector::has_waiting_requests(const std::string& id, time_point now) const
 {
     const auto it = endpoints_.find(id);
@@ -190,6 +261,25 @@
            now - it->second.load_at < report_lifetime && it->second.load.waiting > 0;
 }
 
+endpoint_selector::waiting_count endpoint_selector::count_waiting(const selection_criteria& criteria,
+                                                                  time_point now) const
+{
+    waiting_count out;
+    for (const auto* it : untried(criteria)) {
+        if (it->load_at == time_point{} || now - it->load_at >= report_lifetime)
+            continue;
+        ++out.reporting;
+        out.waiting += it->load.waiting > 0 ? 1 : 0;
+    }
+    return out;
+}
+
+bool endpoint_selector::is_backed_off(const std::string& id, time_point now) const
+{
+    const auto it = endpoints_.find(id);
+    return it != endpoints_.end() && it->second.avoid_until > now;
+}
+
 void endpoint_selector::begin_attempt(const std::string& id, time_point)
 {
     const auto it = endpoints_.find(id);
@@ -258,10 +348,25 @@
     return out;
 }
 
+std::size_t endpoint_selector::count_evacuated(std::string_view pool) const
+{
+    const auto found = evacuated_.find(pool);
+    return found == evacuated_.end() ? 0 : found->second;
+}
+
+std::map<std::string, std::uint64_t> endpoint_selector::in_flight_by_domain() const
+{
+    std::map<std::string, std::uint64_t> out;
+    for (const auto& [id, it] : endpoints_)
+        if (it.in_flight > 0)
+            out[it.listed.domain] += it.in_flight;
+    return out;
+}
+
 bool endpoint_selector::accepts_work(const std::string& id) const
 {
     const auto it = endpoints_.find(id);
-    return it != endpoints_.end() && !it->second.listed.leaving;
+    return it != endpoints_.end() && !it->second.listed.leaving && !it->second.listed.evacuated;
 }
 
 } // namespace limpetlock::gateway
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -1,5 +1,6 @@
 #include "fleet.hpp"
 
+#include <limpetlock/gateway/state_packing.hpp>
 #include <limpetlock/support/background.hpp>
 #include <limpetlock/support/compression.hpp>
 #include <limpetlock/support/hash.hpp>
@@ -12,6 +13,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <set>
 #include <utility>
 #include <vector>
@@ -34,6 +36,11 @@
 
 constexpr duration pull_timeout{1'000};
 
+/// Interval of the timer that shows whether the event loop is late, and number of ticks between two checks of
+/// the bytes that wait for the network.
+constexpr duration duty_tick{100};
+constexpr std::size_t ticks_per_link_check = 3;
+
 /// In a fleet up to full_mesh_size every instance pings every other one in each round; in a larger fleet it
 /// pings pings_per_round of them.
 constexpr std::size_t full_mesh_size = 8;
@@ -41,11 +48,22 @@
 
 /// Number of other instances whose entries one ping or pong carries.
 constexpr std::size_t members_per_message = 12;
+constexpr std::size_t members_per_brief_message = 3;
 
 /// Values of this size and more are compressed for peers: a large table would take the links of small
 /// instances for longer than a pull may last.
 constexpr std::size_t min_compressed_bytes = 4'096;
 
+/// Entries are packed into one compressed text if their values have this size together. A list of 3,000
+/// endpoints has 0.8 MB, which takes over half a second on a link of 10 Mbit/s.
+constexpr std::size_t min_packed_bytes = 16'384;
+
+/// An instance answers this many pulls of a large state within the interval. The others find another peer
+/// with their next pings, so that one peer isn't asked by a whole fleet that starts.
+constexpr std::size_t min_large_push_bytes = 65'536;
+constexpr std::size_t large_pushes_per_interval = 2;
+constexpr duration large_push_interval{300};
+
 /// Bound of a decompressed value. The store's values have up to 1 MB.
 constexpr std::size_t max_value_bytes = std::size_t{4} * 1024 * 1024;
 
@@ -61,6 +79,9 @@
 /// Limits of endpoints that one ping or pong carries.
 constexpr std::size_t limits_per_message = 24;
 
+/// Cold endpoints that one ping or pong carries.
+constexpr std::size_t cold_per_message = 24;
+
 const char* const seed_prefix = "seed/";
 
 /// An age as a peer states it. Anything beyond a day is as old, and must not overflow the time.
@@ -81,14 +102,17 @@
     out.life = it.run_id;
     out.age_ms = age.count();
     out.stopping = it.stopping;
+    out.overloaded = it.overloaded;
     return out;
 }
 
 member_report from_message(const wire::member_message& it)
 {
     member_report out;
-    out.info = {it.name,    {it.host, static_cast<std::uint16_t>(it.port)}, it.domain, it.capacity, it.life,
-                it.stopping};
+    out.info = {it.name,      {it.host, static_cast<std::uint16_t>(it.port)},
+                it.domain,    it.capacity,
+                it.life,      it.stopping,
+                it.overloaded};
     out.age = age_from_peer(it.age_ms);
     return out;
 }
@@ -156,6 +180,28 @@
     return out;
 }
 
+std::vector<wire::endpoint_cold_message> to_messages(const std::vector<cold_statement>& list, time_point now)
+{
+    std::vector<wire::endpoint_cold_message> out;
+    for (const auto& it : list) {
+        wire::endpoint_cold_message message;
+        message.endpoint = it.endpoint;
+        message.started_ms = it.started_ms;
+        message.left_ms = std::max<std::int64_t>(0, (it.until - now).count());
+        message.reporter = it.reporter;
+        message.number = it.number;
+        message.age_ms = std::max<std::int64_t>(0, (now - it.at).count());
+        out.push_back(std::move(message));
+    }
+    return out;
+}
+
+cold_statement from_message(const wire::endpoint_cold_message& it, time_point now)
+{
+    return {it.endpoint, it.started_ms, now + age_from_peer(it.left_ms),
+            it.reporter, it.number,     now - age_from_peer(it.age_ms)};
+}
+
 leaving_statement from_message(const wire::endpoint_leaving_message& it, time_point now)
 {
     return {it.endpoint, it.started_ms, it.reporter, now - age_from_peer(it.age_ms)};
@@ -182,7 +228,7 @@
 
 member own_member(const gateway_settings& it, std::int64_t run_id)
 {
-    return {it.name, it.peer_address, it.domain, it.capacity_millicores, run_id, false};
+    return {it.name, it.peer_address, it.domain, it.capacity_millicores, run_id, false, false};
 }
 
 peer::address to_peer(const http::address& it)
@@ -199,11 +245,11 @@
              metrics::registry& metrics, handlers its_handlers)
     : executor_(std::move(executor)), settings_(settings), state_(state), quarantine_(quarantine),
       statements_(statements), handlers_(std::move(its_handlers)), view_(own_member(settings, run_id)),
-      suspensions_(boot_clock::now(), max_tick_gap),
+      suspensions_(boot_clock::now(), max_tick_gap), overload_(boot_clock::now(), duty_tick),
       suspension_count_(metrics.get_counter("limpetlock_suspensions_total",
                                             "times that this process stood still for over 600 ms")),
-      messenger_(executor_, settings.name, 0, to_peer(settings.peer_address),
-                 [this](wire::frame message) { return answer(std::move(message)); }),
+      metrics_(metrics), messenger_(executor_, settings.name, 0, to_peer(settings.peer_address),
+                                    [this](wire::frame message) { return answer(std::move(message)); }),
       random_(static_cast<std::minstd_rand::result_type>(hash64(settings.name, 1)))
 {
 }
@@ -212,6 +258,7 @@
 {
     spawn_loop(executor_, "ping_loop", [this] { return ping_loop(); });
     spawn_loop(executor_, "spread_loop", [this] { return spread_loop(); });
+    spawn_loop(executor_, "duty_loop", [this] { return duty_loop(); });
 }
 
 void fleet::detect_suspension(time_point now)
@@ -273,16 +320,17 @@
         refresh_links(now);
         quarantine_.remove_expired(now);
         for (auto& to : ping_targets(now))
-            spawn_background(executor_, "ping", ping(std::move(to)));
+            spawn_background(executor_, "ping", ping(std::move(to), ping_content::full));
         ++ping_rounds_;
         co_await sleep_for(ping_interval);
     }
 }
 
-std::vector<wire::member_message> fleet::members_for_peers(time_point now) const
+std::vector<wire::member_message> fleet::members_for_peers(time_point now, ping_content content) const
 {
+    const std::size_t n = content == ping_content::brief ? members_per_brief_message : members_per_message;
     std::vector<wire::member_message> out;
-    for (const auto& it : view_.recent_reports(now, members_per_message))
+    for (const auto& it : view_.recent_reports(now, n))
         out.push_back(to_message(it.info, it.age));
     return out;
 }
@@ -297,17 +345,21 @@
     out.table_version = state_.table_version();
 }
 
-awaitable<void> fleet::ping(std::string to)
+awaitable<void> fleet::ping(std::string to, ping_content content)
 {
     const time_point sent = boot_clock::now();
     wire::frame message;
     wire::member_ping_message body;
     body.own = to_message(view_.own(), duration{0});
-    body.known = members_for_peers(sent);
     set_positions(body);
-    body.suspects = to_messages(quarantine_.evidence_for_peers(sent, suspects_per_message), sent);
-    body.limits = to_messages(statements_.statements_for_peers(sent, limits_per_message), sent);
-    body.leaving = to_messages(statements_.leavings_for_peers(sent, leavings_per_message), sent);
+    body.known = members_for_peers(sent, content);
+    body.brief = content == ping_content::brief;
+    if (!body.brief) {
+        body.suspects = to_messages(quarantine_.evidence_for_peers(sent, suspects_per_message), sent);
+        body.limits = to_messages(statements_.statements_for_peers(sent, limits_per_message), sent);
+        body.leaving = to_messages(statements_.leavings_for_peers(sent, leavings_per_message), sent);
+        body.cold = to_messages(statements_.cold_for_peers(sent, cold_per_message), sent);
+    }
     message.__set_member_ping(body);
     peer::call_error error;
     const auto reply = co_await messenger_.call(to, std::move(message), sent + ping_timeout, error);
@@ -324,6 +376,7 @@
     merge_suspects(it.suspects, boot_clock::now());
     merge_limits(it.limits, boot_clock::now());
     merge_leavings(it.leaving, boot_clock::now());
+    merge_cold(it.cold, boot_clock::now());
     if (it.proof_age_ms >= 0)
         state_.record_proof(
             {{it.table_revision, it.table_era}, sent - duration(it.proof_age_ms), it.table_version});
@@ -354,14 +407,58 @@
         if (known <= spread_revision && quarantine_.version() == spread_evidence &&
             statements_.version() == spread_limits)
             continue;
+        // The entries of many endpoints change all the time, and the regular rounds carry the rest.
+        const bool positions_only =
+            quarantine_.version() == spread_evidence && statements_.version() == spread_limits;
+        const auto content = positions_only ? ping_content::brief : ping_content::full;
         spread_revision = std::max(spread_revision, known);
         spread_evidence = quarantine_.version();
         spread_limits = statements_.version();
         for (auto& to : ping_targets(boot_clock::now()))
-            spawn_background(executor_, "ping", ping(std::move(to)));
+            spawn_background(executor_, "ping", ping(std::move(to), content));
     }
 }
 
+/// Gives up the duties of this instance while it is overloaded, and tells a few peers at once.
+awaitable<void> fleet::duty_loop()
+{
+    auto& overloaded =
+        metrics_.get_gauge("limpetlock_overloaded", "1 while this instance gives up its duties to others");
+    for (std::size_t n = 0;; ++n) {
+        co_await sleep_for(duty_tick);
+        const time_point now = boot_clock::now();
+        overload_.record_tick(now);
+        if (n % ticks_per_link_check == 0) {
+            const auto counters = messenger_.counters();
+            overload_.record_link(counters.bytes_sent, counters.waiting_bytes, now);
+            messenger_.measure_waiting_bytes();
+        }
+        const bool before = view_.own().overloaded;
+        if (overload_.overloaded(now) == before)
+            continue;
+        view_.set_overloaded(!before);
+        overloaded.set(before ? 0 : 1);
+        if (before)
+            log::info("duties_resumed", {{"held_ms", fmt::to_string(overload_.hold().count())}});
+        else
+            log_given_up();
+        for (auto& to : ping_targets(now))
+            spawn_background(executor_, "ping", ping(std::move(to), ping_content::full));
+    }
+}
+
+void fleet::log_given_up()
+{
+    const std::string cause(to_string(overload_.cause()));
+    metrics_
+        .get_counter("limpetlock_duties_given_up_total", "times that this instance gave up its duties",
+                     {{"cause", cause}})
+        .add();
+    log::warning("duties_given_up", {{"cause", cause},
+                                     {"hold_ms", fmt::to_string(overload_.hold().count())},
+                                     {"waiting_bytes", fmt::to_string(messenger_.counters().waiting_bytes)}});
+}
+
 awaitable<void> fleet::pull(std::string from)
 {
     const time_point sent = boot_clock::now();
@@ -370,6 +467,7 @@
     body.after_revision = state_.entries().revision().number;
     body.after_era = state_.entries().revision().era;
     body.accepts_compressed = true;
+    body.accepts_packed = true;
     message.__set_state_pull(body);
     peer::call_error error;
     const scope_exit end_pull([this] { pulling_state_ = false; });
@@ -377,7 +475,7 @@
     if (!reply || !reply->__isset.state_push) {
         log::warning("state_pull_failed",
                      {{"peer", from},
-                      {"reason", error.reason.empty() ? "no state" : error.reason},
+                      {"reason", error.reason.empty() ? "no state, or busy with other pulls" : error.reason},
                       {"took_ms", fmt::to_string((boot_clock::now() - sent).count())},
                       {"table_revision", fmt::to_string(state_.table_revision().number)}});
         co_return;
@@ -392,8 +490,12 @@
     if (!state_.record_peer_era(push.era, now))
         co_return;
     const state_revision revision(push.revision, push.era);
+    if (push.whole && push.has_evacuations)
+        state_.apply_evacuation_listing(std::vector<state_entry>(*entries), revision, now);
     if (push.whole)
         state_.apply_listing(std::vector<state_entry>(*entries), revision, now);
+    if (!push.has_evacuations)
+        state_.record_missing_evacuations();
     state_.merge(std::move(*entries), now);
     state_.advance_revision(revision);
     if (push.proof_age_ms >= 0)
@@ -409,16 +511,19 @@
                                   {"proof_age_ms", fmt::to_string(push.proof_age_ms)}});
 }
 
-wire::member_pong_message fleet::make_pong(time_point now)
+wire::member_pong_message fleet::make_pong(time_point now, ping_content content)
 {
     wire::member_pong_message out;
     out.own = to_message(view_.own(), duration{0});
-    out.known = members_for_peers(now);
+    out.known = members_for_peers(now, content);
     set_positions(out);
     out.proof_age_ms = state_.proof_age(now).value_or(duration(-1)).count();
+    if (content == ping_content::brief)
+        return out;
     out.suspects = to_messages(quarantine_.evidence_for_peers(now, suspects_per_message), now);
     out.limits = to_messages(statements_.statements_for_peers(now, limits_per_message), now);
     out.leaving = to_messages(statements_.leavings_for_peers(now, leavings_per_message), now);
+    out.cold = to_messages(statements_.cold_for_peers(now, cold_per_message), now);
     return out;
 }
 
@@ -434,6 +539,12 @@
         statements_.merge(from_message(it, now), now);
 }
 
+void fleet::merge_cold(const std::vector<wire::endpoint_cold_message>& list, time_point now)
+{
+    for (const auto& it : list)
+        statements_.merge(from_message(it, now), now);
+}
+
 void fleet::merge_suspects(const std::vector<wire::part_evidence_message>& list, time_point now)
 {
     for (const auto& it : list)
@@ -466,7 +577,9 @@
         item.removed = it.removed;
         out.items.push_back(std::move(item));
     }
+    pack(out, pull.accepts_packed, now);
     out.whole = whole;
+    out.has_evacuations = state_.follows_evacuations() && !state_.misses_evacuations();
     out.revision = state_.entries().revision().number;
     out.era = state_.entries().revision().era;
     out.table_revision = state_.table_revision().number;
@@ -476,10 +589,46 @@
     return out;
 }
 
+/// Packs the entries that aren't compressed each for itself, if they are many.
+void fleet::pack(wire::state_push_message& push, bool accepted, time_point now)
+{
+    std::size_t bytes = 0;
+    for (const auto& it : push.items)
+        bytes += it.compressed ? 0 : it.key.size() + it.value.size();
+    if (bytes >= min_large_push_bytes) {
+        if (now - large_pushes_since_ >= large_push_interval) {
+            large_pushes_since_ = now;
+            large_pushes_ = 0;
+        }
+        ++large_pushes_;
+    }
+    if (!accepted || bytes < min_packed_bytes)
+        return;
+    const auto first_small = std::stable_partition(push.items.begin(), push.items.end(),
+                                                   [](const auto& it) { return it.compressed; });
+    push.packed = pack_items({first_small, push.items.end()});
+    push.items.erase(first_small, push.items.end());
+    log::info("state_packed",
+              {{"bytes", fmt::to_string(bytes)}, {"packed_bytes", fmt::to_string(push.packed.size())}});
+}
+
+/// Whether this instance has sent enough large states for now.
+bool fleet::busy_with_pushes(time_point now) const
+{
+    return large_pushes_ >= large_pushes_per_interval && now - large_pushes_since_ < large_push_interval;
+}
+
 std::optional<std::vector<state_entry>> fleet::decode_items(const wire::state_push_message& push)
 {
     std::vector<state_entry> out;
-    for (const auto& it : push.items) {
+    auto items = push.items;
+    if (!push.packed.empty()) {
+        auto unpacked = unpack_items(push.packed);
+        if (!unpacked)
+            return std::nullopt;
+        std::move(unpacked->begin(), unpacked->end(), std::back_inserter(items));
+    }
+    for (const auto& it : items) {
         state_entry entry{it.key, it.value, {it.revision, it.era}, it.removed};
         if (it.compressed) {
             auto value = decompress(it.value, max_value_bytes);
@@ -516,28 +665,36 @@
         merge_suspects(message.member_ping.suspects, now);
         merge_limits(message.member_ping.limits, now);
         merge_leavings(message.member_ping.leaving, now);
+        merge_cold(message.member_ping.cold, now);
         if (links_.contains(message.member_ping.own.name))
             pull_if_newer(message.member_ping.own.name, positions_of(message.member_ping));
-        reply.__set_member_pong(make_pong(now));
+        reply.__set_member_pong(
+            make_pong(now, message.member_ping.brief ? ping_content::brief : ping_content::full));
         co_return reply;
     }
-    if (message.__isset.state_pull) {
+    const bool busy = busy_with_pushes(now) && message.state_pull.after_revision == 0;
+    if (message.__isset.state_pull && !busy) {
         reply.__set_state_push(make_push(message.state_pull, now));
         co_return reply;
     }
     if (message.__isset.permit_request) {
         const auto& it = message.permit_request;
         const bool sound = std::isfinite(it.max_rate) && it.max_rate >= 0;
-        const permit given = handlers_.on_permit_request(
-            {it.endpoint, sound ? it.max_rate : 0, age_from_peer(it.max_wait_ms), it.team});
+        permit_request asked{it.endpoint, sound ? it.max_rate : 0, age_from_peer(it.max_wait_ms), it.team};
+        if (std::isfinite(it.max_saved) && it.max_saved > 0)
+            asked.max_saved = std::clamp(it.max_saved, 1.0, permit_issuer::max_saved);
+        asked.cold = it.cold;
+        const permit given = handlers_.on_permit_request(asked);
         wire::permit_reply_message body;
         body.granted = given.granted;
         body.wait_ms = given.wait.count();
+        body.lifetime_ms = given.lifetime.count();
         reply.__set_permit_reply(body);
         co_return reply;
     }
     if (message.__isset.stage_order) {
-        const auto result = co_await handlers_.on_stage_task(std::move(message.stage_order));
+        auto result = co_await handlers_.on_stage_task(std::move(message.stage_order));
+        result.overloaded = view_.own().overloaded;
         reply.__set_stage_result(result);
         co_return reply;
     }
--- a/lib/gateway/fleet.hpp
+++ b/lib/gateway/fleet.hpp
@@ -4,6 +4,7 @@
 
 #include <limpetlock/gateway/endpoint_statements.hpp>
 #include <limpetlock/gateway/fleet_view.hpp>
+#include <limpetlock/gateway/overload_detector.hpp>
 #include <limpetlock/gateway/permit_issuer.hpp>
 #include <limpetlock/gateway/prompt_quarantine.hpp>
 #include <limpetlock/gateway/published_state.hpp>
@@ -73,19 +74,28 @@
     boost::asio::awaitable<std::optional<wire::frame>> call(std::string to, wire::frame message,
                                                             time_point deadline);
 
+    /// Status of the reply to a poll for a task that isn't open.
+    static constexpr std::int32_t unknown_task_status = 5;
+
     void announce_stop() { view_.set_stopping(); }
     void stop() { messenger_.stop(); }
     peer::messenger_counters counters() const { return messenger_.counters(); }
 
 private:
+    /// A brief ping tells the positions only; a full one has members, evidence and statements too.
+    enum class ping_content : std::uint8_t { full, brief };
+
     boost::asio::awaitable<void> ping_loop();
     boost::asio::awaitable<void> spread_loop();
-    boost::asio::awaitable<void> ping(std::string to);
+    boost::asio::awaitable<void> duty_loop();
+    boost::asio::awaitable<void> ping(std::string to, ping_content content);
     boost::asio::awaitable<void> pull(std::string from);
     boost::asio::awaitable<std::optional<wire::frame>> answer(wire::frame message);
     std::vector<std::string> ping_targets(time_point now);
-    wire::member_pong_message make_pong(time_point now);
-    std::vector<wire::member_message> members_for_peers(time_point now) const;
+    wire::member_pong_message make_pong(time_point now, ping_content content);
+    std::vector<wire::member_message> members_for_peers(time_point now, ping_content content) const;
+    void pack(wire::state_push_message& push, bool accepted, time_point now);
+    bool busy_with_pushes(time_point now) const;
     wire::state_push_message make_push(const wire::state_pull_message& pull, time_point now);
     /// Returns the compressed value of an entry, and keeps it for the next pulls.
     const std::string& compressed_value(const state_entry& it);
@@ -96,6 +106,7 @@
     void merge_suspects(const std::vector<wire::part_evidence_message>& list, time_point now);
     void merge_limits(const std::vector<wire::endpoint_limit_message>& list, time_point now);
     void merge_leavings(const std::vector<wire::endpoint_leaving_message>& list, time_point now);
+    void merge_cold(const std::vector<wire::endpoint_cold_message>& list, time_point now);
     void process_pong(const std::string& from, const wire::member_pong_message& it, time_point sent);
     void pull_if_newer(const std::string& from, const state_positions& peer);
     /// Sets the own positions in a ping or pong.
@@ -103,6 +114,7 @@
     void set_positions(Message& out) const;
     void refresh_links(time_point now);
     void detect_suspension(time_point now);
+    void log_given_up();
 
     boost::asio::any_io_executor executor_;
     const gateway_settings& settings_;
@@ -112,7 +124,9 @@
     handlers handlers_;
     fleet_view view_;
     suspension_detector suspensions_;
+    overload_detector overload_;
     metrics::counter& suspension_count_;
+    metrics::registry& metrics_;
     peer::messenger messenger_;
     std::minstd_rand random_;
     std::map<std::string, peer::address> links_; ///< by name of the instance or of the seed
@@ -125,6 +139,8 @@
         std::string bytes;
     };
     compressed_entry last_compressed_;
+    std::size_t large_pushes_{0}; ///< since large_pushes_since_
+    time_point large_pushes_since_{};
 };
 
 } // namespace limpetlock::gateway
--- a/lib/gateway/fleet_view.cpp
+++ b/lib/gateway/fleet_view.cpp
@@ -38,11 +38,14 @@
     if (report.info.name == own_.name || report.age >= retention)
         return;
     const time_point last_contact = now - report.age;
-    auto& it = others_[report.info.name];
-    if (report.age == duration{0})
-        it.unreachable = false;
+    const auto [found, added] = others_.try_emplace(report.info.name);
+    auto& it = found->second;
+    if (report.age == duration{0} && std::exchange(it.unreachable, false))
+        ++version_;
     if (it.last_contact != time_point{} && last_contact <= it.last_contact)
         return;
+    if (added || it.info != report.info)
+        ++version_;
     it.info = report.info;
     it.last_contact = last_contact;
 }
@@ -50,14 +53,26 @@
 void fleet_view::mark_unreachable(std::string_view name)
 {
     const auto it = others_.find(name);
-    if (it != others_.end())
-        it->second.unreachable = true;
+    if (it == others_.end())
+        return;
+    it->second.unreachable = true;
+    ++version_;
+}
+
+void fleet_view::mark_overloaded(std::string_view name)
+{
+    const auto it = others_.find(name);
+    if (it == others_.end() || it->second.info.overloaded)
+        return;
+    it->second.info.overloaded = true;
+    ++version_;
 }
 
 void fleet_view::record_suspension(duration length, time_point now)
 {
     suspension_ = length;
     resumed_at_ = now;
+    ++version_;
 }
 
 bool fleet_view::is_live(const entry& it, time_point now) const
@@ -102,7 +117,19 @@
 
 void fleet_view::remove_expired(time_point now)
 {
-    std::erase_if(others_, [now](const auto& it) { return now - it.second.last_contact >= retention; });
+    if (std::erase_if(others_, [now](const auto& it) { return now - it.second.last_contact >= retention; }) >
+        0)
+        ++version_;
+}
+
+double responsibility_weight(std::int64_t capacity)
+{
+    return std::pow(static_cast<double>(std::max<std::int64_t>(1, capacity)), capacity_exponent);
+}
+
+double responsibility_score(std::uint64_t seed, std::string_view name, double weight)
+{
+    return -weight / std::log(unit_interval(hash64(name, seed)));
 }
 
 std::vector<member> by_responsibility(std::string_view key, std::vector<member> members)
@@ -111,11 +138,12 @@
     std::vector<std::pair<double, member>> ranked;
     ranked.reserve(members.size());
     for (auto& it : members) {
-        const double capacity = static_cast<double>(std::max<std::int64_t>(1, it.capacity));
-        const double weight = std::pow(capacity, capacity_exponent);
-        ranked.emplace_back(-weight / std::log(unit_interval(hash64(it.name, seed))), std::move(it));
+        const double score = responsibility_score(seed, it.name, responsibility_weight(it.capacity));
+        ranked.emplace_back(score, std::move(it));
     }
-    std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+    std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
+        return a.second.overloaded != b.second.overloaded ? b.second.overloaded : a.first > b.first;
+    });
     std::vector<member> out;
     out.reserve(ranked.size());
     for (auto& [score, it] : ranked)
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -1,4 +1,5 @@
 #include "fleet.hpp"
+#include "load_prober.hpp"
 #include "permits.hpp"
 #include "request_handler.hpp"
 #include "result_releaser.hpp"
@@ -10,10 +11,12 @@
 #include <limpetlock/gateway/endpoint_selector.hpp>
 #include <limpetlock/gateway/endpoint_statements.hpp>
 #include <limpetlock/gateway/instance.hpp>
+#include <limpetlock/gateway/load_aware_selector.hpp>
 #include <limpetlock/gateway/permit_issuer.hpp>
 #include <limpetlock/gateway/published_state.hpp>
 #include <limpetlock/lifecycle/stop_sequence.hpp>
 #include <limpetlock/support/background.hpp>
+#include <limpetlock/support/hash.hpp>
 #include <limpetlock/support/log.hpp>
 #include <limpetlock/support/metrics.hpp>
 #include <limpetlock/support/sleep_for.hpp>
@@ -66,6 +69,9 @@
 /// string grows by doubling, and it is copied when the request is sent on.
 constexpr std::size_t memory_per_body_bytes = 8;
 
+/// Makes the random choices of instances differ.
+constexpr std::uint64_t load_aware_seed = 3;
+
 constexpr duration connect_timeout{350};
 constexpr std::size_t idle_connections = 8;
 
@@ -107,6 +113,40 @@
     return duration(std::clamp(ms, -max_ms, max_ms));
 }
 
+/// Returns an empty chain for one that isn't well formed.
+std::vector<chain_stage> to_chain(const std::vector<wire::chain_stage_message>& from)
+{
+    std::vector<chain_stage> out;
+    for (const auto& it : from) {
+        chain_stage stage{it.pool,
+                          static_cast<std::uint32_t>(it.stage),
+                          static_cast<std::uint32_t>(it.pieces),
+                          bounded_time(it.time_to_end_ms),
+                          {}};
+        stage.after.assign(it.after.begin(), it.after.end());
+        out.push_back(std::move(stage));
+    }
+    if (!is_valid(out))
+        out.clear();
+    return out;
+}
+
+std::vector<wire::pool_backlog_message>
+to_message(const std::map<std::string, std::vector<backlog_point>>& from, time_point now)
+{
+    std::vector<wire::pool_backlog_message> out;
+    for (const auto& [pool, points] : from) {
+        wire::pool_backlog_message message;
+        message.pool = pool;
+        for (const auto& it : points) {
+            message.key_ms.push_back((it.order_key - now).count());
+            message.before_ms.push_back(it.before.count());
+        }
+        out.push_back(std::move(message));
+    }
+    return out;
+}
+
 std::int64_t random_run_id()
 {
     std::random_device source;
@@ -118,20 +158,24 @@
 struct instance::impl {
     impl(gateway_settings its_settings, std::unique_ptr<platform_codec> its_codec, settings_loader its_reload)
         : settings(std::move(its_settings)), codec(std::move(its_codec)), reload(std::move(its_reload)),
-          statements(settings.name), selector(statements), state(*codec, callbacks()),
-          endpoint_client(io.get_executor(), endpoint_limits()),
+          statements(settings.name), selector(statements),
+          load_aware(selector, statements, hash64(settings.name, load_aware_seed)),
+          state(*codec, callbacks()), endpoint_client(io.get_executor(), endpoint_limits()),
           service_client(io.get_executor(), service_limits()),
+          prober(io.get_executor(), endpoint_client, *codec, statements, load_aware, metrics),
           reader(io.get_executor(), settings, *codec, state, metrics, [this] { return reader_role(); }),
-          releaser(io.get_executor(), *codec, endpoint_client, statements, issuer),
-          scheduler(io.get_executor(), *codec, endpoint_client, releaser, statements, issuer, metrics,
+          releaser(io.get_executor(), *codec, endpoint_client, statements, state.evacuation_orders(), issuer,
+                   metrics),
+          scheduler(io.get_executor(), *codec, endpoint_client, releaser, statements, issuer, metrics, teams,
                     [this](const std::vector<result_group>& used) { return_results(used); }),
           peers(io.get_executor(), settings, random_run_id(), state, quarantine, statements, metrics,
                 peer_handlers()),
           endpoint_permits(peers, statements, issuer, metrics),
           returns(io.get_executor(), peers, scheduler, releaser),
-          runner(io.get_executor(), peers, scheduler, returns, selector),
-          handler({*codec, settings, state, reader, quarantine, selector, statements, endpoint_permits,
-                   runner, returns, peers, endpoint_client, service_client, metrics}),
+          runner(io.get_executor(), peers, scheduler, returns, metrics,
+                 settings.bounds.evacuation_time.has_value()),
+          handler({*codec, settings, state, reader, quarantine, selector, statements, load_aware, prober,
+                   endpoint_permits, runner, returns, peers, endpoint_client, service_client, metrics, teams}),
           stop(stop_settings_of(settings.bounds)), signals(io, SIGTERM, SIGINT), hangups(io, SIGHUP)
     {
         // Posted, because the handler is called in the middle of attempts and stage calls.
@@ -143,7 +187,9 @@
     {
         published_state::callbacks out;
         out.on_table = [this](const std::shared_ptr<const routing_table>& it) {
+            set_cold_pools(*it);
             scheduler.configure(it, endpoints);
+            runner.set_layout(stage_layout(*it, endpoints));
             set_caller_limits(it->limits);
         };
         out.on_endpoints = [this](const std::vector<endpoint>& it) {
@@ -151,17 +197,71 @@
             statements.set_endpoints(it);
             apply_endpoints();
         };
+        if (settings.bounds.cold)
+            out.on_entries = [this](const std::vector<endpoint>& written) {
+                const time_point now = boot_clock::now();
+                for (const auto& it : written)
+                    statements.record_entry(it, now);
+            };
+        if (settings.bounds.evacuation_time)
+            out.on_evacuations = [this](const evacuation_changes& it) {
+                begin_returns(it);
+                apply_endpoints();
+            };
+        return out;
+    }
+
+    /// Sets the terms for the cold endpoints of each pool.
+    void set_cold_pools(const routing_table& table)
+    {
+        std::map<std::string, pool_coldness, std::less<>> pools;
+        if (settings.bounds.cold)
+            for (const auto& [name, it] : table.pools)
+                if (it.cold_rate > 0)
+                    pools.emplace(name, pool_coldness{it.cold_time,
+                                                      cold_terms_for(it.cold_rate, *settings.bounds.cold)});
+        statements.set_cold_pools(std::move(pools));
+    }
+
+    /// Lets the endpoints of failure domains whose evacuation has ended return gradually.
+    void begin_returns(const evacuation_changes& changes)
+    {
+        const time_point now = boot_clock::now();
+        for (const auto& order : changes.ended)
+            for (const auto& it : listed)
+                if (it.domain == order.domain) {
+                    statements.record_return(it, now);
+                    statements.record_idleness(it, now);
+                }
+    }
+
+    /// Requests and stage calls in flight at the endpoints of evacuated failure domains.
+    std::uint64_t count_in_flight_evacuated() const
+    {
+        std::uint64_t out = 0;
+        const auto add = [this, &out](const std::map<std::string, std::uint64_t>& by_domain) {
+            for (const auto& [domain, n] : by_domain)
+                if (state.evacuation_orders().contains(domain))
+                    out += n;
+        };
+        add(selector.in_flight_by_domain());
+        add(scheduler.in_flight_by_domain());
         return out;
     }
 
-    /// Gives the list, with what the endpoints state of themselves, to all that select endpoints.
+    /// Gives the list, with the orders of the operators and what the endpoints state of themselves, to all
+    /// that select endpoints.
     void apply_endpoints()
     {
         endpoints = listed;
+        state.evacuation_orders().mark(endpoints);
         statements.mark_leaving(endpoints);
         selector.set_endpoints(endpoints, boot_clock::now());
-        if (const auto table = state.table())
+        load_aware.set_endpoints(endpoints);
+        if (const auto table = state.table()) {
             scheduler.configure(table, endpoints);
+            runner.set_layout(stage_layout(*table, endpoints));
+        }
     }
 
     /// Only a few instances watch the store; the others receive the changes from their peers.
@@ -180,9 +280,12 @@
     fleet::handlers peer_handlers()
     {
         fleet::handlers out;
-        out.on_stage_task = [this](wire::stage_order_message it) { return run_task(std::move(it)); };
+        out.on_stage_task = [this](wire::stage_order_message it) {
+            return it.poll ? poll_task(std::move(it)) : run_task(std::move(it));
+        };
         out.on_stage_cancel = [this](const wire::stage_cancel_message& it) {
-            scheduler.cancel(it.request_id, static_cast<std::uint32_t>(it.stage));
+            scheduler.cancel(it.request_id, static_cast<std::uint32_t>(it.stage),
+                             static_cast<std::uint32_t>(it.run));
         };
         out.on_result_release = [this](const wire::stage_release_message& it) {
             scheduler.release(it.handles);
@@ -193,12 +296,47 @@
         return out;
     }
 
+    static wire::stage_result_message to_message(const stage_task_result& it)
+    {
+        wire::stage_result_message out;
+        out.status = static_cast<std::int32_t>(it.status);
+        out.reason = it.reason;
+        out.backlog_ms = it.backlog.count();
+        out.accepts_polls = true;
+        if (it.retry_after)
+            out.__set_retry_after_ms(it.retry_after->count());
+        if (!it.backlogs.empty())
+            out.__set_backlogs(limpetlock::gateway::to_message(it.backlogs, boot_clock::now()));
+        for (const auto& piece : it.pieces) {
+            wire::piece_result_message message;
+            message.handle = piece.handle;
+            message.failure = static_cast<std::int32_t>(piece.failure);
+            out.pieces.push_back(std::move(message));
+        }
+        return out;
+    }
+
+    /// Asks for a stage task of another instance, which this one has from an earlier message.
+    awaitable<wire::stage_result_message> poll_task(wire::stage_order_message it)
+    {
+        const auto result = co_await scheduler.poll(std::move(it.request_id),
+                                                    static_cast<std::uint32_t>(it.stage),
+                                                    static_cast<std::uint32_t>(it.run), task_reply_wait);
+        wire::stage_result_message out;
+        if (result)
+            out = to_message(*result);
+        else
+            out.status = fleet::unknown_task_status;
+        co_return out;
+    }
+
     /// Runs a stage task of another instance. The times in its message are relative to its arrival here.
     awaitable<wire::stage_result_message> run_task(wire::stage_order_message it)
     {
         const time_point now = boot_clock::now();
         stage_task task;
         task.request_id = it.request_id;
+        task.run = static_cast<std::uint32_t>(it.run);
         task.stage = static_cast<std::uint32_t>(it.stage);
         task.pieces.assign(it.pieces.begin(), it.pieces.end());
         task.key = it.key;
@@ -212,19 +350,15 @@
         task.tokens_per_piece = it.worth;
         task.next_pools = it.next_pools;
         task.transfer_bytes = static_cast<std::uint64_t>(std::max<std::int64_t>(0, it.transfer_bytes));
-        pool_key key{it.group, it.pool};
+        task.chain = to_chain(it.chain);
+        task.admitted = it.admitted;
+        task.team = it.team;
+        // An instance with a slightly different list uses the number of shards of the sender.
+        const auto shards = static_cast<std::uint32_t>(std::clamp<std::int32_t>(it.shards, 1, max_shards));
+        const auto shard = static_cast<std::uint32_t>(std::max(0, it.shard)) % shards;
+        pool_key key{it.group, it.pool, shard, shards};
         const auto result = co_await scheduler.run(std::move(key), std::move(task), task_reply_wait);
-        wire::stage_result_message out;
-        out.status = static_cast<std::int32_t>(result.status);
-        out.reason = result.reason;
-        out.backlog_ms = result.backlog.count();
-        for (const auto& piece : result.pieces) {
-            wire::piece_result_message message;
-            message.handle = piece.handle;
-            message.failure = static_cast<std::int32_t>(piece.failure);
-            out.pieces.push_back(std::move(message));
-        }
-        co_return out;
+        co_return to_message(result);
     }
 
     void return_results(const std::vector<result_group>& used)
@@ -306,6 +440,9 @@
             background_failures.set(static_cast<std::int64_t>(background_failure_count()));
             limits_in_force.set(static_cast<std::int64_t>(statements.count()));
             leaving_endpoints.set(static_cast<std::int64_t>(statements.leaving_count()));
+            cold_endpoints.set(static_cast<std::int64_t>(statements.count_cold(boot_clock::now())));
+            evacuations_in_force.set(static_cast<std::int64_t>(state.evacuation_orders().count()));
+            in_flight_evacuated.set(static_cast<std::int64_t>(count_in_flight_evacuated()));
             answer = {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics.render()};
         }
         co_await it.respond(std::move(answer));
@@ -433,6 +570,7 @@
     settings_loader reload;
     asio::io_context io{1};
     metrics::registry metrics;
+    team_counters teams{metrics};
     metrics::gauge& dropped_lines{
         metrics.get_gauge("limpetlock_log_lines_dropped", "log lines that standard output did not take")};
     metrics::gauge& background_failures{
@@ -441,15 +579,24 @@
         "limpetlock_endpoint_limits", "endpoints that limit the rate of requests, as far as known here")};
     metrics::gauge& leaving_endpoints{metrics.get_gauge(
         "limpetlock_endpoints_stating_leaving", "endpoints that stated in an answer that they leave")};
+    metrics::gauge& cold_endpoints{metrics.get_gauge(
+        "limpetlock_endpoints_cold", "endpoints that get few requests because they are cold")};
+    metrics::gauge& evacuations_in_force{metrics.get_gauge(
+        "limpetlock_evacuations", "orders in force to send nothing more to a failure domain")};
+    metrics::gauge& in_flight_evacuated{
+        metrics.get_gauge("limpetlock_evacuated_in_flight",
+                          "requests and stage calls in flight at endpoints of evacuated failure domains")};
     std::vector<endpoint> listed;    ///< as the store lists them
-    std::vector<endpoint> endpoints; ///< with those that leave by their own statement
+    std::vector<endpoint> endpoints; ///< with the evacuated ones and those that leave by their own statement
     endpoint_statements statements;
     endpoint_selector selector;
+    load_aware_selector load_aware;
     permit_issuer issuer;
     prompt_quarantine quarantine;
     published_state state;
     http::client endpoint_client;
     http::client service_client;
+    load_prober prober;
     store_reader reader;
     result_releaser releaser;
     stage_scheduler scheduler;
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -26,10 +26,6 @@
 
 constexpr auto as_tuple_awaitable = asio::as_tuple(asio::use_awaitable);
 
-/// Least number of instances that an instance assumes, since a new one doesn't know the others yet. The
-/// retries beyond the ratio are divided among them.
-constexpr std::size_t min_fleet_size = 6;
-
 /// A key is accepted only while the proof of the table is younger than key_revocation_time by this margin.
 constexpr duration proof_margin{300};
 
@@ -38,6 +34,14 @@
 constexpr duration denial_proof_age{1'500};
 
 constexpr duration max_retry_after{2'000};
+constexpr duration retry_after_jitter{300};
+
+/// Longest Retry-After of a request whose stages have no room: queues of stages are shorter, and the figure
+/// comes from another instance.
+constexpr duration max_stage_retry_after{10'000};
+
+/// Refusal of a request that was cancelled: its caller left, or the process ends.
+constexpr std::string_view cancelled_reason = "cancelled";
 
 /// Time from the end of the stages to the first event of an idle engine.
 constexpr duration engine_first_event{120};
@@ -46,9 +50,6 @@
 /// before it reads the prompt. Their storage at the producers can be freed then.
 constexpr duration input_fetch_time{45};
 
-/// Limit of the attempts of one request, including those at endpoints that refuse or can't be reached.
-constexpr std::size_t max_attempts = 5;
-
 /// Parts of a prompt that a log line names.
 constexpr std::size_t max_logged_parts = 8;
 
@@ -75,33 +76,6 @@
 
 } // namespace
 
-/// Records an attempt at an endpoint in the endpoint selector. An attempt that is destroyed without an
-/// outcome counts as cancelled.
-class request_handler::attempt_guard {
-public:
-    attempt_guard(endpoint_selector& selector, endpoint to, time_point now)
-        : target(std::move(to)), selector_(selector)
-    {
-        selector_.begin_attempt(target.id, now);
-    }
-    attempt_guard(const attempt_guard&) = delete;
-    attempt_guard& operator=(const attempt_guard&) = delete;
-    ~attempt_guard() { conclude(attempt_outcome::cancelled, boot_clock::now()); }
-
-    void conclude(attempt_outcome outcome, time_point now)
-    {
-        if (!std::exchange(open_, false))
-            return;
-        selector_.end_attempt(target.id, outcome, now);
-    }
-
-    const endpoint target;
-
-private:
-    endpoint_selector& selector_;
-    bool open_{true};
-};
-
 /// Keeps a timer in a set during its own lifetime.
 class request_handler::timer_registration {
 public:
@@ -139,6 +113,7 @@
 request_handler::request_handler(const handler_dependencies& dependencies)
     : dependencies_(dependencies),
       random_(static_cast<std::minstd_rand::result_type>(hash64(dependencies.settings.name, 2))),
+      second_attempts_(dependencies.settings.second_attempts),
       repeats_(
           dependencies.metrics.get_counter("limpetlock_repeats_total", "requests sent to a second endpoint")),
       callers_gone_(dependencies.metrics.get_counter("limpetlock_callers_gone_total",
@@ -155,6 +130,20 @@
       paused_(dependencies.metrics.get_counter(
           "limpetlock_requests_paused_total",
           "requests refused because all endpoints of their pool asked for no requests for a while")),
+      evacuated_(dependencies.metrics.get_counter(
+          "limpetlock_requests_evacuated_total",
+          "requests refused because the endpoints of their pool are evacuated")),
+      usual_choices_(dependencies.metrics.get_counter("limpetlock_endpoint_choices_total",
+                                                      "endpoints that were selected by their expected time",
+                                                      {{"endpoint", "usual"}})),
+      other_choices_(dependencies.metrics.get_counter("limpetlock_endpoint_choices_total",
+                                                      "endpoints that were selected by their expected time",
+                                                      {{"endpoint", "other"}})),
+      report_ages_(dependencies.metrics.get_summary(
+          "limpetlock_load_report_age_ms", "age of the load reports by which endpoints were selected")),
+      estimate_ratios_(dependencies.metrics.get_summary(
+          "limpetlock_first_event_estimate_ratio",
+          "time to the first event as a multiple of the time that was expected when the request was sent")),
       confirmations_(dependencies.metrics.get_counter(
           "limpetlock_table_confirmations_total",
           "requests that waited for a read of the table because its proof was too old")),
@@ -178,6 +167,11 @@
     return retry_shares_.try_emplace(pool, options).first->second;
 }
 
+std::size_t request_handler::fleet_size(time_point now) const
+{
+    return dependencies_.peers.view().size_estimate(now, min_fleet_size);
+}
+
 std::string request_handler::pick_pool(const route& it)
 {
     std::uint64_t total = 0;
@@ -196,8 +190,8 @@
 
 duration request_handler::retry_after(const request_context& it, time_point now)
 {
-    const duration backlog = it.table ? dependencies_.runner.backlog(it.plan, *it.table, now) : duration{0};
-    const auto jitter = static_cast<std::int64_t>(random_() % 300);
+    const duration backlog = dependencies_.runner.backlog(it.plan, now);
+    const auto jitter = static_cast<std::int64_t>(random_() % retry_after_jitter.count());
     return std::min(max_retry_after, std::max(min_retry_after, backlog / 2) + duration(jitter));
 }
 
@@ -283,10 +277,13 @@
         if (first.index() == 2)
             refuse_at_end(it);
     }
-    if (it.caller_gone)
+    if (it.caller_gone) {
         callers_gone_.add();
-    else if (it.refusal.status != 0 && !io.answered())
+        if (it.refusal.reason.empty() || it.refusal.reason == cancelled_reason)
+            it.refusal.reason = "caller gone";
+    } else if (it.refusal.status != 0 && !io.answered()) {
         co_await answer_refusal(it);
+    }
     log_end(it);
 }
 
@@ -359,9 +356,9 @@
                                       {"reason", describe(failure)},
                                       {"attempts", fmt::to_string(it.attempts)},
                                       {"answered", it.io.answered() ? "yes" : "no"}});
+    const std::string_view reason = is_cancellation(failure) ? cancelled_reason : "unexpected error";
     if (it.refusal.status == 0)
-        refuse(it, it.attempts == 0 ? 503 : 502, "unexpected error",
-               it.attempts == 0 ? min_retry_after : duration{0});
+        refuse(it, it.attempts == 0 ? 503 : 502, reason, it.attempts == 0 ? min_retry_after : duration{0});
 }
 
 /// Chooses the pool and sets the criteria for the endpoint, then runs the stages.
@@ -373,12 +370,14 @@
         co_return refuse(it, 503, "the instance ends before the answer would", min_retry_after);
     it.pool = pick_pool(*it.matched_route);
     retry_share_of(it.pool).record_first_attempt(it.arrival);
+    if (second_attempts_.enabled())
+        second_attempts_.record_first_request(it.pool, it.arrival);
     it.endpoint_criteria.pool = it.pool;
     it.endpoint_criteria.domain = dependencies_.settings.domain;
     it.endpoint_criteria.affinity_hash = prompt_affinity(it.request);
     it.endpoint_criteria.session_hash = prompt_session(it.request);
     if (dependencies_.selector.available_endpoints(it.pool).empty())
-        co_return refuse(it, 503, "no endpoint", min_retry_after);
+        co_return refuse_without_endpoint(it, min_retry_after);
     if (refuse_while_paused(it))
         co_return false;
     if (it.matched_route->stages.empty())
@@ -410,26 +409,64 @@
         it.plan.domain = it.reserved_slot->to.domain;
     else if (const auto engine = dependencies_.selector.select(it.endpoint_criteria, it.arrival))
         it.plan.domain = engine->domain;
+    it.plan.team = it.team.value_or("");
+    // Once the stages were admitted, the request isn't refused for work that arrived later.
+    it.plan.admitted = it.stages_rerun;
     const duration min_time = stage_runner::minimum_time(it.plan, *it.table);
-    const duration backlog = dependencies_.runner.backlog(it.plan, *it.table, it.arrival);
-    if (it.arrival + min_time + backlog > it.plan.deadline)
-        co_return refuse(it, 503, "stages can't be done in time", retry_after(it, it.arrival));
+    if (refuse_stages_in_advance(it, min_time))
+        co_return false;
     auto outcome = co_await run_plan(it);
-    if (outcome.status == stage_status::failed && boot_clock::now() + min_time < it.plan.deadline)
+    if (outcome.status == stage_status::failed && boot_clock::now() + min_time < it.plan.deadline) {
+        it.plan.admitted = true;
         outcome = co_await run_plan(it);
+    }
     it.stages_done = boot_clock::now();
     if (outcome.status == stage_status::done) {
         it.inputs = std::make_shared<held_results>(dependencies_.returns, std::move(outcome.inputs));
         co_return true;
     }
+    const duration retry_time = outcome.status == stage_status::refused
+                                    ? stage_retry_after(outcome.retry_after)
+                                    : retry_after(it, boot_clock::now());
     co_return refuse(it, 503, fmt::format("stages {}: {}", to_string(outcome.status), outcome.reason),
-                     retry_after(it, boot_clock::now()));
+                     retry_time);
+}
+
+/// Refuses a request whose stages can't be done in time, by figures that are certain or fresh. Returns
+/// whether it did.
+bool request_handler::refuse_stages_in_advance(request_context& it, duration min_time)
+{
+    const time_point now = boot_clock::now();
+    const duration left = it.plan.deadline - now;
+    chain_estimate estimate;
+    if (!it.plan.admitted)
+        estimate.end = dependencies_.runner.expected_time(it.plan, *it.table, now);
+    const auto decision = decide_admission(estimate, left);
+    if (min_time <= left && decision.admitted)
+        return false;
+    const duration retry_time =
+        decision.admitted ? retry_after(it, now) : stage_retry_after(decision.retry_after);
+    refuse(it, 503, "stages can't be done in time", retry_time);
+    if (!it.plan.admitted) {
+        dependencies_.teams.count_asked(it.plan.team, it.priority);
+        dependencies_.teams.count_refused(it.plan.team, it.priority, stage_refusal::forecast);
+    }
+    return true;
+}
+
+/// The Retry-After of a request that has to wait this long until its stages have room. The random part keeps
+/// the refused requests of one moment from coming back together.
+duration request_handler::stage_retry_after(duration until_room)
+{
+    const duration jitter(static_cast<std::int64_t>(random_() % retry_after_jitter.count()));
+    return std::clamp(until_room, min_retry_after, max_stage_retry_after) + jitter;
 }
 
 /// Runs the stages. The outcome is `late` when the deadline of the request passes first, or when the process
 /// is about to end.
 awaitable<stage_outcome> request_handler::run_plan(request_context& it)
 {
+    ++it.plan.run;
     using namespace asio::experimental::awaitable_operators;
     const duration left =
         stages_refused_ ? duration{0} : std::max(duration{0}, it.deadline - boot_clock::now());
@@ -503,13 +540,29 @@
         if (it.streaming && !resumes)
             return false;
     }
-    const bool allowed = retry_share_of(it.pool).try_acquire_retry(
-        dependencies_.peers.view().size_estimate(now, min_fleet_size), now);
+    const bool allowed = retry_share_of(it.pool).try_acquire_retry(fleet_size(now), now);
     if (allowed)
         repeats_.add();
     return allowed;
 }
 
+/// Records the end of an attempt that the request had no answer from, or whose answer was relayed.
+void request_handler::record_attempt(request_context& it, const endpoint& to, const attempt_result& last)
+{
+    record_prompt_evidence(it, to, last);
+    if (last.end == attempt_end::delivered)
+        return;
+    if (may_have_run(last.end))
+        ++it.possible_executions;
+    log::info("sending_failed", {{"request", it.request.id},
+                                 {"endpoint", to.id},
+                                 {"end", std::string(to_string(last.end))},
+                                 {"reason", last.reason},
+                                 {"status", fmt::to_string(last.status)},
+                                 {"any_event", last.any_event ? "yes" : "no"},
+                                 {"parts", shared_parts_text(it.request)}});
+}
+
 awaitable<void> request_handler::forward(request_context& it)
 {
     attempt_result last;
@@ -528,23 +581,17 @@
         }
         attempt_guard attempt(dependencies_.selector, *to, boot_clock::now());
         ++it.attempts;
+        // What continues a stream takes another time than the request.
+        if (!it.streaming && dependencies_.load_aware.is_enabled(it.pool, boot_clock::now()))
+            it.estimated.emplace(dependencies_.load_aware, *to, profile_of(it), boot_clock::now());
         it.endpoint_criteria.tried.push_back(to->id);
         it.endpoint_id = to->id;
-        last = co_await run_attempt(it, attempt);
-        record_prompt_evidence(it, *to, last);
+        last = co_await run_attempts(it, attempt);
+        it.estimated.reset();
         if (last.end == attempt_end::delivered && last.outcome == attempt_outcome::answered)
             answer_times_.record(it.matched_route->name, boot_clock::now() - it.last_sent);
         if (last.end == attempt_end::delivered)
             co_return;
-        if (may_have_run(last.end))
-            ++it.possible_executions;
-        log::info("sending_failed", {{"request", it.request.id},
-                                     {"endpoint", to->id},
-                                     {"end", std::string(to_string(last.end))},
-                                     {"reason", last.reason},
-                                     {"status", fmt::to_string(last.status)},
-                                     {"any_event", last.any_event ? "yes" : "no"},
-                                     {"parts", shared_parts_text(it.request)}});
         bool again = may_retry(it, last);
         const bool needs_inputs = !it.matched_route->stages.empty() && it.inputs->handles().empty();
         if (again && (last.end == attempt_end::inputs_gone || needs_inputs))
@@ -581,15 +628,34 @@
         return;
     if (it.refusal.status != 0)
         return;
-    if (it.possible_executions == 0)
-        refuse(it, 503, last.reason.empty() ? "no endpoint" : last.reason,
-               retry_after(it, boot_clock::now()));
+    const duration wait = retry_after(it, boot_clock::now());
+    if (it.possible_executions == 0 && last.reason.empty())
+        refuse_without_endpoint(it, wait);
+    else if (it.possible_executions == 0)
+        refuse(it, 503, last.reason, wait);
     else if (last.end == attempt_end::timeout)
         refuse(it, 504, last.reason, duration{0});
     else
         refuse(it, 502, last.reason, duration{0});
 }
 
+/// Refuses a request that was sent to no endpoint, since the pool has none that takes work.
+bool request_handler::refuse_without_endpoint(request_context& it, duration retry_after)
+{
+    const auto& selector = dependencies_.selector;
+    const time_point now = boot_clock::now();
+    if (!selector.available_endpoints(it.pool).empty() || selector.count_evacuated(it.pool) == 0)
+        return refuse(it, 503, "no endpoint", retry_after);
+    evacuated_.add();
+    const auto age = dependencies_.state.proof_age(now).value_or(duration(-1));
+    log::info("request_evacuated",
+              {{"request", it.request.id},
+               {"pool", it.pool},
+               {"orders", fmt::to_string(dependencies_.state.evacuation_orders().count())},
+               {"state_age_ms", fmt::to_string(age.count())}});
+    return refuse(it, 503, "the endpoints are evacuated", retry_after);
+}
+
 /// A failure across a suspension of this process says nothing: time limits passed while nothing was read.
 attempt_outcome request_handler::evidence_of(attempt_outcome outcome, time_point sent) const
 {
@@ -598,8 +664,19 @@
 }
 
 awaitable<attempt_result> request_handler::run_attempt(request_context& it, attempt_guard& to)
+{
+    auto opened = co_await open_attempt(it, to, input_release::after_fetch);
+    if (!opened.answer)
+        co_return std::move(opened.ended);
+    co_return co_await relay_answer(it, to, std::move(opened));
+}
+
+awaitable<opened_attempt> request_handler::open_attempt(request_context& it, attempt_guard& to,
+                                                        input_release release)
 {
     const time_point now = boot_clock::now();
+    opened_attempt opened;
+    opened.sent = now;
     it.last_sent = now;
     forwarding_metadata extra;
     extra.time_left = std::max(duration{1}, it.deadline - now);
@@ -617,21 +694,23 @@
         it.matched_route->repeatable ? http::connection_policy::pooled : http::connection_policy::fresh;
     http::call_error error;
     asio::steady_timer fetched(it.executor, input_fetch_time);
-    if (!dependencies_.selector.has_waiting_requests(to.target.id, now))
+    if (release == input_release::after_fetch &&
+        !dependencies_.selector.has_waiting_requests(to.target.id, now))
         fetched.async_wait([inputs = it.inputs](const boost::system::error_code& ec) {
             if (!ec)
                 inputs->release();
         });
     http::client& client =
         it.matched_route->stream ? dependencies_.engine_client : dependencies_.service_client;
-    const auto answer = co_await client.open_answer(to.target.address, std::move(message), it.deadline, reuse,
-                                                    error, std::move(belongs_to_request));
-    attempt_result out;
+    opened.answer = co_await client.open_answer(to.target.address, std::move(message), it.deadline, reuse,
+                                                error, std::move(belongs_to_request));
+    auto& answer = opened.answer;
+    auto& out = opened.ended;
     if (!answer) {
         out = failed_attempt(error);
         out.lost_at_begin = error.code == http::errc::closed && error.answer_begun;
         to.conclude(evidence_of(out.outcome, now), boot_clock::now());
-        co_return out;
+        co_return opened;
     }
     const auto metadata = dependencies_.codec.decode_answer_metadata(answer->status(), answer->headers());
     // On a connection that was in use before, an answer without an id may be a copy of an earlier one.
@@ -639,8 +718,10 @@
         out.end = attempt_end::broken;
         out.reason = "answer without a request id";
         to.conclude(attempt_outcome::broken, boot_clock::now());
-        co_return out;
+        answer.reset();
+        co_return opened;
     }
+    dependencies_.prober.record_load(to.target, metadata, boot_clock::now());
     if (metadata.load)
         dependencies_.selector.record_load(to.target.id, *metadata.load, boot_clock::now());
     dependencies_.statements.record_answer(to.target, metadata, metadata.has_signature || metadata.not_run,
@@ -652,23 +733,37 @@
                                                 : attempt_outcome::overloaded;
         out.reason = fmt::format("refused with status {}", answer->status());
         to.conclude(out.outcome, boot_clock::now());
-        co_return out;
+        answer.reset();
+        co_return opened;
     }
     if (!metadata.has_signature || metadata.content_encoded) {
         out.end = attempt_end::broken;
         out.reason = "spoiled answer";
         to.conclude(attempt_outcome::broken, boot_clock::now());
-        co_return out;
+        answer.reset();
+        co_return opened;
     }
     const bool success = answer->status() >= 200 && answer->status() < 300;
     if (success)
-        it.inputs->release();
-    if (success && it.matched_route->stream)
-        out = co_await relay_stream(it, *answer);
-    else
-        out = co_await relay_whole(it, *answer, !success);
+        co_return opened;
+    out = co_await relay_whole(it, *answer, true);
     out.status = answer->status();
     to.conclude(evidence_of(out.outcome, now), boot_clock::now());
+    answer.reset();
+    co_return opened;
+}
+
+awaitable<attempt_result> request_handler::relay_answer(request_context& it, attempt_guard& to,
+                                                        opened_attempt opened)
+{
+    it.inputs->release();
+    attempt_result out;
+    if (it.matched_route->stream)
+        out = co_await relay_stream(it, *opened.answer, std::move(opened.begun));
+    else
+        out = co_await relay_whole(it, *opened.answer, false);
+    out.status = opened.answer->status();
+    to.conclude(evidence_of(out.outcome, opened.sent), boot_clock::now());
     co_return out;
 }
 
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -25,6 +25,12 @@
 constexpr double hung_factor = 3;
 constexpr duration hung_margin{400};
 
+/// A call that takes one and a half times its expected time and this margin has waited at the endpoint.
+constexpr duration contention_margin{60};
+
+/// Calls of another instance are expected for this long after the last sign of one.
+constexpr duration contention_memory{3'000};
+
 /// Weight of one call in the moving average of the slowness.
 constexpr double slowness_weight = 0.4;
 
@@ -40,12 +46,31 @@
 /// A pool in which more full batches than this wait is overloaded.
 constexpr std::size_t overload_batches = 1;
 
+/// The last places of a call take parts of tasks while more full batches than this wait: the calls in
+/// progress then decide when the queue ends, and a split task ends with the next call at the latest.
+constexpr std::size_t fill_batches = 2;
+
 /// Weight of one call in the moving average of the pieces of a call.
 constexpr double typical_pieces_weight = 0.1;
 
 /// Least assumed backlog of a pool whose endpoints are all backed off.
 constexpr duration unknown_backlog{2'000};
 
+/// A team that was served more than another one yields to it for no longer than this, in time of all
+/// endpoints of the pool.
+constexpr duration max_team_lead{2'000};
+
+/// An endpoint that is avoided for no longer than this counts in estimates of the backlog as one that works
+/// meanwhile. If it counted as lost, refusals for lack of storage would multiply the estimate.
+constexpr duration short_avoidance{200};
+
+/// Time constant of the average rate of arrivals. With a longer one, requests are refused for a burst that
+/// has ended.
+constexpr duration inflow_window{500};
+
+/// Points of the outline of a backlog. Replies to other instances carry them for each pool.
+constexpr std::size_t outline_points = 4;
+
 constexpr double bytes_per_mb = 1e6;
 
 } // namespace
@@ -64,9 +89,10 @@
     options_.call_ms = capacity.call_ms;
     options_.piece_ms = capacity.piece_ms;
     options_.overload_threshold = options_.max_pieces * overload_batches;
+    options_.fill_threshold = options_.max_pieces * fill_batches;
     std::map<std::string, endpoint_state, std::less<>> next;
     for (auto& it : endpoints) {
-        if (it.leaving)
+        if (it.leaving || it.evacuated)
             continue;
         const auto found = endpoints_.find(it.id);
         endpoint_state entry = found == endpoints_.end() ? endpoint_state{} : found->second;
@@ -78,10 +104,16 @@
         next.emplace(std::move(id), std::move(entry));
     }
     endpoints_ = std::move(next);
+    options_.max_team_lead_ms = static_cast<double>(max_team_lead.count() * endpoints_.size());
 }
 
 void stage_dispatcher::submit(const std::shared_ptr<const stage_task>& task, time_point now)
 {
+    if (task->objective_time >= now + call_time(1)) {
+        const double piece_cost = to_team_order_options(options_).piece_cost;
+        inflow_ms_ = inflow_at(now) + piece_cost * static_cast<double>(task->pieces.size());
+        inflow_since_ = now;
+    }
     for (std::size_t n = 0; n < task->pieces.size(); ++n)
         queue_.push({task, n, 0, now});
 }
@@ -95,11 +127,24 @@
     return true;
 }
 
+bool stage_dispatcher::is_contended(std::string_view endpoint_id, time_point now) const
+{
+    const auto it = endpoints_.find(endpoint_id);
+    return it != endpoints_.end() && it->second.contended_at &&
+           now - *it->second.contended_at < contention_memory;
+}
+
 bool stage_dispatcher::usable(const endpoint_state& it, time_point now) const
 {
     return !it.busy && it.avoid_until <= now;
 }
 
+double stage_dispatcher::inflow_at(time_point now) const
+{
+    const auto age = static_cast<double>((now - inflow_since_).count());
+    return inflow_ms_ * std::exp(-std::max(0.0, age) / static_cast<double>(inflow_window.count()));
+}
+
 void stage_dispatcher::tick(time_point now)
 {
     if (!suspensions_)
@@ -168,15 +213,15 @@
         endpoint_state* const to = pick_endpoint(now, excluded);
         if (to == nullptr)
             return std::nullopt;
-        auto pieces = queue_.pop_batch(options_, to->listed.domain, free_times(now), free_result_bytes(*to),
-                                       deferred, now);
+        auto [pieces, vacancy] = queue_.pop_batch(options_, to->listed.domain, free_times(now),
+                                                  free_result_bytes(*to), deferred, now);
         if (pieces.empty()) {
             excluded.push_back(to->listed.id);
             continue;
         }
         const duration expected(static_cast<std::int64_t>(
             static_cast<double>(call_time(pieces.size()).count()) * std::max(1.0, slowness_of(*to, now))));
-        record_batch_size(pieces.size());
+        record_batch_size(pieces.size(), vacancy);
         to->busy = true;
         to->busy_until = now + expected;
         const duration timeout(
@@ -186,7 +231,8 @@
             bytes += it.task->result_bytes;
         to->stored_bytes += bytes;
         calls_[++last_call_] = {to->listed.id, now, pieces.size(), bytes};
-        return stage_dispatch{last_call_, to->listed, std::move(pieces), now + timeout + hung_margin};
+        return stage_dispatch{last_call_, to->listed, std::move(pieces), now + timeout + hung_margin,
+                              vacancy};
     }
     return std::nullopt;
 }
@@ -230,13 +276,16 @@
     queue_.push(std::move(it));
 }
 
-/// Only full calls and calls that leave many pieces waiting count: they show how many pieces fit into a call,
-/// which is less than a batch if the memory for results is short.
-void stage_dispatcher::record_batch_size(std::size_t pieces)
+/// Only full calls count, and those that leave pieces waiting which didn't fit: they show how many pieces fit
+/// into a call, which is less than a batch if the memory for results is short. A call that is small because
+/// the other tasks are deferred or wait for their own failure domain says nothing of that.
+void stage_dispatcher::record_batch_size(std::size_t pieces, const batch_vacancy& vacancy)
 {
     if (typical_pieces_ <= 0)
         typical_pieces_ = static_cast<double>(options_.max_pieces);
-    if (queue_.size() >= options_.max_pieces / 2 || pieces == options_.max_pieces)
+    const std::size_t too_large =
+        vacancy.passed_over(pass_over_reason::size) + vacancy.passed_over(pass_over_reason::storage);
+    if (vacancy.places == 0 || too_large >= options_.max_pieces / 2)
         typical_pieces_ += typical_pieces_weight * (static_cast<double>(pieces) - typical_pieces_);
 }
 
@@ -273,10 +322,13 @@
     switch (outcome) {
     case call_outcome::answered:
         it.failures = 0;
+        if (now - ended.started > call_time(ended.pieces) * 3 / 2 + contention_margin)
+            it.contended_at = now;
         if (!suspended)
             record_call_time(it, ended, now);
         break;
     case call_outcome::overloaded:
+        it.contended_at = now;
         avoid(it, now + overloaded_back_off, avoidance::overloaded);
         break;
     case call_outcome::unreachable:
@@ -298,10 +350,19 @@
     return capacity_profile(now).time_for(queue_.count_with_objective_from(now + call_time(1), deferred));
 }
 
-backlog_profile stage_dispatcher::profile(time_point now) const
+backlog_profile stage_dispatcher::profile(time_point now, const task_filter& deferred) const
 {
     backlog_profile out = capacity_profile(now);
-    out.order_keys_ = queue_.order_keys(options_, now);
+    out.items_ = queue_.items(options_, deferred, now);
+    out.pieces_ = 0;
+    for (const auto& it : out.items_)
+        out.pieces_ += it.pieces;
+    out.shares_ = queue_.shares();
+    out.team_options_ = to_team_order_options(options_);
+    // Every n-th batch begins with the oldest tasks, so late ones always have a part of the capacity.
+    const double most = options_.oldest_first_interval > 0 ? 1 - 1.0 / options_.oldest_first_interval : 1;
+    const double capacity = out.effective_endpoints_ * static_cast<double>(inflow_window.count());
+    out.inflow_share_ = capacity > 0 ? std::min(most, inflow_at(now) / capacity) : 0;
     return out;
 }
 
@@ -310,17 +371,18 @@
 {
     backlog_profile out;
     for (const auto& [id, it] : endpoints_) {
-        if (it.avoid_until > now) {
-            const duration left = it.avoid_until - now;
+        const duration left = std::max(duration{0}, it.avoid_until - now);
+        if (left > short_avoidance) {
             out.until_first_ = out.until_first_ == duration{0} ? left : std::min(left, out.until_first_);
             continue;
         }
         out.effective_endpoints_ += 1 / std::max(0.5, slowness_of(it, now));
-        if (it.busy && it.busy_until > now)
-            out.running_ms_ += static_cast<double>((it.busy_until - now).count());
+        const duration busy = it.busy ? it.busy_until - now : duration{0};
+        out.running_ms_ += static_cast<double>(std::max(busy, left).count());
     }
     out.typical_pieces_ =
         std::max(1.0, typical_pieces_ > 0 ? typical_pieces_ : static_cast<double>(options_.max_pieces));
+    out.max_pieces_ = static_cast<double>(options_.max_pieces);
     out.call_ms_ = capacity_.call_ms;
     out.piece_ms_ = capacity_.piece_ms;
     return out;
@@ -328,8 +390,40 @@
 
 duration backlog_profile::time_before(time_point order_key) const
 {
-    const auto end = std::lower_bound(order_keys_.begin(), order_keys_.end(), order_key);
-    return time_for(static_cast<std::size_t>(end - order_keys_.begin()));
+    const auto& keys = positions().keys();
+    return time_for(
+        static_cast<std::size_t>(std::lower_bound(keys.begin(), keys.end(), order_key) - keys.begin()));
+}
+
+const queue_positions& backlog_profile::positions() const
+{
+    if (!positions_)
+        positions_.emplace(items_, shares_, team_options_);
+    return *positions_;
+}
+
+/// Whether a new task may go before waiting ones of another team with a smaller key.
+bool backlog_profile::is_contested() const
+{
+    return static_cast<double>(pieces_) > max_pieces_;
+}
+
+duration backlog_profile::time_before(const order_item& it) const
+{
+    return is_contested() ? time_for(positions().pieces_before(it)) : time_before(it.key);
+}
+
+duration backlog_profile::least_time_before(const order_item& it, duration slack) const
+{
+    if (effective_endpoints_ <= 0)
+        return until_first_;
+    const std::size_t before = positions().pieces_before(it);
+    const duration in_time = time_for(before);
+    if (!it.late && in_time <= slack)
+        return in_time;
+    const std::size_t all = it.late ? before : before + positions().late_pieces_for(it);
+    return duration(
+        static_cast<std::int64_t>(static_cast<double>(time_for(all).count()) / (1 - inflow_share_)));
 }
 
 duration backlog_profile::typical_call_time() const
@@ -337,6 +431,47 @@
     return duration(static_cast<std::int64_t>(call_ms_ + piece_ms_ * typical_pieces_));
 }
 
+duration backlog_profile::call_time(std::size_t pieces) const
+{
+    const auto all = static_cast<double>(pieces);
+    const double calls = std::ceil(all / std::max(1.0, max_pieces_));
+    const double rounds = std::max(1.0, std::ceil(calls / std::max(1.0, effective_endpoints_)));
+    return duration(static_cast<std::int64_t>(rounds * (call_ms_ + piece_ms_ * std::min(all, max_pieces_))));
+}
+
+void backlog_profile::add(order_item it)
+{
+    pieces_ += it.pieces;
+    items_.push_back(std::move(it));
+    positions_.reset();
+}
+
+/// Tasks of a later turn may yield to a new task of another team, so they aren't counted.
+std::vector<backlog_point> backlog_profile::outline() const
+{
+    if (effective_endpoints_ <= 0)
+        return {};
+    const bool teams_known =
+        std::any_of(items_.begin(), items_.end(), [](const order_item& it) { return !it.team.empty(); });
+    const auto& keys = is_contested() && teams_known ? positions().first_turn_keys() : positions().keys();
+    std::vector<backlog_point> out;
+    const std::size_t count = keys.size();
+    for (std::size_t n = 1; n <= outline_points && count > 0; ++n) {
+        const std::size_t end = std::max<std::size_t>(1, count * n / outline_points);
+        out.push_back({keys[end - 1], time_for(end)});
+    }
+    return out;
+}
+
+duration time_before(const std::vector<backlog_point>& outline, time_point order_key, duration age)
+{
+    duration out{0};
+    for (const auto& it : outline)
+        if (it.order_key < order_key)
+            out = std::max(out, it.before - age);
+    return out;
+}
+
 duration backlog_profile::time_for(std::size_t pieces) const
 {
     if (effective_endpoints_ <= 0)
--- a/lib/gateway/stage_runner.cpp
+++ b/lib/gateway/stage_runner.cpp
@@ -1,6 +1,7 @@
 #include "stage_runner.hpp"
 
 #include <limpetlock/support/background.hpp>
+#include <limpetlock/support/hash.hpp>
 #include <limpetlock/support/log.hpp>
 #include <limpetlock/support/scope_exit.hpp>
 
@@ -11,6 +12,8 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace limpetlock::gateway {
@@ -37,13 +40,17 @@
 /// it. The margin covers the wait for a free endpoint.
 constexpr duration alignment_margin{250};
 
-/// A deployment with this many endpoints in its stage pools has one responsible instance for each failure
-/// domain. A smaller one has a single instance for all domains, which forms fuller batches.
-constexpr std::size_t endpoints_for_domains = 24;
+/// The ranking of the instances is kept for this long unless the fleet changes. Ranking 300 instances takes
+/// too long to be done for each task.
+constexpr duration duties_lifetime{100};
 
 /// A backlog report is ignored when it is older than this.
 constexpr duration backlog_lifetime{1'500};
 
+/// Backlogs decide on the refusal of a request only while they are younger than this: the responsible
+/// instance decides by its own queue otherwise.
+constexpr duration fresh_backlog_age{300};
+
 /// Share of a full batch that a call typically holds, for the expected time of a call.
 constexpr double typical_fill_share = 0.4;
 
@@ -78,6 +85,7 @@
     wire::stage_order_message out;
     out.pool = key.pool;
     out.request_id = it.request_id;
+    out.run = static_cast<std::int32_t>(it.run);
     out.stage = static_cast<std::int32_t>(it.stage);
     out.pieces.assign(it.pieces.begin(), it.pieces.end());
     out.key = it.key;
@@ -95,18 +103,72 @@
     out.worth = it.tokens_per_piece;
     out.transfer_bytes = static_cast<std::int64_t>(it.transfer_bytes);
     out.group = key.domain;
+    out.shard = static_cast<std::int32_t>(key.shard);
+    out.shards = static_cast<std::int32_t>(key.shards);
     out.next_pools = it.next_pools;
+    std::vector<wire::chain_stage_message> chain;
+    for (const auto& stage : it.chain) {
+        wire::chain_stage_message message;
+        message.pool = stage.pool;
+        message.stage = static_cast<std::int32_t>(stage.stage);
+        message.pieces = static_cast<std::int32_t>(stage.pieces);
+        message.time_to_end_ms = stage.time_to_end.count();
+        message.after.assign(stage.after.begin(), stage.after.end());
+        chain.push_back(std::move(message));
+    }
+    out.__set_chain(chain);
+    out.__set_admitted(it.admitted);
+    if (!it.team.empty())
+        out.__set_team(it.team);
+    return out;
+}
+
+/// Bounds of the figures in a reply.
+constexpr std::size_t max_reported_pools = 64;
+constexpr std::size_t max_reported_points = 16;
+constexpr std::int64_t max_reported_ms = 48LL * 3'600'000;
+
+std::map<std::string, std::vector<backlog_point>>
+from_message(const std::vector<wire::pool_backlog_message>& from, time_point now)
+{
+    const auto bounded = [](std::int64_t ms) {
+        return duration(std::clamp(ms, -max_reported_ms, max_reported_ms));
+    };
+    std::map<std::string, std::vector<backlog_point>> out;
+    for (const auto& it : from) {
+        if (out.size() >= max_reported_pools)
+            break;
+        const std::size_t points = std::min({it.key_ms.size(), it.before_ms.size(), max_reported_points});
+        auto& to = out[it.pool];
+        for (std::size_t n = 0; n < points; ++n)
+            to.push_back({now + bounded(it.key_ms[n]), bounded(it.before_ms[n])});
+    }
+    return out;
+}
+
+/// Asks for a task that the instance has. Without the inputs and pools, the message is a fraction of an
+/// order.
+wire::stage_order_message to_poll(const stage_task& it)
+{
+    wire::stage_order_message out;
+    out.request_id = it.request_id;
+    out.stage = static_cast<std::int32_t>(it.stage);
+    out.run = static_cast<std::int32_t>(it.run);
+    out.poll = true;
     return out;
 }
 
 std::optional<stage_task_result> from_message(const wire::stage_result_message& it, std::size_t pieces)
 {
     stage_task_result out;
-    if (it.status < 0 || it.status > 2)
+    if (it.status < 0 || it.status > static_cast<std::int32_t>(stage_task_result::task_status::cancelled))
         return std::nullopt;
     out.status = static_cast<stage_task_result::task_status>(it.status);
     out.reason = it.reason;
     out.backlog = duration(std::max<std::int64_t>(0, it.backlog_ms));
+    if (it.__isset.retry_after_ms)
+        out.retry_after = duration(std::clamp<std::int64_t>(it.retry_after_ms, 0, max_reported_ms));
+    out.backlogs = from_message(it.backlogs, boot_clock::now());
     for (const auto& piece : it.pieces) {
         if (piece.failure < 0 || piece.failure > static_cast<std::int32_t>(piece_failure::error))
             return std::nullopt;
@@ -121,18 +183,19 @@
 
 std::string_view to_string(stage_status it)
 {
-    static constexpr std::array<std::string_view, 4> names{"done", "late", "unavailable", "failed"};
+    static constexpr std::array<std::string_view, 5> names{"done", "late", "unavailable", "failed",
+                                                           "refused"};
     return names[static_cast<std::size_t>(it)];
 }
 
 /// State of one run. The coroutines of its stages and the one that waits for them share it.
 struct stage_runner::run_state {
-    run_state(stage_plan it, std::shared_ptr<const routing_table> its_table,
+    run_state(stage_plan it, std::shared_ptr<const routing_table> its_table, stage_group its_group,
               const asio::any_io_executor& executor)
-        : plan(std::move(it)), table(std::move(its_table)),
+        : plan(std::move(it)), table(std::move(its_table)), group(std::move(its_group)),
           time_to_end(time_to_end_after(plan.stages, plan.pieces, *table)), results(plan.stages.size()),
           ended(plan.stages.size(), false), assigned_to(plan.stages.size()),
-          progress(executor, asio::steady_timer::time_point::max())
+          progress(executor, asio::steady_timer::time_point::max()), admitted(plan.admitted)
     {
     }
 
@@ -236,6 +299,25 @@
         return out;
     }
 
+    /// The given stage and those that depend on it, directly or not.
+    std::vector<chain_stage> chain(std::size_t index) const
+    {
+        std::vector<chain_stage> out;
+        std::vector<std::optional<std::uint32_t>> places(plan.stages.size());
+        for (std::size_t n = index; n < plan.stages.size(); ++n) {
+            chain_stage it{
+                plan.stages[n].pool, static_cast<std::uint32_t>(n), plan.pieces[n], time_to_end[n], {}};
+            for (const auto dependency : plan.stages[n].dependencies)
+                if (places[dependency])
+                    it.after.push_back(*places[dependency]);
+            if (plan.pieces[n] == 0 || (n != index && it.after.empty()))
+                continue;
+            places[n] = static_cast<std::uint32_t>(out.size());
+            out.push_back(std::move(it));
+        }
+        return out;
+    }
+
     /// Bytes that are fetched for a task: each of its pieces fetches all inputs, and each piece of a
     /// dependent stage fetches all results.
     std::uint64_t transfer_bytes(std::size_t index) const
@@ -262,6 +344,7 @@
 
     const stage_plan plan;
     const std::shared_ptr<const routing_table> table;
+    const stage_group group;                 ///< of endpoints that run all stages
     const std::vector<duration> time_to_end; ///< of each stage; see time_to_end_after
     std::vector<result_group> results;       ///< of each stage; empty once its dependents ended
     std::vector<bool> ended;                 ///< whether each stage is done or skipped
@@ -270,6 +353,8 @@
     std::uint64_t changes{0};
     stage_status status{stage_status::done};
     std::string reason;
+    duration retry_after{0};
+    bool admitted{false};  ///< an instance has begun to run the stages
     bool abandoned{false}; ///< the run failed or its coroutine was destroyed
 };
 
@@ -293,8 +378,9 @@
 };
 
 stage_runner::stage_runner(asio::any_io_executor executor, fleet& peers, stage_scheduler& local,
-                           result_returns& returns, const endpoint_selector& selector)
-    : executor_(std::move(executor)), fleet_(peers), scheduler_(local), returns_(returns), selector_(selector)
+                           result_returns& returns, metrics::registry& metrics, bool moves_to_domains)
+    : executor_(std::move(executor)), fleet_(peers), scheduler_(local), returns_(returns), metrics_(metrics),
+      moves_to_domains_(moves_to_domains)
 {
 }
 
@@ -308,14 +394,22 @@
     return out;
 }
 
-duration stage_runner::backlog(const stage_plan& plan, const routing_table& table, time_point now) const
+duration stage_runner::backlog(const stage_plan& plan, time_point now) const
 {
-    const std::string group = scheduling_group(plan, table);
-    duration out{0};
+    return known_backlog(plan, choose_group(plan, now), now).value_or(duration{0});
+}
+
+/// Returns nullopt if no pool of the request has a recent reply.
+std::optional<duration> stage_runner::known_backlog(const stage_plan& plan, const stage_group& group,
+                                                    time_point now) const
+{
+    std::optional<duration> out;
     for (std::size_t n = 0; n < plan.stages.size(); ++n) {
-        const auto it = backlogs_.find({group, plan.stages[n].pool});
+        const auto& pool = plan.stages[n].pool;
+        const auto it = backlogs_.find(key_of(layout_.group_of_pool(group, pool), pool));
         if (plan.pieces[n] > 0 && it != backlogs_.end() && now - it->second.at < backlog_lifetime)
-            out += it->second.length;
+            out =
+                out.value_or(duration{0}) + std::max(duration{0}, it->second.length - (now - it->second.at));
     }
     return out;
 }
@@ -325,9 +419,54 @@
     backlogs_.insert_or_assign(key, backlog_report{backlog, now});
 }
 
+void stage_runner::record_backlogs(const pool_key& key, stage_task_result& from, time_point now)
+{
+    pool_key group = key;
+    group.pool.clear();
+    group_reports_.insert_or_assign(std::move(group), group_report{std::move(from.backlogs), now});
+}
+
+duration stage_runner::expected_time(const stage_plan& plan, const routing_table& table, time_point now) const
+{
+    const auto report = group_reports_.find(key_of(choose_group(plan, now), {}));
+    const bool fresh = report != group_reports_.end() && now - report->second.at < fresh_backlog_age;
+    if (!fresh)
+        return minimum_time(plan, table);
+    const auto time_to_end = time_to_end_after(plan.stages, plan.pieces, table);
+    std::vector<chain_stage> stages;
+    std::vector<stage_load> loads;
+    for (std::size_t n = 0; n < plan.stages.size(); ++n) {
+        const auto& spec = plan.stages[n];
+        stages.push_back({spec.pool, static_cast<std::uint32_t>(n), plan.pieces[n], time_to_end[n], {}});
+        for (const auto dependency : spec.dependencies)
+            if (dependency < n)
+                stages.back().after.push_back(dependency);
+        const pool* const it = table.find_pool(spec.pool);
+        const auto found = report->second.pools.find(spec.pool);
+        stage_load load;
+        if (plan.pieces[n] > 0 && it != nullptr && it->stage) {
+            load.call_time = stage_time(spec, plan.pieces[n], table);
+            stage_task task;
+            task.objective_time = plan.objective_time - time_to_end[n];
+            task.priority = plan.priority;
+            task.tokens_per_piece = plan.tokens_per_piece;
+            batch_options options;
+            options.call_ms = it->stage->call_ms;
+            options.piece_ms = it->stage->piece_ms;
+            if (found != report->second.pools.end())
+                load.before =
+                    time_before(found->second, order_key(task, options, now), now - report->second.at);
+        }
+        loads.push_back(load);
+    }
+    return estimate_chain(stages, loads).end;
+}
+
 awaitable<stage_outcome> stage_runner::run(stage_plan plan, std::shared_ptr<const routing_table> table)
 {
-    const auto state = std::make_shared<run_state>(std::move(plan), std::move(table), executor_);
+    auto group = choose_group(plan, boot_clock::now());
+    const auto state =
+        std::make_shared<run_state>(std::move(plan), std::move(table), std::move(group), executor_);
     run_guard guard(*this, state);
     for (std::size_t n = 0; n < state->plan.stages.size(); ++n) {
         if (state->plan.pieces[n] == 0)
@@ -341,6 +480,7 @@
     stage_outcome out;
     out.status = state->status;
     out.reason = state->reason;
+    out.retry_after = state->retry_after;
     if (out.status != stage_status::done)
         co_return out;
     guard.dismiss();
@@ -359,19 +499,21 @@
         const std::string instance = std::exchange(state.assigned_to[n], {});
         const auto stage = static_cast<std::uint32_t>(n);
         if (instance == fleet_.view().own().name)
-            scheduler_.cancel(state.plan.request_id, stage);
+            scheduler_.cancel(state.plan.request_id, stage, state.plan.run);
         else if (!instance.empty())
             spawn_background(executor_, "stage_cancellation",
-                             cancel_at(instance, state.plan.request_id, stage));
+                             cancel_at(instance, state.plan.request_id, stage, state.plan.run));
     }
 }
 
-awaitable<void> stage_runner::cancel_at(std::string instance, std::string request_id, std::uint32_t stage)
+awaitable<void> stage_runner::cancel_at(std::string instance, std::string request_id, std::uint32_t stage,
+                                        std::uint32_t run)
 {
     wire::frame message;
     wire::stage_cancel_message body;
     body.request_id = std::move(request_id);
     body.stage = static_cast<std::int32_t>(stage);
+    body.run = static_cast<std::int32_t>(run);
     message.__set_stage_cancel(body);
     co_await fleet_.call(std::move(instance), std::move(message), boot_clock::now() + cancel_timeout);
 }
@@ -392,6 +534,7 @@
     const stage_spec& spec = state->plan.stages[index];
     stage_task task;
     task.request_id = state->plan.request_id;
+    task.run = state->plan.run;
     task.stage = static_cast<std::uint32_t>(index);
     for (std::uint32_t n = 0; n < state->plan.pieces[index]; ++n)
         task.pieces.push_back(n);
@@ -406,6 +549,8 @@
     task.next_pools = state->next_pools(index);
     task.priority = state->plan.priority;
     task.tokens_per_piece = state->plan.tokens_per_piece;
+    task.chain = state->chain(index);
+    task.team = state->plan.team;
     auto result = co_await self.run_task(state, index, std::move(task));
     result_group produced{std::exchange(state->assigned_to[index], {}), {}};
     auto failure = piece_failure::none;
@@ -423,7 +568,8 @@
     if (state->abandoned)
         co_return;
     if (result.status != stage_task_result::task_status::done) {
-        state->fail(stage_status::unavailable, result.reason);
+        state->retry_after = result.retry_after.value_or(duration{0});
+        state->fail(result.retry_after ? stage_status::refused : stage_status::unavailable, result.reason);
         co_return;
     }
     if (!done) {
@@ -439,34 +585,64 @@
     state->notify();
 }
 
-/// Returns the failure domain whose endpoints run the stages; empty for all domains. In a small deployment
-/// one instance is responsible for all stage pools, so it knows the queue of a later stage when it starts an
-/// earlier one. In a large deployment one such instance is responsible for the endpoints of each failure
-/// domain.
-std::string stage_runner::scheduling_group(const stage_plan& plan, const routing_table& table) const
+void stage_runner::set_layout(stage_layout it)
+{
+    if (it == layout_)
+        return;
+    const auto before = std::exchange(layout_, std::move(it)).divided_groups();
+    const auto groups = layout_.divided_groups();
+    duties_checked_at_ = {};
+    if (groups == before)
+        return;
+    metrics_.get_gauge("limpetlock_stage_shards", "shards of the stage endpoints, if a domain has several")
+        .set(static_cast<std::int64_t>(groups.size()));
+    log::info("stage_shards",
+              {{"shards", fmt::to_string(groups.size())}, {"before", fmt::to_string(before.size())}});
+    std::erase_if(backlogs_, [now = boot_clock::now()](const auto& report) {
+        return now - report.second.at >= backlog_lifetime;
+    });
+}
+
+/// Returns the group of endpoints that runs the stages of a request. One instance is responsible for all
+/// stage pools of a group, so it knows the queue of a later stage when it starts an earlier one.
+stage_group stage_runner::choose_group(const stage_plan& plan, time_point now) const
 {
-    std::size_t endpoints = 0;
-    for (const auto& [name, it] : table.pools)
-        if (it.stage)
-            endpoints += selector_.available_endpoints(name).size();
-    return endpoints >= endpoints_for_domains ? plan.domain : std::string();
+    auto drawn = layout_.draw(plan.request_id, plan.domain);
+    const bool second = drawn.size() > 1 && prefers_second(known_backlog(plan, drawn[0], now),
+                                                           known_backlog(plan, drawn[1], now));
+    return std::move(drawn[second ? 1 : 0]);
+}
+
+std::vector<std::string> stage_runner::responsible_instances(const stage_group& group, time_point now)
+{
+    const auto& view = fleet_.view();
+    if (duties_version_ != view.version() || now - duties_checked_at_ >= duties_lifetime) {
+        auto live = view.live_instances(now, true);
+        if (live != duties_.members() || duties_checked_at_ == time_point{})
+            duties_ = stage_duties(layout_.divided_groups(), std::move(live));
+        duties_version_ = view.version();
+        duties_checked_at_ = now;
+    }
+    return duties_.order(group);
 }
 
 /// Runs the task at the responsible instance. If that instance doesn't reply or refuses, tries the next one.
 awaitable<stage_task_result> stage_runner::run_task(std::shared_ptr<run_state> state, std::size_t index,
                                                     stage_task task)
 {
-    pool_key key{scheduling_group(state->plan, *state->table), state->plan.stages[index].pool};
+    const std::string& pool = state->plan.stages[index].pool;
+    const auto groups = layout_.fallbacks(state->group, state->plan.request_id, pool, moves_to_domains_);
+    auto group = groups.begin();
+    pool_key key = key_of(*group, pool);
     stage_task_result last;
     last.reason = "no instance runs the pool";
     std::vector<std::string> tried;
     for (std::size_t n = 0; n < max_assignments && !state->abandoned; ++n) {
         const time_point now = boot_clock::now();
         std::string instance = fleet_.view().own().name;
-        for (const auto& it :
-             by_responsibility("stages/" + key.domain, fleet_.view().live_instances(now, true)))
-            if (std::find(tried.begin(), tried.end(), it.name) == tried.end()) {
-                instance = it.name;
+        for (const auto& it : responsible_instances(*group, now))
+            if (std::find(tried.begin(), tried.end(), it) == tried.end()) {
+                instance = it;
                 break;
             }
         if (task.deadline <= now || std::find(tried.begin(), tried.end(), instance) != tried.end())
@@ -476,18 +652,27 @@
         stage_task copy = task;
         pool_key target = key;
         auto result = co_await run_task_at(state, instance, std::move(target), std::move(copy));
-        if (result && result->status == stage_task_result::task_status::done)
+        if (result && (result->status == stage_task_result::task_status::done || result->retry_after))
             co_return std::move(*result);
+        // The instance may only be slow. It drops the task so that it doesn't run here and there.
         if (result)
             last = std::move(*result);
+        else if (instance != fleet_.view().own().name)
+            spawn_background(executor_, "stage_cancellation",
+                             cancel_at(instance, task.request_id, task.stage, task.run));
         log::warning("stage_order_moved", {{"request", task.request_id},
                                            {"stage", fmt::to_string(task.stage)},
                                            {"pool", key.pool},
+                                           {"group", responsibility_key(*group)},
                                            {"from", instance},
                                            {"reason", result ? last.reason : "no answer"}});
-        // The failure domain may have no endpoint of the pool left, so the whole pool is used instead.
-        if (result && !key.domain.empty()) {
-            key.domain.clear();
+        // Only a group without an endpoint is left. A second instance that makes calls to the same endpoints
+        // holds up those of the first one.
+        const bool no_endpoints = result && result->status == stage_task_result::task_status::no_endpoints;
+        if (result && result->status == stage_task_result::task_status::cancelled)
+            tried.pop_back();
+        if (no_endpoints && group + 1 != groups.end()) {
+            key = key_of(*++group, pool);
             tried.clear();
         }
     }
@@ -503,20 +688,30 @@
     const bool local = instance == fleet_.view().own().name;
     const std::size_t pieces = task.pieces.size();
     std::optional<stage_task_result> result;
+    bool may_poll = false;
     while (!state->abandoned) {
         const time_point now = boot_clock::now();
         result.reset();
+        task.admitted = state->admitted;
         if (local) {
             stage_task copy = task;
             pool_key pool = key;
             result = co_await scheduler_.run(std::move(pool), std::move(copy), task_poll_timeout);
         } else {
             wire::frame message;
-            message.__set_stage_order(to_message(task, key, now));
+            const bool polls = std::exchange(may_poll, false);
+            message.__set_stage_order(polls ? to_poll(task) : to_message(task, key, now));
             auto reply = co_await fleet_.call(instance, std::move(message),
                                               now + task_poll_timeout + task_reply_margin);
-            if (reply && reply->__isset.stage_result)
+            if (reply && reply->__isset.stage_result) {
                 result = from_message(reply->stage_result, pieces);
+                if (reply->stage_result.overloaded)
+                    fleet_.view().mark_overloaded(instance);
+                // The instance has dropped the task or started again since the last order.
+                if (polls && reply->stage_result.status == fleet::unknown_task_status)
+                    continue;
+                may_poll = reply->stage_result.accepts_polls;
+            }
         }
         // The instance may have answered while this process was suspended, so it is asked once more.
         if (!result && fleet_.suspended_since(now) && boot_clock::now() < task.deadline)
@@ -524,6 +719,10 @@
         if (!result)
             co_return std::nullopt;
         record_backlog(key, result->backlog, boot_clock::now());
+        record_backlogs(key, *result, boot_clock::now());
+        if (result->status == stage_task_result::task_status::done ||
+            result->status == stage_task_result::task_status::in_progress)
+            state->admitted = true;
         if (result->status != stage_task_result::task_status::in_progress)
             break;
     }
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -131,6 +131,7 @@
   6: i64 life;            // random number of the process, so another one after a restart
   7: i64 age_ms;          // time since its last message; 0 for the sender itself
   8: bool stopping;
+  9: bool overloaded;     // gives up the duties that others can take
 }
 
 /// An engine that was lost when it began to answer a request.
@@ -165,6 +166,16 @@
   4: i64 age_ms;
 }
 
+/// An endpoint that stated in an answer that it is cold.
+struct endpoint_cold_message {
+  1: string endpoint;
+  2: i64 started_ms;     // start of its process
+  3: i64 left_ms;        // time until it is warm, from the sending of this message; 0 when it is warm
+  4: string reporter;    // instance that got the answer
+  5: i64 number;         // tells the statements of one reporter apart
+  6: i64 age_ms;
+}
+
 struct member_ping_message {
   1: member_message own;
   2: list<member_message> known;
@@ -176,6 +187,8 @@
   8: i64 table_era;
   9: i64 table_version;
   10: list<endpoint_leaving_message> leaving;
+  11: list<endpoint_cold_message> cold;
+  20: bool brief;         // has only the sender and its positions, and wants such a pong
 }
 
 struct member_pong_message {
@@ -190,12 +203,14 @@
   9: i64 table_era;
   10: i64 table_version;
   11: list<endpoint_leaving_message> leaving;
+  12: list<endpoint_cold_message> cold;
 }
 
 struct state_pull_message {
   1: i64 after_revision;
   2: bool accepts_compressed; // the sender can decompress values
   3: i64 after_era;
+  10: bool accepts_packed; // the sender can unpack items
 }
 
 struct state_item_message {
@@ -216,6 +231,8 @@
   6: i64 era;
   7: i64 table_era;
   8: i64 table_version;
+  9: bool has_evacuations; // the sender's state includes the orders to evacuate failure domains
+  10: string packed;      // further items: a state_push_message with items only, in the zlib format
 }
 
 /// Results of a stage and the instance that ran it.
@@ -224,6 +241,15 @@
   2: list<string> handles;
 }
 
+/// One of the remaining stages of a request.
+struct chain_stage_message {
+  1: string pool;
+  2: i32 stage;
+  3: i32 pieces;
+  4: i64 time_to_end_ms;  // from its end to the end of the last stage, if no other pieces wait
+  5: list<i32> after;     // indexes into the chain of the stages whose results it takes
+}
+
 struct stage_order_message {
   1: string pool;
   2: string request_id;
@@ -240,6 +266,21 @@
   13: i64 transfer_bytes; // input and result bytes that endpoints fetch for these pieces
   14: string group;       // failure domain whose endpoints may be used; empty for all
   15: list<string> next_pools; // pools of the stages that follow
+  20: i32 shard;          // part of the group's endpoints, from 0
+  21: i32 shards;         // number of parts; 0 or 1: the group isn't divided
+  22: optional list<chain_stage_message> chain; // this stage and those that depend on it
+  23: optional bool admitted;  // an instance has admitted the stages of the request already
+  24: optional string team;    // whose request it is; absent if unknown
+  25: bool poll;          // asks for an open task: only request_id, stage and run are set
+  30: i32 run;            // distinguishes the runs of the stages for the same request
+}
+
+/// Work that waits for a pool: `before_ms[n]` passes until the pieces with order keys of up to `key_ms[n]`
+/// from now are done.
+struct pool_backlog_message {
+  1: string pool;
+  2: list<i64> key_ms;
+  3: list<i64> before_ms;
 }
 
 struct piece_result_message {
@@ -248,15 +289,22 @@
 }
 
 struct stage_result_message {
-  1: i32 status;          // 0 done, 1 still in progress, 2 refused
+  // 0 done, 1 still in progress, 2 refused, 3 the group has no endpoint of the pool, 4 cancelled,
+  // 5 the polled task isn't open here
+  1: i32 status;
   2: list<piece_result_message> pieces;
   3: string reason;
   4: i64 backlog_ms;      // time that the pool needs for its waiting pieces
+  10: optional i64 retry_after_ms; // refused for lack of room, also at other instances, until then
+  11: optional list<pool_backlog_message> backlogs; // of all pools of the group with waiting pieces
+  12: bool overloaded;    // as in member_message, for the sender of the order
+  13: bool accepts_polls; // the next orders for the task may be polls
 }
 
 struct stage_cancel_message {
   1: string request_id;
   2: i32 stage;
+  10: i32 run;
 }
 
 /// Results that the sender no longer needs, for the instance that ran the stage.
@@ -270,11 +318,14 @@
   2: double max_rate;     // the endpoint's limit as the sender knows it
   3: i64 max_wait_ms;     // longest time until the request is sent
   4: string team;
+  5: double max_saved;    // permits that accumulate at most; 0 if the sender doesn't say
+  6: bool cold;           // the endpoint is cold, as the sender knows it
 }
 
 struct permit_reply_message {
   1: bool granted;
   2: i64 wait_ms;         // time until the request may be sent, or after which to ask again
+  3: i64 lifetime_ms;     // longest time from then until the request is sent; 0 if the sender doesn't say
 }
 
 struct frame {
--- a/test/platform/platform_fleet.hpp
+++ b/test/platform/platform_fleet.hpp
@@ -15,6 +15,7 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -48,7 +49,9 @@
 /// Gateway processes and the stand-in site that they serve. The site runs on a thread of its own.
 class platform_fleet {
 public:
-    explicit platform_fleet(std::size_t instances, platformkit::site_options options = {});
+    /// `flags` are passed to all instances.
+    explicit platform_fleet(std::size_t instances, platformkit::site_options options = {},
+                            std::vector<std::string> flags = {});
     ~platform_fleet();
     platform_fleet(const platform_fleet&) = delete;
     platform_fleet& operator=(const platform_fleet&) = delete;
@@ -71,6 +74,9 @@
     void start(std::size_t instance);
     void signal(std::size_t instance, int signal_number);
 
+    /// The log lines of an instance so far that contain a text.
+    std::vector<std::string> log_lines(std::size_t instance, std::string_view text) const;
+
     /// The most memory that the process has used, in kB.
     std::size_t peak_memory_kb(std::size_t instance) const;
 
@@ -86,9 +92,11 @@
     boost::asio::awaitable<platform_answer> call_and_disconnect(std::size_t instance, platform_call call);
     /// Returns the port of a listener, where `listener` is one of the offsets in the source file.
     std::uint16_t port(std::size_t instance, int listener) const;
+    std::string log_file(std::size_t instance) const;
 
     std::string address_;
     std::string directory_;
+    std::vector<std::string> flags_;
     boost::asio::io_context io_{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
     std::unique_ptr<platformkit::site> site_;
--- a/unittests/platform/platform_test.cpp
+++ b/unittests/platform/platform_test.cpp
@@ -212,6 +212,61 @@
     }
 }
 
+// Guards against times of coldness that are absurd, negative or malformed.
+Test(platform_entry, coldness_is_decoded_and_bounded)
+{
+    const auto codec = platform::make_codec();
+    std::string reason;
+    json table = table_json();
+    table["services"][0]["coldS"] = 2.5;
+    table["services"][0]["coldPerS"] = 11;
+    table["services"][1]["coldS"] = -1;
+    table["services"][1]["coldPerS"] = -3;
+    const auto pools = codec->decode_table(table.dump(), reason)->pools;
+    cr_expect_eq(pools.at("s1").cold_time, duration(2'500));
+    cr_expect_eq(pools.at("s1").cold_rate, 11);
+    cr_expect_eq(pools.at("s2").cold_time, duration(0));
+    cr_expect_eq(pools.at("s2").cold_rate, 0);
+    cr_expect_eq(pools.at("p1").cold_rate, 0);
+    const auto left_of = [&](const std::string& text) {
+        return codec->decode_answer_metadata(200, {{"Limpetlock-Cold-Ms", text}});
+    };
+    cr_expect_eq(left_of("1200").cold_left.value_or(duration(-1)), duration(1'200));
+    cr_expect_eq(left_of("0").cold_left.value_or(duration(-1)), duration(0));
+    cr_expect_leq(left_of("99999999999999999999").cold_left.value_or(duration(-1)), duration(1'000'000'000));
+    for (const char* const text : {"", "-5", "soon", "1e3"})
+        cr_expect(left_of(text).malformed_cold_left && !left_of(text).cold_left, "%s", text);
+    const auto settings = [&](const json& bounds) {
+        json it = json::parse(settings_text);
+        it["bounds"].update(bounds);
+        return platform::parse_settings(it.dump(), reason)->bounds;
+    };
+    cr_expect(settings({{"coldOver", 1.5}, {"coldSlack", 5}}).cold == (gateway::cold_bound{1.5, 5}));
+    cr_expect_not(settings({{"coldOver", 1.5}}).cold.has_value());
+    cr_expect_eq(settings({{"evacMs", 5'000}}).evacuation_time.value_or(duration(0)), duration(5'000));
+    cr_expect_not(settings(json::object()).evacuation_time.has_value());
+}
+
+// Guards against an order to evacuate that is lost for its value, which says nothing, and against keys
+// without a usable domain.
+Test(platform_store, order_to_evacuate_is_its_key_alone)
+{
+    const auto codec = platform::make_codec();
+    gateway::state_page page;
+    const http::response answer{
+        200, {}, R"({"asOf":9,"items":[{"key":"op/evacuate/b/c","value":"no base64","rev":7}]})"};
+    cr_assert(codec->decode_page(answer, page) == gateway::store_answer_status::ok);
+    cr_assert_eq(page.entries.size(), 1);
+    std::string reason;
+    cr_expect_eq(codec->decode_evacuation(page.entries[0].key, reason).value_or("-"), "b/c");
+    cr_expect_not(codec->decode_evacuation("op/evacuate/", reason).has_value());
+    cr_expect_not(reason.empty());
+    cr_expect(codec->decode_evacuation("op/evacuate/" + std::string(200, 'd'), reason).has_value());
+    cr_expect_not(codec->decode_evacuation("op/evacuate/" + std::string(201, 'd'), reason).has_value());
+    // A value that looks like an endpoint's must not decide which revision of the order is newer.
+    cr_expect_not(codec->decode_value_version("op/evacuate/b", R"({"born":5,"seq":6})").has_value());
+}
+
 // Guards against entries that wrap or narrow a number, name no usable port, or overflow the stack.
 Test(platform_entry, entry_with_an_absurd_value_is_rejected)
 {
@@ -345,9 +400,50 @@
     cr_assert(load.has_value());
     cr_expect_eq(load->waiting, 1);
     cr_expect_not(codec().decode_answer_metadata(200, {{"Limpetlock-Server-Load", "3,1"}}).load.has_value());
+    cr_expect_not(load->time_percent.has_value());
     cr_expect_not(codec().matches_request_id({{"Limpetlock-Request-Id", "other"}}, "9c41"));
 }
 
+// Guards against load reports that are dropped because a service states more than three figures, and against
+// absurd figures that make an endpoint look idle or fast.
+Test(platform_answers, load_reports_have_three_figures_or_more)
+{
+    const auto decode = [](const std::string& text) {
+        return codec().decode_answer_metadata(200, {{"Limpetlock-Server-Load", text}});
+    };
+    cr_expect(decode("3,1,8").load == gateway::load_report({3, 1, 8, std::nullopt}));
+    cr_expect(decode("3,1,8,250").load == gateway::load_report({3, 1, 8, 250}));
+    cr_expect(decode(" 3, 1 ,8, 97.5 ").load == gateway::load_report({3, 1, 8, 97.5}));
+    cr_expect(decode("3,1,8,100,17,new").load == gateway::load_report({3, 1, 8, 100}),
+              "ignores later figures");
+    for (const auto* malformed :
+         {"", "3,1", "3,,8,100", "-3,1,8", "3,1,8,", "3,1,8,x", "3,1,8,0", "3,1,8,-5", "3,1,8,nan",
+          "3,1,8,1e3", "3,1,8,9999999", "4000000000,1,8", "3,99999999999,8,100", "3,1,8;100"}) {
+        const auto it = decode(malformed);
+        cr_expect(it.malformed_load && !it.load, "%s", malformed);
+    }
+    cr_expect_not(codec().decode_answer_metadata(200, {}).malformed_load);
+    cr_expect_eq(codec().decode_answer_metadata(200, {{"Limpetlock-Instance-Id", "i-7"}}).endpoint_id, "i-7");
+}
+
+// Guards against a request line that a health path could break, and against a table that is rejected for it.
+Test(platform_table, health_path_is_read_or_left_out)
+{
+    auto table = table_json();
+    const auto path_of_s1 = [&table] {
+        std::string reason;
+        const auto it = codec().decode_table(table.dump(), reason);
+        cr_assert(it.has_value(), "%s", reason.c_str());
+        return it->find_pool("s1")->health_path;
+    };
+    cr_expect_eq(path_of_s1(), "/healthz");
+    for (const json& unusable : {json(nullptr), json(7), json(""), json("healthz"), json("/a b"),
+                                 json("/a\r\nX: y"), json(std::string(300, '/'))}) {
+        table["services"][0]["healthPath"] = unusable;
+        cr_expect_eq(path_of_s1(), "");
+    }
+}
+
 // Guards against results that are assigned to the pieces of another request because their number differs from
 // the number of pieces.
 Test(platform_stage, answer_with_another_number_of_results_is_rejected)
--- a/utils/platformkit/endpoints.cpp
+++ b/utils/platformkit/endpoints.cpp
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -53,12 +54,13 @@
 }
 
 std::string make_entry(const endpoint_options& it, const std::string& address, std::uint16_t port,
-                       const std::string& state, std::uint64_t sequence, std::int64_t started_ms)
+                       const std::string& state, std::uint64_t sequence, std::int64_t started_ms,
+                       std::int64_t cold_left_ms)
 {
-    return json{{"service", it.pool}, {"addr", fmt::format("{}:{}", address, port)},
-                {"zone", it.domain},  {"version", "v1"},
-                {"slots", it.slots},  {"state", state},
-                {"coldLeftMs", 0},    {"seq", sequence},
+    return json{{"service", it.pool},         {"addr", fmt::format("{}:{}", address, port)},
+                {"zone", it.domain},          {"version", "v1"},
+                {"slots", it.slots},          {"state", state},
+                {"coldLeftMs", cold_left_ms}, {"seq", sequence},
                 {"born", started_ms}}
         .dump();
 }
@@ -98,7 +100,10 @@
 
 std::string service_endpoint::entry(const std::string& state)
 {
-    return make_entry(options_, address_, port(), state, ++entries_written_, started_ms_);
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(cold_until_ - std::chrono::steady_clock::now());
+    return make_entry(options_, address_, port(), state, ++entries_written_, started_ms_,
+                      std::max<std::int64_t>(0, left.count()));
 }
 
 awaitable<void> service_endpoint::crash()
@@ -135,9 +140,36 @@
     return failures[served_ / fail_every_ % failures.size()];
 }
 
+std::string service_endpoint::load_report() const
+{
+    std::string out = fmt::format("{},0,{}", running_requests_, options_.slots);
+    if (time_percent_)
+        out += fmt::format(",{}", *time_percent_);
+    return out;
+}
+
+awaitable<void> service_endpoint::answer_health_check(http::exchange& io)
+{
+    using namespace asio::experimental::awaitable_operators;
+    ++health_checks_;
+    if (health_behaviour_ == health_behaviour::hang) {
+        co_await (wait(hang_time) || io.wait_closed());
+        co_return;
+    }
+    const bool other = health_behaviour_ == health_behaviour::other_id;
+    http::response answer = http::json_response(200, "{}");
+    answer.headers.push_back({std::string(header::instance_id), other ? "i-other" : options_.id});
+    answer.headers.push_back({std::string(header::server_load), other ? "8,99,8,2000" : load_report()});
+    co_await io.respond(std::move(answer));
+}
+
 awaitable<void> service_endpoint::serve(http::exchange& io)
 {
     using namespace asio::experimental::awaitable_operators;
+    if (io.message().target == "/healthz") {
+        co_await answer_health_check(io);
+        co_return;
+    }
     limit.record_arrival();
     const behaviour how = next_behaviour();
     const std::string expected = header_value(io.message(), header::expect_instance);
@@ -165,7 +197,7 @@
                        how == behaviour::wrong_id ? "0000000000000000" : runs_[run].request_id});
     if (how != behaviour::without_signature)
         headers.push_back({std::string(header::stamp), "stamp-" + options_.id});
-    headers.push_back({std::string(header::server_load), fmt::format("1,0,{}", options_.slots)});
+    headers.push_back({std::string(header::server_load), load_report()});
     limit.add_to(headers, how == behaviour::fail ? 500 : 200);
     if (how == behaviour::old_refusal) {
         http::response answer = not_run(503);
@@ -261,7 +293,7 @@
 
 std::string stage_endpoint::entry(const std::string& state)
 {
-    return make_entry(options_, address_, port(), state, ++entries_written_, first_start_ms);
+    return make_entry(options_, address_, port(), state, ++entries_written_, first_start_ms, 0);
 }
 
 http::response stage_endpoint::release(const std::string& body)
