Let teams take turns only while one of them floods a stage pool

Cause: equal turns in every queue of more than one batch put the tasks of large teams behind those of small ones that had time left. Change: teams take turns only while one team has more waiting pieces than all others together; otherwise the order of the keys holds, also in the estimates by which requests are admitted.

--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -99,6 +99,7 @@
     friend class stage_dispatcher;
 
     bool is_contested() const;
+    order_item as_ordered(const order_item& it) const;
     const queue_positions& positions() const;
 
     std::vector<order_item> items_; ///< the waiting tasks
--- a/include/limpetlock/gateway/team_order.hpp
+++ b/include/limpetlock/gateway/team_order.hpp
@@ -64,7 +64,9 @@
     std::array<admission::team_shares, ranks> shares_;
 };
 
-/// Whether tasks of several teams wait for more than one batch.
+/// Whether more than one batch waits and one team has more pieces among them than all other teams together.
+/// Otherwise the order of the keys serves every team: to interleave teams of different size only makes the
+/// urgent tasks of the larger ones late.
 bool is_contested(const std::vector<order_item>& items, std::size_t max_pieces);
 
 /// Returns the places of the tasks. Among the tasks of one priority, a team that has used one or more full
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -397,31 +397,50 @@
 
 const queue_positions& backlog_profile::positions() const
 {
-    if (!positions_)
+    if (positions_)
+        return *positions_;
+    if (is_contested()) {
         positions_.emplace(items_, shares_, team_options_);
+        return *positions_;
+    }
+    auto items = items_;
+    for (auto& it : items)
+        it.team.clear();
+    positions_.emplace(items, rank_shares(), team_options_);
     return *positions_;
 }
 
-/// Whether a new task may go before waiting ones of another team with a smaller key.
+/// Whether the teams take turns, so that a new task may go before waiting ones of another team with a smaller
+/// key.
 bool backlog_profile::is_contested() const
 {
-    return static_cast<double>(pieces_) > max_pieces_;
+    return gateway::is_contested(items_, static_cast<std::size_t>(max_pieces_));
+}
+
+/// The task as it is ordered among the waiting ones: without its team if the teams don't take turns.
+order_item backlog_profile::as_ordered(const order_item& it) const
+{
+    order_item out = it;
+    if (!is_contested())
+        out.team.clear();
+    return out;
 }
 
 duration backlog_profile::time_before(const order_item& it) const
 {
-    return is_contested() ? time_for(positions().pieces_before(it)) : time_before(it.key);
+    return time_for(positions().pieces_before(as_ordered(it)));
 }
 
 duration backlog_profile::least_time_before(const order_item& it, duration slack) const
 {
     if (effective_endpoints_ <= 0)
         return until_first_;
-    const std::size_t before = positions().pieces_before(it);
+    const order_item ordered = as_ordered(it);
+    const std::size_t before = positions().pieces_before(ordered);
     const duration in_time = time_for(before);
     if (!it.late && in_time <= slack)
         return in_time;
-    const std::size_t all = it.late ? before : before + positions().late_pieces_for(it);
+    const std::size_t all = it.late ? before : before + positions().late_pieces_for(ordered);
     return duration(
         static_cast<std::int64_t>(static_cast<double>(time_for(all).count()) / (1 - inflow_share_)));
 }
--- a/lib/gateway/team_order.cpp
+++ b/lib/gateway/team_order.cpp
@@ -40,12 +40,15 @@
 bool is_contested(const std::vector<order_item>& items, std::size_t max_pieces)
 {
     std::size_t pieces = 0;
-    bool several = false;
+    std::map<std::string_view, std::size_t> teams;
     for (const auto& it : items) {
         pieces += it.pieces;
-        several = several || it.team != items.front().team;
+        teams[it.team] += it.pieces;
     }
-    return several && pieces > max_pieces;
+    const bool one_floods = std::any_of(teams.begin(), teams.end(), [pieces](const auto& it) {
+        return !it.first.empty() && 2 * it.second > pieces;
+    });
+    return one_floods && pieces > max_pieces;
 }
 
 std::vector<order_place> team_order(const std::vector<order_item>& items, const rank_shares& shares,
