--- a/include/limpetlock/gateway/model.hpp
+++ b/include/limpetlock/gateway/model.hpp
@@ -82,8 +82,8 @@
     std::uint32_t max_connections{1}; ///< of one endpoint, over all its clients
     std::optional<stage_capacity> stage;
     std::optional<engine_capacity> engine;
-    duration cold_time{0}; ///< longest time for which an endpoint is cold after its start
-    double cold_rate{0};   ///< requests a second that an endpoint tolerates while it is cold; 0: no limit
+    duration cold_time{0};     ///< longest time for which an endpoint is cold after its start
+    double cold_rate{0};       ///< requests a second that an endpoint tolerates while it is cold; 0: no limit
     std::string health_path{}; ///< target of health checks of its endpoints; empty if they have none
 
     friend bool operator==(const pool&, const pool&) = default;
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -175,7 +175,8 @@
           runner(io.get_executor(), peers, scheduler, returns, metrics,
                  settings.bounds.evacuation_time.has_value()),
           handler({*codec, settings, state, reader, quarantine, selector, statements, load_aware, prober,
-                   endpoint_permits, runner, returns, peers, endpoint_client, service_client, metrics, teams}),
+                   endpoint_permits, runner, returns, peers, endpoint_client, service_client, metrics,
+                   teams}),
           stop(stop_settings_of(settings.bounds)), signals(io, SIGTERM, SIGINT), hangups(io, SIGHUP)
     {
         // Posted, because the handler is called in the middle of attempts and stage calls.
@@ -319,9 +320,9 @@
     /// Asks for a stage task of another instance, which this one has from an earlier message.
     awaitable<wire::stage_result_message> poll_task(wire::stage_order_message it)
     {
-        const auto result = co_await scheduler.poll(std::move(it.request_id),
-                                                    static_cast<std::uint32_t>(it.stage),
-                                                    static_cast<std::uint32_t>(it.run), task_reply_wait);
+        const auto result =
+            co_await scheduler.poll(std::move(it.request_id), static_cast<std::uint32_t>(it.stage),
+                                    static_cast<std::uint32_t>(it.run), task_reply_wait);
         wire::stage_result_message out;
         if (result)
             out = to_message(*result);
--- a/lib/gateway/stage_runner.hpp
+++ b/lib/gateway/stage_runner.hpp
@@ -107,7 +107,8 @@
     stage_scheduler& scheduler_;
     result_returns& returns_;
     metrics::registry& metrics_;
-    /// A task that a failure domain has no endpoint for goes to the queue of another domain, not to that of all.
+    /// A task for which a failure domain has no endpoint goes to the queue of another domain, not to that of
+    /// all.
     bool moves_to_domains_;
     stage_layout layout_;
     std::map<pool_key, backlog_report> backlogs_;
