Make stage admission and turns of teams settings of the product, off by default

What is new takes effect only where it is asked for. Without them, requests are refused by the backlog of the replies as before, and the order of the keys holds.

--- a/include/limpetlock/gateway/piece_queue.hpp
+++ b/include/limpetlock/gateway/piece_queue.hpp
@@ -59,6 +59,7 @@
 /// Rules for the order of the pieces and for the batches of one stage pool.
 struct batch_options {
     std::size_t max_pieces{1}; ///< of one batch
+    bool team_turns{true};     ///< teams take turns while one of them floods the pool
     double call_ms{0};         ///< fixed time of a call, in milliseconds
     double piece_ms{0};        ///< time of each piece of a call, in milliseconds
     /// Pieces wait for an endpoint in their own failure domain, because transfers between domains are
--- a/include/limpetlock/gateway/settings.hpp
+++ b/include/limpetlock/gateway/settings.hpp
@@ -44,6 +44,14 @@
     friend bool operator==(const second_attempt_settings&, const second_attempt_settings&) = default;
 };
 
+/// What the responsible instances of stage pools do while a pool is short of capacity.
+struct stage_capacity_settings {
+    bool admission{false};  ///< refuse requests whose stages can't all be done in time before the first one
+    bool team_turns{false}; ///< let teams take turns while one of them floods a pool
+
+    friend bool operator==(const stage_capacity_settings&, const stage_capacity_settings&) = default;
+};
+
 struct gateway_settings {
     std::string name;                          ///< unique among the instances
     std::string domain;                        ///< failure domain
@@ -58,6 +66,7 @@
     double store_reads_per_second{0};          ///< read calls to the store, for all instances together
     operating_bounds bounds;
     second_attempt_settings second_attempts{};
+    stage_capacity_settings stages{};
 
     friend bool operator==(const gateway_settings&, const gateway_settings&) = default;
 };
--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -127,6 +127,9 @@
     /// have restarted.
     void configure(const stage_capacity& capacity, std::vector<endpoint> endpoints);
 
+    /// Whether teams take turns while one of them floods the pool. They do unless this is called.
+    void set_team_turns(bool enabled) { options_.team_turns = enabled; }
+
     void submit(const std::shared_ptr<const stage_task>& task, time_point now);
     void cancel(std::string_view request_id, std::uint32_t stage, std::uint32_t run)
     {
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -167,7 +167,7 @@
           releaser(io.get_executor(), *codec, endpoint_client, statements, state.evacuation_orders(), issuer,
                    metrics),
           scheduler(io.get_executor(), *codec, endpoint_client, releaser, statements, issuer, metrics, teams,
-                    [this](const std::vector<result_group>& used) { return_results(used); }),
+                    settings.stages, [this](const std::vector<result_group>& used) { return_results(used); }),
           peers(io.get_executor(), settings, random_run_id(), state, quarantine, statements, metrics,
                 peer_handlers()),
           endpoint_permits(peers, statements, issuer, metrics),
--- a/lib/gateway/piece_queue.cpp
+++ b/lib/gateway/piece_queue.cpp
@@ -220,7 +220,8 @@
 order_item make_order_item(const stage_task& it, std::size_t pieces, const batch_options& options,
                            time_point now)
 {
-    return {order_key(it, options, now), pieces, it.priority, is_late(it, options, now), it.team};
+    return {order_key(it, options, now), pieces, it.priority, is_late(it, options, now),
+            options.team_turns ? it.team : std::string()};
 }
 
 team_order_options to_team_order_options(const batch_options& options)
@@ -254,7 +255,7 @@
     items.reserve(tasks.size());
     for (const auto& it : tasks)
         items.push_back({oldest_first ? it.queued_at : it.order_key, it.pieces, it.task->priority,
-                         it.late && !oldest_first, it.task->team});
+                         it.late && !oldest_first, options.team_turns ? it.task->team : std::string()});
     shares_.set_waiting(items);
     if (!is_contested(items, options.max_pieces)) {
         std::sort(tasks.begin(), tasks.end(), [oldest_first](const waiting_task& a, const waiting_task& b) {
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -441,11 +441,13 @@
     chain_estimate estimate;
     if (!it.plan.admitted)
         estimate.end = dependencies_.runner.expected_time(it.plan, *it.table, now);
-    const auto decision = decide_admission(estimate, left);
+    auto decision = decide_admission(estimate, left);
+    if (!dependencies_.settings.stages.admission)
+        decision = {min_time + dependencies_.runner.backlog(it.plan, now) <= left, duration{0}};
     if (min_time <= left && decision.admitted)
         return false;
     const duration retry_time =
-        decision.admitted ? retry_after(it, now) : stage_retry_after(decision.retry_after);
+        decision.retry_after == duration{0} ? retry_after(it, now) : stage_retry_after(decision.retry_after);
     refuse(it, 503, "stages can't be done in time", retry_time);
     if (!it.plan.admitted) {
         dependencies_.teams.count_asked(it.plan.team, it.priority);
--- a/lib/gateway/stage_runner.cpp
+++ b/lib/gateway/stage_runner.cpp
@@ -408,8 +408,7 @@
         const auto& pool = plan.stages[n].pool;
         const auto it = backlogs_.find(key_of(layout_.group_of_pool(group, pool), pool));
         if (plan.pieces[n] > 0 && it != backlogs_.end() && now - it->second.at < backlog_lifetime)
-            out =
-                out.value_or(duration{0}) + std::max(duration{0}, it->second.length - (now - it->second.at));
+            out = out.value_or(duration{0}) + it->second.length;
     }
     return out;
 }
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -153,7 +153,7 @@
                                  http::client& client, result_releaser& releaser,
                                  endpoint_statements& statements, permit_issuer& issuer,
                                  metrics::registry& metrics, team_counters& teams,
-                                 inputs_fetched_handler on_inputs_fetched)
+                                 stage_capacity_settings settings, inputs_fetched_handler on_inputs_fetched)
     : executor_(std::move(executor)), codec_(codec), client_(client), releaser_(releaser),
       statements_(statements), issuer_(issuer), on_inputs_fetched_(std::move(on_inputs_fetched)),
       metrics_(metrics),
@@ -162,7 +162,7 @@
       repeated_pieces_(metrics.get_counter("limpetlock_stage_pieces_repeated_total", "pieces sent again")),
       evacuated_tasks_(metrics.get_counter("limpetlock_stage_tasks_evacuated_total",
                                            "tasks ended because their endpoints were evacuated")),
-      teams_(teams)
+      teams_(teams), settings_(settings)
 {
     spawn_loop(executor_, "stage_tick_loop", [this] { return tick_loop(); });
 }
@@ -251,6 +251,7 @@
     if (it == nullptr || !it->stage)
         return nullptr;
     auto state = std::make_unique<pool_state>();
+    state->dispatcher.set_team_turns(settings_.team_turns);
     configure(key, *state);
     state->last_requested = boot_clock::now();
     log::info("stage_pool_opened", {{"pool", key.pool},
@@ -352,7 +353,7 @@
 std::optional<stage_task_result> stage_scheduler::refusal_of(const pool_key& key, const stage_task& task,
                                                              time_point now)
 {
-    if (!task.inputs.empty() || task.chain.empty() || task.admitted)
+    if (!settings_.admission || !task.inputs.empty() || task.chain.empty() || task.admitted)
         return std::nullopt;
     teams_.count_asked(task.team, task.priority);
     auto& group = profiles_of(key, now);
--- a/lib/gateway/stage_scheduler.hpp
+++ b/lib/gateway/stage_scheduler.hpp
@@ -5,6 +5,7 @@
 #include <limpetlock/gateway/endpoint_statements.hpp>
 #include <limpetlock/gateway/permit_issuer.hpp>
 #include <limpetlock/gateway/platform_codec.hpp>
+#include <limpetlock/gateway/settings.hpp>
 #include <limpetlock/gateway/stage_dispatcher.hpp>
 #include <limpetlock/gateway/stage_shards.hpp>
 #include <limpetlock/gateway/team_counters.hpp>
@@ -70,7 +71,7 @@
 
     stage_scheduler(boost::asio::any_io_executor executor, const platform_codec& codec, http::client& client,
                     result_releaser& releaser, endpoint_statements& statements, permit_issuer& issuer,
-                    metrics::registry& metrics, team_counters& teams,
+                    metrics::registry& metrics, team_counters& teams, stage_capacity_settings settings,
                     inputs_fetched_handler on_inputs_fetched);
     ~stage_scheduler();
     stage_scheduler(const stage_scheduler&) = delete;
@@ -170,6 +171,7 @@
     metrics::counter& repeated_pieces_;
     metrics::counter& evacuated_tasks_;
     team_counters& teams_;
+    const stage_capacity_settings settings_;
     std::shared_ptr<const routing_table> table_;
     std::vector<endpoint> endpoints_;
     std::map<pool_key, std::unique_ptr<pool_state>> pools_;
--- a/test/platform/stage_admission_test.cpp
+++ b/test/platform/stage_admission_test.cpp
@@ -55,7 +55,7 @@
 // the queue only to be refused: those without room are refused at once, with a time to come back.
 Test(stage_admission, requests_without_room_are_refused_at_once)
 {
-    platform_fleet fleet(2, scarce_stages());
+    platform_fleet fleet(2, scarce_stages(), {"--stage_admission", "--team_turns"});
     cr_assert(fleet.wait_ready());
     std::this_thread::sleep_for(milliseconds(500));
     constexpr int requests = 60;
@@ -102,7 +102,7 @@
 // flood, and against an instance that takes over and refuses although there is room again.
 Test(stage_admission, the_responsible_instance_is_killed_in_a_flood)
 {
-    platform_fleet fleet(3, scarce_stages());
+    platform_fleet fleet(3, scarce_stages(), {"--stage_admission", "--team_turns"});
     cr_assert(fleet.wait_ready());
     std::this_thread::sleep_for(milliseconds(700));
     constexpr int requests = 50;
@@ -132,7 +132,7 @@
 // Guards against a caller that leaves during the stages and is logged as an unexpected error.
 Test(stage_admission, a_caller_that_leaves_during_the_stages_is_no_error)
 {
-    platform_fleet fleet(1, scarce_stages());
+    platform_fleet fleet(1, scarce_stages(), {"--stage_admission", "--team_turns"});
     cr_assert(fleet.wait_ready());
     auto call = stream_call(0);
     call.disconnect_after = milliseconds(150);
--- a/tools/limpetlock/commands.cpp
+++ b/tools/limpetlock/commands.cpp
@@ -29,6 +29,9 @@
 DEFINE_string(admin, "127.0.0.1:9080", "admin listener of a running instance, IP:PORT");
 DEFINE_double(second_attempt_share, 0,
               "most second attempts against slow answers, as a share of first requests, 0 to 0.2; 0: off");
+DEFINE_bool(stage_admission, false,
+            "refuse requests whose stages can't all be done in time before the first one");
+DEFINE_bool(team_turns, false, "let teams take turns while one of them floods a stage pool");
 DEFINE_int64(second_attempt_min_delay_ms, 50, "least time before a second attempt, in milliseconds");
 DEFINE_string(second_attempt_kinds, "read,stream", "requests that may have a second attempt: read, stream");
 
@@ -136,8 +139,10 @@
     auto settings = platform::load_settings(reason);
     const auto second_attempts = gateway::make_second_attempt_settings(
         FLAGS_second_attempt_share, FLAGS_second_attempt_min_delay_ms, FLAGS_second_attempt_kinds, reason);
-    if (settings && second_attempts)
+    if (settings && second_attempts) {
         settings->second_attempts = *second_attempts;
+        settings->stages = {FLAGS_stage_admission, FLAGS_team_turns};
+    }
     if (!settings || !second_attempts) {
         fmt::print(stderr, "limpetlock: {}\n", reason);
         return exit_code::invalid_input;
