--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -130,6 +130,12 @@
     /// Whether teams take turns while one of them floods the pool. They do unless this is called.
     void set_team_turns(bool enabled) { options_.team_turns = enabled; }
 
+    /// Whether the estimates of the backlog are those by which stages are admitted, and calls are filled with
+    /// parts of tasks. They are unless this is called before configure(). Without admission, estimates count
+    /// small calls and endpoints that are avoided for a moment as lost capacity, which keeps requests out
+    /// that would come late.
+    void set_admission(bool enabled) { admission_ = enabled; }
+
     void submit(const std::shared_ptr<const stage_task>& task, time_point now);
     void cancel(std::string_view request_id, std::uint32_t stage, std::uint32_t run)
     {
@@ -248,6 +254,7 @@
     std::optional<suspension_detector> suspensions_; ///< nullopt before the first tick
     double inflow_ms_{0}; ///< decaying sum of the cost of tasks that arrived in time; see inflow_at
     time_point inflow_since_{};
+    bool admission_{true};     ///< see set_admission
     double typical_pieces_{0}; ///< moving average of the pieces of a call while more wait than fit
 };
 
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -89,7 +89,7 @@
     options_.call_ms = capacity.call_ms;
     options_.piece_ms = capacity.piece_ms;
     options_.overload_threshold = options_.max_pieces * overload_batches;
-    options_.fill_threshold = options_.max_pieces * fill_batches;
+    options_.fill_threshold = admission_ ? options_.max_pieces * fill_batches : SIZE_MAX;
     std::map<std::string, endpoint_state, std::less<>> next;
     for (auto& it : endpoints) {
         if (it.leaving || it.evacuated)
@@ -285,7 +285,8 @@
         typical_pieces_ = static_cast<double>(options_.max_pieces);
     const std::size_t too_large =
         vacancy.passed_over(pass_over_reason::size) + vacancy.passed_over(pass_over_reason::storage);
-    if (vacancy.places == 0 || too_large >= options_.max_pieces / 2)
+    const std::size_t waiting = admission_ ? too_large : queue_.size();
+    if (vacancy.places == 0 || waiting >= options_.max_pieces / 2)
         typical_pieces_ += typical_pieces_weight * (static_cast<double>(pieces) - typical_pieces_);
 }
 
@@ -372,7 +373,7 @@
     backlog_profile out;
     for (const auto& [id, it] : endpoints_) {
         const duration left = std::max(duration{0}, it.avoid_until - now);
-        if (left > short_avoidance) {
+        if (left > (admission_ ? short_avoidance : duration{0})) {
             out.until_first_ = out.until_first_ == duration{0} ? left : std::min(left, out.until_first_);
             continue;
         }
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -252,6 +252,7 @@
         return nullptr;
     auto state = std::make_unique<pool_state>();
     state->dispatcher.set_team_turns(settings_.team_turns);
+    state->dispatcher.set_admission(settings_.admission);
     configure(key, *state);
     state->last_requested = boot_clock::now();
     log::info("stage_pool_opened", {{"pool", key.pool},
