Do without the order of teams where teams don't take turns

Cause: every dispatch sorted the queue by teams, profiles built positions for each next pool, and each reply carried outlines, although nothing used them. Contention at an endpoint is taken from refused calls only.

--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -98,12 +98,15 @@
 private:
     friend class stage_dispatcher;
 
+    const std::vector<time_point>& plain_keys() const;
     bool is_contested() const;
     order_item as_ordered(const order_item& it) const;
     const queue_positions& positions() const;
 
-    std::vector<order_item> items_; ///< the waiting tasks
-    std::size_t pieces_{0};         ///< of the waiting tasks
+    std::vector<order_item> items_;              ///< the waiting tasks
+    std::size_t pieces_{0};                      ///< of the waiting tasks
+    bool team_turns_{true};                      ///< see batch_options::team_turns
+    mutable std::vector<time_point> plain_keys_; ///< see plain_keys
     rank_shares shares_;
     team_order_options team_options_;
     mutable std::optional<queue_positions> positions_; ///< of items_; nullopt until it is needed
@@ -195,7 +198,7 @@
     duration call_time(std::size_t pieces) const { return options_.call_time(pieces); }
 
     /// Whether the endpoint has shown lately that it gets calls of another instance, too: it refused a call
-    /// for lack of capacity or took much longer than expected.
+    /// for lack of capacity.
     bool is_contended(std::string_view endpoint_id, time_point now) const;
 
     bool has_endpoints() const { return !endpoints_.empty(); }
--- a/lib/gateway/piece_queue.cpp
+++ b/lib/gateway/piece_queue.cpp
@@ -251,16 +251,21 @@
 {
     const bool oldest_first = options.oldest_first_interval > 0 &&
                               batches_ % options.oldest_first_interval == options.oldest_first_interval - 1;
+    const auto by_key = [oldest_first](const waiting_task& a, const waiting_task& b) {
+        return oldest_first ? a.queued_at < b.queued_at : a.order_key < b.order_key;
+    };
+    if (!options.team_turns) {
+        std::sort(tasks.begin(), tasks.end(), by_key);
+        return;
+    }
     std::vector<order_item> items;
     items.reserve(tasks.size());
     for (const auto& it : tasks)
         items.push_back({oldest_first ? it.queued_at : it.order_key, it.pieces, it.task->priority,
-                         it.late && !oldest_first, options.team_turns ? it.task->team : std::string()});
+                         it.late && !oldest_first, it.task->team});
     shares_.set_waiting(items);
     if (!is_contested(items, options.max_pieces)) {
-        std::sort(tasks.begin(), tasks.end(), [oldest_first](const waiting_task& a, const waiting_task& b) {
-            return oldest_first ? a.queued_at < b.queued_at : a.order_key < b.order_key;
-        });
+        std::sort(tasks.begin(), tasks.end(), by_key);
         return;
     }
     std::vector<waiting_task> sorted;
@@ -331,8 +336,10 @@
         out.pieces.push_back(std::move(*it));
         it = waiting_.erase(it);
     }
-    for (const auto& it : out.pieces)
+    for (std::size_t n = 0; options.team_turns && n < out.pieces.size(); ++n) {
+        const auto& it = out.pieces[n];
         shares_.charge(it.task->priority, it.task->team, 1, to_team_order_options(options));
+    }
     if (!out.pieces.empty())
         ++batches_;
     return out;
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -25,9 +25,6 @@
 constexpr double hung_factor = 3;
 constexpr duration hung_margin{400};
 
-/// A call that takes one and a half times its expected time and this margin has waited at the endpoint.
-constexpr duration contention_margin{60};
-
 /// Calls of another instance are expected for this long after the last sign of one.
 constexpr duration contention_memory{3'000};
 
@@ -323,8 +320,6 @@
     switch (outcome) {
     case call_outcome::answered:
         it.failures = 0;
-        if (now - ended.started > call_time(ended.pieces) * 3 / 2 + contention_margin)
-            it.contended_at = now;
         if (!suspended)
             record_call_time(it, ended, now);
         break;
@@ -360,6 +355,7 @@
         out.pieces_ += it.pieces;
     out.shares_ = queue_.shares();
     out.team_options_ = to_team_order_options(options_);
+    out.team_turns_ = options_.team_turns;
     // Every n-th batch begins with the oldest tasks, so late ones always have a part of the capacity.
     const double most = options_.oldest_first_interval > 0 ? 1 - 1.0 / options_.oldest_first_interval : 1;
     const double capacity = out.effective_endpoints_ * static_cast<double>(inflow_window.count());
@@ -391,11 +387,24 @@
 
 duration backlog_profile::time_before(time_point order_key) const
 {
-    const auto& keys = positions().keys();
+    const auto& keys = team_turns_ ? positions().keys() : plain_keys();
     return time_for(
         static_cast<std::size_t>(std::lower_bound(keys.begin(), keys.end(), order_key) - keys.begin()));
 }
 
+/// The keys of all pieces in ascending order, without the places that teams have.
+const std::vector<time_point>& backlog_profile::plain_keys() const
+{
+    if (plain_keys_.size() != pieces_) {
+        plain_keys_.clear();
+        plain_keys_.reserve(pieces_);
+        for (const auto& it : items_)
+            plain_keys_.insert(plain_keys_.end(), it.pieces, it.key);
+        std::sort(plain_keys_.begin(), plain_keys_.end());
+    }
+    return plain_keys_;
+}
+
 const queue_positions& backlog_profile::positions() const
 {
     if (positions_)
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -534,7 +534,8 @@
     it->last_requested = boot_clock::now();
     out.backlog = state->dispatcher.backlog_ahead(it->last_requested,
                                                   congestion_filter(key.group(), it->last_requested));
-    out.backlogs = outlines_of(key, it->last_requested);
+    if (settings_.admission)
+        out.backlogs = outlines_of(key, it->last_requested);
     if (it->cancelled) {
         out.status = it->evacuated ? stage_task_result::task_status::no_endpoints
                                    : stage_task_result::task_status::cancelled;
