--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -98,12 +98,15 @@
 private:
     friend class stage_dispatcher;
 
+    const std::vector<time_point>& plain_keys() const;
     bool is_contested() const;
     order_item as_ordered(const order_item& it) const;
     const queue_positions& positions() const;
 
-    std::vector<order_item> items_; ///< the waiting tasks
-    std::size_t pieces_{0};         ///< of the waiting tasks
+    std::vector<order_item> items_;              ///< the waiting tasks
+    std::size_t pieces_{0};                      ///< of the waiting tasks
+    bool team_turns_{true};                      ///< see batch_options::team_turns
+    mutable std::vector<time_point> plain_keys_; ///< see plain_keys
     rank_shares shares_;
     team_order_options team_options_;
     mutable std::optional<queue_positions> positions_; ///< of items_; nullopt until it is needed
@@ -130,6 +133,12 @@
     /// Whether teams take turns while one of them floods the pool. They do unless this is called.
     void set_team_turns(bool enabled) { options_.team_turns = enabled; }
 
+    /// Whether the estimates of the backlog are those by which stages are admitted, and calls are filled with
+    /// parts of tasks. They are unless this is called before configure(). Without admission, estimates count
+    /// small calls and endpoints that are avoided for a moment as lost capacity, which keeps requests out
+    /// that would come late.
+    void set_admission(bool enabled) { admission_ = enabled; }
+
     void submit(const std::shared_ptr<const stage_task>& task, time_point now);
     void cancel(std::string_view request_id, std::uint32_t stage, std::uint32_t run)
     {
@@ -189,7 +198,7 @@
     duration call_time(std::size_t pieces) const { return options_.call_time(pieces); }
 
     /// Whether the endpoint has shown lately that it gets calls of another instance, too: it refused a call
-    /// for lack of capacity or took much longer than expected.
+    /// for lack of capacity.
     bool is_contended(std::string_view endpoint_id, time_point now) const;
 
     bool has_endpoints() const { return !endpoints_.empty(); }
@@ -248,6 +257,7 @@
     std::optional<suspension_detector> suspensions_; ///< nullopt before the first tick
     double inflow_ms_{0}; ///< decaying sum of the cost of tasks that arrived in time; see inflow_at
     time_point inflow_since_{};
+    bool admission_{true};     ///< see set_admission
     double typical_pieces_{0}; ///< moving average of the pieces of a call while more wait than fit
 };
 
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -25,9 +25,6 @@
 constexpr double hung_factor = 3;
 constexpr duration hung_margin{400};
 
-/// A call that takes one and a half times its expected time and this margin has waited at the endpoint.
-constexpr duration contention_margin{60};
-
 /// Calls of another instance are expected for this long after the last sign of one.
 constexpr duration contention_memory{3'000};
 
@@ -89,7 +86,7 @@
     options_.call_ms = capacity.call_ms;
     options_.piece_ms = capacity.piece_ms;
     options_.overload_threshold = options_.max_pieces * overload_batches;
-    options_.fill_threshold = options_.max_pieces * fill_batches;
+    options_.fill_threshold = admission_ ? options_.max_pieces * fill_batches : SIZE_MAX;
     std::map<std::string, endpoint_state, std::less<>> next;
     for (auto& it : endpoints) {
         if (it.leaving || it.evacuated)
@@ -285,7 +282,8 @@
         typical_pieces_ = static_cast<double>(options_.max_pieces);
     const std::size_t too_large =
         vacancy.passed_over(pass_over_reason::size) + vacancy.passed_over(pass_over_reason::storage);
-    if (vacancy.places == 0 || too_large >= options_.max_pieces / 2)
+    const std::size_t waiting = admission_ ? too_large : queue_.size();
+    if (vacancy.places == 0 || waiting >= options_.max_pieces / 2)
         typical_pieces_ += typical_pieces_weight * (static_cast<double>(pieces) - typical_pieces_);
 }
 
@@ -322,8 +320,6 @@
     switch (outcome) {
     case call_outcome::answered:
         it.failures = 0;
-        if (now - ended.started > call_time(ended.pieces) * 3 / 2 + contention_margin)
-            it.contended_at = now;
         if (!suspended)
             record_call_time(it, ended, now);
         break;
@@ -359,6 +355,7 @@
         out.pieces_ += it.pieces;
     out.shares_ = queue_.shares();
     out.team_options_ = to_team_order_options(options_);
+    out.team_turns_ = options_.team_turns;
     // Every n-th batch begins with the oldest tasks, so late ones always have a part of the capacity.
     const double most = options_.oldest_first_interval > 0 ? 1 - 1.0 / options_.oldest_first_interval : 1;
     const double capacity = out.effective_endpoints_ * static_cast<double>(inflow_window.count());
@@ -372,7 +369,7 @@
     backlog_profile out;
     for (const auto& [id, it] : endpoints_) {
         const duration left = std::max(duration{0}, it.avoid_until - now);
-        if (left > short_avoidance) {
+        if (left > (admission_ ? short_avoidance : duration{0})) {
             out.until_first_ = out.until_first_ == duration{0} ? left : std::min(left, out.until_first_);
             continue;
         }
@@ -390,11 +387,24 @@
 
 duration backlog_profile::time_before(time_point order_key) const
 {
-    const auto& keys = positions().keys();
+    const auto& keys = team_turns_ ? positions().keys() : plain_keys();
     return time_for(
         static_cast<std::size_t>(std::lower_bound(keys.begin(), keys.end(), order_key) - keys.begin()));
 }
 
+/// The keys of all pieces in ascending order, without the places that teams have.
+const std::vector<time_point>& backlog_profile::plain_keys() const
+{
+    if (plain_keys_.size() != pieces_) {
+        plain_keys_.clear();
+        plain_keys_.reserve(pieces_);
+        for (const auto& it : items_)
+            plain_keys_.insert(plain_keys_.end(), it.pieces, it.key);
+        std::sort(plain_keys_.begin(), plain_keys_.end());
+    }
+    return plain_keys_;
+}
+
 const queue_positions& backlog_profile::positions() const
 {
     if (positions_)
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -252,6 +252,7 @@
         return nullptr;
     auto state = std::make_unique<pool_state>();
     state->dispatcher.set_team_turns(settings_.team_turns);
+    state->dispatcher.set_admission(settings_.admission);
     configure(key, *state);
     state->last_requested = boot_clock::now();
     log::info("stage_pool_opened", {{"pool", key.pool},
@@ -533,7 +534,8 @@
     it->last_requested = boot_clock::now();
     out.backlog = state->dispatcher.backlog_ahead(it->last_requested,
                                                   congestion_filter(key.group(), it->last_requested));
-    out.backlogs = outlines_of(key, it->last_requested);
+    if (settings_.admission)
+        out.backlogs = outlines_of(key, it->last_requested);
     if (it->cancelled) {
         out.status = it->evacuated ? stage_task_result::task_status::no_endpoints
                                    : stage_task_result::task_status::cancelled;
