Take late stage calls as a sign of a second caller again

Change: an endpoint that takes one and a half times the expected time counts as contended for 3 s again.

--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -198,7 +198,7 @@
     duration call_time(std::size_t pieces) const { return options_.call_time(pieces); }
 
     /// Whether the endpoint has shown lately that it gets calls of another instance, too: it refused a call
-    /// for lack of capacity.
+    /// for lack of capacity or took much longer than expected.
     bool is_contended(std::string_view endpoint_id, time_point now) const;
 
     bool has_endpoints() const { return !endpoints_.empty(); }
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -25,6 +25,9 @@
 constexpr double hung_factor = 3;
 constexpr duration hung_margin{400};
 
+/// A call that takes one and a half times its expected time and this margin has waited at the endpoint.
+constexpr duration contention_margin{60};
+
 /// Calls of another instance are expected for this long after the last sign of one.
 constexpr duration contention_memory{3'000};
 
@@ -320,6 +323,8 @@
     switch (outcome) {
     case call_outcome::answered:
         it.failures = 0;
+        if (now - ended.started > call_time(ended.pieces) * 3 / 2 + contention_margin)
+            it.contended_at = now;
         if (!suspended)
             record_call_time(it, ended, now);
         break;
