Log how late the event loop is and where its time goes

A timer of 100 ms observes the loop. After each second in which it was over 100 ms late, the line event_loop_late has the lateness, the time of scheduling work by kind and the lengths of the queues; two counters have the same sums. No decision uses them.

--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -36,9 +36,7 @@
 
 constexpr duration pull_timeout{1'000};
 
-/// Interval of the timer that shows whether the event loop is late, and number of ticks between two checks of
-/// the bytes that wait for the network.
-constexpr duration duty_tick{100};
+/// Number of ticks between two checks of the bytes that wait for the network.
 constexpr std::size_t ticks_per_link_check = 3;
 
 /// In a fleet up to full_mesh_size every instance pings every other one in each round; in a larger fleet it
@@ -242,10 +240,11 @@
 // and an incarnation taken from a clock that was set back would shut out a new process.
 fleet::fleet(asio::any_io_executor executor, const gateway_settings& settings, std::int64_t run_id,
              published_state& state, prompt_quarantine& quarantine, endpoint_statements& statements,
-             metrics::registry& metrics, handlers its_handlers)
+             loop_monitor& monitor, metrics::registry& metrics, handlers its_handlers)
     : executor_(std::move(executor)), settings_(settings), state_(state), quarantine_(quarantine),
       statements_(statements), handlers_(std::move(its_handlers)), view_(own_member(settings, run_id)),
       suspensions_(boot_clock::now(), max_tick_gap), overload_(boot_clock::now(), duty_tick),
+      monitor_(monitor),
       suspension_count_(metrics.get_counter("limpetlock_suspensions_total",
                                             "times that this process stood still for over 600 ms")),
       metrics_(metrics), messenger_(executor_, settings.name, 0, to_peer(settings.peer_address),
@@ -428,6 +427,8 @@
         co_await sleep_for(duty_tick);
         const time_point now = boot_clock::now();
         overload_.record_tick(now);
+        if (const auto report = monitor_.record_tick(now))
+            handlers_.on_late_loop(*report);
         if (n % ticks_per_link_check == 0) {
             const auto counters = messenger_.counters();
             overload_.record_link(counters.bytes_sent, counters.waiting_bytes, now);
--- a/lib/gateway/fleet.hpp
+++ b/lib/gateway/fleet.hpp
@@ -4,6 +4,7 @@
 
 #include <limpetlock/gateway/endpoint_statements.hpp>
 #include <limpetlock/gateway/fleet_view.hpp>
+#include <limpetlock/gateway/loop_monitor.hpp>
 #include <limpetlock/gateway/overload_detector.hpp>
 #include <limpetlock/gateway/permit_issuer.hpp>
 #include <limpetlock/gateway/prompt_quarantine.hpp>
@@ -48,14 +49,19 @@
         std::function<void(const wire::stage_cancel_message&)> on_stage_cancel;
         std::function<void(const wire::stage_release_message&)> on_result_release;
         std::function<permit(const permit_request&)> on_permit_request;
+        /// Called when the event loop was late.
+        std::function<void(const loop_report&)> on_late_loop;
     };
 
     fleet(boost::asio::any_io_executor executor, const gateway_settings& settings, std::int64_t run_id,
           published_state& state, prompt_quarantine& quarantine, endpoint_statements& statements,
-          metrics::registry& metrics, handlers its_handlers);
+          loop_monitor& monitor, metrics::registry& metrics, handlers its_handlers);
 
     void start();
 
+    /// Interval of the ticks that the monitor gets.
+    static constexpr duration duty_tick{100};
+
     fleet_view& view()
     {
         detect_suspension(boot_clock::now());
@@ -125,6 +131,7 @@
     fleet_view view_;
     suspension_detector suspensions_;
     overload_detector overload_;
+    loop_monitor& monitor_;
     metrics::counter& suspension_count_;
     metrics::registry& metrics_;
     peer::messenger messenger_;
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -12,6 +12,7 @@
 #include <limpetlock/gateway/endpoint_statements.hpp>
 #include <limpetlock/gateway/instance.hpp>
 #include <limpetlock/gateway/load_aware_selector.hpp>
+#include <limpetlock/gateway/loop_monitor.hpp>
 #include <limpetlock/gateway/permit_issuer.hpp>
 #include <limpetlock/gateway/published_state.hpp>
 #include <limpetlock/lifecycle/stop_sequence.hpp>
@@ -167,8 +168,9 @@
           releaser(io.get_executor(), *codec, endpoint_client, statements, state.evacuation_orders(), issuer,
                    metrics),
           scheduler(io.get_executor(), *codec, endpoint_client, releaser, statements, issuer, metrics, teams,
-                    settings.stages, [this](const std::vector<result_group>& used) { return_results(used); }),
-          peers(io.get_executor(), settings, random_run_id(), state, quarantine, statements, metrics,
+                    monitor, settings.stages,
+                    [this](const std::vector<result_group>& used) { return_results(used); }),
+          peers(io.get_executor(), settings, random_run_id(), state, quarantine, statements, monitor, metrics,
                 peer_handlers()),
           endpoint_permits(peers, statements, issuer, metrics),
           returns(io.get_executor(), peers, scheduler, releaser),
@@ -294,9 +296,34 @@
         out.on_permit_request = [this](const permit_request& it) {
             return endpoint_permits.answer(it, boot_clock::now());
         };
+        out.on_late_loop = [this](const loop_report& it) { report_late_loop(it); };
         return out;
     }
 
+    void report_late_loop(const loop_report& it)
+    {
+        metrics
+            .get_counter("limpetlock_event_loop_late_seconds_total",
+                         "seconds with a timer that was handled over 100 ms late")
+            .add();
+        std::string work;
+        for (std::size_t n = 0; n < work_kind_count; ++n) {
+            const std::string kind(to_string(static_cast<work_kind>(n)));
+            work += fmt::format("{}{}:{}", work.empty() ? "" : ",", kind, it.work[n].count());
+            metrics
+                .get_counter("limpetlock_late_loop_work_microseconds_total",
+                             "time of scheduling work in seconds with a late timer, by its kind",
+                             {{"kind", kind}})
+                .add(static_cast<std::uint64_t>(it.work[n].count()));
+        }
+        log::warning("event_loop_late", {{"max_late_ms", fmt::to_string(it.max_lateness.count())},
+                                         {"period_ms", fmt::to_string(it.period.count())},
+                                         {"work_us", work},
+                                         {"waiting_pieces", fmt::to_string(scheduler.waiting_piece_count())},
+                                         {"open_tasks", fmt::to_string(scheduler.open_task_count())},
+                                         {"requests", fmt::to_string(handler.in_flight())}});
+    }
+
     static wire::stage_result_message to_message(const stage_task_result& it)
     {
         wire::stage_result_message out;
@@ -572,6 +599,7 @@
     asio::io_context io{1};
     metrics::registry metrics;
     team_counters teams{metrics};
+    loop_monitor monitor{boot_clock::now(), fleet::duty_tick};
     metrics::gauge& dropped_lines{
         metrics.get_gauge("limpetlock_log_lines_dropped", "log lines that standard output did not take")};
     metrics::gauge& background_failures{
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
 #include <set>
 #include <utility>
 
@@ -152,7 +153,7 @@
 stage_scheduler::stage_scheduler(asio::any_io_executor executor, const platform_codec& codec,
                                  http::client& client, result_releaser& releaser,
                                  endpoint_statements& statements, permit_issuer& issuer,
-                                 metrics::registry& metrics, team_counters& teams,
+                                 metrics::registry& metrics, team_counters& teams, loop_monitor& monitor,
                                  stage_capacity_settings settings, inputs_fetched_handler on_inputs_fetched)
     : executor_(std::move(executor)), codec_(codec), client_(client), releaser_(releaser),
       statements_(statements), issuer_(issuer), on_inputs_fetched_(std::move(on_inputs_fetched)),
@@ -162,7 +163,7 @@
       repeated_pieces_(metrics.get_counter("limpetlock_stage_pieces_repeated_total", "pieces sent again")),
       evacuated_tasks_(metrics.get_counter("limpetlock_stage_tasks_evacuated_total",
                                            "tasks ended because their endpoints were evacuated")),
-      teams_(teams), settings_(settings)
+      teams_(teams), monitor_(monitor), settings_(settings)
 {
     spawn_loop(executor_, "stage_tick_loop", [this] { return tick_loop(); });
 }
@@ -176,6 +177,13 @@
     }));
 }
 
+std::size_t stage_scheduler::waiting_piece_count() const
+{
+    return std::accumulate(pools_.begin(), pools_.end(), std::size_t{0}, [](std::size_t sum, const auto& it) {
+        return sum + it.second->dispatcher.waiting();
+    });
+}
+
 void stage_scheduler::configure(std::shared_ptr<const routing_table> table, std::vector<endpoint> endpoints)
 {
     table_ = std::move(table);
@@ -356,6 +364,7 @@
 {
     if (!settings_.admission || !task.inputs.empty() || task.chain.empty() || task.admitted)
         return std::nullopt;
+    const work_timer timer(monitor_, work_kind::admission);
     teams_.count_asked(task.team, task.priority);
     auto& group = profiles_of(key, now);
     std::vector<stage_load> loads;
@@ -532,10 +541,7 @@
         co_await it->done.async_wait(as_tuple_awaitable);
     }
     it->last_requested = boot_clock::now();
-    out.backlog = state->dispatcher.backlog_ahead(it->last_requested,
-                                                  congestion_filter(key.group(), it->last_requested));
-    if (settings_.admission)
-        out.backlogs = outlines_of(key, it->last_requested);
+    set_backlog(out, key, it->last_requested);
     if (it->cancelled) {
         out.status = it->evacuated ? stage_task_result::task_status::no_endpoints
                                    : stage_task_result::task_status::cancelled;
@@ -567,8 +573,18 @@
     co_return out;
 }
 
+/// States the backlog of a pool, and those of its group, in a reply.
+void stage_scheduler::set_backlog(stage_task_result& out, const pool_key& key, time_point now)
+{
+    const work_timer timer(monitor_, work_kind::estimate);
+    out.backlog = pools_.at(key)->dispatcher.backlog_ahead(now, congestion_filter(key.group(), now));
+    if (settings_.admission)
+        out.backlogs = outlines_of(key, now);
+}
+
 void stage_scheduler::cancel(const std::string& request_id, std::uint32_t stage, std::uint32_t run)
 {
+    const work_timer timer(monitor_, work_kind::removal);
     const auto found = open_tasks_.find({request_id, stage, run});
     if (found == open_tasks_.end())
         return;
@@ -589,6 +605,7 @@
     // too.
     if (now - last_tick_ > abandoned_after)
         expire(now);
+    const work_timer timer(monitor_, work_kind::dispatch);
     const task_filter deferred = congestion_filter(key.group(), now);
     hold_back_by_statements(key, now);
     while (auto call = state.dispatcher.next_call(now, deferred)) {
@@ -909,6 +926,7 @@
 
 void stage_scheduler::expire(time_point now)
 {
+    const work_timer timer(monitor_, work_kind::expiry);
     for (const auto& [name, state] : pools_)
         for (const auto& it : state->dispatcher.expire(now)) {
             const auto found = open_tasks_.find({it.task->request_id, it.task->stage});
--- a/lib/gateway/stage_scheduler.hpp
+++ b/lib/gateway/stage_scheduler.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <limpetlock/gateway/endpoint_statements.hpp>
+#include <limpetlock/gateway/loop_monitor.hpp>
 #include <limpetlock/gateway/permit_issuer.hpp>
 #include <limpetlock/gateway/platform_codec.hpp>
 #include <limpetlock/gateway/settings.hpp>
@@ -71,8 +72,8 @@
 
     stage_scheduler(boost::asio::any_io_executor executor, const platform_codec& codec, http::client& client,
                     result_releaser& releaser, endpoint_statements& statements, permit_issuer& issuer,
-                    metrics::registry& metrics, team_counters& teams, stage_capacity_settings settings,
-                    inputs_fetched_handler on_inputs_fetched);
+                    metrics::registry& metrics, team_counters& teams, loop_monitor& monitor,
+                    stage_capacity_settings settings, inputs_fetched_handler on_inputs_fetched);
     ~stage_scheduler();
     stage_scheduler(const stage_scheduler&) = delete;
     stage_scheduler& operator=(const stage_scheduler&) = delete;
@@ -102,6 +103,9 @@
     /// Number of tasks that lack results.
     std::size_t open_task_count() const;
 
+    /// Number of pieces that wait for an endpoint.
+    std::size_t waiting_piece_count() const;
+
 private:
     struct open_task;
     struct pool_state;
@@ -139,6 +143,7 @@
                              time_point now) const;
     std::optional<stage_task_result> refusal_of(const pool_key& key, const stage_task& task, time_point now);
     std::map<std::string, std::vector<backlog_point>> outlines_of(const pool_key& group, time_point now);
+    void set_backlog(stage_task_result& out, const pool_key& key, time_point now);
     void end_task(open_task& it, piece_failure failure);
     void dispatch_calls(const pool_key& key);
     void hold_back_by_statements(const pool_key& key, time_point now);
@@ -171,6 +176,7 @@
     metrics::counter& repeated_pieces_;
     metrics::counter& evacuated_tasks_;
     team_counters& teams_;
+    loop_monitor& monitor_;
     const stage_capacity_settings settings_;
     std::shared_ptr<const routing_table> table_;
     std::vector<endpoint> endpoints_;
