Estimate backlogs without a pass over the queue for each reply

Cause: each reply to a stage order or poll stated the backlog of its pool, measured anew over all waiting pieces. For each piece it asked for the place behind the later stages, and each such question summed all waiting tasks by team (is_contested), also where teams don't take turns. With some 750 pieces waiting, the responsible instance spent 823 to 958 ms of a second on this (event_loop_late), stopped replying for longer than callers wait, and its orders moved to other instances, which started the pieces anew.

Whether teams take turns is now found once for a profile, and not at all without turns; without turns a place is found in sorted sums of pieces; a backlog examines a task once for all its pieces; and all replies share one backlog that is renewed after 50 ms, or later with a long queue, so that the time of estimates doesn't grow with queue and polls. The profiles by which stages are admitted follow the same rule.

The tests decision_cost failed before: 35 ms for 400 places among 3,200 tasks, 3,200 examinations of 400 tasks.

--- a/include/limpetlock/gateway/stage_dispatcher.hpp
+++ b/include/limpetlock/gateway/stage_dispatcher.hpp
@@ -98,18 +98,28 @@
 private:
     friend class stage_dispatcher;
 
-    const std::vector<time_point>& plain_keys() const;
+    /// Pieces of the tasks up to one in the order of the keys.
+    struct key_step {
+        time_point key{};
+        std::size_t pieces{0};
+    };
+
+    const std::vector<key_step>& steps() const;
+    std::size_t pieces_below(time_point key) const;
+    std::size_t pieces_up_to(time_point key) const;
+    time_point key_of_piece(std::size_t n) const;
+    std::size_t late_pieces_for(const order_item& it) const;
     bool is_contested() const;
-    order_item as_ordered(const order_item& it) const;
     const queue_positions& positions() const;
 
-    std::vector<order_item> items_;              ///< the waiting tasks
-    std::size_t pieces_{0};                      ///< of the waiting tasks
-    bool team_turns_{true};                      ///< see batch_options::team_turns
-    mutable std::vector<time_point> plain_keys_; ///< see plain_keys
+    std::vector<order_item> items_;                      ///< the waiting tasks
+    std::size_t pieces_{0};                              ///< of the waiting tasks
+    bool team_turns_{true};                              ///< see batch_options::team_turns
+    mutable std::optional<std::vector<key_step>> steps_; ///< of items_; nullopt until they are needed
+    mutable std::optional<bool> contested_;              ///< of items_; nullopt until it is needed
     rank_shares shares_;
     team_order_options team_options_;
-    mutable std::optional<queue_positions> positions_; ///< of items_; nullopt until it is needed
+    mutable std::optional<queue_positions> positions_; ///< of items_; nullopt until they are needed
     double inflow_share_{0};        ///< of the capacity, for recent arrivals that can meet their objective
     double effective_endpoints_{0}; ///< endpoints that aren't backed off, each divided by its slowness
     duration until_first_{0};       ///< until an endpoint is available, if all are backed off
--- a/lib/gateway/piece_queue.cpp
+++ b/lib/gateway/piece_queue.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <map>
 #include <optional>
+#include <unordered_map>
 #include <utility>
 
 namespace limpetlock::gateway {
@@ -50,8 +51,12 @@
                                         time_point now)
 {
     std::vector<waiting_task> out;
-    std::map<const stage_task*, std::size_t> index;
+    std::unordered_map<const stage_task*, std::size_t> index;
     for (const auto& it : waiting) {
+        if (!out.empty() && out.back().task == it.task.get()) {
+            ++out.back().pieces;
+            continue;
+        }
         const auto [found, added] = index.try_emplace(it.task.get(), out.size());
         if (added)
             out.push_back({it.task.get(), it.queued_at, 0, is_late(*it.task, options, now),
@@ -237,7 +242,8 @@
     std::vector<order_item> out;
     for (const auto& it : group_by_task(waiting_, options, now))
         if (it.started() || !deferred || !deferred(*it.task))
-            out.push_back({it.order_key, it.pieces, it.task->priority, it.late, it.task->team});
+            out.push_back({it.order_key, it.pieces, it.task->priority, it.late,
+                           options.team_turns ? it.task->team : std::string()});
     return out;
 }
 
@@ -362,10 +368,16 @@
 
 std::size_t piece_queue::count_with_objective_from(time_point objective, const task_filter& deferred) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(waiting_.begin(), waiting_.end(), [&](const queued_piece& it) {
-            return it.task->objective_time >= objective && !(deferred && deferred(*it.task));
-        }));
+    std::size_t out = 0;
+    // The pieces of a task are next to each other, but for those that were queued again.
+    const stage_task* examined = nullptr;
+    bool counts = false;
+    for (const auto& it : waiting_) {
+        if (std::exchange(examined, it.task.get()) != it.task.get())
+            counts = it.task->objective_time >= objective && !(deferred && deferred(*it.task));
+        out += counts ? 1 : 0;
+    }
+    return out;
 }
 
 void piece_queue::cancel(std::string_view request_id, std::uint32_t stage, std::uint32_t run)
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <iterator>
+#include <numeric>
 #include <utility>
 
 namespace limpetlock::gateway {
@@ -392,70 +394,83 @@
 
 duration backlog_profile::time_before(time_point order_key) const
 {
-    const auto& keys = team_turns_ ? positions().keys() : plain_keys();
+    if (!is_contested())
+        return time_for(pieces_below(order_key));
+    const auto& keys = positions().keys();
     return time_for(
         static_cast<std::size_t>(std::lower_bound(keys.begin(), keys.end(), order_key) - keys.begin()));
 }
 
-/// The keys of all pieces in ascending order, without the places that teams have.
-const std::vector<time_point>& backlog_profile::plain_keys() const
+const std::vector<backlog_profile::key_step>& backlog_profile::steps() const
 {
-    if (plain_keys_.size() != pieces_) {
-        plain_keys_.clear();
-        plain_keys_.reserve(pieces_);
-        for (const auto& it : items_)
-            plain_keys_.insert(plain_keys_.end(), it.pieces, it.key);
-        std::sort(plain_keys_.begin(), plain_keys_.end());
-    }
-    return plain_keys_;
+    if (steps_)
+        return *steps_;
+    auto& out = steps_.emplace();
+    out.reserve(items_.size());
+    for (const auto& it : items_)
+        out.push_back({it.key, it.pieces});
+    std::sort(out.begin(), out.end(), [](const key_step& a, const key_step& b) { return a.key < b.key; });
+    std::size_t sum = 0;
+    for (auto& it : out)
+        it.pieces = sum += it.pieces;
+    return out;
+}
+
+std::size_t backlog_profile::pieces_below(time_point key) const
+{
+    const auto& all = steps();
+    const auto end = std::lower_bound(all.begin(), all.end(), key,
+                                      [](const key_step& it, time_point value) { return it.key < value; });
+    return end == all.begin() ? 0 : std::prev(end)->pieces;
+}
+
+/// Key of the n-th piece, counted from 1, in the order of the keys.
+time_point backlog_profile::key_of_piece(std::size_t n) const
+{
+    const auto& all = steps();
+    return std::lower_bound(all.begin(), all.end(), n,
+                            [](const key_step& it, std::size_t value) { return it.pieces < value; })
+        ->key;
+}
+
+std::size_t backlog_profile::pieces_up_to(time_point key) const
+{
+    const auto& all = steps();
+    const auto end = std::upper_bound(all.begin(), all.end(), key,
+                                      [](time_point value, const key_step& it) { return value < it.key; });
+    return end == all.begin() ? 0 : std::prev(end)->pieces;
 }
 
 const queue_positions& backlog_profile::positions() const
 {
-    if (positions_)
-        return *positions_;
-    if (is_contested()) {
+    if (!positions_)
         positions_.emplace(items_, shares_, team_options_);
-        return *positions_;
-    }
-    auto items = items_;
-    for (auto& it : items)
-        it.team.clear();
-    positions_.emplace(items, rank_shares(), team_options_);
     return *positions_;
 }
 
 /// Whether the teams take turns, so that a new task may go before waiting ones of another team with a smaller
-/// key.
+/// key. Otherwise the order is that of the keys.
 bool backlog_profile::is_contested() const
 {
-    return gateway::is_contested(items_, static_cast<std::size_t>(max_pieces_));
-}
-
-/// The task as it is ordered among the waiting ones: without its team if the teams don't take turns.
-order_item backlog_profile::as_ordered(const order_item& it) const
-{
-    order_item out = it;
-    if (!is_contested())
-        out.team.clear();
-    return out;
+    if (!contested_)
+        contested_ = team_turns_ && gateway::is_contested(items_, static_cast<std::size_t>(max_pieces_));
+    return *contested_;
 }
 
 duration backlog_profile::time_before(const order_item& it) const
 {
-    return time_for(positions().pieces_before(as_ordered(it)));
+    return time_for(is_contested() ? positions().pieces_before(it) : pieces_up_to(it.key));
 }
 
 duration backlog_profile::least_time_before(const order_item& it, duration slack) const
 {
     if (effective_endpoints_ <= 0)
         return until_first_;
-    const order_item ordered = as_ordered(it);
-    const std::size_t before = positions().pieces_before(ordered);
+    const std::size_t before = is_contested() ? positions().pieces_before(it) : pieces_up_to(it.key);
     const duration in_time = time_for(before);
     if (!it.late && in_time <= slack)
         return in_time;
-    const std::size_t all = it.late ? before : before + positions().late_pieces_for(ordered);
+    const std::size_t all = it.late ? before : before + late_pieces_for(it);
     return duration(
         static_cast<std::int64_t>(static_cast<double>(time_for(all).count()) / (1 - inflow_share_)));
 }
@@ -477,22 +492,32 @@
 {
     pieces_ += it.pieces;
     items_.push_back(std::move(it));
+    steps_.reset();
+    contested_.reset();
     positions_.reset();
 }
 
+std::size_t backlog_profile::late_pieces_for(const order_item& it) const
+{
+    if (is_contested())
+        return positions().late_pieces_for(it);
+    return std::accumulate(items_.begin(), items_.end(), std::size_t{0},
+                           [&it](std::size_t sum, const order_item& other) {
+                               return sum + (other.late && other.priority <= it.priority ? other.pieces : 0);
+                           });
+}
+
 /// Tasks of a later turn may yield to a new task of another team, so they aren't counted.
 std::vector<backlog_point> backlog_profile::outline() const
 {
     if (effective_endpoints_ <= 0)
         return {};
-    const bool teams_known =
-        std::any_of(items_.begin(), items_.end(), [](const order_item& it) { return !it.team.empty(); });
-    const auto& keys = is_contested() && teams_known ? positions().first_turn_keys() : positions().keys();
+    const bool by_turns = is_contested();
+    const std::size_t count = by_turns ? positions().first_turn_keys().size() : pieces_;
     std::vector<backlog_point> out;
-    const std::size_t count = keys.size();
     for (std::size_t n = 1; n <= outline_points && count > 0; ++n) {
         const std::size_t end = std::max<std::size_t>(1, count * n / outline_points);
-        out.push_back({keys[end - 1], time_for(end)});
+        out.push_back({by_turns ? positions().first_turn_keys()[end - 1] : key_of_piece(end), time_for(end)});
     }
     return out;
 }
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include "result_releaser.hpp"
 
+#include <limpetlock/gateway/cached_estimate.hpp>
 #include <limpetlock/support/background.hpp>
 #include <limpetlock/support/log.hpp>
 #include <limpetlock/support/scope_exit.hpp>
@@ -49,10 +50,6 @@
 /// that start or meet again need this time to agree who is responsible.
 constexpr duration takeover_time{3'000};
 
-/// The profiles of a group of pools are used for this long: a new one for 300 waiting tasks takes 0.2 ms of
-/// processor time for each pool.
-constexpr duration profile_lifetime{50};
-
 /// Interval of the check which endpoints are avoided.
 constexpr duration avoided_log_interval{250};
 
@@ -143,6 +140,7 @@
     std::vector<std::uint32_t> shards; ///< of each of them
     time_point last_requested{};
     time_point opened{boot_clock::now()}; ///< when this instance began to schedule the pool
+    cached_estimate backlog;              ///< that replies state
 };
 
 pool_key key_of(const stage_group& group, std::string pool)
@@ -311,13 +309,15 @@
 stage_scheduler::group_profiles& stage_scheduler::profiles_of(const pool_key& group, time_point now)
 {
     auto& out = group_profiles_[group_of(group)];
-    if (now - out.at < profile_lifetime)
+    if (now - out.at < estimate_lifetime(out.waiting_pieces))
         return out;
-    out = {now, {}, {}};
+    out = {now, 0, {}, {}};
     const task_filter deferred = congestion_filter(group.group(), now);
     for (const auto& [key, state] : pools_)
-        if (group_of(key) == group_of(group) && state->dispatcher.has_endpoints())
+        if (group_of(key) == group_of(group) && state->dispatcher.has_endpoints()) {
+            out.waiting_pieces += state->dispatcher.waiting();
             out.pools.emplace(key.pool, state->dispatcher.profile(now, deferred));
+        }
     std::set<task_key> counted;
     for (const auto& [id, it] : open_tasks_) {
         if (group_of(it->pool) != group_of(group) || it->missing_results == 0)
@@ -577,7 +577,11 @@
 void stage_scheduler::set_backlog(stage_task_result& out, const pool_key& key, time_point now)
 {
     const work_timer timer(monitor_, work_kind::estimate);
-    out.backlog = pools_.at(key)->dispatcher.backlog_ahead(now, congestion_filter(key.group(), now));
+    auto& state = *pools_.at(key);
+    if (!state.backlog.get(now))
+        state.backlog.set(state.dispatcher.backlog_ahead(now, congestion_filter(key.group(), now)),
+                          state.dispatcher.waiting(), now);
+    out.backlog = state.backlog.get(now).value_or(duration{0});
     if (settings_.admission)
         out.backlogs = outlines_of(key, now);
 }
--- a/lib/gateway/stage_scheduler.hpp
+++ b/lib/gateway/stage_scheduler.hpp
@@ -133,6 +133,7 @@
     /// that are open, but not those of deferred tasks.
     struct group_profiles {
         time_point at{};
+        std::size_t waiting_pieces{0};
         std::map<std::string, backlog_profile> pools;
         std::map<std::string, std::vector<backlog_point>> outlines; ///< of the pools with waiting pieces
     };
--- a/unittests/gateway/decision_cost_test.cpp
+++ b/unittests/gateway/decision_cost_test.cpp
@@ -1,4 +1,5 @@
 // Costs of the decisions of an instance that schedules a stage pool, as its queue grows.
+#include <limpetlock/gateway/cached_estimate.hpp>
 #include <limpetlock/gateway/stage_dispatcher.hpp>
 
 #include <criterion/criterion.h>
@@ -117,3 +118,30 @@
     cr_assert(pool.backlog_ahead(at(10), deferred) > duration{0});
     cr_expect_leq(examined, 400, "%zu", examined);
 }
+
+// A backlog that is measured for each reply takes all processor time when many tasks wait, since each of them
+// is polled. The pieces examined in a second must not grow with the queue or the replies.
+Test(decision_cost, replies_share_one_estimate_of_the_backlog)
+{
+    for (const std::size_t waiting : {400U, 3'200U, 25'600U}) {
+        cached_estimate it;
+        std::size_t examined = 0;
+        for (std::int64_t ms = 0; ms < 1'000; ++ms)
+            if (!it.get(at(ms))) {
+                it.set(duration{700}, waiting, at(ms));
+                examined += waiting;
+            }
+        cr_expect_leq(examined, 26'000, "%zu waiting: %zu", waiting, examined);
+        cr_expect(it.get(at(1'000)).value_or(duration{700}) == duration{700});
+    }
+}
+
+// An estimate that is kept too long refuses or defers requests for a queue that is gone.
+Test(decision_cost, estimate_of_a_short_queue_is_renewed_often)
+{
+    cached_estimate it;
+    cr_assert_not(it.get(at(0)));
+    it.set(duration{700}, 100, at(0));
+    cr_expect(it.get(at(49)));
+    cr_expect_not(it.get(at(50)));
+}
