--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -69,6 +69,15 @@
     return out;
 }
 
+std::vector<std::string> handles_of(const std::vector<piece_result>& results)
+{
+    std::vector<std::string> out;
+    for (const auto& it : results)
+        if (!it.handle.empty())
+            out.push_back(it.handle);
+    return out;
+}
+
 /// For the order keys in a pool that this instance doesn't have.
 const batch_options default_batch_options;
 
@@ -109,14 +118,7 @@
     }
 
     /// Handles of the results so far.
-    std::vector<std::string> handles() const
-    {
-        std::vector<std::string> out;
-        for (const auto& it : results)
-            if (!it.handle.empty())
-                out.push_back(it.handle);
-        return out;
-    }
+    std::vector<std::string> handles() const { return handles_of(results); }
 
     std::shared_ptr<const stage_task> task;
     pool_key pool;
@@ -161,6 +163,8 @@
       repeated_pieces_(metrics.get_counter("limpetlock_stage_pieces_repeated_total", "pieces sent again")),
       evacuated_tasks_(metrics.get_counter("limpetlock_stage_tasks_evacuated_total",
                                            "tasks ended because their endpoints were evacuated")),
+      repeated_replies_(metrics.get_counter("limpetlock_stage_replies_repeated_total",
+                                            "results sent again because the first reply was lost")),
       teams_(teams), monitor_(monitor), settings_(settings)
 {
     spawn_loop(executor_, "stage_tick_loop", [this] { return tick_loop(); });
@@ -500,6 +504,8 @@
     stage_task_result out;
     pool_state* const state = find_pool(key);
     const task_key task_id = id_of(task);
+    if (auto again = repeat_reply(task_id, key, boot_clock::now()))
+        co_return std::move(*again);
     // A task whose pieces are all in calls runs to completion although its endpoints were evacuated since.
     const auto open = open_tasks_.find(task_id);
     const bool is_open = open != open_tasks_.end() && !open->second->cancelled;
@@ -554,13 +560,35 @@
     }
     out.status = stage_task_result::task_status::done;
     out.pieces = it->results;
-    open_tasks_.erase(task_id);
+    // Two orders may wait for the task, the first of them on a connection that is lost.
+    if (open_tasks_.erase(task_id) > 0)
+        delivered_.record(task_id, out.pieces, boot_clock::now());
     co_return out;
 }
 
+/// Returns the reply for a task that was completed a short time ago.
+std::optional<stage_task_result> stage_scheduler::repeat_reply(const task_key& id, const pool_key& key,
+                                                               time_point now)
+{
+    auto results = delivered_.find(id, now);
+    if (!results)
+        return std::nullopt;
+    repeated_replies_.add();
+    log::info("stage_reply_repeated",
+              {{"request", id.request_id}, {"stage", fmt::to_string(id.stage)}, {"pool", key.pool}});
+    stage_task_result out;
+    out.status = stage_task_result::task_status::done;
+    out.pieces = std::move(*results);
+    if (pools_.contains(key))
+        set_backlog(out, key, now);
+    return out;
+}
+
 awaitable<std::optional<stage_task_result>> stage_scheduler::poll(std::string request_id, std::uint32_t stage,
                                                                   std::uint32_t run, duration max_wait)
 {
+    if (auto again = repeat_reply({request_id, stage, run}, {}, boot_clock::now()))
+        co_return again;
     const auto found = open_tasks_.find({request_id, stage, run});
     if (found == open_tasks_.end() || found->second->cancelled)
         co_return std::nullopt;
@@ -589,6 +617,9 @@
 void stage_scheduler::cancel(const std::string& request_id, std::uint32_t stage, std::uint32_t run)
 {
     const work_timer timer(monitor_, work_kind::removal);
+    if (const auto undelivered = handles_of(delivered_.remove({request_id, stage, run}));
+        !undelivered.empty())
+        release(undelivered);
     const auto found = open_tasks_.find({request_id, stage, run});
     if (found == open_tasks_.end())
         return;
@@ -944,6 +975,7 @@
             expired.push_back(handle);
     for (const auto& it : expired)
         remove_result(it);
+    delivered_.remove_expired(now);
     for (auto it = open_tasks_.begin(); it != open_tasks_.end();) {
         const auto open = it->second;
         ++it;
--- a/lib/gateway/stage_scheduler.hpp
+++ b/lib/gateway/stage_scheduler.hpp
@@ -2,6 +2,7 @@
 /// Runs the stage tasks of the pools that this instance is responsible for.
 #pragma once
 
+#include <limpetlock/gateway/delivered_results.hpp>
 #include <limpetlock/gateway/endpoint_statements.hpp>
 #include <limpetlock/gateway/loop_monitor.hpp>
 #include <limpetlock/gateway/permit_issuer.hpp>
@@ -87,7 +88,8 @@
     /// same task: one that isn't requested for a while is dropped, and its results are released.
     boost::asio::awaitable<stage_task_result> run(pool_key key, stage_task task, duration max_wait);
 
-    /// Waits up to `max_wait` for the results of a task that is open already. Returns nullopt if it isn't.
+    /// Waits up to `max_wait` for the results of a task that is open already, or was completed a short time
+    /// ago. Returns nullopt for another one.
     boost::asio::awaitable<std::optional<stage_task_result>> poll(std::string request_id, std::uint32_t stage,
                                                                   std::uint32_t run, duration max_wait);
 
@@ -109,13 +111,7 @@
 private:
     struct open_task;
     struct pool_state;
-    struct task_key {
-        std::string request_id;
-        std::uint32_t stage{0};
-        std::uint32_t run{0};
-
-        friend auto operator<=>(const task_key&, const task_key&) = default; // NOLINT(modernize-use-nullptr)
-    };
+    using task_key = stage_task_id;
     static task_key id_of(const stage_task& it) { return {it.request_id, it.stage, it.run}; }
 
     boost::asio::awaitable<void> tick_loop();
@@ -142,6 +138,7 @@
                    group_profiles& to, time_point now) const;
     order_item order_item_of(const pool_key& group, const stage_task& task, const chain_stage& later,
                              time_point now) const;
+    std::optional<stage_task_result> repeat_reply(const task_key& id, const pool_key& key, time_point now);
     std::optional<stage_task_result> refusal_of(const pool_key& key, const stage_task& task, time_point now);
     std::map<std::string, std::vector<backlog_point>> outlines_of(const pool_key& group, time_point now);
     void set_backlog(stage_task_result& out, const pool_key& key, time_point now);
@@ -176,6 +173,7 @@
     metrics::counter& pieces_;
     metrics::counter& repeated_pieces_;
     metrics::counter& evacuated_tasks_;
+    metrics::counter& repeated_replies_;
     team_counters& teams_;
     loop_monitor& monitor_;
     const stage_capacity_settings settings_;
@@ -183,6 +181,7 @@
     std::vector<endpoint> endpoints_;
     std::map<pool_key, std::unique_ptr<pool_state>> pools_;
     std::map<task_key, std::shared_ptr<open_task>> open_tasks_;
+    delivered_results delivered_;
     std::map<pool_key, group_profiles> group_profiles_; ///< by group; see group_of
 
     /// A result that occupies storage at its producer until it is released or expires.
