Ask for prompt replies to one stage order of many, and wait while the peer is heard

Callers saw requests late or refused while an instance that schedules stages was short of processor time (SHORT): its orders moved although it ran, and were started a second time elsewhere.

Cause: each waiting task was polled every 500 ms, so the messages grew with the queue, just when most waited. An instance slowed to a twelfth of a core got some 1,000 polls a second. The backlog then waits in socket buffers, where no late timer shows it, and replies take longer than the 850 ms that callers wait.

Of the calls to one instance, one gets a reply after 500 ms at the latest and shows that the instance runs; the others get theirs after 1.2 s unless their task ends. A call goes on while anything of the peer arrives, and ends early if nothing does for 850 ms; only a prompt call then counts. Orders have a new optional field max_wait_ms; an instance that doesn't know it replies after 500 ms as before. A task that nobody asks for is dropped 2.5 s after the last order, no longer after the last reply.

--- a/include/limpetlock/gateway/peer_silence.hpp
+++ b/include/limpetlock/gateway/peer_silence.hpp
@@ -13,6 +13,7 @@
     peer::errc code{peer::errc::timeout};
     bool heard{false};             ///< something else arrived from the peer meanwhile
     bool own_loop_late{false};     ///< the event loop of this process was late meanwhile
+    bool replies_soon{true};       ///< the peer had to reply before the end of the call
     std::size_t unclear_before{0}; ///< calls in a row before this one that said nothing of the peer
 
     friend bool operator==(const unanswered_call&, const unanswered_call&) = default;
--- a/include/limpetlock/peer/messenger.hpp
+++ b/include/limpetlock/peer/messenger.hpp
@@ -38,7 +38,9 @@
     errc code{errc::none};
     std::string reason;
     bool sent{false}; ///< false only if no byte of the message reached a socket; true if the peer may have it
-    bool heard{false}; ///< bytes of the peer arrived during the call, though some may not have been read yet
+    /// Bytes of the peer arrived during the call and, with a bound, within the last max_silence; some may not
+    /// have been read yet.
+    bool heard{false};
 };
 
 /// Counts since the start of the messenger, for metrics and the state dump.
@@ -53,6 +55,13 @@
     std::uint64_t waiting_bytes{0};   ///< that waited for the network at the last measure_waiting_bytes
 };
 
+/// When a call ends without a reply.
+struct call_limits {
+    time_point deadline{};
+    /// The call ends before the deadline if nothing of the peer arrives for this long.
+    duration max_silence{duration::max()};
+};
+
 /// Handles a received message. Returns the reply, or nullopt if the message has none. Runs on the messenger's
 /// strand.
 using message_handler = std::function<boost::asio::awaitable<std::optional<wire::frame>>(wire::frame)>;
@@ -81,7 +90,9 @@
     void add_peer(std::string name, address where);
 
     /// Sends a request to the peer of the given name and waits for its reply. The request is never sent a
-    /// second time. Returns nullopt and sets `error` if no reply arrives by the deadline.
+    /// second time. Returns nullopt and sets `error` if no reply arrives in time.
+    boost::asio::awaitable<std::optional<wire::frame>> call(std::string to, wire::frame message,
+                                                            call_limits limits, call_error& error);
     boost::asio::awaitable<std::optional<wire::frame>> call(std::string to, wire::frame message,
                                                             time_point deadline, call_error& error);
 
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -710,15 +710,14 @@
     co_return reply;
 }
 
-awaitable<fleet::peer_answer> fleet::call(std::string to, wire::frame message, time_point deadline,
-                                          std::size_t unclear_before)
+awaitable<fleet::peer_answer> fleet::call(std::string to, wire::frame message, call_terms terms)
 {
     const time_point sent = boot_clock::now();
     if (!links_.contains(to))
         refresh_links(sent);
     peer::call_error error;
     peer_answer out;
-    out.reply = co_await messenger_.call(to, std::move(message), deadline, error);
+    out.reply = co_await messenger_.call(to, std::move(message), terms.limits, error);
     if (out.reply)
         co_return out;
     if (suspended_since(sent)) {
@@ -727,15 +726,16 @@
     }
     const bool late = monitor_.late_since(sent, boot_clock::now());
     // Another call may have shown it meanwhile.
-    out.unclear =
-        !view_.is_unreachable(to) && !shows_unreachable({error.code, error.heard, late, unclear_before});
+    out.unclear = !view_.is_unreachable(to) && !shows_unreachable({error.code, error.heard, late,
+                                                                   terms.replies_soon, terms.unclear_before});
     if (out.unclear) {
         unclear_calls_.add();
         log::info("peer_call_unclear", {{"peer", to},
                                         {"reason", error.reason},
                                         {"heard", error.heard ? "yes" : "no"},
                                         {"own_loop_late", late ? "yes" : "no"},
-                                        {"before", fmt::to_string(unclear_before)}});
+                                        {"replies_soon", terms.replies_soon ? "yes" : "no"},
+                                        {"before", fmt::to_string(terms.unclear_before)}});
         co_return out;
     }
     view_.mark_unreachable(to);
--- a/lib/gateway/fleet.hpp
+++ b/lib/gateway/fleet.hpp
@@ -82,11 +82,21 @@
         bool unclear{false};
     };
 
+    /// How long a call may take, and what its end says of the instance.
+    struct call_terms {
+        peer::call_limits limits;
+        std::size_t unclear_before{0}; ///< calls in a row that were unclear
+        /// The instance replies soon in any case, so its silence shows that it is gone.
+        bool replies_soon{true};
+    };
+
     /// Sends a request to another instance. Without a reply, marks the instance as unreachable unless the
-    /// circumstances leave that unclear; see shows_unreachable(). `unclear_before` is the number of calls in
-    /// a row that were unclear.
-    boost::asio::awaitable<peer_answer> call(std::string to, wire::frame message, time_point deadline,
-                                             std::size_t unclear_before = 0);
+    /// circumstances leave that unclear; see shows_unreachable().
+    boost::asio::awaitable<peer_answer> call(std::string to, wire::frame message, call_terms terms);
+    boost::asio::awaitable<peer_answer> call(std::string to, wire::frame message, time_point deadline)
+    {
+        return call(std::move(to), std::move(message), call_terms{{deadline}});
+    }
 
     /// Status of the reply to a poll for a task that isn't open.
     static constexpr std::int32_t unknown_task_status = 5;
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -347,9 +347,8 @@
     /// Asks for a stage task of another instance, which this one has from an earlier message.
     awaitable<wire::stage_result_message> poll_task(wire::stage_order_message it)
     {
-        const auto result =
-            co_await scheduler.poll(std::move(it.request_id), static_cast<std::uint32_t>(it.stage),
-                                    static_cast<std::uint32_t>(it.run), task_reply_wait);
+        const auto result = co_await scheduler.poll(it.request_id, static_cast<std::uint32_t>(it.stage),
+                                                    static_cast<std::uint32_t>(it.run), reply_wait_of(it));
         wire::stage_result_message out;
         if (result)
             out = to_message(*result);
@@ -362,6 +361,7 @@
     awaitable<wire::stage_result_message> run_task(wire::stage_order_message it)
     {
         const time_point now = boot_clock::now();
+        const duration max_wait = reply_wait_of(it);
         stage_task task;
         task.request_id = it.request_id;
         task.run = static_cast<std::uint32_t>(it.run);
@@ -385,7 +385,7 @@
         const auto shards = static_cast<std::uint32_t>(std::clamp<std::int32_t>(it.shards, 1, max_shards));
         const auto shard = static_cast<std::uint32_t>(std::max(0, it.shard)) % shards;
         pool_key key{it.group, it.pool, shard, shards};
-        const auto result = co_await scheduler.run(std::move(key), std::move(task), task_reply_wait);
+        const auto result = co_await scheduler.run(std::move(key), std::move(task), max_wait);
         co_return to_message(result);
     }
 
@@ -590,8 +590,16 @@
                                             : lifecycle::exit_reason::graceful;
     }
 
-    /// A stage task of another instance is answered after this time at the latest, done or not.
-    static constexpr duration task_reply_wait{500};
+    /// Time after which a stage task of another instance is answered, done or not.
+    static duration reply_wait_of(const wire::stage_order_message& it)
+    {
+        return it.__isset.max_wait_ms ? std::clamp(duration(it.max_wait_ms), min_reply_wait, max_reply_wait)
+                                      : default_reply_wait;
+    }
+
+    static constexpr duration min_reply_wait{100};
+    static constexpr duration max_reply_wait{1'500}; ///< shorter than tasks are kept that nobody asks for
+    static constexpr duration default_reply_wait{500};
 
     gateway_settings settings;
     std::unique_ptr<platform_codec> codec;
--- a/lib/gateway/peer_silence.cpp
+++ b/lib/gateway/peer_silence.cpp
@@ -11,7 +11,7 @@
     case peer::errc::not_sent:
         return false;
     case peer::errc::timeout:
-        return !it.heard && !it.own_loop_late;
+        return it.replies_soon && !it.heard && !it.own_loop_late;
     case peer::errc::none:
     case peer::errc::unknown_peer:
     case peer::errc::connection_refused:
--- a/lib/gateway/stage_runner.cpp
+++ b/lib/gateway/stage_runner.cpp
@@ -25,11 +25,12 @@
 
 constexpr auto as_tuple_awaitable = asio::as_tuple(asio::use_awaitable);
 
-/// The responsible instance replies to a task within this time, done or not, so that a dead instance is
-/// noticed. The margin covers the transit time of the messages.
-constexpr duration task_poll_timeout{500};
+/// Covers the transit time of an order and its reply.
 constexpr duration task_reply_margin{350};
 
+/// A call goes on for this long beyond the margin while the instance is heard.
+constexpr duration slow_reply_margin{650};
+
 /// A task fails after this many instances, tried one after the other. When six of ten instances are lost at
 /// once, one in 60 tasks meets only lost ones.
 constexpr std::size_t max_assignments = 8;
@@ -689,6 +690,7 @@
     std::optional<stage_task_result> result;
     bool may_poll = false;
     std::size_t unclear_calls = 0; // in a row
+    bool must_be_prompt = false;   // the last call left open whether the instance is gone
     while (!state->abandoned) {
         const time_point now = boot_clock::now();
         result.reset();
@@ -696,19 +698,29 @@
         if (local) {
             stage_task copy = task;
             pool_key pool = key;
-            result = co_await scheduler_.run(std::move(pool), std::move(copy), task_poll_timeout);
+            result = co_await scheduler_.run(std::move(pool), std::move(copy), reply_waits::prompt);
         } else {
             wire::frame message;
             const bool polls = std::exchange(may_poll, false);
             message.__set_stage_order(polls ? to_poll(task) : to_message(task, key, now));
-            const auto answer = co_await fleet_.call(
-                instance, std::move(message), now + task_poll_timeout + task_reply_margin, unclear_calls);
+            const duration wait = waits_.choose(instance, must_be_prompt);
+            message.stage_order.__set_max_wait_ms(static_cast<std::int32_t>(wait.count()));
+            fleet::call_terms terms;
+            terms.limits.deadline = now + wait + task_reply_margin + slow_reply_margin;
+            terms.limits.max_silence = reply_waits::prompt + task_reply_margin;
+            terms.unclear_before = unclear_calls;
+            terms.replies_soon = wait == reply_waits::prompt;
+            waits_.begin(instance, wait);
+            const scope_exit end_call([this, &instance, wait] { waits_.end(instance, wait); });
+            const auto answer = co_await fleet_.call(instance, std::move(message), terms);
             const auto& reply = answer.reply;
             // A task that the instance has isn't started again by the repeated order.
             if (answer.unclear && boot_clock::now() < task.deadline) {
-                ++unclear_calls;
+                unclear_calls += terms.replies_soon ? 1 : 0;
+                must_be_prompt = true;
                 continue;
             }
+            must_be_prompt = false;
             unclear_calls = 0;
             if (reply && reply->__isset.stage_result) {
                 result = from_message(reply->stage_result, pieces);
--- a/lib/gateway/stage_runner.hpp
+++ b/lib/gateway/stage_runner.hpp
@@ -8,6 +8,7 @@
 #include "stage_scheduler.hpp"
 
 #include <limpetlock/gateway/model.hpp>
+#include <limpetlock/gateway/reply_waits.hpp>
 #include <limpetlock/gateway/stage_shards.hpp>
 #include <limpetlock/support/metrics.hpp>
 
@@ -112,6 +113,7 @@
     bool moves_to_domains_;
     stage_layout layout_;
     std::map<pool_key, backlog_report> backlogs_;
+    reply_waits waits_;
     stage_duties duties_;
     std::uint64_t duties_version_{0}; ///< of the view for which duties_ was computed
     time_point duties_checked_at_{};
--- a/lib/gateway/stage_scheduler.cpp
+++ b/lib/gateway/stage_scheduler.cpp
@@ -546,8 +546,7 @@
         });
         co_await it->done.async_wait(as_tuple_awaitable);
     }
-    it->last_requested = boot_clock::now();
-    set_backlog(out, key, it->last_requested);
+    set_backlog(out, key, boot_clock::now());
     if (it->cancelled) {
         out.status = it->evacuated ? stage_task_result::task_status::no_endpoints
                                    : stage_task_result::task_status::cancelled;
--- a/lib/peer/messenger.cpp
+++ b/lib/peer/messenger.cpp
@@ -381,10 +381,11 @@
         peer.pending_calls.clear();
     }
 
-    awaitable<std::optional<wire::frame>> call(std::string to, wire::frame message, time_point deadline,
+    awaitable<std::optional<wire::frame>> call(std::string to, wire::frame message, call_limits limits,
                                                call_error& error,
                                                std::shared_ptr<call_cancellation> cancellation)
     {
+        const time_point deadline = limits.deadline;
         const auto connection = co_await connect(to, deadline, error);
         if (!connection) {
             if (error.code == errc::none)
@@ -405,10 +406,20 @@
             co_return std::nullopt;
         }
         const time_point sent_at = boot_clock::now();
-        it->completion.expires_after(remaining(deadline));
         cancellation->call = it;
-        if (!cancellation->cancelled)
+        const auto ended = [&it, &cancellation] {
+            return it->reply || it->connection_lost || cancellation->cancelled;
+        };
+        time_point heard_at = sent_at;
+        while (!ended()) {
+            const time_point now = boot_clock::now();
+            heard_at = connection->has_unread_bytes() ? now : std::max(heard_at, connection->last_received);
+            const duration wait = std::min(remaining(deadline), limits.max_silence - (now - heard_at));
+            if (wait <= duration{0})
+                break;
+            it->completion.expires_after(wait);
             co_await it->completion.async_wait(as_tuple_awaitable);
+        }
         if (it->reply)
             co_return std::move(it->reply);
         if (const auto listed = peers.find(to); listed != peers.end())
@@ -419,10 +430,10 @@
         }
         // In a process that is late, the timer may be handled before a reply that arrived in time.
         const bool unread = connection->has_unread_bytes();
+        const duration silence = boot_clock::now() - std::max(connection->last_received, sent_at);
         error = {errc::timeout, fmt::format("no reply from {} in time", to), true,
-                 unread || connection->last_received >= sent_at};
-        if (!unread && !cancellation->cancelled &&
-            boot_clock::now() - std::max(connection->last_received, sent_at) >= silent_connection_timeout)
+                 unread || (connection->last_received >= sent_at && silence < limits.max_silence)};
+        if (!unread && !cancellation->cancelled && silence >= silent_connection_timeout)
             connection->close();
         co_return std::nullopt;
     }
@@ -516,16 +527,22 @@
     });
 }
 
-awaitable<std::optional<wire::frame>> messenger::call(std::string to, wire::frame message,
-                                                      time_point deadline, call_error& error)
+awaitable<std::optional<wire::frame>> messenger::call(std::string to, wire::frame message, call_limits limits,
+                                                      call_error& error)
 {
     const auto cancellation = std::make_shared<call_cancellation>();
-    auto work = impl_->call(std::move(to), std::move(message), deadline, error, cancellation);
+    auto work = impl_->call(std::move(to), std::move(message), limits, error, cancellation);
     // g++ 12 destroys a closure twice that is converted within a co_await expression.
     std::function<void()> cancel_call = [cancellation] { cancellation->cancel(); };
     co_return co_await run_on(impl_->strand, std::move(work), std::move(cancel_call));
 }
 
+awaitable<std::optional<wire::frame>> messenger::call(std::string to, wire::frame message,
+                                                      time_point deadline, call_error& error)
+{
+    return call(std::move(to), std::move(message), call_limits{deadline}, error);
+}
+
 messenger_counters messenger::counters() const
 {
     const std::lock_guard lock(impl_->mutex);
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -271,7 +271,8 @@
   22: optional list<chain_stage_message> chain; // this stage and those that depend on it
   23: optional bool admitted;  // an instance has admitted the stages of the request already
   24: optional string team;    // whose request it is; absent if unknown
-  25: bool poll;          // asks for an open task: only request_id, stage and run are set
+  25: bool poll;          // asks for an open task: only request_id, stage, run and max_wait_ms are set
+  26: optional i32 max_wait_ms; // time until the reply, also if the task isn't done; 500 ms if absent
   30: i32 run;            // distinguishes the runs of the stages for the same request
 }
 
--- a/unittests/peer/peer_test.cpp
+++ b/unittests/peer/peer_test.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
+#include <functional>
 #include <future>
 #include <memory>
 #include <optional>
@@ -89,6 +90,27 @@
     co_return out;
 }
 
+/// Acknowledges the heartbeat 1 after 700 ms, and others at once.
+asio::awaitable<std::optional<wire::frame>> acknowledge_first_late(wire::frame message)
+{
+    if (message.heartbeat.sequence == 1) {
+        asio::steady_timer delay(co_await asio::this_coro::executor, duration(700));
+        co_await delay.async_wait(asio::use_awaitable);
+    }
+    auto out = co_await acknowledge(std::move(message));
+    co_return out;
+}
+
+/// Calls the peer "b" with a bound of 300 ms for its silence.
+asio::awaitable<void> call_with_bound(messenger& from, std::int64_t sequence, call_error& error,
+                                      duration& took)
+{
+    const time_point begin = boot_clock::now();
+    const call_limits limits{begin + duration(2'000), duration(300)};
+    co_await from.call("b", heartbeat(sequence), limits, error);
+    took = boot_clock::now() - begin;
+}
+
 /// Calls the peer "b" twice. The process stands still while the reply to the second call arrives.
 asio::awaitable<void> call_and_stand_still(messenger& from, call_error& first, call_error& second,
                                            bool& ended)
@@ -230,3 +252,36 @@
     cr_expect(error.code == errc::none || error.heard, "%s", error.reason.c_str());
     cr_expect_eq(caller.counters().late_replies, error.code == errc::none ? 0 : 1);
 }
+
+// A call that waits long for its reply must neither hide that the peer is gone nor give up one that answers
+// other calls.
+Test(messenger, bounded_silence_ends_a_call_only_if_nothing_is_heard)
+{
+    for (const bool heard : {false, true}) {
+        io_threads peer_threads;
+        messenger peer(peer_threads.io.get_executor(), "b", 0, {"127.0.0.1", 0}, acknowledge_first_late);
+        asio::io_context io{1};
+        messenger caller(io.get_executor(), "a", 0, {"127.0.0.1", 0}, no_reply);
+        caller.set_peers({{"b", {"127.0.0.1", peer.port()}}});
+        call_error error;
+        call_error other_error;
+        duration took{0};
+        duration other_took{0};
+        asio::co_spawn(io, call_with_bound(caller, 1, error, took), asio::detached);
+        asio::steady_timer later(io);
+        std::function<void(int)> call_again = [&](int n) {
+            later.expires_after(duration(100));
+            later.async_wait([&, n](const auto&) {
+                asio::co_spawn(io, call_with_bound(caller, n, other_error, other_took), asio::detached);
+                if (n < 8)
+                    call_again(n + 1);
+            });
+        };
+        if (heard)
+            call_again(2);
+        io.run_for(duration(1'500));
+        cr_expect_eq(error.code, heard ? errc::none : errc::timeout, "heard %d: %s", heard,
+                     error.reason.c_str());
+        cr_expect(heard || (!error.heard && took < duration(700)), "%d ms", static_cast<int>(took.count()));
+    }
+}
