Don't complete an answer without a length after its upload failed

Cause: the write that fails takes the pending error of the socket, so the next read returns an end of file, and an answer without a length counted as whole. After a failed write nothing that ends with the connection is whole now; an answer with a length or chunks still is, so refusals of large uploads arrive.

The product's own interface accepts no answer without a length.

--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -150,6 +150,7 @@
     bool head_request_{false};
     bool streamed_{false};
     bool reusable_{true};
+    bool upload_failed_{false}; ///< a part of the request could not be written
     bool need_more_{false};
 };
 
@@ -223,6 +224,7 @@
         co_return true;
     // The endpoint may have answered before it closed the connection, for example to refuse a large body.
     reusable_ = false;
+    upload_failed_ = true;
     if (n > 0)
         co_return true;
     error.stale = pooled;
@@ -347,10 +349,11 @@
 }
 
 /// Completes an answer that ends when its connection closes; false if the end of the connection cuts the
-/// answer.
+/// answer. After a failed write it may: the write took the error of a reset, and a read then returns the end
+/// of the stream.
 bool client_exchange::complete_at_eof()
 {
-    if (!parser_->is_header_done() || !parser_->need_eof())
+    if (!parser_->is_header_done() || !parser_->need_eof() || upload_failed_)
         return false;
     error_code ec;
     parser_->put_eof(ec);
--- a/test/platform/platform_fleet.cpp
+++ b/test/platform/platform_fleet.cpp
@@ -45,7 +45,9 @@
 http::request to_request(const platform_call& it)
 {
     const bool stream = it.path.starts_with("/stream/") || it.path.starts_with("/resumable/");
-    http::request out{stream ? "POST" : "GET", it.path, {}, stream ? "prompt of " + it.request_id : ""};
+    http::request out{stream || !it.body.empty() ? "POST" : "GET", it.path, {}, it.body};
+    if (stream && it.body.empty())
+        out.body = "prompt of " + it.request_id;
     out.headers = {{"Host", platformkit::site::host},
                    {"Limpetlock-Request-Id", it.request_id},
                    {"Limpetlock-Deadline-Ms", fmt::to_string(it.deadline.count())}};
--- a/test/platform/platform_fleet.hpp
+++ b/test/platform/platform_fleet.hpp
@@ -41,6 +41,7 @@
     std::string api_key{platformkit::site::key};
     std::string pieces;
     std::string prefix_hashes;
+    std::string body;                          ///< Sent with POST instead of the default for the path.
     std::chrono::milliseconds deadline{5'000}; ///< Time from the start of the call to the deadline.
     /// Time until the caller disconnects; 0 for never.
     std::chrono::milliseconds disconnect_after{0};
--- a/test/platform/raw_endpoint.cpp
+++ b/test/platform/raw_endpoint.cpp
@@ -46,10 +46,13 @@
     return n;
 }
 
-raw_endpoint::raw_endpoint(handler answer)
-    : answer_(std::move(answer)), acceptor_(context_, {asio::ip::make_address("127.0.0.1"), 0}),
-      thread_([this] { accept(); })
+raw_endpoint::raw_endpoint(handler answer, upload body)
+    : answer_(std::move(answer)), body_(body), acceptor_(context_, {asio::ip::make_address("127.0.0.1"), 0})
 {
+    // Otherwise the buffers of the loopback device take the whole upload.
+    if (body_ == upload::left_unread)
+        acceptor_.set_option(asio::socket_base::receive_buffer_size(4'096));
+    thread_ = std::thread([this] { accept(); });
 }
 
 raw_endpoint::~raw_endpoint()
@@ -108,7 +111,7 @@
     const std::string length = value_of(request.text, "Content-Length");
     const std::size_t body = length.empty() ? 0 : std::stoul(length);
     // Closing a connection with unread bytes would reset it.
-    if (request.text.size() < n + body)
+    if (body_ == upload::read && request.text.size() < n + body)
         asio::read(socket, asio::dynamic_buffer(request.text),
                    asio::transfer_exactly(n + body - request.text.size()), ec);
     request.number = requests_++;
--- a/test/platform/raw_endpoint.hpp
+++ b/test/platform/raw_endpoint.hpp
@@ -28,7 +28,11 @@
 public:
     using handler = std::function<void(boost::asio::ip::tcp::socket&, const raw_request&)>;
 
-    explicit raw_endpoint(handler answer);
+    /// What an endpoint does with the body of a request before it calls the handler. An unread body makes it
+    /// reset the connection at its end.
+    enum class upload { read, left_unread };
+
+    explicit raw_endpoint(handler answer, upload body = upload::read);
     raw_endpoint(const raw_endpoint&) = delete;
     raw_endpoint& operator=(const raw_endpoint&) = delete;
     ~raw_endpoint();
@@ -51,6 +55,7 @@
     void serve(boost::asio::ip::tcp::socket& socket);
 
     handler answer_;
+    upload body_;
     std::atomic<bool> stopping_{false};
     std::atomic<std::size_t> requests_{0};
     boost::asio::io_context context_;
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -86,6 +86,52 @@
     return it.local_endpoint().port();
 }
 
+/// How an answer is read: as a whole, in parts, or as a stream of events.
+enum class reading { whole, parts, events };
+
+/// Sends the request and reads its answer to the end. Returns the status of an answer that looks complete, or
+/// 0.
+int status_if_complete(fixture& it, reading how, const address& to, request message, call_error& error)
+{
+    constexpr auto fresh = connection_policy::fresh;
+    if (how == reading::whole) {
+        const auto answer =
+            it.threads.run(it.caller.call(to, std::move(message), test_deadline(), fresh, error));
+        return answer ? answer->status : 0;
+    }
+    if (how == reading::parts) {
+        const auto reader = it.threads.run(
+            it.caller.open_answer(to, std::move(message), test_deadline(), fresh, error, answer_filter()));
+        if (!reader)
+            return 0;
+        while (it.threads.run(reader->read(test_deadline()))) {
+        }
+        error = reader->error();
+        return error.code == errc::none ? reader->status() : 0;
+    }
+    const auto stream =
+        it.threads.run(it.caller.open_event_stream(to, std::move(message), test_deadline(), fresh, error));
+    if (!stream)
+        return 0;
+    while (it.threads.run(stream->next(test_deadline()))) {
+    }
+    error = stream->error();
+    return error.code == errc::none ? stream->status() : 0;
+}
+
+constexpr std::array readings{reading::whole, reading::parts, reading::events};
+
+/// Answers before the upload has arrived, and resets the connection.
+std::function<void(tcp::acceptor&)> answer_and_reset(std::string bytes)
+{
+    return [bytes = std::move(bytes)](tcp::acceptor& acceptor) {
+        raw_connection connection(acceptor);
+        connection.send(bytes);
+        std::this_thread::sleep_for(50ms);
+        connection.reset();
+    };
+}
+
 constexpr std::string_view keep_alive_answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 } // namespace
@@ -552,3 +598,59 @@
     cr_expect_eq(status_of("b", test_deadline()), 200);
     cr_expect_eq(status_of("c", boot_clock::now() + duration(300)), 0, "no answer but the copy");
 }
+
+// Guards against a part of an answer that looks complete: an endpoint answers without a length while the
+// upload is on its way, and resets the connection. The failed write takes the error of the socket, so that
+// the next read returns the end of the stream.
+Test(client, answer_without_length_is_cut_if_the_upload_failed)
+{
+    client_limits limits;
+    limits.accept_close_delimited = true;
+    request upload{"POST", "/", {}, std::string(std::size_t{16} * 1024 * 1024, 'x')};
+    for (const auto how : readings) {
+        fixture it(limits);
+        const scripted_endpoint endpoint(answer_and_reset("HTTP/1.1 200 OK\r\n\r\ndata: 1\n\n"));
+        call_error error;
+        cr_expect_eq(status_if_complete(it, how, endpoint.listen_address(), upload, error), 0);
+        cr_expect(error.code == errc::closed && error.sent, "%s", error.reason.c_str());
+    }
+}
+
+// Guards against a refusal that is lost: an endpoint refuses an upload with an answer whose length is known.
+Test(client, answer_with_length_counts_although_the_upload_failed)
+{
+    request upload{"POST", "/", {}, std::string(std::size_t{16} * 1024 * 1024, 'x')};
+    fixture it;
+    const scripted_endpoint endpoint(
+        answer_and_reset("HTTP/1.1 413 Content Too Large\r\nContent-Length: 2\r\n\r\nno"));
+    call_error error;
+    cr_expect_eq(status_if_complete(it, reading::whole, endpoint.listen_address(), upload, error), 413, "%s",
+                 error.reason.c_str());
+}
+
+// Guards against an answer with the status 000, and against a head that was cut, as answers with or without a
+// body.
+Test(client, status_000_and_cut_heads_are_no_answers)
+{
+    client_limits limits;
+    limits.accept_close_delimited = true;
+    const std::vector<std::string> cases{"HTTP/1.1 000 \r\n\r\n",
+                                         "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
+                                         "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+                                         "HTTP/1.1 200",
+                                         "HTTP/1.1 200 OK\r\n",
+                                         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+                                         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r",
+                                         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n",
+                                         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA: b\r\n",
+                                         "HTTP/1.0 200 OK\n"};
+    for (const auto how : readings)
+        for (const auto& bytes : cases) {
+            fixture it(limits);
+            const scripted_endpoint endpoint(answer_once(bytes));
+            call_error error;
+            cr_expect_eq(status_if_complete(it, how, endpoint.listen_address(), {}, error), 0, "%s",
+                         bytes.c_str());
+            cr_expect(error.code != errc::none, "%s", bytes.c_str());
+        }
+}
