Count a crash before the first byte of an answer against the parts of its prompt

Cause: a connection that ended without a byte was no evidence, since requests that wait at a lost engine look the same.

It is evidence now once the engine's process turns out to have ended: it refuses connections, is listed with another start, or is missing from the list. Such a crash counts half, so four engines convict a part; a complete answer clears it as before; and where answers had begun in two crashes, only those count, as before. A reset by a living engine is still no evidence. The evidence travels to peers with a new optional field.

--- a/include/limpetlock/gateway/prompt_quarantine.hpp
+++ b/include/limpetlock/gateway/prompt_quarantine.hpp
@@ -2,24 +2,29 @@
 /// Finds the parts of prompts under which engines crash, and tells which requests to hold back.
 #pragma once
 
+#include <limpetlock/gateway/model.hpp>
 #include <limpetlock/support/time.hpp>
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace limpetlock::gateway {
 
-/// An engine that was lost when it began to answer a request.
+/// An engine that was lost when it began to answer a request, or before.
 struct crash_sighting {
     std::string endpoint;
     std::int64_t started_ms{0}; ///< start of its process, as in endpoint::started_ms
     std::string reporter;       ///< instance that had sent the request
     time_point at{};
+    /// No byte of the answer had arrived, so the request may have been one that only waited there.
+    bool silent{false};
 
     friend bool operator==(const crash_sighting&, const crash_sighting&) = default;
 };
@@ -35,7 +40,9 @@
 
 /// Collects evidence of all instances on the parts of prompts.
 ///
-/// Each crash counts against all shared parts of the request that the engine had begun to answer. Complete
+/// Each crash counts against all shared parts of the request that the engine had begun to answer. A crash
+/// before the first byte counts half, and only once it shows that the process of the engine has ended: the
+/// requests that waited there were lost with it. Complete
 /// answers clear the parts of their prompts. Parts that were present in the same crashes can't be told apart:
 /// only requests that have all of them are held back, until a crash or an answer tells them apart. Of parts
 /// that share some crashes, the one with the most explains those of the others.
@@ -62,6 +69,10 @@
     static constexpr std::size_t max_suspects = 1'024;
     static constexpr std::size_t max_crashes_per_part = 8;
     static constexpr std::size_t max_answered_parts = 4'096; ///< of each of two generations
+    static constexpr std::size_t max_silent_losses = 512;
+
+    /// A silent loss is no evidence if its engine hasn't shown within this time that its process ended.
+    static constexpr duration silent_loss_memory{10'000};
 
     /// A quarantined part of a request.
     struct verdict {
@@ -72,6 +83,16 @@
     /// Records the loss of an engine that had begun to answer a request with these shared parts.
     void record_crash(const std::vector<std::uint64_t>& parts, const crash_sighting& crash);
 
+    /// Records that the connection of a request with these shared parts ended before any byte of an answer.
+    /// It counts as a crash once end_of_process() or set_endpoints() show the end of the engine's process.
+    void record_silent_loss(const std::vector<std::uint64_t>& parts, crash_sighting loss);
+
+    /// Records that the process of an endpoint has ended, for instance because it refuses connections.
+    void end_of_process(std::string_view endpoint, time_point now);
+
+    /// Records the processes that are listed now: those that are missing have ended.
+    void set_endpoints(const std::vector<endpoint>& list, time_point now);
+
     /// Records a complete answer to a request with these shared parts.
     void record_answer(const std::vector<std::uint64_t>& parts, time_point now);
 
@@ -108,12 +129,23 @@
                 std::optional<time_point> answered, time_point now);
     void make_room();
     void log_change(suspect& it, time_point now) const;
+    template <typename Predicate>
+    void confirm_losses(time_point now, Predicate ended);
+    /// The open crashes of a part that convict it; empty if they don't.
+    std::vector<crash_sighting> convicting_crashes(const part_evidence& it) const;
     bool is_quarantined(const part_evidence& it, time_point now) const;
     bool explains_crashes_of_one(const std::vector<crash_sighting>& crashes) const;
     bool blocks(const part_evidence& it, const std::vector<std::uint64_t>& parts, time_point now) const;
     std::optional<time_point> last_answer(std::uint64_t part) const;
 
+    /// The loss of a connection, and the parts of its request.
+    struct silent_loss {
+        std::vector<std::uint64_t> parts;
+        crash_sighting crash;
+    };
+
     std::map<std::uint64_t, suspect> suspects_; ///< by part
+    std::deque<silent_loss> silent_losses_;     ///< in the order of their times
     std::unordered_map<std::uint64_t, time_point> answers_;
     std::unordered_map<std::uint64_t, time_point> older_answers_;
     time_point generation_began_{};
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -129,6 +129,8 @@
             sighting.started_ms = crash.started_ms;
             sighting.reporter = crash.reporter;
             sighting.age_ms = std::max<std::int64_t>(0, (now - crash.at).count());
+            if (crash.silent)
+                sighting.__set_silent(true);
             message.crashes.push_back(std::move(sighting));
         }
         out.push_back(std::move(message));
@@ -143,8 +145,8 @@
     if (it.answer_age_ms >= 0)
         out.answered = now - age_from_peer(it.answer_age_ms);
     for (const auto& crash : it.crashes)
-        out.crashes.push_back(
-            {crash.endpoint, crash.started_ms, crash.reporter, now - age_from_peer(crash.age_ms)});
+        out.crashes.push_back({crash.endpoint, crash.started_ms, crash.reporter,
+                               now - age_from_peer(crash.age_ms), crash.silent});
     return out;
 }
 
--- a/lib/gateway/instance.cpp
+++ b/lib/gateway/instance.cpp
@@ -197,6 +197,7 @@
         };
         out.on_endpoints = [this](const std::vector<endpoint>& it) {
             listed = it;
+            quarantine.set_endpoints(it, boot_clock::now());
             statements.set_endpoints(it);
             apply_endpoints();
         };
--- a/lib/gateway/prompt_quarantine.cpp
+++ b/lib/gateway/prompt_quarantine.cpp
@@ -43,6 +43,21 @@
     return out;
 }
 
+/// Those of the crashes in which the engine had begun to answer.
+std::vector<crash_sighting> begun_crashes(std::vector<crash_sighting> crashes)
+{
+    std::erase_if(crashes, [](const crash_sighting& it) { return it.silent; });
+    return crashes;
+}
+
+std::size_t count_endpoints(const std::vector<crash_sighting>& crashes)
+{
+    std::set<std::string_view> out;
+    for (const auto& it : crashes)
+        out.insert(it.endpoint);
+    return out.size();
+}
+
 bool includes_crashes(const std::vector<crash_sighting>& all, const std::vector<crash_sighting>& some)
 {
     return std::includes(all.begin(), all.end(), some.begin(), some.end(), in_crash_order);
@@ -69,6 +84,45 @@
                 update(*it, {crash}, std::nullopt, crash.at);
 }
 
+void prompt_quarantine::record_silent_loss(const std::vector<std::uint64_t>& parts, crash_sighting loss)
+{
+    const time_point now = loss.at;
+    loss.silent = true;
+    while (!silent_losses_.empty() && (silent_losses_.size() >= max_silent_losses ||
+                                       now - silent_losses_.front().crash.at > silent_loss_memory))
+        silent_losses_.pop_front();
+    silent_losses_.push_back({parts, std::move(loss)});
+}
+
+/// Counts the silent losses whose process has ended as crashes.
+template <typename Predicate>
+void prompt_quarantine::confirm_losses(time_point now, Predicate ended)
+{
+    const auto rest = std::stable_partition(silent_losses_.begin(), silent_losses_.end(),
+                                            [&ended](const silent_loss& it) { return !ended(it.crash); });
+    const std::vector<silent_loss> confirmed(rest, silent_losses_.end());
+    silent_losses_.erase(rest, silent_losses_.end());
+    for (const auto& it : confirmed)
+        if (now - it.crash.at <= silent_loss_memory)
+            record_crash(it.parts, it.crash);
+}
+
+void prompt_quarantine::end_of_process(std::string_view endpoint, time_point now)
+{
+    confirm_losses(now, [endpoint](const crash_sighting& it) { return it.endpoint == endpoint; });
+}
+
+void prompt_quarantine::set_endpoints(const std::vector<endpoint>& list, time_point now)
+{
+    if (silent_losses_.empty())
+        return;
+    confirm_losses(now, [&list](const crash_sighting& it) {
+        return std::none_of(list.begin(), list.end(), [&it](const endpoint& other) {
+            return other.id == it.endpoint && other.started_ms == it.started_ms;
+        });
+    });
+}
+
 void prompt_quarantine::record_answer(const std::vector<std::uint64_t>& parts, time_point now)
 {
     if (answers_.size() >= max_answered_parts || now - generation_began_ > answer_memory) {
@@ -102,9 +156,13 @@
     it.evidence.part = part;
     for (const auto& crash : crashes) {
         auto& known = it.evidence.crashes;
-        if (std::any_of(known.begin(), known.end(),
-                        [&crash](const crash_sighting& other) { return same_crash(crash, other); }))
+        const auto same = std::find_if(known.begin(), known.end(), [&crash](const crash_sighting& other) {
+            return same_crash(crash, other);
+        });
+        if (same != known.end()) {
+            same->silent = same->silent && crash.silent;
             continue;
+        }
         if (known.size() >= max_crashes_per_part)
             known.erase(std::min_element(known.begin(), known.end(),
                                          [](const auto& a, const auto& b) { return a.at < b.at; }));
@@ -157,14 +215,24 @@
     it.quarantine_logged = quarantined;
 }
 
+/// Crashes in which the answer had begun come first: what only waited at an engine must not blur them.
+std::vector<crash_sighting> prompt_quarantine::convicting_crashes(const part_evidence& it) const
+{
+    auto all = open_crashes(it);
+    auto begun = begun_crashes(all);
+    const std::size_t begun_endpoints = count_endpoints(begun);
+    if (begun_endpoints >= min_crashed_endpoints || explains_crashes_of_one(begun))
+        return begun;
+    // An endpoint without a begun answer counts half.
+    if (begun_endpoints + count_endpoints(all) >= 2 * min_crashed_endpoints)
+        return all;
+    return {};
+}
+
 bool prompt_quarantine::is_quarantined(const part_evidence& it, time_point now) const
 {
-    const auto crashes = open_crashes(it);
-    std::set<std::string_view> endpoints;
-    for (const auto& crash : crashes)
-        endpoints.insert(crash.endpoint);
-    const bool convicted = endpoints.size() >= min_crashed_endpoints || explains_crashes_of_one(crashes);
-    return convicted && now - last_crash(crashes) < quarantine_time;
+    const auto crashes = convicting_crashes(it);
+    return !crashes.empty() && now - last_crash(crashes) < quarantine_time;
 }
 
 /// Whether these are enough crashes of one endpoint, and no other one of it is known since the first of them.
@@ -206,9 +274,13 @@
 {
     if (!is_quarantined(it, now))
         return false;
-    const auto crashes = open_crashes(it);
+    const auto crashes = convicting_crashes(it);
+    const bool with_silent =
+        std::any_of(crashes.begin(), crashes.end(), [](const crash_sighting& crash) { return crash.silent; });
     for (const auto& [part, other] : suspects_) {
-        const auto others = open_crashes(other.evidence);
+        auto others = open_crashes(other.evidence);
+        if (!with_silent)
+            others = begun_crashes(std::move(others));
         if (part == it.part || !includes_crashes(others, crashes))
             continue;
         const bool same = others.size() == crashes.size();
@@ -227,7 +299,7 @@
         if (it == suspects_.end() || !blocks(it->second.evidence, parts, now))
             continue;
         const auto& evidence = it->second.evidence;
-        return verdict{evidence, last_crash(open_crashes(evidence)) + quarantine_time - now};
+        return verdict{evidence, last_crash(convicting_crashes(evidence)) + quarantine_time - now};
     }
     return std::nullopt;
 }
--- a/lib/gateway/request_context.hpp
+++ b/lib/gateway/request_context.hpp
@@ -86,6 +86,8 @@
     bool any_event{false};                    ///< a whole event of the answer arrived
     /// The connection ended when the endpoint had just begun an answer.
     bool lost_at_begin{false};
+    /// The connection ended before any byte of an answer.
+    bool lost_silently{false};
 };
 
 std::string_view to_string(attempt_end it);
--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -511,7 +511,7 @@
 
 /// Engines crash when they begin to write an answer, so an attempt that lost its connection then is evidence
 /// against the parts of its prompt. Of the other requests of the same engine, those that wait have no byte of
-/// an answer yet, and those that run began earlier.
+/// an answer yet, and those that run began earlier. A loss before any byte is weaker evidence.
 void request_handler::record_prompt_evidence(const request_context& it, const endpoint& to,
                                              const attempt_result& last)
 {
@@ -519,10 +519,15 @@
     const auto parts = shared_parts(it.request);
     if (last.end == attempt_end::delivered && last.outcome == attempt_outcome::answered)
         dependencies_.quarantine.record_answer(parts, now);
-    if (!last.lost_at_begin || parts.empty())
+    if (parts.empty() || !(last.lost_at_begin || last.lost_silently))
         return;
+    const crash_sighting crash{to.id, to.started_ms, dependencies_.settings.name, now};
+    if (last.lost_silently) {
+        dependencies_.quarantine.record_silent_loss(parts, crash);
+        return;
+    }
     engines_lost_.add();
-    dependencies_.quarantine.record_crash(parts, {to.id, to.started_ms, dependencies_.settings.name, now});
+    dependencies_.quarantine.record_crash(parts, crash);
 }
 
 /// Whether the request may be sent to another endpoint after this attempt. That depends on the route, on the
@@ -711,6 +716,9 @@
     if (!answer) {
         out = failed_attempt(error);
         out.lost_at_begin = error.code == http::errc::closed && error.answer_begun;
+        out.lost_silently = error.code == http::errc::closed && error.sent && !error.answer_begun;
+        if (error.code == http::errc::connection_refused)
+            dependencies_.quarantine.end_of_process(to.target.id, boot_clock::now());
         to.conclude(evidence_of(out.outcome, now), boot_clock::now());
         co_return opened;
     }
--- a/lib/peer/peer.thrift
+++ b/lib/peer/peer.thrift
@@ -140,6 +140,7 @@
   2: i64 started_ms;
   3: string reporter;
   4: i64 age_ms;
+  5: optional bool silent; // no byte of the answer had arrived
 }
 
 /// Evidence that engines crash on a part of a prompt.
--- a/test/platform/quarantine_test.cpp
+++ b/test/platform/quarantine_test.cpp
@@ -149,6 +149,15 @@
     check(send_traffic(fleet, 3, {"/stream/x", 20, milliseconds(250), crash_moment::after_first_event}));
 }
 
+// Guards against a deadly part that escapes because its engines crash before any byte of the answer is out:
+// the head of an answer is lost with the process that has not sent it yet.
+Test(quarantine, part_whose_engines_crash_before_the_answer_is_held_back)
+{
+    platform_fleet fleet(3, many_engines());
+    cr_assert(fleet.wait_ready());
+    check(send_traffic(fleet, 3, {"/stream/x", 24, milliseconds(400), crash_moment::before_answer}));
+}
+
 namespace {
 
 /// Two engines that end each connection after the first bytes of the head, if the prompt has the deadly part,
--- a/unittests/gateway/quarantine_test.cpp
+++ b/unittests/gateway/quarantine_test.cpp
@@ -308,3 +308,69 @@
         }
     }
 }
+
+// Guards against a deadly part that is never held back because its engines crash before any byte of an
+// answer.
+Test(prompt_quarantine, crashes_before_the_answer_convict_after_twice_as_many_endpoints)
+{
+    prompt_quarantine it;
+    for (int n = 0; n < 4; ++n) {
+        cr_expect_not(it.find_quarantined({5}, at(1'000 * n)), "%d", n);
+        it.record_silent_loss({5, static_cast<std::uint64_t>(100 + n)}, crash_of(n, 1'000 * n));
+        it.end_of_process("e" + std::to_string(n), at(1'000 * n + 200));
+    }
+    cr_expect(it.find_quarantined({5}, at(4'000)));
+    cr_expect_not(it.find_quarantined({100}, at(4'000)));
+}
+
+// Guards against sound prompts that are held back because connections of living engines were reset.
+Test(prompt_quarantine, silent_loss_at_a_living_engine_is_no_evidence)
+{
+    prompt_quarantine it;
+    std::vector<endpoint> list(8);
+    for (int n = 0; n < 8; ++n) {
+        list[static_cast<std::size_t>(n)].id = "e" + std::to_string(n);
+        list[static_cast<std::size_t>(n)].started_ms = 1;
+        it.record_silent_loss({5}, crash_of(n, n));
+    }
+    it.set_endpoints(list, at(100));
+    cr_expect_eq(it.suspect_count(), 0);
+    it.end_of_process("e0", at(20'000));
+    cr_expect_eq(it.suspect_count(), 0, "too late to belong to the loss");
+}
+
+// Guards against a crash that is missed because the engine restarts at once under the same id, or never
+// returns.
+Test(prompt_quarantine, list_shows_the_end_of_a_process)
+{
+    prompt_quarantine it;
+    it.record_silent_loss({5}, crash_of(0, 0));
+    it.record_silent_loss({6}, crash_of(1, 0));
+    it.record_silent_loss({7}, crash_of(2, 0));
+    std::vector<endpoint> list(2);
+    list[0].id = "e0";
+    list[0].started_ms = 2;
+    list[1].id = "e2";
+    list[1].started_ms = 1;
+    it.set_endpoints(list, at(500));
+    cr_expect_eq(it.suspect_count(), 2);
+}
+
+// Guards against sound prompts that are held back because they waited at several engines that crashed, and
+// against a deadly part that escapes because a common part was also lost with other requests.
+Test(prompt_quarantine, common_parts_of_waiting_requests_are_cleared_and_hide_nothing)
+{
+    prompt_quarantine it;
+    for (int n = 0; n < 6; ++n) {
+        it.record_answer({1}, at(1'000 * n));
+        it.record_silent_loss({1, static_cast<std::uint64_t>(200 + n)}, crash_of(n, 1'000 * n + 10));
+        it.end_of_process("e" + std::to_string(n), at(1'000 * n + 100));
+    }
+    cr_expect_not(it.find_quarantined({1}, at(7'000)));
+    prompt_quarantine other;
+    other.record_crash({2, 666}, crash_of(1, 0));
+    other.record_crash({2, 666}, crash_of(2, 100));
+    other.record_silent_loss({2}, crash_of(3, 200));
+    other.end_of_process("e3", at(300));
+    cr_expect(other.find_quarantined({2, 666}, at(400)));
+}
--- a/utils/platformkit/endpoints.cpp
+++ b/utils/platformkit/endpoints.cpp
@@ -254,9 +254,14 @@
     if (!after.empty())
         ++next;
     const std::size_t cut_at = (options_.events + next) / 2;
+    const bool deadly = !deadly_part_.empty() &&
+                        ("," + runs_[run].prompt).find("," + deadly_part_ + ":") != std::string::npos;
+    if (deadly && crash_moment_ == crash_moment::before_answer) {
+        asio::co_spawn(executor_, crash(), asio::detached);
+        co_return;
+    }
     bool ok = co_await io.begin_stream(200, headers);
-    if (!deadly_part_.empty() &&
-        ("," + runs_[run].prompt).find("," + deadly_part_ + ":") != std::string::npos) {
+    if (deadly) {
         const std::string begun = crash_moment_ == crash_moment::after_first_event
                                       ? fmt::format("id: {}\ndata: x\n\n", next)
                                       : std::string("id: ");
--- a/utils/platformkit/endpoints.hpp
+++ b/utils/platformkit/endpoints.hpp
@@ -37,7 +37,7 @@
 };
 
 /// How much of the answer an engine writes before it crashes.
-enum class crash_moment : std::uint8_t { inside_first_event, after_first_event };
+enum class crash_moment : std::uint8_t { before_answer, inside_first_event, after_first_event };
 
 /// How an endpoint answers its health path.
 enum class health_behaviour : std::uint8_t {
