Hold back requests whose part is convicted while they wait for a permit

Cause: a request asked the quarantine once and then waited for its endpoint, for the permit of a limited one up to a quarter of its time; it was passed on whatever became known meanwhile. It asks again after the wait.

--- a/lib/gateway/request_handler.cpp
+++ b/lib/gateway/request_handler.cpp
@@ -579,7 +579,8 @@
         it.endpoint_criteria.suspected =
             dependencies_.quarantine.suspected_endpoints(shared_parts(it.request), boot_clock::now());
         const auto to = co_await select_endpoint(it);
-        if (!to)
+        // The part may have been convicted while the request waited for a permit.
+        if (!to || !passes_quarantine(it))
             break;
         if (!can_end(it, boot_clock::now())) {
             if (it.possible_executions == 0)
--- a/test/platform/quarantine_test.cpp
+++ b/test/platform/quarantine_test.cpp
@@ -213,3 +213,40 @@
     cr_expect_eq(it.deadly_refused, 0);
     cr_expect_eq(it.sound_complete, it.sound);
 }
+
+// Guards against requests that wait for a permit of a limited engine and are passed on after the part of
+// their prompt was found to crash engines.
+Test(quarantine, requests_that_wait_for_a_permit_are_held_back)
+{
+    constexpr std::size_t engines = 6;
+    site_options options;
+    options.engines = engines;
+    platform_fleet fleet(1, options);
+    cr_assert(fleet.wait_ready());
+    fleet.with_site([](site& it) {
+        for (const auto& engine : it.engines) {
+            engine->limit.state("4");
+            engine->crash_on(deadly_part, milliseconds(200), crash_moment::inside_first_event);
+        }
+    });
+    std::vector<std::future<platform_answer>> calls;
+    for (int n = 0; n < 40; ++n)
+        calls.push_back(fleet.send(0, call_with("/resumable/x", fmt::format("1:50,{:x}:30", n + 5'000), n)));
+    for (auto& it : calls)
+        it.get();
+    calls.clear();
+    std::this_thread::sleep_for(milliseconds(1'000));
+    for (int n = 0; n < 24; ++n)
+        calls.push_back(fleet.send(
+            0, call_with("/resumable/x", fmt::format("1:50,dead:70,{:x}:30", n + 1'000), 100 + n)));
+    for (auto& it : calls)
+        it.get();
+    std::size_t runs = 0;
+    fleet.with_site([&runs](site& it) {
+        for (const auto& engine : it.engines)
+            for (const auto& run : engine->runs())
+                runs += run.prompt.find("dead:") != std::string::npos ? 1 : 0;
+    });
+    // Each engine gets one before the first crash is known.
+    cr_expect_leq(runs, engines, "%zu", runs);
+}
