--- a/test/platform/quarantine_test.cpp
+++ b/test/platform/quarantine_test.cpp
@@ -230,6 +230,7 @@
         }
     });
     std::vector<std::future<platform_answer>> calls;
+    calls.reserve(40);
     for (int n = 0; n < 40; ++n)
         calls.push_back(fleet.send(0, call_with("/resumable/x", fmt::format("1:50,{:x}:30", n + 5'000), n)));
     for (auto& it : calls)
