Search for a stage call once when no endpoint can get one

The test decision_cost/deferred_tasks_are_examined_once_for_all_endpoints failed before: 2,400 examinations of 400 tasks with 6 endpoints.

--- a/include/limpetlock/gateway/piece_queue.hpp
+++ b/include/limpetlock/gateway/piece_queue.hpp
@@ -130,6 +130,14 @@
         return pieces[static_cast<std::size_t>(reason)];
     }
 
+    /// Whether another endpoint might get pieces that were passed over.
+    bool depends_on_endpoint() const
+    {
+        return passed_over(pass_over_reason::size) + passed_over(pass_over_reason::storage) +
+                   passed_over(pass_over_reason::locality) >
+               0;
+    }
+
     /// Empty places for each reason: each one counts for the first reason for which a piece is left that was
     /// passed over. The last element is the number of places for which no piece waited.
     std::array<std::size_t, pass_over_reason_count + 1> places_by_reason() const;
--- a/lib/gateway/stage_dispatcher.cpp
+++ b/lib/gateway/stage_dispatcher.cpp
@@ -217,6 +217,8 @@
             return std::nullopt;
         auto [pieces, vacancy] = queue_.pop_batch(options_, to->listed.domain, free_times(now),
                                                   free_result_bytes(*to), deferred, now);
+        if (pieces.empty() && !vacancy.depends_on_endpoint())
+            return std::nullopt;
         if (pieces.empty()) {
             excluded.push_back(to->listed.id);
             continue;
--- a/unittests/gateway/decision_cost_test.cpp
+++ b/unittests/gateway/decision_cost_test.cpp
@@ -145,3 +145,18 @@
     cr_expect(it.get(at(49)));
     cr_expect_not(it.get(at(50)));
 }
+
+// While all tasks wait for a later stage, each order and tick looks for a call. The search must not be
+// repeated for each free endpoint.
+Test(decision_cost, deferred_tasks_are_examined_once_for_all_endpoints)
+{
+    auto pool = make_pool(400, false);
+    std::size_t examined = 0;
+    const task_filter deferred = [&examined](const stage_task&) {
+        ++examined;
+        return true;
+    };
+    cr_assert_not(pool.next_call(at(10), deferred));
+    // Once for the threshold for filling and once for the batch.
+    cr_expect_leq(examined, 800, "%zu", examined);
+}
