--- a/test/platform/soak_test.cpp
+++ b/test/platform/soak_test.cpp
@@ -136,8 +136,12 @@
     } else {
         fleet_.signal(which, SIGTERM);
         pending_recoveries_.emplace(now + fault_time, [this, which, restart] {
-            cr_expect_eq(fleet_.wait_exit(which, seconds(10)), 0,
-                         "a planned stop ends with an exit code other than 0");
+            const int code = fleet_.wait_exit(which, seconds(10));
+            std::string steps;
+            for (const auto& it : fleet_.log_lines(which, "event=stop"))
+                steps += '\n' + it;
+            cr_expect_eq(code, 0, "seed %lu: a planned stop of instance %zu ends with exit code %d:%s", seed_,
+                         which, code, steps.c_str());
             restart();
         });
     }
