--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -229,6 +229,23 @@
             self.open_watches -= 1
 
 
+class StoreAddress(Listener):
+    """An address of the store for one gateway, so that the store knows who calls."""
+
+    def __init__(self, store):
+        super().__init__()
+        self.store = store
+        self.watches = 0  # that are open
+
+    async def handle(self, channel, message):
+        watch = message.target.startswith("/v1/kv-watch")
+        self.watches += watch
+        try:
+            await self.store.handle(channel, message)
+        finally:
+            self.watches -= watch
+
+
 class Server(Listener):
     """A server of a plain service. It runs each request for a few milliseconds."""
 
@@ -343,6 +360,10 @@
         for it in self.processes.values():
             it.wait()
 
+    def kill(self, name):
+        self.processes[name].kill()
+        self.processes[name].wait()
+
     def front(self, name):
         return self.ports[name][0]
 
