Replicas record from which revision on they know every removal

What callers saw: an endpoint is removed while three of six instances are down.

Cause: an instance that starts lists the store and counts as complete up to that revision, but knows no removal from before. Peers that asked it for the changes after an earlier revision got them without the removal, took over the newer revision and never asked again. The same happened after a repeated listing, after a whole state from a peer, after a listing of evacuation orders alone, and when changes or a whole state arrived after a later listing that lacked an entry.

Why it works: a replica records the revision after which it knows every removal. Who asks for earlier changes gets the state whole and removes what it lacks. Changes complete a copy only if they follow what it has, and entries that are older than a complete copy without them are left out.

The deliveries of restored_test now go through the functions of the product that decide whether changes complete a copy; it did so by itself before.

--- a/include/limpetlock/gateway/published_state.hpp
+++ b/include/limpetlock/gateway/published_state.hpp
@@ -28,6 +28,17 @@
     friend bool operator==(const table_proof&, const table_proof&) = default;
 };
 
+/// The state of a peer, as the answer to a pull of the changes after `after`.
+struct peer_state {
+    std::vector<state_entry> entries;
+    state_revision after;
+    state_revision revision;     ///< up to which the peer has every change
+    bool whole{false};           ///< the entries are all that the peer has, and not only the changes
+    bool has_evacuations{false}; ///< the peer knows the orders to evacuate failure domains
+
+    friend bool operator==(const peer_state&, const peer_state&) = default;
+};
+
 /// Merges entries of the store and of peers, decodes them and reports changes.
 class published_state {
 public:
@@ -46,14 +57,21 @@
     /// `codec` has to outlive this object.
     published_state(const platform_codec& codec, callbacks calls);
 
-    /// Merges changed entries of the store or of a peer.
+    /// Merges entries that the store has now.
     void merge(std::vector<state_entry> entries, time_point now);
+    /// Merges all changes after `after` and up to `revision`, which may arrive late: entries that were
+    /// removed since are left out. Returns false if the changes don't complete the copy; see
+    /// replica::record_changes.
+    bool merge_changes(std::vector<state_entry> entries, state_revision after, state_revision revision,
+                       time_point now);
+    /// Merges the state of a peer. Returns false if the changes don't complete the copy.
+    bool merge_peer_state(peer_state from_peer, time_point now);
     /// Applies a full listing of the endpoints as of `revision`; see replica::apply_listing.
     void apply_listing(std::vector<state_entry> entries, state_revision revision, time_point now);
     /// The same for a full listing of the orders to evacuate failure domains.
     void apply_evacuation_listing(std::vector<state_entry> entries, state_revision revision, time_point now);
-    /// Records that every change up to the revision has been merged.
-    void advance_revision(state_revision revision) { entries_.advance_revision(revision); }
+    /// Records that full listings of the table, the endpoints and the orders have been applied.
+    void record_listing(state_revision revision) { entries_.record_listing(revision); }
 
     /// Records a proof. Returns false if it is for a newer table than the one in force, or for another
     /// version of another era.
@@ -93,9 +111,8 @@
     bool follows_evacuations() const { return static_cast<bool>(callbacks_.on_evacuations); }
     const evacuations& evacuation_orders() const { return evacuations_; }
 
-    /// Records that changes were merged of a peer that doesn't know the orders, so orders may be missing here
+    /// Whether changes were merged of a peer that doesn't know the orders, so orders may be missing here
     /// until the next listing of them.
-    void record_missing_evacuations() { evacuations_missing_ = follows_evacuations(); }
     bool misses_evacuations() const { return evacuations_missing_; }
 
     const replica& entries() const { return entries_; }
--- a/include/limpetlock/gateway/replica.hpp
+++ b/include/limpetlock/gateway/replica.hpp
@@ -36,8 +36,16 @@
     /// changed later. Returns whether anything changed.
     bool apply_listing(std::string_view prefix, std::vector<state_entry> entries, state_revision revision);
 
-    /// Records that every change up to the revision has been applied.
-    void advance_revision(state_revision revision);
+    /// Records that every change after `after` and up to `revision` has been applied. Returns false if
+    /// changes before `after` are missing, so that these changes don't complete the copy.
+    bool record_changes(state_revision after, state_revision revision);
+
+    /// Records that full listings of all prefixes as of the revision have been applied. What was removed
+    /// between the former revision and that one remains unknown.
+    void record_listing(state_revision revision);
+
+    /// Records that removals up to the revision may be unknown, although later changes are complete.
+    void record_unknown_removals(state_revision revision);
 
     /// Every change up to this revision has been applied; 0 before the first listing.
     state_revision revision() const { return revision_; }
@@ -47,9 +55,19 @@
     /// Returns the entries that are not removed and whose key begins with the prefix, ordered by key.
     std::vector<const state_entry*> entries_under(std::string_view prefix) const;
 
+    /// Whether the entry is older than this copy, which is complete up to a later revision and doesn't have
+    /// it: it was removed, although the removal itself may be unknown.
+    bool is_known_removed(const state_entry& it) const
+    {
+        return !it.removed && it.revision <= revision_ && find(it.key) == nullptr;
+    }
+
+    /// Whether every removal after the revision is known.
+    bool knows_removals_after(state_revision revision) const { return revision >= removals_known_after_; }
+
     /// Returns the entries that changed after the revision, with removals, and those that are kept from an
-    /// earlier era although the store has an older value. If removals of that time may have been dropped,
-    /// sets `whole` and returns all entries that are not removed.
+    /// earlier era although the store has an older value. If removals of that time may be unknown, sets
+    /// `whole` and returns all entries that are not removed.
     std::vector<state_entry> changes_after(state_revision revision, bool& whole) const;
 
     /// Takes entries of later eras as the first changes of this one, and every change as missing.
@@ -67,8 +85,8 @@
     version_reader read_version_;
     std::map<std::string, state_entry, std::less<>> entries_;
     state_revision revision_;
-    state_revision trimmed_to_; ///< removals up to this revision may have been dropped
-    std::size_t removed_{0};    ///< number of removed entries that are kept
+    state_revision removals_known_after_; ///< removals up to this revision may be unknown or were dropped
+    std::size_t removed_{0};              ///< number of removed entries that are kept
 };
 
 } // namespace limpetlock::gateway
--- a/lib/gateway/fleet.cpp
+++ b/lib/gateway/fleet.cpp
@@ -252,6 +252,8 @@
                                             "times that this process stood still for over 600 ms")),
       unclear_calls_(metrics.get_counter("limpetlock_peer_calls_unclear_total",
                                          "calls without a reply that don't show whether the peer is gone")),
+      whole_states_(metrics.get_counter("limpetlock_whole_states_total",
+                                        "states that a peer sent whole, for lack of older removals")),
       metrics_(metrics), messenger_(executor_, settings.name, 0, to_peer(settings.peer_address),
                                     [this](wire::frame message) { return answer(std::move(message)); }),
       random_(static_cast<std::minstd_rand::result_type>(hash64(settings.name, 1)))
@@ -470,8 +472,9 @@
     const time_point sent = boot_clock::now();
     wire::frame message;
     wire::state_pull_message body;
-    body.after_revision = state_.entries().revision().number;
-    body.after_era = state_.entries().revision().era;
+    const state_revision after = state_.entries().revision();
+    body.after_revision = after.number;
+    body.after_era = after.era;
     body.accepts_compressed = true;
     body.accepts_packed = true;
     message.__set_state_pull(body);
@@ -496,14 +499,13 @@
     if (!state_.record_peer_era(push.era, now))
         co_return;
     const state_revision revision(push.revision, push.era);
-    if (push.whole && push.has_evacuations)
-        state_.apply_evacuation_listing(std::vector<state_entry>(*entries), revision, now);
     if (push.whole)
-        state_.apply_listing(std::vector<state_entry>(*entries), revision, now);
-    if (!push.has_evacuations)
-        state_.record_missing_evacuations();
-    state_.merge(std::move(*entries), now);
-    state_.advance_revision(revision);
+        whole_states_.add();
+    if (!state_.merge_peer_state({std::move(*entries), after, revision, push.whole, push.has_evacuations},
+                                 now))
+        log::info("state_incomplete", {{"peer", from},
+                                       {"after_revision", fmt::to_string(after.number)},
+                                       {"revision", fmt::to_string(revision.number)}});
     if (push.proof_age_ms >= 0)
         state_.record_proof(
             {{push.table_revision, push.table_era}, sent - duration(push.proof_age_ms), push.table_version});
@@ -511,6 +513,7 @@
                                   {"revision", fmt::to_string(push.revision)},
                                   {"era", fmt::to_string(push.era)},
                                   {"items", fmt::to_string(push.items.size())},
+                                  {"whole", push.whole ? "yes" : "no"},
                                   {"peer_table_revision", fmt::to_string(push.table_revision)},
                                   {"table_revision", fmt::to_string(state_.table_revision().number)},
                                   {"took_ms", fmt::to_string((now - sent).count())},
@@ -678,7 +681,8 @@
             make_pong(now, message.member_ping.brief ? ping_content::brief : ping_content::full));
         co_return reply;
     }
-    const bool busy = busy_with_pushes(now) && message.state_pull.after_revision == 0;
+    const state_revision pulled_after(message.state_pull.after_revision, message.state_pull.after_era);
+    const bool busy = busy_with_pushes(now) && !state_.entries().knows_removals_after(pulled_after);
     if (message.__isset.state_pull && !busy) {
         reply.__set_state_push(make_push(message.state_pull, now));
         co_return reply;
--- a/lib/gateway/fleet.hpp
+++ b/lib/gateway/fleet.hpp
@@ -152,6 +152,7 @@
     loop_monitor& monitor_;
     metrics::counter& suspension_count_;
     metrics::counter& unclear_calls_;
+    metrics::counter& whole_states_; ///< taken from peers
     metrics::registry& metrics_;
     peer::messenger messenger_;
     std::minstd_rand random_;
--- a/lib/gateway/published_state.cpp
+++ b/lib/gateway/published_state.cpp
@@ -46,6 +46,31 @@
         update_endpoints(now);
 }
 
+bool published_state::merge_changes(std::vector<state_entry> entries, state_revision after,
+                                    state_revision revision, time_point now)
+{
+    std::erase_if(entries, [this](const state_entry& it) { return entries_.is_known_removed(it); });
+    merge(std::move(entries), now);
+    return entries_.record_changes(after, revision);
+}
+
+bool published_state::merge_peer_state(peer_state from_peer, time_point now)
+{
+    const state_revision revision = from_peer.revision;
+    auto& entries = from_peer.entries;
+    if (!from_peer.has_evacuations)
+        evacuations_missing_ = follows_evacuations();
+    if (!from_peer.whole)
+        return merge_changes(std::move(entries), from_peer.after, revision, now);
+    if (from_peer.has_evacuations)
+        apply_evacuation_listing(entries, revision, now);
+    apply_listing(entries, revision, now);
+    std::erase_if(entries, [this](const state_entry& it) { return it.key != codec_.table_key(); });
+    merge(std::move(entries), now);
+    record_listing(revision);
+    return true;
+}
+
 void published_state::apply_listing(std::vector<state_entry> entries, state_revision revision, time_point now)
 {
     std::erase_if(entries,
@@ -61,7 +86,9 @@
         return;
     std::erase_if(entries,
                   [this](const state_entry& it) { return !it.key.starts_with(codec_.evacuation_prefix()); });
-    evacuations_missing_ = false;
+    // An order that was removed before wasn't known here, so neither was its removal.
+    if (std::exchange(evacuations_missing_, false))
+        entries_.record_unknown_removals(revision);
     if (entries_.apply_listing(codec_.evacuation_prefix(), std::move(entries), revision))
         update_evacuations(now);
 }
--- a/lib/gateway/replica.cpp
+++ b/lib/gateway/replica.cpp
@@ -55,8 +55,11 @@
 {
     bool changed = false;
     std::set<std::string, std::less<>> listed;
+    const bool older_than_copy = revision < revision_;
     for (auto& it : entries) {
         listed.insert(it.key);
+        if (older_than_copy && is_known_removed(it))
+            continue;
         changed = apply(std::move(it)) || changed;
     }
     std::vector<std::string> missing;
@@ -78,12 +81,28 @@
         if (it.revision.era > era)
             it.revision = {0, era};
     revision_ = {};
-    trimmed_to_ = {};
+    removals_known_after_ = {};
 }
 
-void replica::advance_revision(state_revision revision)
+bool replica::record_changes(state_revision after, state_revision revision)
 {
+    if (revision_ < after)
+        return false;
     revision_ = std::max(revision_, revision);
+    return true;
+}
+
+void replica::record_listing(state_revision revision)
+{
+    if (revision <= revision_)
+        return;
+    record_unknown_removals(revision);
+    revision_ = revision;
+}
+
+void replica::record_unknown_removals(state_revision revision)
+{
+    removals_known_after_ = std::max(removals_known_after_, revision);
 }
 
 const state_entry* replica::find(std::string_view key) const
@@ -103,7 +122,7 @@
 
 std::vector<state_entry> replica::changes_after(state_revision revision, bool& whole) const
 {
-    whole = revision < trimmed_to_;
+    whole = !knows_removals_after(revision);
     std::vector<state_entry> out;
     for (const auto& [key, it] : entries_)
         if (whole ? !it.removed : it.revision > revision || it.revision.era < revision.era)
@@ -121,7 +140,7 @@
             oldest = it;
     if (oldest == entries_.end())
         return;
-    trimmed_to_ = std::max(trimmed_to_, oldest->second.revision);
+    record_unknown_removals(oldest->second.revision);
     entries_.erase(oldest);
     --removed_;
 }
--- a/lib/gateway/store_reader.cpp
+++ b/lib/gateway/store_reader.cpp
@@ -291,6 +291,11 @@
 {
     const state_revision previous = state_.table_revision();
     state_.merge(std::move(entries), boot_clock::now());
+    log_received_table(previous, source);
+}
+
+void store_reader::log_received_table(state_revision previous, std::string_view source) const
+{
     if (state_.table_revision() != previous)
         log::info("table_received", {{"source", std::string(source)},
                                      {"table_revision", fmt::to_string(state_.table_revision().number)},
@@ -370,7 +375,7 @@
     merge(std::move(table), "listing");
     state_.apply_evacuation_listing(std::move(orders), *first_revision, boot_clock::now());
     state_.apply_listing(std::move(endpoints), *first_revision, boot_clock::now());
-    state_.advance_revision(*first_revision);
+    state_.record_listing(*first_revision);
     co_return true;
 }
 
@@ -401,8 +406,11 @@
         status = store_answer_status::history_lost;
     if (status == store_answer_status::ok) {
         log_rejected(page);
-        merge(std::move(page.entries), "watch");
-        state_.advance_revision(page.revision);
+        const state_revision table = state_.table_revision();
+        // The state may have been given up meanwhile, because its era was disproved.
+        if (!state_.merge_changes(std::move(page.entries), after, page.revision, boot_clock::now()))
+            status = store_answer_status::history_lost;
+        log_received_table(table, "watch");
     }
     co_return status;
 }
--- a/lib/gateway/store_reader.hpp
+++ b/lib/gateway/store_reader.hpp
@@ -68,6 +68,8 @@
     void draw_renewal_age();
     bool expects_state_from_peers(time_point now) const;
     void merge(std::vector<state_entry> entries, std::string_view source);
+    /// Logs the table in force if it isn't the one of the previous revision.
+    void log_received_table(state_revision previous, std::string_view source) const;
     void check_watch(state_revision known, state_revision of_store);
     bool record_read(state_revision revision, time_point sent);
     static void log_rejected(const state_page& page);
--- a/unittests/gateway/evacuation_test.cpp
+++ b/unittests/gateway/evacuation_test.cpp
@@ -120,7 +120,7 @@
     published_state it(names, {[](const auto&) {}, [](const auto&) {}, {}});
     it.merge({order("a", {5, 0})}, at(0));
     it.apply_evacuation_listing({order("a", {5, 0})}, {6, 0}, at(1));
-    it.record_missing_evacuations();
+    cr_expect(it.merge_peer_state({{}, {}, {6, 0}, false, false}, at(1)));
     cr_expect_eq(it.evacuation_orders().count(), 0);
     cr_expect_not(it.misses_evacuations());
     cr_expect_eq(it.entries().size(), 0);
--- a/unittests/gateway/restored_test.cpp
+++ b/unittests/gateway/restored_test.cpp
@@ -173,13 +173,18 @@
         return;
     if (it.from_store && !it.is_listing && it.after.era != it.revision.era)
         return;
-    std::vector<state_entry> copy = it.entries;
+    if (!it.from_store) {
+        state.merge_peer_state({it.entries, it.after, it.revision, it.is_listing, true}, now);
+        return;
+    }
     if (it.is_listing)
-        state.apply_listing(std::vector<state_entry>(it.entries), it.revision, now);
-    state.merge(std::move(copy), now);
-    // Changes are complete only if they follow what is known.
-    if (it.is_listing || state.entries().revision() >= it.after)
-        state.advance_revision(it.revision);
+        state.apply_listing(it.entries, it.revision, now);
+    if (!it.is_listing) {
+        state.merge_changes(it.entries, it.after, it.revision, now);
+        return;
+    }
+    state.merge(it.entries, now);
+    state.record_listing(it.revision);
 }
 
 /// What the operator and the endpoints want the store to hold.
@@ -230,6 +235,7 @@
                 bool whole = false;
                 it.from_store = false;
                 it.entries = peer.entries().changes_after(known, whole);
+                it.is_listing = whole;
                 it.revision = peer.entries().revision();
                 it.after = known;
             } else if (kind == 1 || known.era != store.era() || known > store.revision()) {
@@ -358,11 +364,10 @@
         codec, {[](const std::shared_ptr<const routing_table>&) {}, [](const std::vector<endpoint>&) {}});
     state.record_store_era(1, at(0), at(0));
     state.merge({{"table", "12", {31, 1}, false}}, at(0));
-    state.advance_revision({31, 1});
+    state.record_listing({31, 1});
     cr_expect_not(state.record_peer_era(99, at(500)), "the store has answered lately");
     cr_expect(state.record_peer_era(99, at(3'000)));
-    state.merge({{"table", "13", {7, 99}, false}}, at(3'000));
-    state.advance_revision({7, 99});
+    state.merge_changes({{"table", "13", {7, 99}, false}}, {31, 1}, {7, 99}, at(3'000));
     cr_expect_not(state.record_store_era(1, at(2'900), at(3'100)), "a late answer");
     cr_expect(state.record_store_era(1, at(3'200), at(3'300)));
     cr_expect(state.entries().revision() == state_revision{}, "everything is listed again");
