HTTP client: close connections that were idle beside a silent one

Cause: the pool kept the connections that were idle while a call on another one to the same address got no byte in time.

Why it works: a call on a pooled connection that gets no byte within its time limit closes the idle connections to the address that are at least as old. Those used since then stay.

--- a/include/limpetlock/http/client.hpp
+++ b/include/limpetlock/http/client.hpp
@@ -105,7 +105,9 @@
 using answer_filter = std::function<bool(const header_list&)>;
 
 /// Safe for use from any thread. A connection returns to the pool only after its answer was read to the end;
-/// an abandoned or failed call closes its connection.
+/// an abandoned or failed call closes its connection. If a call on a pooled connection gets no byte in time,
+/// the connections to the address that were idle meanwhile are closed, too: they may have gone silent
+/// together.
 class client {
 public:
     client(boost::asio::any_io_executor executor, client_limits limits);
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -610,6 +610,13 @@
     exchange_ptr make_exchange(const address& to, const request& message, time_point deadline,
                                connection_policy policy, std::string& head, call_error& error) const;
 
+    /// Closes the idle connections that may have gone silent with that of the call, which was sent at `sent`.
+    void close_suspects(const client_exchange& call, const address& to, time_point sent) const
+    {
+        if (call.pooled && call.error.code == errc::timeout && !call.error.answer_begun)
+            pool->close_idle(to, sent);
+    }
+
     const client_limits limits;
     const std::shared_ptr<connection_pool> pool;
     const std::shared_ptr<std::atomic<std::size_t>> buffered_bytes{
@@ -651,6 +658,7 @@
                                                       connection_policy policy, call_error& error)
 {
     const auto self = impl_;
+    const time_point sent = boot_clock::now();
     std::string head;
     const auto it = self->make_exchange(to, message, deadline, policy, head, error);
     if (!it)
@@ -658,6 +666,7 @@
     auto work = call_endpoint(it, std::move(head), std::move(message.body), deadline,
                               self->limits.total_body_bytes, self->buffered_bytes);
     auto result = co_await run_exchange(it, std::move(work));
+    self->close_suspects(*it, to, sent);
     error = it->error;
     co_return result;
 }
@@ -668,6 +677,7 @@
                                                                          call_error& error)
 {
     const auto self = impl_;
+    const time_point sent = boot_clock::now();
     std::string head;
     const auto it = self->make_exchange(to, message, deadline, policy, head, error);
     if (!it)
@@ -675,6 +685,7 @@
     it->set_streamed();
     auto work = it->start(std::move(head), std::move(message.body), deadline);
     const bool started = co_await run_exchange(it, std::move(work));
+    self->close_suspects(*it, to, sent);
     error = it->error;
     if (!started)
         co_return nullptr;
@@ -687,6 +698,7 @@
                                                                     call_error& error, answer_filter accept)
 {
     const auto self = impl_;
+    const time_point sent = boot_clock::now();
     std::string head;
     const auto it = self->make_exchange(to, message, deadline, policy, head, error);
     if (!it)
@@ -695,6 +707,7 @@
     it->set_filter(std::move(accept));
     auto work = it->start(std::move(head), std::move(message.body), deadline);
     const bool started = co_await run_exchange(it, std::move(work));
+    self->close_suspects(*it, to, sent);
     error = it->error;
     if (!started)
         co_return nullptr;
--- a/lib/http/pool.cpp
+++ b/lib/http/pool.cpp
@@ -71,6 +71,21 @@
     it->close_on_strand();
 }
 
+void connection_pool::close_idle(const address& to, time_point since)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = idle_.find(to);
+    if (found == idle_.end())
+        return;
+    auto& list = found->second;
+    const auto end = std::stable_partition(
+        list.begin(), list.end(), [since](const connection_ptr& it) { return it->idle_since > since; });
+    std::for_each(end, list.end(), [](const connection_ptr& it) { it->post_close(); });
+    list.erase(end, list.end());
+    if (list.empty())
+        idle_.erase(found);
+}
+
 void connection_pool::close()
 {
     std::map<address, std::vector<connection_ptr>> idle;
--- a/lib/http/pool.hpp
+++ b/lib/http/pool.hpp
@@ -59,6 +59,9 @@
     /// Call on the connection's strand.
     void add_idle(connection_ptr it);
 
+    /// Closes the connections to the address that have been idle since `since` or longer.
+    void close_idle(const address& to, time_point since);
+
     /// Closes the idle connections, and every connection that is added later.
     void close();
 
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -319,6 +319,33 @@
     }
 }
 
+// Guards against one call after another that waits in vain on connections that went silent together.
+Test(client, connections_that_were_idle_beside_a_silent_one_are_not_reused)
+{
+    fixture it;
+    const scripted_endpoint endpoint([](tcp::acceptor& acceptor) {
+        raw_connection idle(acceptor);
+        idle.read_until("\r\n\r\n");
+        idle.send(keep_alive_answer);
+        raw_connection silent(acceptor);
+        silent.read_until("\r\n\r\n");
+        silent.send(keep_alive_answer);
+        silent.read_until("\r\n\r\n");
+        raw_connection last(acceptor);
+        last.read_until("\r\n\r\n");
+        last.send(keep_alive_answer);
+        cr_assert_eq(idle.read_all().find("GET"), std::string::npos);
+    });
+    for (int n = 0; n < 2; ++n)
+        cr_assert(it.call(endpoint.listen_address(), {}, connection_policy::fresh).answer.has_value());
+    cr_assert(failed_with(
+        it.call(endpoint.listen_address(), {}, connection_policy::pooled, test_deadline(duration(50))),
+        errc::timeout, true));
+    const auto next =
+        it.call(endpoint.listen_address(), {}, connection_policy::pooled, test_deadline(duration(500)));
+    cr_assert(next.answer && next.answer->body == "ok", "%s", next.error.reason.c_str());
+}
+
 // Guards against a fresh call that uses a pooled connection, and against a pooled call that opens a new
 // connection needlessly.
 Test(client, connection_policy_decides_reuse)
