Store: silent watches end within the contact time, and the grace of removed endpoints ends with the outage

What callers saw: the connections to the store go silent without a reset.

Cause: a sum of waits, none of which knew of the others. A silent watch was given up after 9.2 s, on all three watching instances at once; check_watch() noticed a missing change only at the second read of the same instance, while instances read in turn; and an instance with a failed store call in the last 4 s kept the removed endpoint for a further 1.7 s from the time at which it learned of it.

Why it works: a watch waits for two fifths of contactMs and fails after three quarters, so another one waits before the bounds hold again. After one read that names a newer revision a watching instance without progress for 400 ms (another one for 1 s) reads the changes on a new connection, and lists if that fails; the silent watch is given up. Repeated reads and listings use new connections. The grace for lapsed entries needs an outage (no answer to this instance or a peer for 800 ms) and ends 2 s after the store's return, however late a removal is learned. A watch answer that names a newer revision without any change is taken as a lost history.

--- a/include/limpetlock/gateway/proof_schedule.hpp
+++ b/include/limpetlock/gateway/proof_schedule.hpp
@@ -33,6 +33,8 @@
     bool is_read_due(std::optional<duration> proof_age, time_point now);
 
     void begin_read(time_point now);
+    /// Whether the read that began last repeats one without an answer.
+    bool is_repeated() const { return reads_ > 1; }
     /// Records that the answer to a read has begun to arrive. A large table takes a small instance's link for
     /// a while, so the read is neither repeated nor given up then.
     void record_header() { ++arriving_; }
--- a/include/limpetlock/gateway/published_state.hpp
+++ b/include/limpetlock/gateway/published_state.hpp
@@ -6,6 +6,7 @@
 #include <limpetlock/gateway/evacuations.hpp>
 #include <limpetlock/gateway/platform_codec.hpp>
 #include <limpetlock/gateway/replica.hpp>
+#include <limpetlock/gateway/store_availability.hpp>
 #include <limpetlock/support/time.hpp>
 
 #include <cstdint>
@@ -94,9 +95,10 @@
     /// Whether a peer's table is newer than the one in force.
     bool is_newer_table(state_revision revision, std::int64_t version) const;
 
-    /// Records that the store did not answer. Entries that are removed around that time may have lapsed
-    /// although their endpoint is live, so the endpoints stay in use for removal_grace.
-    void record_store_failure(time_point now) { store_failed_at_ = now; }
+    /// Records that a call was sent that the store answers at once.
+    void record_store_call(time_point sent) { availability_.record_call(sent); }
+    /// Records that the store gave an answer, here or to a peer, at `at` or later.
+    void record_store_answer(time_point at);
 
     /// Removes the lapsed endpoints whose grace has ended.
     void remove_lapsed_endpoints(time_point now);
@@ -124,13 +126,10 @@
     /// Time since the table was last known to be the newest; nullopt if it never was.
     std::optional<duration> proof_age(time_point now) const;
 
-    /// How long an endpoint stays in use after its entry lapsed. Entries of live endpoints are published
-    /// again about two seconds after the store is back.
+    /// The longest time for which an endpoint stays in use after its entry was found to be removed, while the
+    /// entry may have lapsed; see store_availability.
     static constexpr duration removal_grace{1'700};
 
-    /// How long after a failed call to the store removed entries are taken as possibly lapsed.
-    static constexpr duration unsettled_after_failure{4'000};
-
     /// What the store lost is taken as written again this long after its return was noticed.
     static constexpr duration era_settle_time{1'000};
 
@@ -164,7 +163,7 @@
     std::optional<time_point> era_began_; ///< when the store was found to have come back from a copy
     std::optional<time_point> store_answered_at_;
     std::optional<time_point> proven_at_;
-    std::optional<time_point> store_failed_at_;
+    store_availability availability_;
     std::map<std::string, decoded_entry, std::less<>> decoded_;
     std::vector<endpoint> endpoints_;
     evacuations evacuations_;
--- a/include/limpetlock/gateway/settings.hpp
+++ b/include/limpetlock/gateway/settings.hpp
@@ -19,6 +19,7 @@
     /// From the listing of an endpoint as leaving until no request reaches it.
     duration endpoint_leave_time{2'000};
     duration stop_time{8'000};           ///< from the stop signal to the kill
+    duration contact_time{3'000};        ///< from the end of a disturbance until the bounds hold again
     duration table_adoption_time{2'000}; ///< until a published configuration is in force
     duration key_revocation_time{5'000}; ///< until no request with a revoked key runs
     bool strict_key_revocation{true};    ///< key_revocation_time also holds for an instance that is cut off
--- a/lib/gateway/published_state.cpp
+++ b/lib/gateway/published_state.cpp
@@ -198,8 +198,8 @@
 
 } // namespace
 
-/// Adds endpoints whose entry was removed within removal_grace, unless another endpoint now has their
-/// address. While the store isn't `unsettled`, no removal starts a new grace.
+/// Adds endpoints whose entry was found to be removed within removal_grace, unless another endpoint now has
+/// their address. There is no grace unless entries may have lapsed while the store was away (`unsettled`).
 void published_state::retain_lapsed_endpoints(std::vector<endpoint>& next, bool unsettled, time_point now)
 {
     const std::vector<endpoint> present = next;
@@ -208,10 +208,10 @@
             missing_since_.erase(it.id);
             continue;
         }
-        const auto [since, added] = missing_since_.try_emplace(it.id, now);
+        const auto since = missing_since_.try_emplace(it.id, now).first;
         const bool reused = std::any_of(present.begin(), present.end(),
                                         [&it](const endpoint& other) { return other.address == it.address; });
-        if ((unsettled || !added) && !reused && now - since->second < removal_grace)
+        if (unsettled && !reused && now - since->second < removal_grace)
             next.push_back(it);
         else
             missing_since_.erase(since);
@@ -240,7 +240,7 @@
 
 void published_state::update_endpoints(time_point now)
 {
-    const bool unsettled = store_failed_at_ && now - *store_failed_at_ < unsettled_after_failure;
+    const bool unsettled = availability_.may_have_lapsed(now);
     std::vector<endpoint> written;
     auto next = decode_entries(written);
     if (callbacks_.on_entries && !written.empty())
@@ -255,14 +255,23 @@
 
 void published_state::remove_lapsed_endpoints(time_point now)
 {
-    const bool due = std::any_of(missing_since_.begin(), missing_since_.end(),
-                                 [now](const auto& it) { return now - it.second >= removal_grace; });
+    const bool settled = !availability_.may_have_lapsed(now);
+    const bool due =
+        std::any_of(missing_since_.begin(), missing_since_.end(),
+                    [now, settled](const auto& it) { return settled || now - it.second >= removal_grace; });
     if (due)
         update_endpoints(now);
 }
 
+void published_state::record_store_answer(time_point at)
+{
+    if (const auto outage = availability_.record_answer(at))
+        log::info("store_returned", {{"outage_ms", fmt::to_string(outage->count())}});
+}
+
 bool published_state::record_proof(const table_proof& proof)
 {
+    record_store_answer(proof.at);
     const bool same_era = proof.table_revision.era == table_revision_.era;
     const bool same_version = proof.table_version > 0 && proof.table_version == table_version();
     if (same_era ? proof.table_revision > table_revision_ : !same_version)
@@ -289,7 +298,7 @@
     if (era > era_ && era_ > 0) {
         era_began_ = now;
         // Entries that the copy lacks are written again by their endpoints, as after an outage.
-        record_store_failure(now);
+        availability_.record_return(now);
     }
     era_ = era;
     era_learned_ = now;
--- a/lib/gateway/store_reader.cpp
+++ b/lib/gateway/store_reader.cpp
@@ -36,13 +36,11 @@
 constexpr duration proof_check_interval{60};
 
 constexpr duration list_timeout{1'500};
-/// Delay after a failed listing on behalf of a silent watch.
+/// Time limit of a read of the changes that a silent watch didn't deliver. A listing follows.
+constexpr duration catch_up_timeout{250};
+/// Delay after a failed listing in place of these changes.
 constexpr duration listing_back_off{250};
 
-/// Time for which the store waits for a change before it answers a watch.
-constexpr duration watch_wait{8'000};
-/// Time beyond watch_wait after which a watch has failed.
-constexpr duration watch_timeout_margin{1'200};
 /// Delay after the first failure of a watch or listing. It doubles with each further failure.
 constexpr duration initial_watch_back_off{200};
 /// Upper bound of the delay after a failed watch or listing.
@@ -77,7 +75,8 @@
       role_(std::move(current_role)), is_seed_(std::find(settings.seeds.begin(), settings.seeds.end(),
                                                          settings.peer_address) != settings.seeds.end()),
       started_(boot_clock::now()), schedule_(settings.bounds.table_adoption_time),
-      read_ended_(executor_, asio::steady_timer::time_point::max()),
+      read_ended_(executor_, asio::steady_timer::time_point::max()), watches_(settings.bounds.contact_time),
+      watch_abandoned_(executor_, asio::steady_timer::time_point::max()),
       calls_(metrics.get_counter("limpetlock_store_calls_total", "calls to the platform's store")),
       failures_(metrics.get_counter("limpetlock_store_failures_total", "store calls without a usable answer"))
 {
@@ -93,7 +92,6 @@
 {
     if (!answered) {
         failures_.add();
-        state_.record_store_failure(boot_clock::now());
     }
     if (answered == reachable_)
         return;
@@ -110,25 +108,29 @@
 {
     const bool usable = answer && answer->status != 429 && answer->status < 500;
     const std::string reason = answer ? fmt::format("status {}", answer->status) : error.reason;
-    // A pooled connection that the store closed while idle says nothing about the store.
-    if (!error.stale)
+    // A pooled connection that the store closed while idle says nothing about the store, nor does a call that
+    // was cancelled here.
+    if (!error.stale && error.code != http::errc::cancelled)
         record_answer(usable, target, reason);
     return usable;
 }
 
-awaitable<std::optional<http::response>> store_reader::call(http::request message, duration timeout)
+awaitable<std::optional<http::response>> store_reader::call(http::request message, duration timeout,
+                                                            http::connection_policy policy)
 {
+    const time_point sent = boot_clock::now();
     http::call_error error;
     const std::string target = message.target;
     calls_.add();
-    auto answer = co_await client_.call(store_address_, std::move(message), boot_clock::now() + timeout,
-                                        http::connection_policy::pooled, error);
+    auto answer = co_await client_.call(store_address_, std::move(message), sent + timeout, policy, error);
     if (!is_usable(answer, error, target))
         co_return std::nullopt;
+    state_.record_store_answer(boot_clock::now());
     co_return answer;
 }
 
-awaitable<std::optional<http::response>> store_reader::call_for_table(bool& had_header)
+awaitable<std::optional<http::response>> store_reader::call_for_table(http::connection_policy policy,
+                                                                      bool& had_header)
 {
     const time_point sent = boot_clock::now();
     http::request message = codec_.encode_key_read(codec_.table_key());
@@ -136,9 +138,9 @@
     http::call_error error;
     http::answer_filter any;
     calls_.add();
-    const auto reader =
-        co_await client_.open_answer(store_address_, std::move(message), sent + schedule_.header_timeout(),
-                                     http::connection_policy::pooled, error, std::move(any));
+    state_.record_store_call(sent);
+    const auto reader = co_await client_.open_answer(
+        store_address_, std::move(message), sent + schedule_.header_timeout(), policy, error, std::move(any));
     std::optional<http::response> answer;
     if (reader) {
         had_header = true;
@@ -156,6 +158,7 @@
     }
     if (!is_usable(answer, error, target))
         co_return std::nullopt;
+    state_.record_store_answer(boot_clock::now());
     co_return answer;
 }
 
@@ -181,11 +184,15 @@
         if (!expects_state_from_peers(now) && state_.is_era_settled(now) &&
             schedule_.is_read_due(state_.proof_age(now), now)) {
             schedule_.begin_read(now);
-            spawn_background(executor_, "proof_renewal", renew_proof());
+            const auto policy =
+                schedule_.is_repeated() ? http::connection_policy::fresh : http::connection_policy::pooled;
+            spawn_background(executor_, "proof_renewal", renew_proof(policy));
         }
-        if (watch_behind_ && !listing_) {
-            listing_ = true;
-            spawn_background(executor_, "listing", list_for_silent_watch());
+        const state_revision known = state_.entries().revision();
+        if (!catching_up_ && watches_.misses_changes(known) &&
+            watches_.is_behind(known, role_().watches, now)) {
+            catching_up_ = true;
+            spawn_background(executor_, "catch_up", catch_up());
         }
         if (state_.misses_evacuations() && now >= next_evacuation_listing_) {
             next_evacuation_listing_ = now + evacuation_listing_interval;
@@ -195,7 +202,7 @@
     }
 }
 
-awaitable<void> store_reader::renew_proof()
+awaitable<void> store_reader::renew_proof(http::connection_policy policy)
 {
     bool had_header = false;
     bool renewed = false;
@@ -203,7 +210,7 @@
         schedule_.end_read(renewed, had_header);
         read_ended_.cancel();
     });
-    renewed = co_await read_table(had_header);
+    renewed = co_await read_table(policy, had_header);
     if (renewed)
         draw_renewal_age();
 }
@@ -220,22 +227,31 @@
     }
 }
 
-/// Runs beside the reads of the table, because a listing of many pages can take longer than a proof holds.
-awaitable<void> store_reader::list_for_silent_watch()
+/// Reads the changes that the watch, of this instance or of another one, hasn't delivered. Runs beside the
+/// reads of the table, because a listing of many pages can take longer than a proof holds.
+awaitable<void> store_reader::catch_up()
 {
-    const scope_exit end_listing([this] { listing_ = false; });
-    const bool listed = co_await list_state();
-    watch_behind_ = !listed;
-    if (!listed)
+    const scope_exit end_catch_up([this] { catching_up_ = false; });
+    log::info("watch_behind", {{"revision", fmt::to_string(state_.entries().revision().number)},
+                               {"another_era", watches_.is_in_another_era() ? "yes" : "no"}});
+    watch_abandoned_.cancel();
+    auto status = store_answer_status::history_lost;
+    if (!watches_.is_in_another_era())
+        status = co_await read_changes(duration{0}, catch_up_timeout, http::connection_policy::fresh);
+    bool ok = status == store_answer_status::ok;
+    if (!ok)
+        ok = co_await list_state();
+    if (ok)
+        watches_.restart();
+    else
         co_await sleep_for(listing_back_off);
 }
 
 /// The read is linearizable: the answer reflects every table that was published before the request was sent.
-awaitable<bool> store_reader::read_table(bool& had_header)
+awaitable<bool> store_reader::read_table(http::connection_policy policy, bool& had_header)
 {
     const time_point sent = boot_clock::now();
-    const state_revision known_revision = state_.entries().revision();
-    const auto answer = co_await call_for_table(had_header);
+    const auto answer = co_await call_for_table(policy, had_header);
     if (!answer) {
         log_failed_read("no answer", sent);
         co_return false;
@@ -250,24 +266,10 @@
         co_return false;
     const state_revision revision = page.entries.front().revision;
     merge(std::move(page.entries), "read");
-    check_watch(known_revision, page.revision);
+    watches_.record_read(state_.entries().revision(), page.revision, boot_clock::now());
     co_return record_read(revision, sent);
 }
 
-/// Notices a watch that doesn't deliver: it has had a whole proof interval to deliver the revision of the
-/// previous proof. A watch of an earlier era has to begin again. Instances that don't watch have the new
-/// era's entries from their peers.
-void store_reader::check_watch(state_revision known, state_revision of_store)
-{
-    const bool watch_is_outdated = of_store.era > known.era && role_().watches;
-    watch_behind_ = known > state_revision{} && known == state_.entries().revision() &&
-                    (store_revision_ > known || watch_is_outdated);
-    store_revision_ = std::max(store_revision_, of_store);
-    if (watch_behind_)
-        log::info("watch_behind", {{"revision", fmt::to_string(known.number)},
-                                   {"store_revision", fmt::to_string(store_revision_.number)}});
-}
-
 /// Takes the read as a proof of the table in force, unless the store came back from a copy: it may lack a
 /// newer table then that is not written again yet.
 bool store_reader::record_read(state_revision revision, time_point sent)
@@ -328,7 +330,10 @@
     std::string after;
     for (int n = 0; n < max_pages; ++n) {
         const time_point sent = boot_clock::now();
-        const auto answer = co_await call(codec_.encode_range_read(prefix, after), list_timeout);
+        // The next pages and prefixes go over the same connection.
+        const auto policy = first_revision ? http::connection_policy::pooled : http::connection_policy::fresh;
+        state_.record_store_call(sent);
+        const auto answer = co_await call(codec_.encode_range_read(prefix, after), list_timeout, policy);
         state_page page;
         if (!answer || codec_.decode_page(*answer, page) != store_answer_status::ok) {
             log::warning("listing_failed", {{"prefix", prefix},
@@ -389,12 +394,12 @@
         state_.apply_evacuation_listing(std::move(orders), *first_revision, boot_clock::now());
 }
 
-awaitable<store_answer_status> store_reader::watch_once()
+awaitable<store_answer_status> store_reader::read_changes(duration wait, duration timeout,
+                                                          http::connection_policy policy)
 {
     const state_revision after = state_.entries().revision();
     const time_point sent = boot_clock::now();
-    const auto answer =
-        co_await call(codec_.encode_watch({}, after.number, watch_wait), watch_wait + watch_timeout_margin);
+    const auto answer = co_await call(codec_.encode_watch({}, after.number, wait), timeout, policy);
     if (!answer)
         co_return store_answer_status::refused;
     state_page page;
@@ -404,6 +409,10 @@
         (!state_.record_store_era(page.revision.era, sent, boot_clock::now()) ||
          page.revision.era != after.era))
         status = store_answer_status::history_lost;
+    // Every change is an event, so some were left out.
+    if (status == store_answer_status::ok && page.entries.empty() && page.rejected.empty() &&
+        page.revision > after)
+        status = store_answer_status::history_lost;
     if (status == store_answer_status::ok) {
         log_rejected(page);
         const state_revision table = state_.table_revision();
@@ -415,8 +424,18 @@
     co_return status;
 }
 
+awaitable<store_answer_status> store_reader::watch_once(http::connection_policy policy, bool& abandoned)
+{
+    using namespace asio::experimental::awaitable_operators;
+    const auto first = co_await (read_changes(watches_.wait(), watches_.timeout(), policy) ||
+                                 watch_abandoned_.async_wait(asio::as_tuple(asio::use_awaitable)));
+    abandoned = first.index() == 1;
+    co_return abandoned ? store_answer_status::refused : std::get<0>(first);
+}
+
 awaitable<void> store_reader::watch_loop()
 {
+    auto policy = http::connection_policy::pooled;
     duration watch_back_off = initial_watch_back_off;
     bool listed = false;
     time_point last_end;
@@ -431,8 +450,13 @@
         if (!listed)
             listed = co_await list_state();
         store_answer_status status = store_answer_status::refused;
+        bool abandoned = false;
         if (listed)
-            status = co_await watch_once();
+            status = co_await watch_once(policy, abandoned);
+        policy = status == store_answer_status::ok ? http::connection_policy::pooled
+                                                   : http::connection_policy::fresh;
+        if (abandoned)
+            continue;
         if (status == store_answer_status::ok) {
             watch_back_off = initial_watch_back_off;
             const time_point now = boot_clock::now();
--- a/lib/gateway/store_reader.hpp
+++ b/lib/gateway/store_reader.hpp
@@ -6,6 +6,7 @@
 #include <limpetlock/gateway/proof_schedule.hpp>
 #include <limpetlock/gateway/published_state.hpp>
 #include <limpetlock/gateway/settings.hpp>
+#include <limpetlock/gateway/watch_schedule.hpp>
 #include <limpetlock/http/client.hpp>
 #include <limpetlock/support/metrics.hpp>
 
@@ -53,24 +54,29 @@
     boost::asio::awaitable<void> proof_loop();
     boost::asio::awaitable<void> watch_loop();
     /// Sets `had_header` when the answer has begun to arrive.
-    boost::asio::awaitable<bool> read_table(bool& had_header);
-    boost::asio::awaitable<std::optional<http::response>> call_for_table(bool& had_header);
+    boost::asio::awaitable<bool> read_table(http::connection_policy policy, bool& had_header);
+    boost::asio::awaitable<std::optional<http::response>> call_for_table(http::connection_policy policy,
+                                                                         bool& had_header);
     bool is_usable(const std::optional<http::response>& answer, const http::call_error& error,
                    const std::string& target);
     boost::asio::awaitable<bool> list_state();
     boost::asio::awaitable<void> list_evacuations();
     boost::asio::awaitable<bool> list_prefix(std::string prefix, std::vector<state_entry>& entries,
                                              std::optional<state_revision>& first_revision);
-    boost::asio::awaitable<store_answer_status> watch_once();
-    boost::asio::awaitable<std::optional<http::response>> call(http::request message, duration timeout);
-    boost::asio::awaitable<void> renew_proof();
-    boost::asio::awaitable<void> list_for_silent_watch();
+    /// Reads the changes after those that are known. The store waits up to `wait` for the first one.
+    boost::asio::awaitable<store_answer_status> read_changes(duration wait, duration timeout,
+                                                             http::connection_policy policy);
+    /// Waits for changes, until the watch is given up as silent.
+    boost::asio::awaitable<store_answer_status> watch_once(http::connection_policy policy, bool& abandoned);
+    boost::asio::awaitable<std::optional<http::response>> call(http::request message, duration timeout,
+                                                               http::connection_policy policy);
+    boost::asio::awaitable<void> renew_proof(http::connection_policy policy);
+    boost::asio::awaitable<void> catch_up();
     void draw_renewal_age();
     bool expects_state_from_peers(time_point now) const;
     void merge(std::vector<state_entry> entries, std::string_view source);
     /// Logs the table in force if it isn't the one of the previous revision.
     void log_received_table(state_revision previous, std::string_view source) const;
-    void check_watch(state_revision known, state_revision of_store);
     bool record_read(state_revision revision, time_point sent);
     static void log_rejected(const state_page& page);
     void log_failed_read(const std::string& reason, time_point sent) const;
@@ -91,9 +97,10 @@
     metrics::counter& calls_;
     metrics::counter& failures_;
     bool reachable_{false};
-    state_revision store_revision_; ///< highest revision in the store's answers so far
-    bool watch_behind_{false};      ///< the last proof had a revision that the watch hadn't delivered
-    bool listing_{false};           ///< a listing on behalf of the watch runs
+    watch_schedule watches_;
+    boost::asio::steady_timer
+        watch_abandoned_; ///< never expires; cancelled when the watch is found to be silent
+    bool catching_up_{false};
     time_point next_evacuation_listing_{};
 };
 
--- a/test/platform/platform_fleet.cpp
+++ b/test/platform/platform_fleet.cpp
@@ -73,6 +73,10 @@
     std::filesystem::create_directories(directory_);
     site_ = std::make_unique<platformkit::site>(io_.get_executor(), options);
     client_ = std::make_unique<http::client>(io_.get_executor(), http::client_limits{});
+    if (options.relays_store) {
+        store_relay_ = std::make_unique<silent_relay>(io_.get_executor(), address_, site_->state.port());
+        site_->store_port = store_relay_->port();
+    }
     site_->publish();
     thread_ = std::thread([this] { io_.run(); });
     for (std::size_t n = 0; n < instances; ++n)
@@ -182,6 +186,13 @@
     done.get_future().wait();
 }
 
+std::size_t platform_fleet::silence_store_connections()
+{
+    std::size_t out = 0;
+    with_site([&](platformkit::site&) { out = store_relay_->silence(); });
+    return out;
+}
+
 bool platform_fleet::wait_until(const std::function<bool(platformkit::site&)>& condition,
                                 std::chrono::milliseconds timeout)
 {
--- a/test/platform/platform_fleet.hpp
+++ b/test/platform/platform_fleet.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "platformkit/site.hpp"
+#include "silent_relay.hpp"
 
 #include <limpetlock/http/client.hpp>
 
@@ -60,6 +61,10 @@
     /// Runs a function on the site's thread and waits for its end.
     void with_site(const std::function<void(platformkit::site&)>& action);
 
+    /// The open connections of the instances to the store go silent; new ones work. Returns their number.
+    /// Requires site_options::relays_store.
+    std::size_t silence_store_connections();
+
     /// Waits until all instances are ready. Returns false after the timeout.
     bool wait_ready(std::chrono::milliseconds timeout = std::chrono::seconds(5));
     bool is_ready(std::size_t instance);
@@ -101,6 +106,7 @@
     boost::asio::io_context io_{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
     std::unique_ptr<platformkit::site> site_;
+    std::unique_ptr<silent_relay> store_relay_;
     std::unique_ptr<http::client> client_;
     std::vector<pid_t> processes_;
     std::thread thread_;
--- a/unittests/gateway/adoption_test.cpp
+++ b/unittests/gateway/adoption_test.cpp
@@ -83,6 +83,23 @@
     cr_expect_geq(reads, 60'000 / 2'000, "the store's return would be noticed late");
 }
 
+// Guards against a repeated read on a connection that went silent together with that of the first one.
+Test(proof_schedule, unanswered_read_is_repeated)
+{
+    proof_schedule it{duration(2'000)};
+    cr_assert(it.is_read_due(duration(1'100), at(0)));
+    it.begin_read(at(0));
+    cr_expect_not(it.is_repeated());
+    cr_assert(it.is_read_due(duration(1'340), at(240)));
+    it.begin_read(at(240));
+    cr_expect(it.is_repeated());
+    it.end_read(true, false);
+    cr_expect_not(it.is_read_due(duration(10), at(250)));
+    cr_assert(it.is_read_due(duration(1'100), at(1'340)));
+    it.begin_read(at(1'340));
+    cr_expect_not(it.is_repeated());
+}
+
 // Guards against requests that wait for a read although the store is known to be silent, and against requests
 // that are decided by a table from before a suspension of the process.
 Test(proof_schedule, requests_wait_only_until_a_read_has_failed)
@@ -92,6 +109,7 @@
     cr_expect(it.needs_confirmation(duration(5'000)));
     cr_assert(it.is_read_due(duration(5'000), at(0)));
     it.begin_read(at(0));
+    cr_expect_not(it.is_repeated());
     cr_expect(it.needs_confirmation(duration(5'010)));
     it.end_read(false, false);
     cr_expect_not(it.needs_confirmation(duration(5'700)));
--- a/utils/platformkit/site.cpp
+++ b/utils/platformkit/site.cpp
@@ -149,6 +149,7 @@
                            std::uint16_t peer, const std::vector<std::uint16_t>& seeds) const
 {
     const auto at = [this](std::uint16_t port) { return fmt::format("{}:{}", options.address, port); };
+    const std::uint16_t first_port = store_port != 0 ? store_port : state.port();
     json list = json::array();
     for (const auto it : seeds)
         list.push_back(at(it));
@@ -158,7 +159,8 @@
              {"seeds", list},
              {"limits", {{"cpuShare", 0.25}, {"cores", 1}}},
              {"bounds",
-              {{"drainMs", 2000},
+              {{"contactMs", 3000},
+               {"drainMs", 2000},
                {"graceS", 8},
                {"configMs", 2000},
                {"strictRevoke", true},
@@ -168,7 +170,7 @@
                {"budgetExtra", options.retry_extra},
                {"recoverS", 12}}},
              {"provider",
-              {{"addr", at(name == options.second_store_user ? state.second_port() : state.port())},
+              {{"addr", at(name == options.second_store_user ? state.second_port() : first_port)},
                {"readsPerS", 2000}}}};
     if (options.follows_evacuations)
         out["bounds"]["evacMs"] = 5000;
--- a/utils/platformkit/site.hpp
+++ b/utils/platformkit/site.hpp
@@ -32,7 +32,8 @@
     /// Failure domains among which the endpoints of each pool are divided in turn. The instances are in "a".
     std::vector<std::string> domains{"a"};
     bool follows_evacuations{false}; ///< the instances have the bound for orders to evacuate
-    double cold_rate{0}; ///< requests a second that a cold engine tolerates; 0: as many as a warm one
+    double cold_rate{0};      ///< requests a second that a cold engine tolerates; 0: as many as a warm one
+    bool relays_store{false}; ///< the instances reach the store through a relay of the test
     std::string second_store_user; ///< instance that uses the second listener of the store
 };
 
@@ -69,6 +70,7 @@
     std::vector<std::unique_ptr<stage_endpoint>> first_stage;
     std::vector<std::unique_ptr<stage_endpoint>> second_stage;
     nlohmann::json config;
+    std::uint16_t store_port{0}; ///< in the settings of the instances, if it isn't the store's own
 
     static constexpr const char* host = "site.example";
     static constexpr const char* key = "key-one";
