Store: a watch whose answer has begun to arrive isn't given up

The former commit bounded a watch by three quarters of contactMs from its sending to the end of its answer, and abandoned it 400 ms after a read named a newer revision. A large change over a slow link would be asked for again and again.

Why it works: the bound of a watch counts to the header of its answer; the body has half of contactMs from there. While changes arrive, no others are asked for. All calls of the store reader go through one function with separate limits; those of the table and of listings are what they were.

--- a/include/limpetlock/gateway/watch_schedule.hpp
+++ b/include/limpetlock/gateway/watch_schedule.hpp
@@ -20,9 +20,12 @@
     /// Time for which the store waits for a change before it answers.
     duration wait() const { return contact_time_ * 2 / 5; }
 
-    /// A watch without an answer within this time has failed.
+    /// A watch without the header of an answer within this time has failed.
     duration timeout() const { return contact_time_ * 3 / 4; }
 
+    /// A watch without the whole answer within this time after its header has failed.
+    duration body_timeout() const { return contact_time_ / 2; }
+
     /// Records a read that named the store's revision, while this instance had every change up to `known`.
     void record_read(state_revision known, state_revision of_store, time_point now);
 
--- a/lib/gateway/store_reader.cpp
+++ b/lib/gateway/store_reader.cpp
@@ -54,12 +54,12 @@
 constexpr int max_pages = 64;
 
 /// The store sends values of up to 1 MB, in base64.
-constexpr std::size_t max_table_answer_bytes = std::size_t{4} * 1024 * 1024;
+constexpr std::size_t max_answer_bytes = std::size_t{4} * 1024 * 1024;
 
 http::client_limits store_limits()
 {
     http::client_limits out;
-    out.body_bytes = max_table_answer_bytes;
+    out.body_bytes = max_answer_bytes;
     out.idle_timeout = duration(5'000);
     return out;
 }
@@ -115,45 +115,29 @@
     return usable;
 }
 
-awaitable<std::optional<http::response>> store_reader::call(http::request message, duration timeout,
-                                                            http::connection_policy policy)
+awaitable<std::optional<http::response>> store_reader::call(http::request message, call_limits limits,
+                                                            std::function<void()> on_header)
 {
     const time_point sent = boot_clock::now();
-    http::call_error error;
-    const std::string target = message.target;
-    calls_.add();
-    auto answer = co_await client_.call(store_address_, std::move(message), sent + timeout, policy, error);
-    if (!is_usable(answer, error, target))
-        co_return std::nullopt;
-    state_.record_store_answer(boot_clock::now());
-    co_return answer;
-}
-
-awaitable<std::optional<http::response>> store_reader::call_for_table(http::connection_policy policy,
-                                                                      bool& had_header)
-{
-    const time_point sent = boot_clock::now();
-    http::request message = codec_.encode_key_read(codec_.table_key());
     const std::string target = message.target;
     http::call_error error;
     http::answer_filter any;
     calls_.add();
-    state_.record_store_call(sent);
-    const auto reader = co_await client_.open_answer(
-        store_address_, std::move(message), sent + schedule_.header_timeout(), policy, error, std::move(any));
+    const auto reader = co_await client_.open_answer(store_address_, std::move(message), sent + limits.header,
+                                                     limits.policy, error, std::move(any));
     std::optional<http::response> answer;
     if (reader) {
-        had_header = true;
-        schedule_.record_header();
+        on_header();
+        const time_point deadline = std::min(boot_clock::now() + limits.body, sent + limits.whole);
         answer = http::response{reader->status(), reader->headers(), {}};
-        for (bool more = true; more && answer->body.size() <= max_table_answer_bytes;) {
-            auto bytes = co_await reader->read(sent + schedule_.read_timeout());
+        for (bool more = true; more && answer->body.size() <= max_answer_bytes;) {
+            auto bytes = co_await reader->read(deadline);
             more = bytes.has_value();
             if (more)
                 answer->body += *bytes;
         }
         error = reader->error();
-        if (error.code != http::errc::none || answer->body.size() > max_table_answer_bytes)
+        if (error.code != http::errc::none || answer->body.size() > max_answer_bytes)
             answer.reset();
     }
     if (!is_usable(answer, error, target))
@@ -189,7 +173,7 @@
             spawn_background(executor_, "proof_renewal", renew_proof(policy));
         }
         const state_revision known = state_.entries().revision();
-        if (!catching_up_ && watches_.misses_changes(known) &&
+        if (!catching_up_ && changes_arriving_ == 0 && watches_.misses_changes(known) &&
             watches_.is_behind(known, role_().watches, now)) {
             catching_up_ = true;
             spawn_background(executor_, "catch_up", catch_up());
@@ -251,7 +235,14 @@
 awaitable<bool> store_reader::read_table(http::connection_policy policy, bool& had_header)
 {
     const time_point sent = boot_clock::now();
-    const auto answer = co_await call_for_table(policy, had_header);
+    const auto begin_answer = [this, &had_header] {
+        had_header = true;
+        schedule_.record_header();
+    };
+    state_.record_store_call(sent);
+    const call_limits limits{schedule_.header_timeout(), schedule_.read_timeout(), schedule_.read_timeout(),
+                             policy};
+    const auto answer = co_await call(codec_.encode_key_read(codec_.table_key()), limits, begin_answer);
     if (!answer) {
         log_failed_read("no answer", sent);
         co_return false;
@@ -333,7 +324,8 @@
         // The next pages and prefixes go over the same connection.
         const auto policy = first_revision ? http::connection_policy::pooled : http::connection_policy::fresh;
         state_.record_store_call(sent);
-        const auto answer = co_await call(codec_.encode_range_read(prefix, after), list_timeout, policy);
+        const call_limits limits{list_timeout, list_timeout, list_timeout, policy};
+        const auto answer = co_await call(codec_.encode_range_read(prefix, after), limits);
         state_page page;
         if (!answer || codec_.decode_page(*answer, page) != store_answer_status::ok) {
             log::warning("listing_failed", {{"prefix", prefix},
@@ -399,7 +391,15 @@
 {
     const state_revision after = state_.entries().revision();
     const time_point sent = boot_clock::now();
-    const auto answer = co_await call(codec_.encode_watch({}, after.number, wait), timeout, policy);
+    const duration body_timeout = watches_.body_timeout();
+    const call_limits limits{timeout, body_timeout, timeout + body_timeout, policy};
+    bool arriving = false;
+    const scope_exit end_arrival([this, &arriving] { changes_arriving_ -= arriving ? 1 : 0; });
+    const auto begin_answer = [this, &arriving] {
+        arriving = true;
+        ++changes_arriving_;
+    };
+    const auto answer = co_await call(codec_.encode_watch({}, after.number, wait), limits, begin_answer);
     if (!answer)
         co_return store_answer_status::refused;
     state_page page;
--- a/lib/gateway/store_reader.hpp
+++ b/lib/gateway/store_reader.hpp
@@ -51,12 +51,18 @@
     boost::asio::awaitable<void> confirm_table();
 
 private:
+    /// How a call is made. A large answer may arrive slowly once it has begun.
+    struct call_limits {
+        duration header; ///< from the sending to the header of the answer
+        duration body;   ///< from the header to the end of the answer
+        duration whole;  ///< from the sending to the end of the answer
+        http::connection_policy policy;
+    };
+
     boost::asio::awaitable<void> proof_loop();
     boost::asio::awaitable<void> watch_loop();
     /// Sets `had_header` when the answer has begun to arrive.
     boost::asio::awaitable<bool> read_table(http::connection_policy policy, bool& had_header);
-    boost::asio::awaitable<std::optional<http::response>> call_for_table(http::connection_policy policy,
-                                                                         bool& had_header);
     bool is_usable(const std::optional<http::response>& answer, const http::call_error& error,
                    const std::string& target);
     boost::asio::awaitable<bool> list_state();
@@ -68,8 +74,9 @@
                                                              http::connection_policy policy);
     /// Waits for changes, until the watch is given up as silent.
     boost::asio::awaitable<store_answer_status> watch_once(http::connection_policy policy, bool& abandoned);
-    boost::asio::awaitable<std::optional<http::response>> call(http::request message, duration timeout,
-                                                               http::connection_policy policy);
+    /// Calls `on_header` when the answer has begun to arrive.
+    boost::asio::awaitable<std::optional<http::response>> call(
+        http::request message, call_limits limits, std::function<void()> on_header = [] {});
     boost::asio::awaitable<void> renew_proof(http::connection_policy policy);
     boost::asio::awaitable<void> catch_up();
     void draw_renewal_age();
@@ -101,6 +108,7 @@
     boost::asio::steady_timer
         watch_abandoned_; ///< never expires; cancelled when the watch is found to be silent
     bool catching_up_{false};
+    std::size_t changes_arriving_{0}; ///< reads of changes whose answer has begun to arrive
     time_point next_evacuation_listing_{};
 };
 
--- a/test/platform/removal_test.cpp
+++ b/test/platform/removal_test.cpp
@@ -179,3 +179,28 @@
                       endpoint_id(round).c_str());
     }
 }
+
+// Guards against a watch that is given up while its answer arrives slowly, as over a slow link, and against
+// the same answer on a new connection beside it: neither would arrive.
+Test(removals, are_known_although_changes_arrive_slowly)
+{
+    constexpr std::size_t instances = 6;
+    constexpr std::size_t rounds = 4;
+    platform_fleet fleet(instances, options_with_plain(rounds + 1));
+    cr_assert(fleet.wait_ready());
+    std::this_thread::sleep_for(settle_time);
+    for (std::size_t round = 0; round < rounds; ++round) {
+        // Up to this length, no instance has a reason to read the changes itself.
+        const milliseconds length(round < rounds / 2 ? 700 : 1'300);
+        fleet.with_site([&](site& it) { it.state.set_watch_body_time(length); });
+        std::this_thread::sleep_for(milliseconds(330) * round);
+        fleet.with_site([&](site& it) { it.state.remove("servers/" + endpoint_id(round)); });
+        const auto until = steady_clock::now() + leave_time;
+        for (std::size_t n = 0; n < instances; ++n) {
+            cr_expect(wait_dropped(fleet, n, round, until), "round %zu: instance %zu keeps %s", round, n,
+                      endpoint_id(round).c_str());
+            if (length < milliseconds(1'000))
+                cr_expect_eq(fleet.log_lines(n, "event=watch_behind").size(), 0, "instance %zu", n);
+        }
+    }
+}
--- a/utils/platformkit/store.cpp
+++ b/utils/platformkit/store.cpp
@@ -176,14 +176,15 @@
     co_await respond(io, std::move(answer));
 }
 
-awaitable<void> store::send_slowly(http::exchange& io, http::response answer)
+awaitable<void> store::send_slowly(http::exchange& io, http::response answer,
+                                   std::chrono::milliseconds length)
 {
     constexpr std::size_t parts = 10;
     const std::size_t step = answer.body.size() / parts + 1;
     answer.headers.push_back({std::string(platform::header::store_era), std::to_string(era_)});
     bool ok = co_await io.begin_stream(answer.status, answer.headers);
     for (std::size_t from = 0; ok && from < answer.body.size(); from += step) {
-        asio::steady_timer timer(executor_, body_time_ / parts);
+        asio::steady_timer timer(executor_, length / parts);
         co_await timer.async_wait(as_tuple_awaitable);
         ok = co_await io.write(std::string_view(answer.body).substr(from, step));
     }
@@ -211,7 +212,10 @@
         if (!events.empty() || std::chrono::steady_clock::now() >= until) {
             http::response answer =
                 http::json_response(200, json{{"events", events}, {"asOf", now_.revision}}.dump());
-            co_await respond(io, std::move(answer));
+            if (!events.empty() && watch_body_time_.count() > 0)
+                co_await send_slowly(io, std::move(answer), watch_body_time_);
+            else
+                co_await respond(io, std::move(answer));
             co_return;
         }
         asio::steady_timer timer(executor_, until);
@@ -255,7 +259,7 @@
     else if (target.starts_with("/v1/kv-range"))
         answer = read_range(target);
     if (body_time_.count() > 0 && mode_ != store_mode::refusing && target.starts_with("/v1/kv-key")) {
-        co_await send_slowly(io, std::move(answer));
+        co_await send_slowly(io, std::move(answer), body_time_);
         co_return;
     }
     co_await respond(io, std::move(answer));
--- a/utils/platformkit/store.hpp
+++ b/utils/platformkit/store.hpp
@@ -42,6 +42,9 @@
     /// slow link.
     void set_body_time(std::chrono::milliseconds length) { body_time_ = length; }
 
+    /// The same for the answers to watches.
+    void set_watch_body_time(std::chrono::milliseconds length) { watch_body_time_ = length; }
+
     /// The next `count` requests whose target begins with the prefix get no answer for 30 s. Replaces an
     /// earlier call.
     void lose_answers(const std::string& target_prefix, std::size_t count)
@@ -85,7 +88,8 @@
     boost::asio::awaitable<void> respond(http::exchange& io, http::response answer) const;
     boost::asio::awaitable<void> serve_watch(http::exchange& io);
     boost::asio::awaitable<void> hang(http::exchange& io);
-    boost::asio::awaitable<void> send_slowly(http::exchange& io, http::response answer);
+    boost::asio::awaitable<void> send_slowly(http::exchange& io, http::response answer,
+                                             std::chrono::milliseconds length);
     http::response read_key(const std::string& target) const;
     http::response read_range(const std::string& target) const;
     static nlohmann::json to_json(const change& it);
@@ -100,6 +104,7 @@
     std::int64_t era_{1}; ///< rises when a copy is restored
     store_mode mode_{store_mode::serving};
     std::chrono::milliseconds body_time_{0};
+    std::chrono::milliseconds watch_body_time_{0};
     std::string lost_prefix_;
     std::size_t lost_answers_{0};
     std::size_t calls_{0};
